--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,142 @@
+// Package admin is the operators' HTTP interface. commands.go changes state and
+// queries.go reads it.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/google/uuid"
+
+	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+const (
+	maxBodyBytes   = 8 << 20
+	commandTimeout = 5 * time.Second
+	readTimeout    = 10 * time.Second
+	// HeaderCommandID carries the operator's command id.
+	HeaderCommandID = "X-Command-ID"
+	bearerPrefix    = "Bearer "
+	retryAfter      = time.Second
+)
+
+// Node is what the operators' interface asks of the node it runs in.
+type Node interface {
+	// Ready reports whether the node may receive callers' requests.
+	Ready() bool
+	// Status returns the node's state.
+	Status(ctx context.Context) Status
+	// Adopt tells the node of a site that it may not have seen yet.
+	Adopt(ctx context.Context, site configuration.Site)
+}
+
+// Status is a node's answer to the status query.
+type Status struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	Draining   bool   `json:"draining"`
+	// Version is the site version in force at the node.
+	Version uint64 `json:"version"`
+	// StoreReachable tells whether the last read of the site row succeeded.
+	StoreReachable bool `json:"store_reachable"`
+	// Waiting and Running count the requests at the node.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// OutDataCentres and OutVMs were taken out by operators.
+	OutDataCentres []string `json:"out_data_centres"`
+	OutVMs         []string `json:"out_vms"`
+	// Environments names the documents in force.
+	Environments map[string]configuration.Environment `json:"environments"`
+}
+
+// Config holds what the interface works with; every field is required.
+type Config struct {
+	Store   *configuration.Store
+	Node    Node
+	Tokens  []string
+	Metrics *telemetry.Metrics
+}
+
+// Server serves operators.
+type Server struct {
+	config Config
+	tokens [][sha256.Size]byte
+	app    *fiber.App
+}
+
+// NewServer returns a server with its routes.
+func NewServer(config Config) *Server {
+	server := &Server{config: config}
+	for _, token := range config.Tokens {
+		server.tokens = append(server.tokens, sha256.Sum256([]byte(token)))
+	}
+	server.app = fiber.New(fiber.Config{
+		BodyLimit:             maxBodyBytes,
+		ReadTimeout:           readTimeout,
+		DisableStartupMessage: true,
+		Immutable:             true,
+		ErrorHandler:          libraryError,
+	})
+	server.routes()
+	return server
+}
+
+func (s *Server) routes() {
+	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.ready)
+	s.app.Get("/metrics", s.metrics)
+	v1 := s.app.Group("/admin/v1", s.authorise)
+	v1.Put("/environments/:name/trial", s.try)
+	v1.Post("/environments/:name/promote", s.promote)
+	v1.Post("/environments/:name/withdraw", s.withdraw)
+	v1.Get("/environments", s.list)
+	v1.Get("/environments/:name/history", s.history)
+	v1.Get("/environments/:name", s.show)
+	v1.Put("/datacentres/:name", s.setDataCentre)
+	v1.Put("/vms/:name", s.setVM)
+	v1.Get("/status", s.status)
+}
+
+// App returns the HTTP application, for a listener of the caller's choice.
+func (s *Server) App() *fiber.App {
+	return s.app
+}
+
+// authorise compares the token's digest with each listed one in constant time.
+func (s *Server) authorise(c *fiber.Ctx) error {
+	token, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearerPrefix)
+	digest := sha256.Sum256([]byte(token))
+	known := 0
+	for _, listed := range s.tokens {
+		known |= subtle.ConstantTimeCompare(listed[:], digest[:])
+	}
+	if known != 1 {
+		return fail(c, apierror.New(fiber.StatusUnauthorized, apierror.Unauthorized, "an operator's token is required"))
+	}
+	return c.Next()
+}
+
+func libraryError(c *fiber.Ctx, err error) error {
+	var library *fiber.Error
+	if errors.As(err, &library) {
+		return fail(c, apierror.New(library.Code, apierror.BadRequest, library.Message))
+	}
+	return fail(c, apierror.New(fiber.StatusInternalServerError, apierror.Internal, "internal error"))
+}
+
+func fail(c *fiber.Ctx, failure *apierror.Error) error {
+	failure.RequestID = c.Get(HeaderCommandID)
+	if failure.RequestID == "" {
+		failure.RequestID = uuid.NewString()
+	}
+	return c.Status(failure.Status).JSON(failure)
+}
--- /dev/null
+++ b/apierror/apierror.go
@@ -0,0 +1,94 @@
+// Package apierror holds the one error that callers and operators see, and its
+// JSON form.
+package apierror
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Execution says what is known of whether the request ran at an upstream.
+type Execution string
+
+// The executions that an error may report.
+const (
+	NotRun     Execution = "not_run"
+	MayHaveRun Execution = "may_have_run"
+	Ran        Execution = "ran"
+)
+
+// Code names the reason for a refusal or failure.
+type Code string
+
+// The codes that callers may meet.
+const (
+	BadRequest          Code = "bad_request"
+	Unauthorized        Code = "unauthorized"
+	Forbidden           Code = "forbidden"
+	NotFound            Code = "not_found"
+	BodyTooLarge        Code = "body_too_large"
+	Overloaded          Code = "overloaded"
+	RateLimited         Code = "rate_limited"
+	DeadlineInfeasible  Code = "deadline_infeasible"
+	DeadlineExceeded    Code = "deadline_exceeded"
+	NoUpstream          Code = "no_upstream"
+	UpstreamFailed      Code = "upstream_failed"
+	UpstreamIncomplete  Code = "upstream_incomplete"
+	PlatformUnavailable Code = "platform_unavailable"
+	KeyReused           Code = "idempotency_key_reused"
+	InProgress          Code = "in_progress"
+	OutcomeUnknown      Code = "outcome_unknown"
+	StaleVersion        Code = "stale_version"
+	InvalidDocument     Code = "invalid_document"
+	NotReady            Code = "not_ready"
+	CallerGone          Code = "caller_gone"
+	Internal            Code = "internal"
+)
+
+// Error is a refusal or failure as the caller sees it.
+type Error struct {
+	// Status is the HTTP status.
+	Status int
+	Code   Code
+	// Message is one sentence for a person. It never holds a secret.
+	Message   string
+	Execution Execution
+	// RetryAfter is when to come back; 0 means that a repeat will not help.
+	RetryAfter time.Duration
+	RequestID  string
+	// Detail is extra data, such as the problems of a document.
+	Detail any
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string {
+	return string(e.Code) + ": " + e.Message
+}
+
+type body struct {
+	Code         Code      `json:"code"`
+	Message      string    `json:"message"`
+	Execution    Execution `json:"execution"`
+	RetryAfterMS int64     `json:"retry_after_ms"`
+	RequestID    string    `json:"request_id"`
+	Detail       any       `json:"detail,omitempty"`
+}
+
+// MarshalJSON gives the form {"error":{...}}.
+func (e *Error) MarshalJSON() ([]byte, error) {
+	return json.Marshal(struct {
+		Error body `json:"error"`
+	}{body{
+		Code:         e.Code,
+		Message:      e.Message,
+		Execution:    e.Execution,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		RequestID:    e.RequestID,
+		Detail:       e.Detail,
+	}})
+}
+
+// New returns an error for a request that did not run.
+func New(status int, code Code, message string) *Error {
+	return &Error{Status: status, Code: code, Message: message, Execution: NotRun}
+}
--- /dev/null
+++ b/cli/check.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	documents "github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/strictyaml"
+)
+
+// ErrInvalid is returned when a checked file has problems.
+var ErrInvalid = eris.New("the file is not valid")
+
+// checkReport is the outcome of the check command.
+type checkReport struct {
+	File     string            `json:"file"`
+	Kind     string            `json:"kind"`
+	Valid    bool              `json:"valid"`
+	Problems strictyaml.Errors `json:"problems,omitempty"`
+}
+
+func addCheck(parser *flaggy.Parser) []*command {
+	parsed := subcommand("check", "Check a settings file or an environment document.")
+	var file string
+	parsed.AddPositionalValue(&file, "file", 1, true, "The file to check.")
+	parser.AttachSubcommand(parsed, 1)
+	return []*command{{parsed: parsed, run: func(env *environment) error { return check(env, file) }}}
+}
+
+func check(env *environment, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(ErrUsage, err.Error())
+	}
+	report := checkReport{File: file, Kind: kindOf(data)}
+	if report.Kind == "settings" {
+		_, err = settings.Parse(data)
+	} else {
+		_, err = documents.Parse(data)
+	}
+	report.Valid = err == nil
+	errors.As(err, &report.Problems)
+	if printErr := env.print(report, report.text()); printErr != nil {
+		return printErr
+	}
+	if !report.Valid {
+		return ErrInvalid
+	}
+	return nil
+}
+
+// kindOf tells settings from a document by the address that only settings have.
+func kindOf(data []byte) string {
+	var probe struct {
+		CallerAddress string `yaml:"caller_address"`
+	}
+	if strictyaml.DecodeLenient(data, &probe) && probe.CallerAddress != "" {
+		return "settings"
+	}
+	return "environment"
+}
+
+func (r checkReport) text() string {
+	if r.Valid {
+		return fmt.Sprintf("%s: valid %s\n", r.File, r.Kind)
+	}
+	text := ""
+	for _, problem := range r.Problems {
+		text += fmt.Sprintf("%s: %s\n", r.File, problem.Error())
+	}
+	return text
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,115 @@
+// Package cli is the command line of wigeontiller. Each command is one file;
+// the commands that talk to a node are clients of the operators' interface.
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+)
+
+// The exit codes of every command.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// ErrUsage is returned for a command line that can't be run.
+var ErrUsage = eris.New("usage")
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// command is one leaf of the command line.
+type command struct {
+	parsed *flaggy.Subcommand
+	run    func(*environment) error
+}
+
+// environment is what a command may use.
+type environment struct {
+	stdout, stderr io.Writer
+	// output is "text" or "json".
+	output string
+}
+
+// print writes value as JSON, or text for people.
+func (e *environment) print(value any, text string) error {
+	if e.output != outputJSON {
+		_, err := fmt.Fprint(e.stdout, text)
+		return err
+	}
+	encoder := json.NewEncoder(e.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// Run runs one command line, without the program's name, and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	env := &environment{stdout: stdout, stderr: stderr, output: outputText}
+	parser := flaggy.NewParser("wigeontiller")
+	parser.Description = "Serving layer for prompts from a thousand to a million tokens."
+	parser.Version = Version()
+	parser.String(&env.output, "o", "output", "Output format: text or json.")
+	var commands []*command
+	for _, add := range []func(*flaggy.Parser) []*command{
+		addServe, addCheck, addEnvironment, addState, addStatus, addVersion,
+	} {
+		commands = append(commands, add(parser)...)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return exitCode(stderr, errors.Join(ErrUsage, err))
+	}
+	if env.output != outputText && env.output != outputJSON {
+		return exitCode(stderr, eris.Wrap(ErrUsage, "--output must be text or json"))
+	}
+	for _, candidate := range commands {
+		if candidate.parsed.Used {
+			return exitCode(stderr, candidate.run(env))
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+func exitCode(stderr io.Writer, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "wigeontiller:", err)
+	if errors.Is(err, ErrUsage) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+// Version returns the module version that the program was built from.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+func addVersion(parser *flaggy.Parser) []*command {
+	parsed := subcommand("version", "Print the version.")
+	parser.AttachSubcommand(parsed, 1)
+	return []*command{{parsed: parsed, run: func(env *environment) error {
+		return env.print(map[string]string{"version": Version()}, Version()+"\n")
+	}}}
+}
+
+func subcommand(name, description string) *flaggy.Subcommand {
+	parsed := flaggy.NewSubcommand(name)
+	parsed.Description = description
+	return parsed
+}
--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller"
+	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
+	"github.com/wigeontiller/wigeontiller/settings"
+)
+
+// shutdownTimeout bounds a graceful shutdown; it is longer than any deadline
+// in use, so that no request is cut.
+const shutdownTimeout = 30 * time.Minute
+
+func addServe(parser *flaggy.Parser) []*command {
+	parsed := subcommand("serve", "Run one entry node until SIGTERM.")
+	var file string
+	parsed.AddPositionalValue(&file, "settings", 1, true, "The node's settings file.")
+	parser.AttachSubcommand(parsed, 1)
+	return []*command{{parsed: parsed, run: func(env *environment) error { return serve(env, file) }}}
+}
+
+func serve(env *environment, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(ErrUsage, err.Error())
+	}
+	parsed, err := settings.Parse(data)
+	if err != nil {
+		return eris.Wrap(err, file)
+	}
+	level, err := zerolog.ParseLevel(parsed.LogLevel)
+	if err != nil {
+		return eris.Wrap(ErrUsage, "log_level: "+err.Error())
+	}
+	client, err := httpplatform.NewClient(parsed.PlatformURL)
+	if err != nil {
+		return err
+	}
+	logger := zerolog.New(env.stderr).Level(level).With().Timestamp().Logger()
+	return runNode(parsed, client, logger)
+}
+
+func runNode(parsed *settings.Settings, client *httpplatform.Client, logger zerolog.Logger) error {
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node, err := wigeontiller.New(stopped, parsed, client, logger)
+	if err != nil {
+		return err
+	}
+	if err := node.Start(); err != nil {
+		return err
+	}
+	<-stopped.Done()
+	stop()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	return node.Shutdown(ctx)
+}
--- /dev/null
+++ b/configuration/site.go
@@ -0,0 +1,94 @@
+// Package configuration keeps what operators decide: the environments with
+// their trial and production documents, and which data centres and VMs are out.
+// All of it is one row of the platform's table, so that every accepted command
+// has one place in a total order. This file and commands.go do no I/O.
+package configuration
+
+import (
+	"maps"
+	"slices"
+)
+
+const (
+	// maxOutcomes bounds how many command outcomes the site row keeps.
+	maxOutcomes = 256
+)
+
+// Site is the value of the site row. It is never changed in place.
+type Site struct {
+	// Version grows by one with each accepted command.
+	Version uint64 `json:"version"`
+	// Environments maps a name to its documents.
+	Environments map[string]Environment `json:"environments"`
+	// OutDataCentres and OutVMs hold the names that operators took out.
+	OutDataCentres map[string]bool `json:"out_data_centres"`
+	OutVMs         map[string]bool `json:"out_vms"`
+	// Outcomes holds the latest commands, oldest first.
+	Outcomes []Outcome `json:"outcomes"`
+}
+
+// Environment names the documents of one environment by digest.
+type Environment struct {
+	// Version is the site version of the last change to the environment.
+	Version uint64 `json:"version"`
+	// TrialDigest is empty when nothing is in trial.
+	TrialDigest string `json:"trial_digest,omitempty"`
+	// ProductionDigest is empty before the first promotion and after withdrawal.
+	ProductionDigest string `json:"production_digest,omitempty"`
+}
+
+// Outcome is the answer to one command.
+type Outcome struct {
+	CommandID string `json:"command_id"`
+	// Kind is the kind of the command.
+	Kind Kind `json:"kind"`
+	// Target names the environment, data centre or VM.
+	Target string `json:"target"`
+	// Digest is the document concerned, if any.
+	Digest string `json:"digest,omitempty"`
+	// Version is the site version that the command made.
+	Version uint64 `json:"version"`
+}
+
+// NewSite returns the site before any command.
+func NewSite() Site {
+	return Site{
+		Environments:   map[string]Environment{},
+		OutDataCentres: map[string]bool{},
+		OutVMs:         map[string]bool{},
+	}
+}
+
+// Newer reports whether s replaces other at a node.
+func (s Site) Newer(other Site) bool {
+	return s.Version > other.Version
+}
+
+// Digests returns the documents that the site names, sorted.
+func (s Site) Digests() []string {
+	found := map[string]bool{}
+	for _, environment := range s.Environments {
+		found[environment.TrialDigest] = true
+		found[environment.ProductionDigest] = true
+	}
+	delete(found, "")
+	return slices.Sorted(maps.Keys(found))
+}
+
+// Outcome returns the outcome of an earlier command.
+func (s Site) Outcome(commandID string) (Outcome, bool) {
+	for _, outcome := range s.Outcomes {
+		if outcome.CommandID == commandID {
+			return outcome, true
+		}
+	}
+	return Outcome{}, false
+}
+
+func (s Site) clone() Site {
+	s.Environments = maps.Clone(s.Environments)
+	s.OutDataCentres = maps.Clone(s.OutDataCentres)
+	s.OutVMs = maps.Clone(s.OutVMs)
+	s.Outcomes = slices.Clone(s.Outcomes)
+	return s
+}
--- /dev/null
+++ b/entry/accept.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
+
+	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/tables"
+)
+
+const (
+	headerRequestID = "X-Request-ID"
+	headerTimeout   = "X-Request-Timeout"
+	headerPriority  = "X-Request-Priority"
+	headerKey       = "Idempotency-Key"
+	bearerPrefix    = "Bearer "
+	// bytesPerToken is the first estimate of a prompt's length.
+	bytesPerToken = 4
+	// serviceTokens is what a call to a plain service counts as.
+	serviceTokens    = 1
+	maxRequestIDSize = 128
+	localRequestID   = "request_id"
+)
+
+func itoa(n int) string {
+	return strconv.Itoa(n)
+}
+
+// requestID returns the caller's request id, or a new one.
+func requestID(c *fiber.Ctx) string {
+	if id, ok := c.Locals(localRequestID).(string); ok {
+		return id
+	}
+	id := strings.Clone(c.Get(headerRequestID))
+	if id == "" || len(id) > maxRequestIDSize {
+		id = uuid.NewString()
+	}
+	c.Locals(localRequestID, id)
+	c.Set(headerRequestID, id)
+	return id
+}
+
+// authenticate returns who the caller is.
+func (s *Server) authenticate(c *fiber.Ctx) (tables.Caller, *apierror.Error) {
+	current := s.config.Dispatcher.Tables()
+	if current == nil || s.draining.Load() {
+		failure := apierror.New(fiber.StatusServiceUnavailable, apierror.NotReady, "the node is not ready")
+		failure.RetryAfter = time.Second
+		return tables.Caller{}, failure
+	}
+	key, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearerPrefix)
+	if !ok {
+		return tables.Caller{}, apierror.New(fiber.StatusUnauthorized, apierror.Unauthorized, "a bearer key is required")
+	}
+	caller, ok := current.Caller(key)
+	if !ok {
+		return tables.Caller{}, apierror.New(fiber.StatusUnauthorized, apierror.Unauthorized, "the key is not known")
+	}
+	return caller, nil
+}
+
+// newRequest fills in what completions and service calls share.
+func newRequest(c *fiber.Ctx, caller tables.Caller, promptTokens int) (*scheduling.Request, *apierror.Error) {
+	now := time.Now()
+	priority, failure := priorityOf(c, caller.Organisation)
+	if failure != nil {
+		return nil, failure
+	}
+	timeout, failure := timeoutOf(c, caller.Plan, promptTokens)
+	if failure != nil {
+		return nil, failure
+	}
+	return &scheduling.Request{
+		ID:           uuid.NewString(),
+		Plan:         caller.Plan,
+		Organisation: caller.Organisation,
+		PromptTokens: promptTokens,
+		Priority:     priority,
+		Arrived:      now,
+		Deadline:     now.Add(timeout),
+	}, nil
+}
+
+func priorityOf(c *fiber.Ctx, organisation *environment.Organisation) (environment.Priority, *apierror.Error) {
+	highest, err := environment.ParsePriority(organisation.MaxPriority)
+	if err != nil {
+		return 0, apierror.New(fiber.StatusInternalServerError, apierror.Internal, "internal error")
+	}
+	word := c.Get(headerPriority)
+	if word == "" {
+		return min(environment.Normal, highest), nil
+	}
+	wanted, err := environment.ParsePriority(word)
+	if err != nil {
+		return 0, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, headerPriority+" must be urgent, normal or batch")
+	}
+	if wanted > highest {
+		return 0, apierror.New(fiber.StatusForbidden, apierror.Forbidden, "the organisation may not use this priority")
+	}
+	return wanted, nil
+}
+
+func timeoutOf(c *fiber.Ctx, plan *tables.Plan, promptTokens int) (time.Duration, *apierror.Error) {
+	longest, ok := plan.Deadline(promptTokens)
+	if !ok {
+		return 0, apierror.New(fiber.StatusRequestEntityTooLarge, apierror.BodyTooLarge, "the prompt is longer than any length class")
+	}
+	word := c.Get(headerTimeout)
+	if word == "" {
+		return longest, nil
+	}
+	seconds, err := strconv.ParseFloat(word, 64)
+	if err != nil || !(seconds > 0) || seconds > (24*time.Hour).Seconds() {
+		return 0, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, headerTimeout+" must be a number of seconds above 0 and at most 86400")
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// prompt is what the entry node reads of a completion body.
+type prompt struct {
+	model     string
+	stream    bool
+	maxTokens int
+	// textBytes is the size of the prompt's text in bytes.
+	textBytes int
+}
+
+// parsePrompt reads a completion body without copying it.
+func parsePrompt(body []byte, defaultMaxTokens int) (prompt, *apierror.Error) {
+	if !gjson.ValidBytes(body) {
+		return prompt{}, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, "the body is not valid JSON")
+	}
+	fields := gjson.GetManyBytes(body, "model", "stream", "max_tokens", "max_completion_tokens", "messages", "prompt")
+	parsed := prompt{
+		model:     strings.Clone(fields[0].String()),
+		stream:    fields[1].Bool(),
+		maxTokens: defaultMaxTokens,
+		textBytes: max(len(fields[4].Raw), len(fields[5].Raw)),
+	}
+	for _, field := range fields[2:4] {
+		if field.Exists() {
+			parsed.maxTokens = int(field.Int())
+		}
+	}
+	if parsed.model == "" {
+		return prompt{}, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, "model is required")
+	}
+	if parsed.textBytes == 0 {
+		return prompt{}, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, "messages or prompt is required")
+	}
+	if parsed.maxTokens <= 0 || parsed.maxTokens > maxBodyBytes {
+		return prompt{}, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, "max_tokens is out of range")
+	}
+	return parsed, nil
+}
+
+// promptTokens estimates a prompt's length in tokens.
+func (p prompt) promptTokens() int {
+	return max(1, p.textBytes/bytesPerToken)
+}
--- /dev/null
+++ b/entry/completion.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/callerwatch"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+// call is one accepted request on its way.
+type call struct {
+	request *scheduling.Request
+	// callerID is the request id that the caller sees.
+	callerID string
+	method   string
+	path     string
+	header   map[string]string
+	// body is a copy: the HTTP library reuses its own after the handler.
+	body []byte
+	// stream is true when the answer is a stream of events.
+	stream bool
+	// idempotent is true when the call may be sent again after it may have run.
+	idempotent bool
+}
+
+// completion serves both completion routes.
+func (s *Server) completion(c *fiber.Ctx) error {
+	accepted, failure := s.acceptCompletion(c)
+	if failure != nil {
+		return s.fail(c, failure)
+	}
+	return s.serve(c, accepted)
+}
+
+func (s *Server) acceptCompletion(c *fiber.Ctx) (*call, *apierror.Error) {
+	caller, failure := s.authenticate(c)
+	if failure != nil {
+		return nil, failure
+	}
+	limits := caller.Plan.Document.Limits
+	if len(c.Body()) > limits.BodyBytes {
+		return nil, apierror.New(fiber.StatusRequestEntityTooLarge, apierror.BodyTooLarge, "the body is over the environment's limit")
+	}
+	parsed, failure := parsePrompt(c.Body(), limits.DefaultMaxTokens)
+	if failure != nil {
+		return nil, failure
+	}
+	if !caller.Plan.HasModel(parsed.model) {
+		return nil, apierror.New(fiber.StatusNotFound, apierror.NotFound, "the model is not known")
+	}
+	request, failure := newRequest(c, caller, parsed.promptTokens())
+	if failure != nil {
+		return nil, failure
+	}
+	request.Model = parsed.model
+	request.MaxTokens = parsed.maxTokens
+	return &call{
+		request:    request,
+		callerID:   requestID(c),
+		method:     fiber.MethodPost,
+		path:       string(c.Request().URI().Path()),
+		header:     engineHeader(request),
+		body:       bytes.Clone(c.Body()),
+		stream:     parsed.stream,
+		idempotent: true,
+	}, nil
+}
+
+func engineHeader(request *scheduling.Request) map[string]string {
+	return map[string]string{
+		fiber.HeaderContentType: fiber.MIMEApplicationJSON,
+		upstream.HeaderPriority: request.Priority.String(),
+	}
+}
+
+// serve runs a call to its end or, for a stream, to its first event.
+func (s *Server) serve(c *fiber.Ctx, accepted *call) error {
+	s.inFlight.Add(1)
+	ctx, cancel := context.WithDeadline(s.ctx, accepted.request.Deadline)
+	go callerwatch.Watch(ctx, c.Context().Conn(), cancel)
+	finish := func() {
+		cancel()
+		s.inFlight.Done()
+	}
+	answer, failure := s.attempts(ctx, accepted)
+	if failure != nil {
+		finish()
+		failure.RequestID = accepted.callerID
+		return s.fail(c, failure)
+	}
+	s.config.Metrics.FirstToken(time.Since(accepted.request.Arrived))
+	if accepted.stream {
+		s.sendStream(ctx, c, accepted, answer, finish)
+		return nil
+	}
+	defer finish()
+	defer answer.close(scheduling.Outcome{})
+	return s.sendWhole(c, answer)
+}
+
+func (s *Server) sendWhole(c *fiber.Ctx, answer *answer) error {
+	if value, ok := answer.reply.Header[fiber.HeaderContentType]; ok {
+		c.Set(fiber.HeaderContentType, value)
+	}
+	return c.Status(answer.reply.Status).Send(answer.whole)
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,122 @@
+// Package entry is the callers' HTTP interface of an entry node.
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+const (
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 16 << 10
+	// maxBodyBytes bounds any request's body; a document may set less.
+	maxBodyBytes = 64 << 20
+	// readTimeout is the time that a caller has to send its request.
+	readTimeout = 30 * time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 2 * time.Minute
+)
+
+// Config holds what the handlers work with; every field is required.
+type Config struct {
+	Dispatcher *dispatch.Dispatcher
+	Upstreams  *upstream.Client
+	Logger     zerolog.Logger
+	Tracer     trace.Tracer
+	Metrics    *telemetry.Metrics
+}
+
+// Server serves callers.
+type Server struct {
+	config   Config
+	app      *fiber.App
+	inFlight sync.WaitGroup
+	// draining is set when the node no longer accepts new requests.
+	draining atomic.Bool
+	// cleanups waits for cancels that outlive their request.
+	cleanups sync.WaitGroup
+	ctx      context.Context
+	stop     context.CancelFunc
+}
+
+// NewServer returns a server with its routes.
+func NewServer(config Config) *Server {
+	ctx, stop := context.WithCancel(context.Background())
+	server := &Server{config: config, ctx: ctx, stop: stop}
+	server.app = fiber.New(fiber.Config{
+		BodyLimit:             maxBodyBytes,
+		ReadBufferSize:        maxHeaderBytes,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		DisableStartupMessage: true,
+		ErrorHandler:          server.libraryError,
+	})
+	server.app.Post("/v1/chat/completions", server.completion)
+	server.app.Post("/v1/completions", server.completion)
+	server.app.All("/services/:name/*", server.service)
+	return server
+}
+
+// App returns the HTTP application, for a listener of the caller's choice.
+func (s *Server) App() *fiber.App {
+	return s.app
+}
+
+// Shutdown stops accepting, waits for every request in flight, and closes the
+// listener. It returns the context's error when that ends first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		s.inFlight.Wait()
+		s.cleanups.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	s.stop()
+	return errors.Join(ctx.Err(), s.app.ShutdownWithContext(ctx))
+}
+
+// libraryError turns the HTTP library's errors into the callers' form.
+func (s *Server) libraryError(c *fiber.Ctx, err error) error {
+	var library *fiber.Error
+	if !errors.As(err, &library) {
+		return s.fail(c, apierror.New(fiber.StatusInternalServerError, apierror.Internal, "internal error"))
+	}
+	code := apierror.BadRequest
+	switch library.Code {
+	case fiber.StatusRequestEntityTooLarge:
+		code = apierror.BodyTooLarge
+	case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
+		code = apierror.NotFound
+	}
+	return s.fail(c, apierror.New(library.Code, code, library.Message))
+}
+
+// fail writes an error and counts it.
+func (s *Server) fail(c *fiber.Ctx, failure *apierror.Error) error {
+	if failure.RequestID == "" {
+		failure.RequestID = requestID(c)
+	}
+	s.config.Metrics.Refusal(string(failure.Code))
+	if failure.RetryAfter > 0 {
+		seconds := int((failure.RetryAfter + time.Second - 1) / time.Second)
+		c.Set(fiber.HeaderRetryAfter, itoa(seconds))
+	}
+	return c.Status(failure.Status).JSON(failure)
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,177 @@
+// Package wigeontiller is an entry node: it takes callers' requests, decides
+// when and where each runs, and carries the answer back. A program embeds a
+// node with New, Start and Shutdown; cmd/wigeontiller is such a program.
+package wigeontiller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/wigeontiller/wigeontiller/admin"
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/entry"
+	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+// The errors of a node.
+var (
+	// ErrSettings is returned when the settings can't be used.
+	ErrSettings = eris.New("settings can't be used")
+	// ErrListen is returned when an address can't be listened on.
+	ErrListen = eris.New("can't listen")
+)
+
+// Node is one entry node.
+//
+// Lock order: follower.mutex, then the dispatcher's.
+type Node struct {
+	settings   *settings.Settings
+	logger     zerolog.Logger
+	metrics    *telemetry.Metrics
+	tracing    *sdktrace.TracerProvider
+	dispatcher *dispatch.Dispatcher
+	follower   *follower
+	entry      *entry.Server
+	admin      *admin.Server
+	draining   atomic.Bool
+	workers    conc.WaitGroup
+	stop       context.CancelFunc
+	listeners  sync.WaitGroup
+}
+
+// New returns a node that is ready to start.
+func New(ctx context.Context, s *settings.Settings, p platform.Platform, logger zerolog.Logger) (*Node, error) {
+	var tokens []string
+	for _, secret := range s.OperatorTokens {
+		token, err := secret.Read()
+		if err != nil {
+			return nil, eris.Wrap(ErrSettings, "operator_tokens: "+err.Error())
+		}
+		tokens = append(tokens, token)
+	}
+	tracing, err := telemetry.NewTracerProvider(ctx, s.OTLPEndpoint)
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
+	node := &Node{
+		settings: s,
+		logger:   logger.With().Str("node", s.Name).Logger(),
+		metrics:  telemetry.NewMetrics(),
+		tracing:  tracing,
+	}
+	node.dispatcher = dispatch.New(scheduling.New(s.DataCentre))
+	store := configuration.NewStore(p)
+	node.follower = newFollower(store, node.dispatcher, node.logger)
+	node.entry = entry.NewServer(entry.Config{
+		Dispatcher: node.dispatcher,
+		Upstreams:  upstream.NewClient(),
+		Logger:     node.logger,
+		Tracer:     tracing.Tracer(telemetry.ScopeName),
+		Metrics:    node.metrics,
+	})
+	node.admin = admin.NewServer(admin.Config{Store: store, Node: node, Tokens: tokens, Metrics: node.metrics})
+	return node, nil
+}
+
+// Start listens and begins to serve. It returns when the listeners are open.
+func (n *Node) Start() error {
+	callers, err := net.Listen("tcp", n.settings.CallerAddress)
+	if err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	operators, err := net.Listen("tcp", n.settings.OperatorAddress)
+	if err != nil {
+		_ = callers.Close()
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.workers.Go(func() { n.dispatcher.Run(ctx) })
+	n.workers.Go(func() { n.follower.run(ctx) })
+	n.listen(func() error { return n.entry.App().Listener(callers) })
+	n.listen(func() error { return n.admin.App().Listener(operators) })
+	n.logger.Info().Str("caller_address", n.settings.CallerAddress).Msg("node started")
+	return nil
+}
+
+func (n *Node) listen(serve func() error) {
+	n.listeners.Add(1)
+	go func() {
+		defer n.listeners.Done()
+		if err := serve(); err != nil {
+			n.logger.Error().Err(err).Msg("listener ended")
+		}
+	}()
+}
+
+// Shutdown leaves without cutting a request: the node reports unready, still
+// accepts for the balancer's lag, then finishes what it has. It returns the
+// context's error when that ends first.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.draining.Store(true)
+	n.logger.Info().Msg("node leaving")
+	select {
+	case <-time.After(n.settings.ShutdownLag):
+	case <-ctx.Done():
+	}
+	err := n.entry.Shutdown(ctx)
+	err = errors.Join(err, n.admin.App().ShutdownWithContext(ctx))
+	n.stop()
+	n.workers.Wait()
+	n.listeners.Wait()
+	err = errors.Join(err, n.tracing.Shutdown(ctx))
+	n.logger.Info().Msg("node stopped")
+	return err
+}
+
+// Ready reports whether the node has a site in force and is not leaving.
+func (n *Node) Ready() bool {
+	return n.dispatcher.Tables() != nil && !n.draining.Load()
+}
+
+// Adopt tells the node of a site that it may not have seen yet.
+func (n *Node) Adopt(ctx context.Context, site configuration.Site) {
+	n.follower.adopt(ctx, site)
+}
+
+// Status returns the node's state.
+func (n *Node) Status(context.Context) admin.Status {
+	status := admin.Status{
+		Node:           n.settings.Name,
+		DataCentre:     n.settings.DataCentre,
+		Ready:          n.Ready(),
+		Draining:       n.draining.Load(),
+		StoreReachable: n.follower.reachable.Load(),
+		OutDataCentres: []string{},
+		OutVMs:         []string{},
+	}
+	status.Waiting, status.Running = n.dispatcher.Load()
+	built := n.dispatcher.Tables()
+	if built == nil {
+		return status
+	}
+	status.Version = built.Version
+	status.Environments = built.Site.Environments
+	for name := range built.Site.OutDataCentres {
+		status.OutDataCentres = append(status.OutDataCentres, name)
+	}
+	for name := range built.Site.OutVMs {
+		status.OutVMs = append(status.OutVMs, name)
+	}
+	return status
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,138 @@
+// Package settings holds the static YAML settings of one entry node.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeontiller/wigeontiller/strictyaml"
+)
+
+// Settings are read once at the start of a process.
+type Settings struct {
+	// Name is the VM's name; it must be unique among the entry VMs.
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"data_centre"`
+	Region     string `yaml:"region"`
+	// CallerAddress is the IP address and port for callers.
+	CallerAddress string `yaml:"caller_address"`
+	// OperatorAddress is the IP address and port for operators.
+	OperatorAddress string `yaml:"operator_address"`
+	// PeerAddress is the IP address and port for the other entry nodes.
+	PeerAddress string `yaml:"peer_address"`
+	// Seeds lists peer addresses to join when the platform's VM list is away.
+	Seeds []string `yaml:"seeds"`
+	// PlatformURL is the base URL of the platform's HTTP service.
+	PlatformURL string `yaml:"platform_url"`
+	// OperatorTokens holds the names of environment variables or files with tokens.
+	OperatorTokens []Secret `yaml:"operator_tokens"`
+	// PeerKey is the shared key for messages between nodes.
+	PeerKey Secret `yaml:"peer_key"`
+	// PeerTLS holds the mutual certificates for calls between nodes.
+	PeerTLS PeerTLS `yaml:"peer_tls"`
+	// LogLevel is a zerolog level. Default info.
+	LogLevel string `yaml:"log_level"`
+	// OTLPEndpoint is the URL that traces go to; empty turns traces off.
+	OTLPEndpoint string `yaml:"otlp_endpoint"`
+	// ShutdownLag is how long a leaving node still accepts, for the balancer. Default 5s.
+	ShutdownLag time.Duration `yaml:"shutdown_lag"`
+}
+
+// PeerTLS names the files of a node's certificate, key and trusted root.
+type PeerTLS struct {
+	CertificateFile string `yaml:"certificate_file"`
+	KeyFile         string `yaml:"key_file"`
+	RootFile        string `yaml:"root_file"`
+}
+
+// Secret names where a secret is kept; exactly one field is set.
+type Secret struct {
+	Environment string `yaml:"environment"`
+	File        string `yaml:"file"`
+}
+
+const defaultShutdownLag = 5 * time.Second
+
+// ErrSecretMissing is returned when a secret's place is unset or empty.
+var ErrSecretMissing = eris.New("secret is missing")
+
+// Read returns the secret's value without surrounding line ends.
+func (s Secret) Read() (string, error) {
+	if s.Environment != "" {
+		return nonEmpty(os.Getenv(s.Environment))
+	}
+	data, err := os.ReadFile(s.File)
+	if err != nil {
+		return "", eris.Wrap(ErrSecretMissing, err.Error())
+	}
+	return nonEmpty(string(data))
+}
+
+func nonEmpty(value string) (string, error) {
+	for len(value) > 0 && (value[len(value)-1] == '\n' || value[len(value)-1] == '\r') {
+		value = value[:len(value)-1]
+	}
+	if value == "" {
+		return "", ErrSecretMissing
+	}
+	return value, nil
+}
+
+// Parse decodes and checks settings. The error is of type strictyaml.Errors.
+func Parse(data []byte) (*Settings, error) {
+	settings := new(Settings)
+	source, err := strictyaml.Decode(data, settings)
+	if err != nil {
+		return nil, err
+	}
+	settings.Provision()
+	if problems := settings.check(source); len(problems) > 0 {
+		return nil, problems
+	}
+	return settings, nil
+}
+
+// Provision fills in the defaults.
+func (s *Settings) Provision() {
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+	if s.ShutdownLag == 0 {
+		s.ShutdownLag = defaultShutdownLag
+	}
+}
+
+func (s *Settings) check(source *strictyaml.Source) strictyaml.Errors {
+	var problems strictyaml.Errors
+	add := func(field, format string, args ...any) {
+		message := fmt.Sprintf(format, args...)
+		problems = append(problems, strictyaml.FieldError{Field: field, Line: source.Line(field), Message: message})
+	}
+	required := map[string]string{"name": s.Name, "data_centre": s.DataCentre, "region": s.Region, "platform_url": s.PlatformURL}
+	for _, field := range []string{"name", "data_centre", "region", "platform_url"} {
+		if required[field] == "" {
+			add(field, "is required")
+		}
+	}
+	addresses := []struct{ field, value string }{
+		{"caller_address", s.CallerAddress},
+		{"operator_address", s.OperatorAddress},
+		{"peer_address", s.PeerAddress},
+	}
+	for i, seed := range s.Seeds {
+		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("seeds[%d]", i), seed})
+	}
+	for _, address := range addresses {
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			add(address.field, "must be an IP address and port")
+		}
+	}
+	if len(s.OperatorTokens) == 0 {
+		add("operator_tokens", "must name a token")
+	}
+	return problems
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,155 @@
+// Package engine is a stand-in for a model engine. It batches, prefills in
+// chunks, streams tokens, lists and cancels streams and reports its load.
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+// Config sets an engine's speed and size.
+type Config struct {
+	// Slots is how many sequences it batches; KVTokens is its memory in tokens.
+	Slots    int
+	KVTokens int
+	// PrefillTokensPerSecond is the rate at which prompts are read.
+	PrefillTokensPerSecond int
+	// TokenInterval is the time between two tokens of one answer.
+	TokenInterval time.Duration
+}
+
+// stream is one attempt that the engine runs.
+type stream struct {
+	id       string
+	prompt   int
+	answer   int
+	produced int
+	canceled bool
+}
+
+// Engine keeps the streams that run. mutex guards the fields below it; prefill
+// is held for one chunk at a time and is taken before mutex.
+type Engine struct {
+	config  Config
+	prefill sync.Mutex
+
+	mutex   sync.Mutex
+	streams map[string]*stream
+	// kvTokens is the memory in use; peak is the most there ever was.
+	kvTokens int
+	peak     int
+	// runs counts the attempts by id, and rejected the attempts refused.
+	runs     int
+	rejected int
+}
+
+// chunkTokens is how much of a prompt is read before another prompt's turn.
+const chunkTokens = 2048
+
+// New returns an idle engine.
+func New(config Config) *Engine {
+	return &Engine{config: config, streams: map[string]*stream{}}
+}
+
+// admit takes memory for an attempt, or reports that there is none.
+func (e *Engine) admit(id string, promptTokens, answerTokens, slots int) *stream {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	need := promptTokens + answerTokens
+	_, running := e.streams[id]
+	if running || len(e.streams) >= slots || e.kvTokens+need > e.config.KVTokens {
+		e.rejected++
+		return nil
+	}
+	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens}
+	e.streams[id] = admitted
+	e.kvTokens += need
+	e.peak = max(e.peak, e.kvTokens)
+	e.runs++
+	return admitted
+}
+
+// release frees an attempt's memory.
+func (e *Engine) release(ended *stream) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.streams, ended.id)
+	e.kvTokens -= ended.prompt + ended.answer
+}
+
+// read spends the time that the prompt takes, a chunk at a time in turn with
+// other prompts. It reports false when the attempt was canceled.
+func (e *Engine) read(s *stream) bool {
+	for left := s.prompt; left > 0; left -= chunkTokens {
+		if e.isCanceled(s) {
+			return false
+		}
+		tokens := min(left, chunkTokens)
+		e.prefill.Lock()
+		time.Sleep(time.Duration(tokens) * time.Second / time.Duration(e.config.PrefillTokensPerSecond))
+		e.prefill.Unlock()
+	}
+	return !e.isCanceled(s)
+}
+
+// next spends the time of one token. It reports false when the answer is whole
+// or the attempt was canceled.
+func (e *Engine) next(s *stream) bool {
+	if s.produced > 0 {
+		time.Sleep(e.config.TokenInterval)
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if s.canceled || s.produced >= s.answer {
+		return false
+	}
+	s.produced++
+	return true
+}
+
+func (e *Engine) isCanceled(s *stream) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return s.canceled
+}
+
+// cancel marks an attempt; it reports whether the attempt was there.
+func (e *Engine) cancel(id string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	found, ok := e.streams[id]
+	if ok {
+		found.canceled = true
+	}
+	return ok
+}
+
+// Load is an engine's report of its load.
+type Load struct {
+	Running  int `json:"running"`
+	KVTokens int `json:"kv_tokens"`
+	// PeakKVTokens, Runs and Rejected count since the start.
+	PeakKVTokens int `json:"peak_kv_tokens"`
+	Runs         int `json:"runs"`
+	Rejected     int `json:"rejected"`
+	// Streams lists the attempts that run.
+	Streams []string `json:"streams"`
+}
+
+// Load returns the engine's load as it is.
+func (e *Engine) Load() Load {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	load := Load{
+		Running:      len(e.streams),
+		KVTokens:     e.kvTokens,
+		PeakKVTokens: e.peak,
+		Runs:         e.runs,
+		Rejected:     e.rejected,
+		Streams:      []string{},
+	}
+	for id := range e.streams {
+		load.Streams = append(load.Streams, id)
+	}
+	return load
+}
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,259 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/tidwall/gjson"
+
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+const (
+	bytesPerToken    = 4
+	defaultMaxTokens = 512
+	maxBodyBytes     = 64 << 20
+	breakAfterTokens = 3
+	coldSlots        = 1
+)
+
+// Server serves one engine over HTTP.
+type Server struct {
+	engine  *Engine
+	control *fault.Control
+	app     *fiber.App
+}
+
+// NewServer returns a server over an engine.
+func NewServer(config Config, control *fault.Control) *Server {
+	server := &Server{engine: New(config), control: control}
+	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
+	control.Routes(server.app)
+	server.app.Post("/v1/chat/completions", server.complete)
+	server.app.Post("/v1/completions", server.complete)
+	server.app.Get("/v1/load", server.load)
+	server.app.Get("/v1/streams", server.list)
+	server.app.Get("/v1/streams/:id", server.show)
+	server.app.Delete("/v1/streams/:id", server.cancel)
+	return server
+}
+
+// App returns the HTTP application.
+func (s *Server) App() *fiber.App {
+	return s.app
+}
+
+// Engine returns the engine served.
+func (s *Server) Engine() *Engine {
+	return s.engine
+}
+
+// Mark is the text that every token of a prompt's answer carries, so that a
+// test can tell whose answer it reads.
+func Mark(body []byte) string {
+	hash := fnv.New32a()
+	_, _ = hash.Write(body)
+	return fmt.Sprintf("%08x", hash.Sum32())
+}
+
+func (s *Server) complete(c *fiber.Ctx) error {
+	body := c.Body()
+	fields := gjson.GetManyBytes(body, "model", "stream", "max_tokens", "messages", "prompt")
+	promptTokens := max(1, max(len(fields[3].Raw), len(fields[4].Raw))/bytesPerToken)
+	answerTokens := int(fields[2].Int())
+	if answerTokens <= 0 {
+		answerTokens = defaultMaxTokens
+	}
+	slots := s.engine.config.Slots
+	if s.control.Knobs().Cold {
+		slots = coldSlots
+	}
+	admitted := s.engine.admit(c.Get(upstream.HeaderAttempt), promptTokens, answerTokens, slots)
+	if admitted == nil {
+		c.Set(upstream.HeaderNotRun, "true")
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	answer := answerWriter{model: fields[0].String(), mark: Mark(body), id: admitted.id, chat: strings.Contains(c.Path(), "chat")}
+	if fields[1].Bool() {
+		s.stream(c, admitted, answer)
+		return nil
+	}
+	return s.whole(c, admitted, answer)
+}
+
+func (s *Server) whole(c *fiber.Ctx, admitted *stream, answer answerWriter) error {
+	defer s.engine.release(admitted)
+	var text strings.Builder
+	if s.engine.read(admitted) {
+		for s.engine.next(admitted) {
+			text.WriteString(answer.token(admitted.produced))
+		}
+	}
+	return c.JSON(answer.whole(text.String(), admitted))
+}
+
+func (s *Server) stream(c *fiber.Ctx, admitted *stream, answer answerWriter) {
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	breaks := s.control.Take(func(k *fault.Knobs) *int { return &k.BreakStreams })
+	conn := c.Context().Conn()
+	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer s.engine.release(admitted)
+		if !s.engine.read(admitted) {
+			_ = conn.Close()
+			return
+		}
+		for s.engine.next(admitted) {
+			if breaks && admitted.produced > breakAfterTokens {
+				_ = conn.Close()
+				return
+			}
+			if !answer.writeEvent(w, answer.chunk(admitted.produced, "")) {
+				return
+			}
+		}
+		if s.engine.isCanceled(admitted) {
+			_ = conn.Close()
+			return
+		}
+		answer.writeEvent(w, answer.chunk(0, "stop"))
+		answer.writeEvent(w, answer.usage(admitted))
+		_, _ = w.WriteString("data: [DONE]\n\n")
+		_ = w.Flush()
+	})
+}
+
+func (s *Server) load(c *fiber.Ctx) error {
+	load := s.engine.Load()
+	time.Sleep(time.Duration(s.control.Knobs().LoadLagMS) * time.Millisecond)
+	return c.JSON(load)
+}
+
+func (s *Server) list(c *fiber.Ctx) error {
+	return c.JSON(s.engine.Load().Streams)
+}
+
+func (s *Server) show(c *fiber.Ctx) error {
+	for _, id := range s.engine.Load().Streams {
+		if id == c.Params("id") {
+			return c.SendStatus(fiber.StatusOK)
+		}
+	}
+	return c.SendStatus(fiber.StatusNotFound)
+}
+
+func (s *Server) cancel(c *fiber.Ctx) error {
+	if s.control.Take(func(k *fault.Knobs) *int { return &k.LoseCancels }) {
+		return c.SendStatus(fiber.StatusOK)
+	}
+	if !s.engine.cancel(c.Params("id")) {
+		return c.SendStatus(fiber.StatusNotFound)
+	}
+	return c.SendStatus(fiber.StatusOK)
+}
+
+// answerWriter makes the parts of an answer in the published form.
+type answerWriter struct {
+	model, mark, id string
+	chat            bool
+}
+
+func (a answerWriter) token(number int) string {
+	return fmt.Sprintf("%s-%d ", a.mark, number)
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        *delta  `json:"delta,omitempty"`
+	Message      *delta  `json:"message,omitempty"`
+	Text         *string `json:"text,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (a answerWriter) object(suffix string) string {
+	if a.chat {
+		return "chat.completion" + suffix
+	}
+	return "text_completion"
+}
+
+func (a answerWriter) completion(object string, choices ...choice) completion {
+	return completion{ID: a.id, Object: object, Created: time.Now().Unix(), Model: a.model, Choices: choices}
+}
+
+func (a answerWriter) chunk(number int, finish string) completion {
+	part := choice{}
+	text := ""
+	if number > 0 {
+		text = a.token(number)
+	}
+	if finish != "" {
+		part.FinishReason = &finish
+	}
+	if a.chat {
+		part.Delta = &delta{Content: text}
+	} else {
+		part.Text = &text
+	}
+	return a.completion(a.object(".chunk"), part)
+}
+
+func (a answerWriter) usage(s *stream) completion {
+	part := a.completion(a.object(".chunk"))
+	part.Choices = []choice{}
+	part.Usage = usageOf(s)
+	return part
+}
+
+func (a answerWriter) whole(text string, s *stream) completion {
+	finish := "stop"
+	part := choice{FinishReason: &finish}
+	if a.chat {
+		part.Message = &delta{Role: "assistant", Content: text}
+	} else {
+		part.Text = &text
+	}
+	answer := a.completion(a.object(""), part)
+	answer.Usage = usageOf(s)
+	return answer
+}
+
+func usageOf(s *stream) *usage {
+	return &usage{PromptTokens: s.prompt, CompletionTokens: s.produced, TotalTokens: s.prompt + s.produced}
+}
+
+func (a answerWriter) writeEvent(w *bufio.Writer, part completion) bool {
+	data, err := json.Marshal(part)
+	if err != nil {
+		return false
+	}
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(data)
+	_, _ = w.WriteString("\n\n")
+	return w.Flush() == nil
+}
--- /dev/null
+++ b/standin/platformserver/server.go
@@ -0,0 +1,109 @@
+// Package platformserver serves an in-memory platform over the platform's HTTP
+// protocol, with fault knobs.
+package platformserver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
+	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+)
+
+const maxBodyBytes = 64 << 20
+
+// Server serves one platform.
+type Server struct {
+	platform *memory.Platform
+	app      *fiber.App
+}
+
+// NewServer returns a server over a platform.
+func NewServer(p *memory.Platform, control *fault.Control) *Server {
+	server := &Server{platform: p}
+	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
+	control.Routes(server.app)
+	server.app.Post(httpplatform.PathGet, server.get)
+	server.app.Post(httpplatform.PathTransact, server.transact)
+	server.app.Get(httpplatform.PathVMs, server.vms)
+	server.app.Put(httpplatform.PathVMs, server.setVMs)
+	server.app.Get(httpplatform.PathObjects+"*", server.getObject)
+	server.app.Put(httpplatform.PathObjects+"*", server.putObject)
+	server.app.Delete(httpplatform.PathObjects+"*", server.deleteObject)
+	return server
+}
+
+// App returns the HTTP application.
+func (s *Server) App() *fiber.App {
+	return s.app
+}
+
+func (s *Server) get(c *fiber.Ctx) error {
+	var request httpplatform.GetRequest
+	if err := json.Unmarshal(c.Body(), &request); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	rows, err := s.platform.BatchGet(context.Background(), request.Keys)
+	if err != nil {
+		return turn(err)
+	}
+	return c.JSON(httpplatform.GetReply{Rows: rows})
+}
+
+func (s *Server) transact(c *fiber.Ctx) error {
+	var request httpplatform.TransactRequest
+	if err := json.Unmarshal(c.Body(), &request); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	return turn(s.platform.Transact(context.Background(), request.Writes))
+}
+
+func (s *Server) vms(c *fiber.Ctx) error {
+	vms, err := s.platform.ListVMs(context.Background())
+	if err != nil {
+		return turn(err)
+	}
+	return c.JSON(httpplatform.VMsReply{VMs: vms})
+}
+
+func (s *Server) setVMs(c *fiber.Ctx) error {
+	var reply httpplatform.VMsReply
+	if err := json.Unmarshal(c.Body(), &reply); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	s.platform.SetVMs(reply.VMs)
+	return nil
+}
+
+func (s *Server) getObject(c *fiber.Ctx) error {
+	data, err := s.platform.GetObject(context.Background(), c.Params("*"))
+	if err != nil {
+		return turn(err)
+	}
+	return c.Send(data)
+}
+
+func (s *Server) putObject(c *fiber.Ctx) error {
+	return turn(s.platform.PutObject(context.Background(), c.Params("*"), c.Body()))
+}
+
+func (s *Server) deleteObject(c *fiber.Ctx) error {
+	return turn(s.platform.DeleteObject(context.Background(), c.Params("*")))
+}
+
+func turn(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrNotFound):
+		return fiber.NewError(fiber.StatusNotFound, err.Error())
+	case errors.Is(err, platform.ErrConflict):
+		return fiber.NewError(fiber.StatusConflict, err.Error())
+	}
+	return fiber.NewError(fiber.StatusInternalServerError, err.Error())
+}
--- /dev/null
+++ b/standin/standincli/standincli.go
@@ -0,0 +1,97 @@
+// Package standincli is the command line of the stand-ins.
+package standincli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/integrii/flaggy"
+
+	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/standin/engine"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/standin/platformserver"
+	"github.com/wigeontiller/wigeontiller/standin/service"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+
+	defaultSlots         = 16
+	defaultKVTokens      = 400_000
+	defaultPrefill       = 40_000
+	defaultTokenInterval = 20 * time.Millisecond
+)
+
+// options are the flags of every stand-in.
+type options struct {
+	address string
+	name    string
+	engine  engine.Config
+}
+
+// Run runs one stand-in until SIGTERM and returns the exit code.
+func Run(args []string, stderr io.Writer) int {
+	chosen := options{
+		address: "127.0.0.1:9000",
+		name:    "service",
+		engine: engine.Config{
+			Slots:                  defaultSlots,
+			KVTokens:               defaultKVTokens,
+			PrefillTokensPerSecond: defaultPrefill,
+			TokenInterval:          defaultTokenInterval,
+		},
+	}
+	parser := flaggy.NewParser("wigeontiller-standin")
+	parser.Description = "Stand-ins for model engines, plain services and the platform. Faults are set at " + fault.PathControl + "."
+	parser.String(&chosen.address, "a", "address", "IP address and port to listen on.")
+	engines := flaggy.NewSubcommand("engine")
+	engines.Description = "A model engine."
+	engines.Int(&chosen.engine.Slots, "", "slots", "Sequences batched at once.")
+	engines.Int(&chosen.engine.KVTokens, "", "kv-tokens", "KV memory in tokens.")
+	engines.Int(&chosen.engine.PrefillTokensPerSecond, "", "prefill", "Prompt tokens read a second.")
+	engines.Duration(&chosen.engine.TokenInterval, "", "token-interval", "Time between tokens.")
+	services := flaggy.NewSubcommand("service")
+	services.Description = "A plain service."
+	services.String(&chosen.name, "n", "name", "The service's name.")
+	platforms := flaggy.NewSubcommand("platform")
+	platforms.Description = "The table service, the object store and the list of VMs."
+	for _, parsed := range []*flaggy.Subcommand{engines, services, platforms} {
+		parser.AttachSubcommand(parsed, 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		_, _ = fmt.Fprintln(stderr, "wigeontiller-standin:", err)
+		return exitUsage
+	}
+	control := new(fault.Control)
+	switch {
+	case engines.Used:
+		return serve(stderr, engine.NewServer(chosen.engine, control).App(), chosen.address)
+	case services.Used:
+		return serve(stderr, service.NewServer(chosen.name, control).App(), chosen.address)
+	case platforms.Used:
+		return serve(stderr, platformserver.NewServer(memory.New(), control).App(), chosen.address)
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+func serve(stderr io.Writer, app *fiber.App, address string) int {
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go func() {
+		<-stopped.Done()
+		_ = app.ShutdownWithTimeout(time.Second)
+	}()
+	if err := app.Listen(address); err != nil {
+		_, _ = fmt.Fprintln(stderr, "wigeontiller-standin:", err)
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/tables/tables.go
@@ -0,0 +1,201 @@
+// Package tables turns the site and its documents into the read-only tables
+// that routing uses. The way is one: configuration, then tables, then handlers.
+package tables
+
+import (
+	"strings"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/environment"
+)
+
+// Lane keeps trial traffic apart from production.
+type Lane string
+
+// The lanes of an environment.
+const (
+	Production Lane = "production"
+	Trial      Lane = "trial"
+)
+
+// UpstreamKind tells engines from plain services.
+type UpstreamKind int
+
+// The kinds of upstream.
+const (
+	EngineUpstream UpstreamKind = iota
+	ServiceUpstream
+)
+
+// Upstream is one back end. Tables share it between goroutines; it is not changed.
+type Upstream struct {
+	// ID is the environment, the lane and the name; it is unique in a site.
+	ID         string
+	Kind       UpstreamKind
+	Name       string
+	DataCentre string
+	VM         string
+	// Address is an IP address and port.
+	Address string
+	// Models lists an engine's models; Service names a plain service.
+	Models  []string
+	Service string
+	// Slots is how many requests it serves at once.
+	Slots int
+	// KVTokens is an engine's KV memory in tokens.
+	KVTokens int
+	// Out is true when its VM or data centre was taken out.
+	Out bool
+	// Ramp bounds its load after a start.
+	Ramp environment.Ramp
+}
+
+// Plan is one lane of one environment, ready for use.
+type Plan struct {
+	Environment string
+	Lane        Lane
+	Digest      string
+	Document    *environment.Document
+	Upstreams   []*Upstream
+}
+
+// Caller is who a key belongs to.
+type Caller struct {
+	Plan         *Plan
+	Organisation *environment.Organisation
+}
+
+// Tables is one immutable version of everything that handlers look up.
+type Tables struct {
+	// Version is the site version.
+	Version   uint64
+	Site      configuration.Site
+	Plans     []*Plan
+	Upstreams map[string]*Upstream
+	callers   map[string]Caller
+}
+
+// Build makes tables from a site and the parsed documents by digest. Every
+// digest of the site must be in documents.
+func Build(site configuration.Site, documents map[string]*environment.Document) *Tables {
+	built := &Tables{
+		Version:   site.Version,
+		Site:      site,
+		Upstreams: map[string]*Upstream{},
+		callers:   map[string]Caller{},
+	}
+	for name, state := range site.Environments {
+		built.add(name, Production, state.ProductionDigest, documents)
+		built.add(name, Trial, state.TrialDigest, documents)
+	}
+	return built
+}
+
+func (t *Tables) add(name string, lane Lane, digest string, documents map[string]*environment.Document) {
+	document := documents[digest]
+	if document == nil {
+		return
+	}
+	plan := &Plan{Environment: name, Lane: lane, Digest: digest, Document: document}
+	t.addUpstreams(plan)
+	t.addCallers(plan)
+	t.Plans = append(t.Plans, plan)
+}
+
+func (t *Tables) addUpstreams(plan *Plan) {
+	for _, engine := range plan.Document.Engines {
+		t.addUpstream(plan, &Upstream{
+			Kind:       EngineUpstream,
+			Name:       engine.Name,
+			DataCentre: engine.DataCentre,
+			VM:         engine.VM,
+			Address:    engine.Address,
+			Models:     engine.Models,
+			Slots:      engine.Slots,
+			KVTokens:   engine.KVTokens,
+		})
+	}
+	for _, service := range plan.Document.Services {
+		for _, endpoint := range service.Endpoints {
+			t.addUpstream(plan, &Upstream{
+				Kind:       ServiceUpstream,
+				Name:       endpoint.Name,
+				DataCentre: endpoint.DataCentre,
+				VM:         endpoint.VM,
+				Address:    endpoint.Address,
+				Service:    service.Name,
+				Slots:      endpoint.Slots,
+			})
+		}
+	}
+}
+
+func (t *Tables) addUpstream(plan *Plan, upstream *Upstream) {
+	upstream.ID = plan.Environment + "/" + string(plan.Lane) + "/" + upstream.Name
+	upstream.Out = t.Site.OutDataCentres[upstream.DataCentre] || t.Site.OutVMs[upstream.VM]
+	upstream.Ramp = plan.Document.Ramp
+	plan.Upstreams = append(plan.Upstreams, upstream)
+	t.Upstreams[upstream.ID] = upstream
+}
+
+func (t *Tables) addCallers(plan *Plan) {
+	for i := range plan.Document.Organisations {
+		organisation := &plan.Document.Organisations[i]
+		digests := organisation.KeyDigests
+		if plan.Lane == Trial {
+			digests = organisation.TrialKeyDigests
+		}
+		for _, digest := range digests {
+			t.callers[digest] = Caller{Plan: plan, Organisation: organisation}
+		}
+	}
+}
+
+// Caller returns who a key belongs to. Keys are looked up by SHA-256
+// digest, so that the time taken says nothing about a listed key.
+func (t *Tables) Caller(key string) (Caller, bool) {
+	digest := environment.KeyDigest(key)
+	caller, ok := t.callers[digest]
+	return caller, ok
+}
+
+// Deadline returns the time that a prompt's length class allows.
+func (p *Plan) Deadline(promptTokens int) (time.Duration, bool) {
+	for _, class := range p.Document.LengthClasses {
+		if promptTokens <= class.MaxPromptTokens {
+			return class.Deadline, true
+		}
+	}
+	return 0, false
+}
+
+// HasModel reports whether the document lists the model.
+func (p *Plan) HasModel(name string) bool {
+	for _, model := range p.Document.Models {
+		if model.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Service returns a plain service by name.
+func (p *Plan) Service(name string) (*environment.Service, bool) {
+	for i := range p.Document.Services {
+		if p.Document.Services[i].Name == name {
+			return &p.Document.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// HasSideEffect reports whether a call to the service must run at most once.
+func HasSideEffect(service *environment.Service, method, path string) bool {
+	for _, route := range service.SideEffects {
+		if route.Method == method && strings.HasPrefix(path, route.Path) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/processes/harness_test.go
@@ -0,0 +1,288 @@
+// Package processes tests the built programs as separate processes on loopback.
+package processes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/environment"
+)
+
+const (
+	operatorToken = "test-operator"
+	callerKey     = "test-key"
+	trialKey      = "test-trial-key"
+	peerKey       = "test-peer-key-0123456789abcdef"
+	// patience bounds every wait; it is a hang guard and no verdict on speed.
+	patience = 60 * time.Second
+)
+
+var programs string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "wigeontiller-processes")
+	if err != nil {
+		panic(err)
+	}
+	programs = directory
+	build := exec.Command("go", "build", "-o", directory, "../../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// process is a program under test.
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	started := &process{command: exec.Command(filepath.Join(programs, name), args...), done: make(chan struct{})}
+	started.command.Env = append(os.Environ(), "WIGEONTILLER_TOKEN="+operatorToken, "WIGEONTILLER_PEER_KEY="+peerKey)
+	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.command.Stderr = log
+	if err := started.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		started.err = started.command.Wait()
+		close(started.done)
+	}()
+	t.Cleanup(func() {
+		_ = started.command.Process.Kill()
+		<-started.done
+		if t.Failed() {
+			text, _ := os.ReadFile(log.Name())
+			t.Logf("%s %v:\n%s", name, args, text)
+		}
+	})
+	return started
+}
+
+func (p *process) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (p *process) waitExit(t *testing.T) {
+	t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		t.Fatal("process did not exit")
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// node is an entry node under test.
+type node struct {
+	*process
+	callers, operators, peers string
+}
+
+// site is a whole deployment: two data centres with a node, an engine and a
+// service each, and one platform.
+type site struct {
+	platform string
+	engines  []string
+	services []string
+	nodes    []*node
+}
+
+func startSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{platform: freeAddress(t)}
+	start(t, "wigeontiller-standin", "platform", "--address", s.platform)
+	for range 2 {
+		engine, service := freeAddress(t), freeAddress(t)
+		start(t, "wigeontiller-standin", "engine", "--address", engine, "--slots", "64", "--token-interval", "20ms")
+		start(t, "wigeontiller-standin", "service", "--name", "bookings", "--address", service)
+		s.engines = append(s.engines, engine)
+		s.services = append(s.services, service)
+	}
+	peers := []string{freeAddress(t), freeAddress(t)}
+	for i, letter := range []string{"a", "b"} {
+		s.startNode(t, "entry-"+letter, "dc-"+letter, peers[i], peers)
+	}
+	return s
+}
+
+func (s *site) startNode(t *testing.T, name, dataCentre, peer string, seeds []string) *node {
+	t.Helper()
+	started := &node{callers: freeAddress(t), operators: freeAddress(t), peers: peer}
+	text := fmt.Sprintf(`name: %s
+data_centre: %s
+region: test
+caller_address: %s
+operator_address: %s
+peer_address: %s
+seeds: [%s]
+platform_url: http://%s
+operator_tokens: [{environment: WIGEONTILLER_TOKEN}]
+peer_key: {environment: WIGEONTILLER_PEER_KEY}
+shutdown_lag: 300ms
+`, name, dataCentre, started.callers, started.operators, peer, strings.Join(seeds, ", "), s.platform)
+	file := filepath.Join(t.TempDir(), name+".yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	started.process = start(t, "wigeontiller", "serve", file)
+	s.nodes = append(s.nodes, started)
+	eventually(t, name+" ready", func() bool {
+		response, err := http.Get("http://" + started.operators + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode == http.StatusOK
+	})
+	return started
+}
+
+// document returns an environment document for the site.
+func (s *site) document(weight int) string {
+	text := fmt.Sprintf(`name: works
+models: [{name: adviser, context_tokens: 1048576}]
+organisations:
+  - name: dock
+    key_digests: ["%s"]
+    trial_key_digests: ["%s"]
+    weight: %d
+    max_priority: urgent
+length_classes:
+  - {name: short, max_prompt_tokens: 16000, deadline: 30s}
+  - {name: archive, max_prompt_tokens: 1000000, deadline: 10m}
+engines:
+`, environment.KeyDigest(callerKey), environment.KeyDigest(trialKey), weight)
+	for i, address := range s.engines {
+		text += fmt.Sprintf("  - {name: engine-%d, data_centre: dc-%c, address: %q, vm: engine-vm-%d, models: [adviser], slots: 64, kv_tokens: 400000}\n", i, 'a'+i, address, i)
+	}
+	text += "services:\n  - name: bookings\n    side_effects: [{method: POST, path: /confirm}]\n    endpoints:\n"
+	for i, address := range s.services {
+		text += fmt.Sprintf("      - {name: bookings-%d, data_centre: dc-%c, address: %q, vm: service-vm-%d, slots: 64}\n", i, 'a'+i, address, i)
+	}
+	return text
+}
+
+// cli runs an operator's command against a node and returns its JSON.
+func (s *site) cli(t *testing.T, n *node, args ...string) (map[string]any, error) {
+	t.Helper()
+	command := exec.Command(filepath.Join(programs, "wigeontiller"), append(args, "--output", "json", "--url", "http://"+n.operators)...)
+	command.Env = append(os.Environ(), "WIGEONTILLER_TOKEN="+operatorToken)
+	var complaint strings.Builder
+	command.Stderr = &complaint
+	output, err := command.Output()
+	if err != nil {
+		return nil, fmt.Errorf("%v: %w: %s", args, err, complaint.String())
+	}
+	var reply map[string]any
+	if err := json.Unmarshal(output, &reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (s *site) mustCLI(t *testing.T, n *node, args ...string) map[string]any {
+	t.Helper()
+	reply, err := s.cli(t, n, args...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+// promote tries and promotes a document and waits until all nodes have it.
+func (s *site) promote(t *testing.T, document string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "document.yaml")
+	if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.mustCLI(t, s.nodes[0], "env", "try", file)
+	version := s.mustCLI(t, s.nodes[0], "env", "promote", "works")["version"]
+	s.waitVersion(t, version)
+}
+
+func (s *site) waitVersion(t *testing.T, version any) {
+	t.Helper()
+	for _, n := range s.nodes {
+		eventually(t, "version in force", func() bool {
+			status, err := s.cli(t, n, "status")
+			return err == nil && status["version"] == version
+		})
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func call(ctx context.Context, method, url, body string, header map[string]string) reply {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+func (n *node) complete(prompt string, tokens int) reply {
+	body := fmt.Sprintf(`{"model":"adviser","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
+	return call(context.Background(), http.MethodPost, "http://"+n.callers+"/v1/chat/completions", body, nil)
+}
--- /dev/null
+++ b/test/processes/path_test.go
@@ -0,0 +1,78 @@
+package processes
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	s.promote(t, s.document(1))
+	for _, n := range s.nodes {
+		got := n.complete("Which hollow for a goalie?", 4)
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.True(strings.HasSuffix(got.body, "data: [DONE]\n\n")) // the whole answer
+		is.Equal(strings.Count(got.body, `"content"`), 4)        // one event a token
+		got = call(context.Background(), http.MethodGet, "http://"+n.callers+"/services/bookings/slots?day=1", "", nil)
+		is.Equal(got.status, http.StatusOK)
+		is.True(strings.Contains(got.body, `"path":"/slots?day=1"`))
+		got = call(context.Background(), http.MethodGet, "http://"+n.callers+"/services/bookings/slots", "", map[string]string{"Authorization": "Bearer wrong"})
+		is.Equal(got.status, http.StatusUnauthorized)
+		is.True(strings.Contains(got.body, `"execution":"not_run"`))
+	}
+	version := s.mustCLI(t, s.nodes[1], "env", "withdraw", "works")["version"]
+	s.waitVersion(t, version)
+	for _, n := range s.nodes {
+		is.Equal(n.complete("Anyone there?", 4).status, http.StatusUnauthorized)
+	}
+}
+
+func TestGracefulShutdownCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	s.promote(t, s.document(1))
+	const calls = 40
+	replies := make([]reply, calls)
+	var group sync.WaitGroup
+	for i := range calls {
+		group.Go(func() { replies[i] = s.nodes[i%2].complete(fmt.Sprintf("prompt %d", i), 200) })
+	}
+	eventually(t, "all streams run", func() bool {
+		running := 0.0
+		for _, n := range s.nodes {
+			status := s.mustCLI(t, n, "status")
+			running += status["running"].(float64)
+		}
+		return running == calls
+	})
+	for _, n := range s.nodes {
+		n.signal(t, syscall.SIGTERM)
+	}
+	group.Wait()
+	for _, got := range replies {
+		is.NoErr(got.err)
+		is.True(strings.HasSuffix(got.body, "data: [DONE]\n\n")) // not cut
+	}
+	for _, n := range s.nodes {
+		n.waitExit(t)
+		is.NoErr(n.err) // clean exit
+	}
+}
+
+func TestDaemonIsLinkedToLibc(t *testing.T) {
+	is := is.New(t)
+	output, err := exec.Command("ldd", filepath.Join(programs, "wigeontiller")).CombinedOutput()
+	is.NoErr(err)
+	is.True(strings.Contains(string(output), "libc.so"))
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,230 @@
+// Package upstream sends attempts to engines and plain services. It never
+// repeats a call by itself and says truly whether an attempt may have run.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	maxConnsPerHost  = 1024
+	maxResponseBytes = 64 << 20
+	// HeaderAttempt carries the attempt id to an engine or service.
+	HeaderAttempt = "X-Attempt-ID"
+	// HeaderPriority carries the priority to an engine.
+	HeaderPriority = "X-Request-Priority"
+	// HeaderNotRun is set by an upstream that refused an attempt unrun.
+	HeaderNotRun = "X-Not-Run"
+)
+
+// The errors of attempts.
+var (
+	// ErrNotSent is returned when no byte of the attempt reached the upstream.
+	ErrNotSent = eris.New("attempt not sent")
+	// ErrRefused is returned when the upstream said that it did not run the attempt.
+	ErrRefused = eris.New("attempt refused by the upstream")
+	// ErrBroken is returned when the attempt may have run and has no whole answer.
+	ErrBroken = eris.New("attempt broken off")
+)
+
+// Attempt is one call to one upstream.
+type Attempt struct {
+	// ID is unique among all attempts.
+	ID      string
+	Address string
+	Method  string
+	// Path is the path and query.
+	Path     string
+	Header   map[string]string
+	Body     []byte
+	Deadline time.Time
+}
+
+// Reply is an upstream's answer. Close must be called, after the last read.
+type Reply struct {
+	Status   int
+	Header   map[string]string
+	response *fasthttp.Response
+	body     *trackedBody
+}
+
+// Body returns the answer as it arrives.
+func (r *Reply) Body() io.Reader {
+	return r.body
+}
+
+// Close gives the connection up. A connection whose answer was not read to its
+// end is closed: the HTTP library would use it again, and the next attempt
+// would then read the rest of this answer.
+func (r *Reply) Close() {
+	stream, ok := r.response.BodyStream().(fasthttp.ReadCloserWithError)
+	if ok && !r.body.ended {
+		_ = stream.CloseWithError(errUnread)
+		return
+	}
+	_ = r.response.CloseBodyStream()
+}
+
+// errUnread tells the HTTP library to close the connection.
+var errUnread = eris.New("answer not read to its end")
+
+// trackedBody remembers whether the end of the answer was read.
+type trackedBody struct {
+	reader io.Reader
+	ended  bool
+}
+
+// Read reads the answer.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+// Client holds the connections to all upstreams. The mutex guards hosts only.
+type Client struct {
+	mutex sync.Mutex
+	hosts map[string]*fasthttp.HostClient
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{hosts: map[string]*fasthttp.HostClient{}}
+}
+
+// never switches off every retry that the HTTP library makes on its own.
+func never(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
+
+func (c *Client) host(address string) *fasthttp.HostClient {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.hosts[address] == nil {
+		c.hosts[address] = &fasthttp.HostClient{
+			Addr:                      address,
+			Dial:                      dial,
+			MaxConns:                  maxConnsPerHost,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                never,
+			StreamResponseBody:        true,
+			MaxResponseBodySize:       maxResponseBytes,
+			DisablePathNormalizing:    true,
+		}
+	}
+	return c.hosts[address]
+}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	return conn, nil
+}
+
+// Do sends the attempt and returns when the header of the answer is there. When
+// the context ends first it returns ErrBroken and closes the late answer.
+// Errors: ErrNotSent, ErrRefused, ErrBroken.
+func (c *Client) Do(ctx context.Context, attempt *Attempt) (*Reply, error) {
+	type result struct {
+		reply *Reply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		reply, err := c.do(attempt)
+		done <- result{reply, err}
+	}()
+	select {
+	case got := <-done:
+		return got.reply, got.err
+	case <-ctx.Done():
+		go func() {
+			if got := <-done; got.reply != nil {
+				got.reply.Close()
+			}
+		}()
+		return nil, ErrBroken
+	}
+}
+
+func (c *Client) do(attempt *Attempt) (*Reply, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(attempt.Method)
+	request.SetRequestURI("http://" + attempt.Address + attempt.Path)
+	for name, value := range attempt.Header {
+		request.Header.Set(name, value)
+	}
+	request.Header.Set(HeaderAttempt, attempt.ID)
+	request.SetBodyRaw(attempt.Body)
+	response := new(fasthttp.Response)
+	err := c.host(attempt.Address).DoDeadline(request, response, attempt.Deadline)
+	if err != nil {
+		return nil, classify(err)
+	}
+	reply := newReply(response)
+	if _, refused := reply.Header[HeaderNotRun]; refused {
+		reply.Close()
+		return nil, ErrRefused
+	}
+	return reply, nil
+}
+
+func classify(err error) error {
+	if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	return eris.Wrap(ErrBroken, err.Error())
+}
+
+func newReply(response *fasthttp.Response) *Reply {
+	reply := &Reply{
+		Status:   response.StatusCode(),
+		Header:   map[string]string{},
+		response: response,
+		body:     &trackedBody{reader: response.BodyStream()},
+	}
+	if response.BodyStream() == nil {
+		reply.body.reader = bytes.NewReader(response.Body())
+	}
+	for name, value := range response.Header.All() {
+		reply.Header[string(name)] = string(value)
+	}
+	return reply
+}
+
+// Cancel tells an engine to end an attempt. It reports whether the engine's
+// list shows that the attempt is gone.
+func (c *Client) Cancel(address, attemptID string, deadline time.Time) bool {
+	status, err := c.simple(fasthttp.MethodDelete, address, "/v1/streams/"+attemptID, deadline)
+	if err != nil || status >= fasthttp.StatusInternalServerError {
+		return false
+	}
+	status, err = c.simple(fasthttp.MethodGet, address, "/v1/streams/"+attemptID, deadline)
+	return err == nil && status == fasthttp.StatusNotFound
+}
+
+func (c *Client) simple(method, address, path string, deadline time.Time) (int, error) {
+	reply, err := c.do(&Attempt{ID: "control-" + strconv.FormatInt(deadline.UnixNano(), 36), Address: address, Method: method, Path: path, Deadline: deadline})
+	if err != nil {
+		return 0, err
+	}
+	defer reply.Close()
+	_, err = io.Copy(io.Discard, reply.body)
+	return reply.Status, err
+}
