--- /dev/null
+++ b/bench/random.go
@@ -0,0 +1,61 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/bench/policy"
+)
+
+// RandomReport is the outcome of a run with random faults.
+type RandomReport struct {
+	Seed       uint64        `json:"seed"`
+	Deployment string        `json:"deployment"`
+	Duration   time.Duration `json:"duration_ns"`
+	Requests   int           `json:"requests"`
+	Completed  int           `json:"completed"`
+	// Admitted and ended otherwise: failed, cut off by the deadline, or left.
+	Failed       int `json:"failed"`
+	DeadlineEnds int `json:"deadline_ends"`
+	Left         int `json:"left"`
+	Refused      int `json:"refused"`
+	// FellOver counts the cold starts broken by too much load.
+	FellOver int `json:"fell_over"`
+	// Breaches lists the invariants that did not hold.
+	Breaches []string `json:"breaches,omitempty"`
+}
+
+// RunRandom runs the product under all faults at once for a virtual time.
+func RunRandom(seed uint64, deployment Deployment, duration time.Duration) (*RandomReport, error) {
+	deployment.Duration = duration
+	result, err := Run(Config{Seed: seed, Deployment: deployment, Policy: policy.Product, Scenario: Random})
+	if err != nil {
+		return nil, err
+	}
+	report := &RandomReport{
+		Seed:       seed,
+		Deployment: deployment.Name,
+		Duration:   duration,
+		Requests:   result.Requests,
+		FellOver:   result.FellOver,
+		Breaches:   result.Breaches,
+	}
+	for _, request := range result.Records {
+		report.count(request.End)
+	}
+	return report, nil
+}
+
+func (r *RandomReport) count(end EndKind) {
+	switch end {
+	case Completed:
+		r.Completed++
+	case Failed:
+		r.Failed++
+	case EndedByDeadline:
+		r.DeadlineEnds++
+	case CallerLeft:
+		r.Left++
+	case RefusedAtOnce:
+		r.Refused++
+	}
+}
