Bench: random faults reach queues, deadlines and cancels

Cause: on a scratch copy the random run passed with the queue's cancel, the deadline timer or the engine's cancel taken out: no queue formed at half load and no job lasted to its deadline. Change: the seed chooses nodes and load up to 1.5, engines may stall for 45 s, and a job that an engine still holds 5 s after its cancel is a breach.

--- a/bench/call.go
+++ b/bench/call.go
@@ -12,6 +12,8 @@
 const (
 	cancelInterval = 250 * time.Millisecond
 	cancelPeriod   = 30 * time.Second
+	// maxCancelTime is how long an engine may hold a job after its cancel.
+	maxCancelTime = 5 * time.Second
 )
 
 // call is one request at its node.
@@ -224,6 +226,7 @@
 	}
 	if waited == 0 {
 		site.canceling++
+		site.loop.After(maxCancelTime, a.checkCanceled)
 	}
 	lost := site.config.Scenario == Random && site.faults.Float64() < cancelLossShare
 	if lost && waited < cancelPeriod {
@@ -235,3 +238,9 @@
 		a.upstream.engine.Cancel(a.id)
 	})
 }
+
+func (a *attempt) checkCanceled() {
+	if a.upstream.engine.Holds(a.id) {
+		a.call.node.site.breach("%s still runs %v after its cancel", a.id, maxCancelTime)
+	}
+}
--- a/bench/random.go
+++ b/bench/random.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/bench/policy"
@@ -11,6 +12,8 @@
 	Seed       uint64        `json:"seed"`
 	Deployment string        `json:"deployment"`
 	Duration   time.Duration `json:"duration_ns"`
+	Nodes      int           `json:"nodes"`
+	Load       float64       `json:"load"`
 	Requests   int           `json:"requests"`
 	Completed  int           `json:"completed"`
 	// Admitted and ended otherwise: failed, cut off by the deadline, or left.
@@ -24,9 +27,13 @@
 	Breaches []string `json:"breaches,omitempty"`
 }
 
-// RunRandom runs the product under all faults at once for a virtual time.
+// RunRandom runs the product under all faults at once for a virtual time. The
+// seed also chooses the number of nodes and the load, up to overload.
 func RunRandom(seed uint64, deployment Deployment, duration time.Duration) (*RandomReport, error) {
+	random := rand.New(rand.NewPCG(seed, 4))
 	deployment.Duration = duration
+	deployment.Nodes = 1 + random.IntN(min(maxRandomNodes, deployment.Nodes))
+	deployment.Load = minRandomLoad + random.Float64()*(maxRandomLoad-minRandomLoad)
 	result, err := Run(Config{Seed: seed, Deployment: deployment, Policy: policy.Product, Scenario: Random})
 	if err != nil {
 		return nil, err
@@ -35,6 +42,8 @@
 		Seed:       seed,
 		Deployment: deployment.Name,
 		Duration:   duration,
+		Nodes:      deployment.Nodes,
+		Load:       deployment.Load,
 		Requests:   result.Requests,
 		FellOver:   result.FellOver,
 		Breaches:   result.Breaches,
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -54,6 +54,11 @@
 	leavingShare        = 0.3
 	cancelLossShare     = 0.2
 	maxReportLag        = 5 * time.Second
+	stallTime           = 45 * time.Second
+	// The ranges of a random run's nodes and load.
+	maxRandomNodes = 9
+	minRandomLoad  = 0.3
+	maxRandomLoad  = 1.5
 )
 
 func (c Config) outAt() time.Duration {
@@ -90,7 +95,7 @@
 
 func (s *site) planRandomFault(at time.Duration) {
 	at += time.Duration(s.faults.Int64N(int64(randomFaultInterval)))
-	faults := []func(){s.crashEngine, s.coolEngine, s.crashService}
+	faults := []func(){s.crashEngine, s.coolEngine, s.crashService, s.stallEngine}
 	s.loop.At(at, faults[s.faults.IntN(len(faults))])
 }
 
@@ -102,6 +107,10 @@
 	s.engines[s.faults.IntN(len(s.engines))].engine.GoCold(s.loop.Now())
 }
 
+func (s *site) stallEngine() {
+	s.engines[s.faults.IntN(len(s.engines))].engine.Stall(stallTime)
+}
+
 func (s *site) crashService() {
 	s.services[s.faults.IntN(len(s.services))].service.Crash()
 }
