--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,9 @@
 type Secret struct {
 	Environment string `yaml:"environment"`
 	File        string `yaml:"file"`
+	// Literal is the value itself, for programs that embed a node. It can't be
+	// written in a settings file.
+	Literal string `yaml:"-"`
 }
 
 const defaultShutdownLag = 5 * time.Second
@@ -62,6 +65,9 @@
 
 // Read returns the secret's value without surrounding line ends.
 func (s Secret) Read() (string, error) {
+	if s.Literal != "" {
+		return s.Literal, nil
+	}
 	if s.Environment != "" {
 		return nonEmpty(os.Getenv(s.Environment))
 	}
