--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -44,8 +44,6 @@
 
 // attempts places and sends a call until an answer starts or the call is given up.
 func (s *Server) attempts(ctx context.Context, accepted *call) (*answer, *apierror.Error) {
-	ctx, span := s.config.Tracer.Start(ctx, "request")
-	defer span.End()
 	execution := apierror.NotRun
 	limit := accepted.request.Plan.Document.Retry.MaxAttempts
 	for number := 1; ; number++ {
@@ -90,7 +88,7 @@
 		Address:  placement.Upstream.Address,
 		Method:   accepted.method,
 		Path:     accepted.path,
-		Header:   accepted.header,
+		Header:   traced(ctx, accepted.header),
 		Body:     accepted.body,
 		Deadline: accepted.request.Deadline,
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -82,10 +82,12 @@
 // serve runs a call to its end or, for a stream, to its first event.
 func (s *Server) serve(c *fiber.Ctx, accepted *call) error {
 	s.inFlight.Add(1)
-	ctx, cancel := context.WithDeadline(s.ctx, accepted.request.Deadline)
+	ctx, cancel := context.WithDeadline(callerTrace(s.ctx, c), accepted.request.Deadline)
+	ctx, span := s.startEntry(ctx, accepted)
 	go callerwatch.Watch(ctx, c.Context().Conn(), cancel)
 	finish := func() {
 		cancel()
+		span.End()
 		s.inFlight.Done()
 	}
 	answer, failure := s.attempts(ctx, accepted)
