YAML by go.yaml.in/yaml: the first library panicked on fuzzed input

An operator's document must not end a node. Ruled out: a recover around the decoder, which would hide other faults. Change: go.yaml.in/yaml/v3; its type errors also list several problems at once.

--- /dev/null
+++ b/entry/accept_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestParsePrompt(t *testing.T) {
+	is := is.New(t)
+	parsed, failure := parsePrompt([]byte(`{"model":"m","stream":true,"max_tokens":7,"prompt":"0123456789"}`), 512)
+	is.True(failure == nil)
+	is.Equal(parsed, prompt{model: "m", stream: true, maxTokens: 7, textBytes: 12})
+	parsed, failure = parsePrompt([]byte(`{"model":"m","prompt":"a"}`), 512)
+	is.True(failure == nil)
+	is.Equal(parsed.maxTokens, 512)
+}
+
+func FuzzParsePrompt(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":1e99}`))
+	f.Add([]byte(`{"model":1,"prompt":{}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		parsed, failure := parsePrompt(body, 512)
+		if failure != nil {
+			return
+		}
+		if parsed.model == "" || parsed.maxTokens <= 0 || parsed.promptTokens() < 1 {
+			t.Fatalf("accepted %+v", parsed)
+		}
+	})
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/strictyaml"
+)
+
+func sample(t testing.TB) string {
+	t.Helper()
+	data, err := os.ReadFile("../examples/cooperative/entry-a1.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestParseListsEveryProblem(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(sample(t), "caller_address: 10", "caller_address: host.10", 1)
+	text = strings.Replace(text, "region: wales", "region: ''", 1)
+	_, err := Parse([]byte(text))
+	var problems strictyaml.Errors
+	is.True(errors.As(err, &problems))
+	fields := map[string]int{}
+	for _, problem := range problems {
+		fields[problem.Field] = problem.Line
+	}
+	is.Equal(fields, map[string]int{"region": 3, "caller_address": 4})
+}
+
+func TestSecretIsReadWithoutLineEnd(t *testing.T) {
+	is := is.New(t)
+	file := t.TempDir() + "/token"
+	is.NoErr(os.WriteFile(file, []byte("secret\r\n"), 0o600))
+	value, err := Secret{File: file}.Read()
+	is.NoErr(err)
+	is.Equal(value, "secret")
+	_, err = Secret{Environment: "WIGEONTILLER_TEST_UNSET"}.Read()
+	is.True(errors.Is(err, ErrSecretMissing))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sample(f)))
+	f.Add([]byte("seeds: [1, {a: b}]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		parsed, err := Parse(data)
+		if (parsed == nil) == (err == nil) {
+			t.Fatal("neither settings nor an error")
+		}
+	})
+}
--- a/strictyaml/strictyaml.go
+++ b/strictyaml/strictyaml.go
@@ -6,18 +6,19 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"regexp"
+	"strconv"
 	"strings"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
+	"go.yaml.in/yaml/v3"
 )
 
 // FieldError is one problem in a document.
 type FieldError struct {
 	// Field is the path of the field, for example "organisations[0].weight".
 	Field string `json:"field"`
-	// Line is the 1-based line, or 0 when the document has no such line.
+	// Line is the 1-based line.
 	Line int `json:"line"`
 	// Message says what is wrong.
 	Message string `json:"message"`
@@ -45,70 +46,104 @@
 
 // Source is a parsed document that can tell the line of a field.
 type Source struct {
-	file *ast.File
+	root *yaml.Node
 }
 
-// Decode fills v from data. Unknown and duplicate fields are errors. The
-// returned error is always of type Errors.
+// Decode fills v from data, which holds exactly one document. Unknown and
+// duplicate fields are errors. The returned error is always of type Errors.
 func Decode(data []byte, v any) (*Source, error) {
-	file, err := parser.ParseBytes(data, 0)
-	if err != nil {
-		return nil, Errors{fromYAML(err)}
+	root := new(yaml.Node)
+	if err := yaml.Unmarshal(data, root); err != nil {
+		return nil, fromYAML(err)
 	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
 	if err := decoder.Decode(v); err != nil {
-		return nil, Errors{fromYAML(err)}
+		return nil, fromYAML(err)
 	}
-	return &Source{file: file}, nil
+	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return nil, Errors{{Line: 1, Message: "more than one document"}}
+	}
+	return &Source{root: root}, nil
+}
+
+// DecodeLenient fills what it can of v, passing over unknown fields. It reports
+// whether data is YAML that fits.
+func DecodeLenient(data []byte, v any) bool {
+	return yaml.Unmarshal(data, v) == nil
 }
 
+// step is one part of a field path: a key or an index.
+var step = regexp.MustCompile(`[^.\[\]]+`)
+
 // Line returns the 1-based line of a field path such as "models[0].name". When
 // the field is absent it returns the line of the nearest parent that is there.
 func (s *Source) Line(field string) int {
-	for field != "" {
-		if line := s.exactLine(field); line > 0 {
-			return line
+	node := s.root
+	if node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
+		node = node.Content[0]
+	}
+	for _, name := range step.FindAllString(field, -1) {
+		next := child(node, name)
+		if next == nil {
+			break
 		}
-		field = parent(field)
+		node = next
 	}
-	return 1
+	return max(node.Line, 1)
 }
 
-func (s *Source) exactLine(field string) int {
-	path, err := yaml.PathString("$." + field)
-	if err != nil {
-		return 0
+func child(node *yaml.Node, name string) *yaml.Node {
+	if node.Kind == yaml.AliasNode {
+		node = node.Alias
 	}
-	node, err := path.FilterFile(s.file)
-	if err != nil || node == nil || node.GetToken() == nil {
-		return 0
+	switch node.Kind {
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			if node.Content[i].Value == name {
+				return node.Content[i+1]
+			}
+		}
+	case yaml.SequenceNode:
+		index, err := strconv.Atoi(name)
+		if err == nil && index < len(node.Content) {
+			return node.Content[index]
+		}
 	}
-	return node.GetToken().Position.Line
+	return nil
 }
 
-func parent(field string) string {
-	cut := strings.LastIndexAny(field, ".[")
-	if cut < 0 {
-		return ""
+var (
+	linePattern    = regexp.MustCompile(`(?s)line (\d+): (.*)`)
+	unknownPattern = regexp.MustCompile(`^field (\S+) not found in type .*`)
+	typePattern    = regexp.MustCompile(`into \S+$`)
+)
+
+func fromYAML(err error) Errors {
+	var typeError *yaml.TypeError
+	if !errors.As(err, &typeError) {
+		return Errors{fromMessage(err.Error())}
+	}
+	problems := make(Errors, 0, len(typeError.Errors))
+	for _, message := range typeError.Errors {
+		problems = append(problems, fromMessage(message))
 	}
-	return field[:cut]
+	return problems
 }
 
-func fromYAML(err error) FieldError {
-	var yamlError yaml.Error
-	if !errors.As(err, &yamlError) {
-		return FieldError{Line: 1, Message: err.Error()}
+// fromMessage takes the line and the field out of the library's message.
+func fromMessage(message string) FieldError {
+	found := FieldError{Line: 1, Message: strings.TrimPrefix(message, "yaml: ")}
+	if parts := linePattern.FindStringSubmatch(message); parts != nil {
+		if line, err := strconv.Atoi(parts[1]); err == nil {
+			found.Line = max(line, 1)
+		}
+		found.Message = parts[2]
 	}
-	found := FieldError{Line: 1, Message: yamlError.GetMessage()}
-	if token := yamlError.GetToken(); token != nil {
-		found.Line = token.Position.Line
-		found.Field = token.Value
+	if parts := unknownPattern.FindStringSubmatch(found.Message); parts != nil {
+		found.Field = parts[1]
+		found.Message = "unknown field"
 	}
+	found.Message = typePattern.ReplaceAllString(found.Message, "into this field")
 	return found
 }
-
-// DecodeLenient fills what it can of v, passing over unknown fields. It reports
-// whether data is YAML.
-func DecodeLenient(data []byte, v any) bool {
-	return yaml.Unmarshal(data, v) == nil
-}
