--- /dev/null
+++ b/scheduling/estimation/estimator_test.go
@@ -0,0 +1,59 @@
+package estimation
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestUnknownUntilSeen(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	is.True(!e.Estimate("m", "u", 1000, 100).Known)
+	is.Equal(e.PromptTokens("m", 1000), 1000)
+}
+
+func TestLearnsTokensPrefillAndDecode(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 300 {
+		prompt := 1000 + random.IntN(50000)
+		first := 0.1 + float64(prompt)/10000
+		first *= 0.95 + 0.1*random.Float64()
+		e.Learn(Sample{
+			Model: "m", Upstream: "u", EstimatedPrompt: prompt * 2, PromptTokens: prompt,
+			AnswerTokens: 101, MaxTokens: 202, FirstToken: seconds(first), Decode: 3 * time.Second,
+		})
+	}
+	guessed := e.PromptTokens("m", 20000)
+	is.True(guessed > 9500 && guessed < 10500)
+	got := e.Estimate("m", "u", 100000, 200)
+	is.True(got.Known)
+	is.True(got.FirstToken > 9*time.Second && got.FirstToken < 11*time.Second)
+	decode := got.Run - got.FirstToken
+	is.True(decode > 2900*time.Millisecond && decode < 3100*time.Millisecond)
+	is.True(e.Error("m") < 0.1)
+	is.True(e.Estimate("m", "new", 100000, 200).Known) // falls back to the model
+}
+
+func TestDrainIgnoresIdleTime(t *testing.T) {
+	is := is.New(t)
+	var drain Drain
+	now := time.Unix(1000, 0)
+	drain.Pass(now, false)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		drain.Pass(now, true)
+		drain.Done(100)
+	}
+	before, ok := drain.Wait(1000)
+	is.True(ok)
+	is.True(before > 900*time.Millisecond && before < 1100*time.Millisecond)
+	now = now.Add(time.Hour)
+	drain.Pass(now, false)
+	after, _ := drain.Wait(1000)
+	is.Equal(after, before)
+}
