Scheduler: fair queue, shares, estimates, reserves, placement, failures

Cause: the thin scheduler scanned one queue, chose the least loaded upstream and knew no shares, costs or failures. Submit also dropped the decisions on other waiting requests that its own placement round had made. Change: a queue per pool, a free list per pool and side, shares with expiry and fallback, rates, learned estimates, refusals at once, long prompts gathered and bounded, power of two choices, breaker, ramp, retry budget, Check. Dispatch gives each attempt its own ID, since the Finish of a failed attempt comes after the next attempt is placed, and Finish wakes waiters.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,8 +17,13 @@
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
-// advanceInterval is how often queued requests are looked at again.
-const advanceInterval = 10 * time.Millisecond
+const (
+	// advanceInterval is how often queued requests are looked at again when
+	// nothing else wakes them.
+	advanceInterval = 10 * time.Millisecond
+	// checkInterval is how often the scheduler's books are compared.
+	checkInterval = 10 * time.Second
+)
 
 // ErrLeft is returned when the caller left before the request was placed.
 var ErrLeft = eris.New("caller left")
@@ -38,6 +45,9 @@
 	scheduler *scheduling.Scheduler
 	tables    *tables.Tables
 	waiting   map[string]chan scheduling.Decision
+	// placements numbers the calls of Place.
+	placements uint64
+	onBroken   func(error)
 }
 
 // New returns a dispatcher over a scheduler that nothing else uses.
@@ -52,6 +62,8 @@
 func (d *Dispatcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(advanceInterval)
 	defer ticker.Stop()
+	checks := time.NewTicker(checkInterval)
+	defer checks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,10 +72,27 @@
 			d.mutex.Lock()
 			d.advance()
 			d.mutex.Unlock()
+		case <-checks.C:
+			d.check()
 		}
 	}
 }
 
+// OnBroken sets what is called with each broken invariant that a check finds.
+// It is set before Run.
+func (d *Dispatcher) OnBroken(report func(error)) {
+	d.onBroken = report
+}
+
+func (d *Dispatcher) check() {
+	d.mutex.Lock()
+	err := d.scheduler.Check()
+	d.mutex.Unlock()
+	if err != nil && d.onBroken != nil {
+		d.onBroken(err)
+	}
+}
+
 // Configure replaces the tables.
 func (d *Dispatcher) Configure(built *tables.Tables) {
 	d.mutex.Lock()
@@ -81,9 +110,14 @@
 }
 
 // Place waits until the request has an upstream. The caller of Place calls the
-// returned function exactly once, when the attempt has ended. Errors: ErrLeft,
-// *RefusedError.
-func (d *Dispatcher) Place(ctx context.Context, request *scheduling.Request) (*Placement, error) {
+// placement's Finish once, when the attempt has ended. The same request may be
+// placed again while an earlier attempt's Finish is still to come. Errors:
+// ErrLeft, *RefusedError.
+func (d *Dispatcher) Place(ctx context.Context, wanted *scheduling.Request) (*Placement, error) {
+	// The attempt has its own ID and its own view of what to avoid.
+	request := new(scheduling.Request)
+	*request = *wanted
+	request.Avoid = slices.Clone(wanted.Avoid)
 	decision, wait := d.submit(request)
 	if decision.Kind == scheduling.Queued {
 		var err error
@@ -100,7 +134,12 @@
 func (d *Dispatcher) submit(request *scheduling.Request) (scheduling.Decision, chan scheduling.Decision) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.placements++
+	request.ID += "/" + strconv.FormatUint(d.placements, 10)
 	decision := d.scheduler.Submit(time.Now(), request)
+	if d.scheduler.Pending() {
+		defer d.advance()
+	}
 	if decision.Kind != scheduling.Queued {
 		return decision, nil
 	}
@@ -122,7 +161,7 @@
 	select {
 	case decision := <-wait:
 		if decision.Kind == scheduling.Placed {
-			d.finish(request.ID, scheduling.Outcome{})
+			d.finish(request.ID, scheduling.Outcome{Abandoned: true})
 		}
 	default:
 	}
@@ -156,24 +195,3 @@
 	defer d.mutex.Unlock()
 	return d.scheduler.Waiting(), d.scheduler.Running()
 }
-
-// Placement is an upstream held for one attempt.
-type Placement struct {
-	Upstream   *tables.Upstream
-	dispatcher *Dispatcher
-	requestID  string
-}
-
-// InService reports whether the upstream may still receive new work. It is
-// asked directly before an attempt is sent.
-func (p *Placement) InService() bool {
-	current := p.dispatcher.Tables().Upstreams[p.Upstream.ID]
-	return current != nil && !current.Out
-}
-
-// Finish frees the place; it is called once.
-func (p *Placement) Finish(outcome scheduling.Outcome) {
-	p.dispatcher.mutex.Lock()
-	defer p.dispatcher.mutex.Unlock()
-	p.dispatcher.finish(p.requestID, outcome)
-}
--- /dev/null
+++ b/dispatch/limits.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/scheduling"
+)
+
+// SetShares replaces what this node may have running by upstream ID.
+func (d *Dispatcher) SetShares(shares map[string]scheduling.Share) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.SetShares(time.Now(), shares)
+	d.advance()
+}
+
+// SetFallback sets the share that counts while an upstream has none. The
+// function is called under the dispatcher's lock and must not block.
+func (d *Dispatcher) SetFallback(fallback func(upstreamID string) scheduling.Share) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.SetFallback(time.Now(), fallback)
+	d.advance()
+}
+
+// SetOrganisationRates replaces this node's part of the organisations' limits,
+// in tokens a second by scheduling.OrganisationKey.
+func (d *Dispatcher) SetOrganisationRates(rates map[string]float64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.SetOrganisationRates(time.Now(), rates)
+}
+
+// Observe takes in an upstream's load report.
+func (d *Dispatcher) Observe(report scheduling.Report) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.Observe(time.Now(), report)
+}
+
+// Demand returns what runs and waits here by upstream ID.
+func (d *Dispatcher) Demand() map[string]scheduling.Demand {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.Demand(time.Now())
+}
+
+// MayRetry spends one retry of the environment's budget, if there is one.
+func (d *Dispatcher) MayRetry(request *scheduling.Request) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.MayRetry(time.Now(), request)
+}
--- /dev/null
+++ b/dispatch/placement.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/tables"
+)
+
+// Placement is an upstream held for one attempt.
+type Placement struct {
+	Upstream   *tables.Upstream
+	dispatcher *Dispatcher
+	requestID  string
+}
+
+// InService reports whether the upstream may still receive new work. It is
+// asked directly before an attempt is sent.
+func (p *Placement) InService() bool {
+	current := p.dispatcher.Tables().Upstreams[p.Upstream.ID]
+	return current != nil && !current.Out
+}
+
+// FirstToken tells that the answer has begun, so that a long prompt no longer
+// counts as in prefill.
+func (p *Placement) FirstToken() {
+	p.dispatcher.mutex.Lock()
+	defer p.dispatcher.mutex.Unlock()
+	p.dispatcher.scheduler.FirstToken(time.Now(), p.requestID)
+	p.dispatcher.advance()
+}
+
+// Finish frees the place and wakes who can start in it. The outcome carries
+// the usage that the engine reported. A repeat changes nothing.
+func (p *Placement) Finish(outcome scheduling.Outcome) {
+	p.dispatcher.mutex.Lock()
+	defer p.dispatcher.mutex.Unlock()
+	p.dispatcher.finish(p.requestID, outcome)
+}
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -64,6 +64,9 @@
 		if ctx.Err() != nil || !again || number >= limit {
 			return nil, attemptFailure(ctx, execution)
 		}
+		if !s.config.Dispatcher.MayRetry(accepted.request) {
+			return nil, attemptFailure(ctx, execution)
+		}
 		accepted.request.Avoid = append(accepted.request.Avoid, placement.Upstream.ID)
 	}
 }
@@ -76,7 +79,7 @@
 		if err != nil || placement.InService() {
 			return placement, err
 		}
-		placement.Finish(scheduling.Outcome{Failed: true})
+		placement.Finish(scheduling.Outcome{Abandoned: true})
 	}
 }
 
@@ -97,14 +100,17 @@
 	s.config.Metrics.Attempt()
 	reply, err := s.config.Upstreams.Do(ctx, attempt)
 	if err != nil {
-		s.giveUp(accepted, placement, attempt, err)
+		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
 	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID}
 	if err := s.beginOrLeave(ctx, accepted, got); err != nil {
-		s.giveUp(accepted, placement, attempt, err)
+		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
+	if accepted.stream {
+		placement.FirstToken()
+	}
 	return got, nil
 }
 
@@ -155,8 +161,8 @@
 
 // giveUp frees the place at once when the attempt can't be running, and
 // otherwise when the engine's list shows it gone.
-func (s *Server) giveUp(accepted *call, placement *dispatch.Placement, attempt *upstream.Attempt, err error) {
-	failed := scheduling.Outcome{Failed: true}
+func (s *Server) giveUp(ctx context.Context, accepted *call, placement *dispatch.Placement, attempt *upstream.Attempt, err error) {
+	failed := failedOutcome(ctx)
 	if accepted.request.Model == "" || !errors.Is(err, upstream.ErrBroken) {
 		placement.Finish(failed)
 		return
@@ -169,6 +175,12 @@
 	}()
 }
 
+// failedOutcome doesn't blame the upstream when the caller left.
+func failedOutcome(ctx context.Context) scheduling.Outcome {
+	left := errors.Is(ctx.Err(), context.Canceled)
+	return scheduling.Outcome{Failed: !left, Abandoned: left}
+}
+
 func (s *Server) cancelUntilGone(attempt *upstream.Attempt) {
 	end := time.Now().Add(cancelPeriod)
 	for time.Now().Before(end) && s.ctx.Err() == nil {
@@ -205,6 +217,8 @@
 		failure = apierror.New(fiber.StatusGatewayTimeout, apierror.DeadlineExceeded, "the deadline passed before the request ran")
 	case scheduling.RateLimited:
 		failure = apierror.New(fiber.StatusTooManyRequests, apierror.RateLimited, "the organisation is over its limit")
+	case scheduling.Unavailable:
+		failure.Message = "no upstream can take the request for now"
 	case scheduling.QueueFull:
 	}
 	failure.RetryAfter = refused.RetryAfter
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -108,12 +108,13 @@
 	if data, err := json.Marshal(failure); err == nil {
 		_ = writeEvent(w, data)
 	}
+	outcome := failedOutcome(ctx)
 	attempt := &upstream.Attempt{ID: got.attemptID, Address: got.placement.Upstream.Address}
 	s.cleanups.Add(1)
 	go func() {
 		defer s.cleanups.Done()
 		s.cancelUntilGone(attempt)
 		drain(events)
-		got.close(scheduling.Outcome{Failed: true})
+		got.close(outcome)
 	}()
 }
--- a/node.go
+++ b/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -74,7 +75,12 @@
 		metrics:  telemetry.NewMetrics(),
 		tracing:  tracing,
 	}
-	node.dispatcher = dispatch.New(scheduling.New(s.DataCentre))
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	node.dispatcher = dispatch.New(scheduling.NewSeeded(s.DataCentre, random))
+	node.dispatcher.OnBroken(func(err error) {
+		node.metrics.InvariantBroken("scheduler")
+		node.logger.Error().Err(err).Msg("scheduler invariant broken")
+	})
 	store := configuration.NewStore(p)
 	node.follower = newFollower(store, node.dispatcher, node.logger)
 	node.entry = entry.NewServer(entry.Config{
--- /dev/null
+++ b/scheduling/choose.go
@@ -0,0 +1,217 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/scheduling/fairqueue"
+	"github.com/wigeontiller/wigeontiller/tables"
+)
+
+const (
+	// probeLimit bounds the upstreams looked at for one decision.
+	probeLimit = 64
+	// firstFitLimit bounds how far a long prompt looks along the common order.
+	firstFitLimit = 256
+	// choices is how many upstreams with room are compared.
+	choices = 2
+	// linkCost is the wait in the own data centre that sending a request over
+	// a link is worth.
+	linkCost = 50 * time.Millisecond
+	// affinitySlack is how much more loaded, as a part of its slots, the
+	// upstream that holds a prompt's prefix may be.
+	affinitySlack = 0.25
+	// prefillPenalty is what a long prefill in progress counts for a short prompt.
+	prefillPenalty = 1.0
+	// shortDemand is how long a short prompt keeps the reserve closed.
+	shortDemand = 5 * time.Second
+	whole       = 100
+)
+
+type entryOf = *fairqueue.Entry[*waiting]
+
+// prefillKey names the long prefills that one bound covers.
+type prefillKey struct {
+	planKey
+	dataCentre string
+}
+
+// choose returns an upstream with room, or nil.
+func (s *Scheduler) choose(now time.Time, w *waiting) *member {
+	if found := s.chooseIn(now, w, &w.pool.local); found != nil {
+		return found
+	}
+	if !s.mayLeave(now, w) {
+		return nil
+	}
+	return s.chooseIn(now, w, &w.pool.remote)
+}
+
+// mayLeave reports whether the wait in the own data centre is worth a link.
+func (s *Scheduler) mayLeave(now time.Time, w *waiting) bool {
+	if len(w.pool.local.all) == 0 || now.Sub(w.since) >= linkCost {
+		return true
+	}
+	wait, known := w.pool.drain.Wait(s.ahead(w) + w.entry.Cost)
+	return known && wait > linkCost || !s.suitsAnyLocal(w)
+}
+
+func (s *Scheduler) suitsAnyLocal(w *waiting) bool {
+	return slices.ContainsFunc(w.pool.local.all, func(m *member) bool { return s.suits(m, w.request) })
+}
+
+func (s *Scheduler) chooseIn(now time.Time, w *waiting, side *group) *member {
+	if len(side.free) == 0 {
+		return nil
+	}
+	if w.long() {
+		return s.firstFit(now, w, side)
+	}
+	best, score := s.leastOfSome(now, w, side)
+	if best == nil || w.request.PrefixHash == 0 {
+		return best
+	}
+	near := side.nearest(w.request.PrefixHash)
+	if near.free >= 0 && s.hasRoom(now, near, w) && s.scoreFor(now, near) <= score+affinitySlack {
+		return near
+	}
+	return best
+}
+
+// leastOfSome compares a few random upstreams with room. Looking at all would
+// send every node to the one whose stale report is the lowest.
+func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) (*member, float64) {
+	var best *member
+	var bestScore float64
+	found := 0
+	count := len(side.free)
+	start, step := s.random.IntN(count), s.stride(count)
+	for i := 0; i < min(count, probeLimit) && found < choices; i++ {
+		m := side.free[(start+i*step)%count]
+		if !s.hasRoom(now, m, w) {
+			continue
+		}
+		found++
+		score := s.scoreFor(now, m)
+		if best == nil || score < bestScore {
+			best, bestScore = m, score
+		}
+	}
+	return best, bestScore
+}
+
+// stride is a random step that visits every place: prime to the count.
+func (s *Scheduler) stride(count int) int {
+	if count < choices+1 {
+		return 1
+	}
+	step := 1 + s.random.IntN(count-1)
+	for divisor(step, count) != 1 {
+		step++
+	}
+	return step
+}
+
+func divisor(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// firstFit gathers long prompts on the first upstreams of the common order, so
+// that the others stay without a long prefill.
+func (s *Scheduler) firstFit(now time.Time, w *waiting, side *group) *member {
+	if len(side.free) <= probeLimit {
+		return s.firstOfFree(now, w, side)
+	}
+	for _, m := range side.all[:min(len(side.all), firstFitLimit)] {
+		if m.free >= 0 && s.hasRoom(now, m, w) {
+			return m
+		}
+	}
+	found, _ := s.leastOfSome(now, w, side)
+	return found
+}
+
+func (s *Scheduler) firstOfFree(now time.Time, w *waiting, side *group) *member {
+	var best *member
+	for _, m := range side.free {
+		earlier := best == nil || m.state.hash < best.state.hash
+		if earlier && s.hasRoom(now, m, w) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) scoreFor(now time.Time, m *member) float64 {
+	score := m.state.score(now)
+	if m.state.prefills > 0 {
+		score += prefillPenalty
+	}
+	return score
+}
+
+// suits reports whether the upstream could run the request when idle.
+func (s *Scheduler) suits(m *member, request *Request) bool {
+	upstream := m.state.upstream
+	if upstream.Out || slices.Contains(request.Avoid, upstream.ID) {
+		return false
+	}
+	return upstream.Kind == tables.ServiceUpstream || request.KVTokens() <= upstream.KVTokens
+}
+
+// hasRoom reports whether the request may start at the upstream now.
+func (s *Scheduler) hasRoom(now time.Time, m *member, w *waiting) bool {
+	u := m.state
+	if !s.suits(m, w.request) || !m.breaker.Ready(now) {
+		return false
+	}
+	if len(w.request.Avoid) > 0 && u.ramp.Active(now, u.upstream.Ramp) {
+		return false
+	}
+	if m.pool.held == u && m.pool.heldFor != w.request.ID {
+		return false
+	}
+	slots, kvTokens := s.limit(now, u)
+	if u.requests >= slots {
+		return false
+	}
+	if u.upstream.Kind == tables.ServiceUpstream {
+		return true
+	}
+	if u.kvTokens+w.request.KVTokens() > kvTokens {
+		return false
+	}
+	return !w.long() || s.longFits(now, m, w, slots, kvTokens)
+}
+
+// longFits keeps the reserve for short prompts, unless none came lately or the
+// upstream is idle, and bounds the long prefills of a data centre.
+func (s *Scheduler) longFits(now time.Time, m *member, w *waiting, slots, kvTokens int) bool {
+	u := m.state
+	reserve := m.pool.plan.Document.Reserve
+	if s.prefillsFull(m, w.request) {
+		return false
+	}
+	if u.requests == 0 || now.UnixNano()-m.pool.lastShort > int64(shortDemand) {
+		return true
+	}
+	open := whole - reserve.ShortSlotsPercent
+	if u.long >= max(1, slots*open/whole) {
+		return false
+	}
+	return u.kvTokens+w.request.KVTokens() <= kvTokens*open/whole
+}
+
+func (s *Scheduler) prefillsFull(m *member, request *Request) bool {
+	bound := m.pool.plan.Document.Reserve.LongPrefillPerDataCentre
+	key := prefillKey{planOf(request), m.state.upstream.DataCentre}
+	return bound > 0 && s.prefills[key] >= bound
+}
+
+// isLong reports whether a prompt counts as long. Calls to services never do.
+func (s *Scheduler) isLong(p *pool, request *Request) bool {
+	return request.Model != "" && request.PromptTokens > p.plan.Document.Reserve.ShortPromptTokens
+}
--- a/scheduling/estimation/estimator.go
+++ b/scheduling/estimation/estimator.go
@@ -11,10 +11,14 @@
 	gain = 0.05
 	// maxCorrection bounds the learned factor on a prompt's length.
 	maxCorrection = 4.0
+	// lifetime is how long a sample keeps an estimate trusted. Without it, an
+	// estimate that refuses everything would never be corrected.
+	lifetime = 30 * time.Second
 )
 
 // Sample is what one finished request shows.
 type Sample struct {
+	At              time.Time
 	Model, Upstream string
 	// EstimatedPrompt is the length guessed from bytes; PromptTokens and
 	// AnswerTokens are the engine's own figures, or 0.
@@ -50,6 +54,7 @@
 	answers    int
 	used       float64
 	failure    float64
+	at         time.Time
 }
 
 // New returns an estimator that knows nothing.
@@ -84,12 +89,12 @@
 }
 
 // Estimate predicts a request on an upstream; an empty upstream is any of the model's.
-func (e *Estimator) Estimate(model, upstream string, promptTokens, maxTokens int) Estimate {
+func (e *Estimator) Estimate(now time.Time, model, upstream string, promptTokens, maxTokens int) Estimate {
 	learned := e.pairs[pair{model, upstream}]
-	if learned == nil || learned.prefill.samples < knownSamples {
+	if !learned.known(now) {
 		learned = e.models[model]
 	}
-	if learned == nil || learned.prefill.samples < knownSamples {
+	if !learned.known(now) {
 		return Estimate{}
 	}
 	first := learned.prefill.at(float64(promptTokens))
@@ -109,7 +114,12 @@
 	return 0
 }
 
+func (c *curve) known(now time.Time) bool {
+	return c != nil && c.prefill.samples >= knownSamples && now.Sub(c.at) < lifetime
+}
+
 func (c *curve) learn(sample Sample) {
+	c.at = sample.At
 	if sample.PromptTokens > 0 && sample.EstimatedPrompt > 0 {
 		factor := float64(sample.PromptTokens) / float64(sample.EstimatedPrompt)
 		c.correction += gain * (min(max(factor, 1/maxCorrection), maxCorrection) - c.correction)
--- a/scheduling/estimation/estimator_test.go
+++ b/scheduling/estimation/estimator_test.go
@@ -8,10 +8,12 @@
 	"github.com/matryer/is"
 )
 
+var start = time.Unix(1000, 0)
+
 func TestUnknownUntilSeen(t *testing.T) {
 	is := is.New(t)
 	e := New()
-	is.True(!e.Estimate("m", "u", 1000, 100).Known)
+	is.True(!e.Estimate(start, "m", "u", 1000, 100).Known)
 	is.Equal(e.PromptTokens("m", 1000), 1000)
 }
 
@@ -24,19 +26,21 @@
 		first := 0.1 + float64(prompt)/10000
 		first *= 0.95 + 0.1*random.Float64()
 		e.Learn(Sample{
+			At:    start,
 			Model: "m", Upstream: "u", EstimatedPrompt: prompt * 2, PromptTokens: prompt,
 			AnswerTokens: 101, MaxTokens: 202, FirstToken: seconds(first), Decode: 3 * time.Second,
 		})
 	}
 	guessed := e.PromptTokens("m", 20000)
 	is.True(guessed > 9500 && guessed < 10500)
-	got := e.Estimate("m", "u", 100000, 200)
+	got := e.Estimate(start, "m", "u", 100000, 200)
 	is.True(got.Known)
 	is.True(got.FirstToken > 9*time.Second && got.FirstToken < 11*time.Second)
 	decode := got.Run - got.FirstToken
 	is.True(decode > 2900*time.Millisecond && decode < 3100*time.Millisecond)
 	is.True(e.Error("m") < 0.1)
-	is.True(e.Estimate("m", "new", 100000, 200).Known) // falls back to the model
+	is.True(!e.Estimate(start.Add(lifetime), "m", "u", 100000, 200).Known)
+	is.True(e.Estimate(start, "m", "new", 100000, 200).Known) // falls back to the model
 }
 
 func TestDrainIgnoresIdleTime(t *testing.T) {
--- a/scheduling/fairqueue/queries.go
+++ b/scheduling/fairqueue/queries.go
@@ -22,9 +22,6 @@
 	if lanes.Len() == 0 {
 		return nil
 	}
-	if limit == 1 {
-		return []*Entry[T]{first((*lanes)[0])}
-	}
 	var taken []*lane[T]
 	var heads []*Entry[T]
 	for lanes.Len() > 0 && len(taken) < limit {
@@ -46,6 +43,12 @@
 	return first(q.lanes[level][class][0])
 }
 
+// Tag is how far the organisation of a head has been served, in virtual time.
+// The level and class must hold an entry.
+func (q *Queue[T]) Tag(level, class int) float64 {
+	return q.lanes[level][class][0].owner.tag
+}
+
 // Ahead is an upper bound in tokens on the work that fair sharing lets run
 // before a new entry of the organisation ends its wait.
 func (q *Queue[T]) Ahead(name string, weight float64) float64 {
--- /dev/null
+++ b/scheduling/limits.go
@@ -0,0 +1,164 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/scheduling/tokenbucket"
+	"github.com/wigeontiller/wigeontiller/tables"
+)
+
+// Share is what this node may have running at one upstream.
+type Share struct {
+	Slots, KVTokens int
+	// Expires is when the share ends and the fallback counts.
+	Expires time.Time
+}
+
+// Demand is what this node has running and waiting for one upstream.
+type Demand struct {
+	Running, Waiting int
+	// KVTokens is the engine memory of both, in tokens.
+	KVTokens int
+}
+
+// Report is an upstream's own word on its load, which may be old.
+type Report struct {
+	UpstreamID                 string
+	Running, Waiting, KVTokens int
+	At                         time.Time
+}
+
+// SetShares replaces the shares by upstream ID. An upstream that is not named
+// counts as one whose share expired, if it ever had one.
+func (s *Scheduler) SetShares(now time.Time, shares map[string]Share) {
+	for _, u := range s.ordered {
+		share, ok := shares[u.upstream.ID]
+		u.share = share
+		u.hasShare = u.hasShare || ok
+		s.refresh(now, u)
+	}
+	s.shareExpiry = s.nextExpiry(now)
+}
+
+// nextExpiry is when the first share in force ends, or zero.
+func (s *Scheduler) nextExpiry(now time.Time) time.Time {
+	var next time.Time
+	for _, u := range s.ordered {
+		ends := u.share.Expires
+		if ends.After(now) && (next.IsZero() || ends.Before(next)) {
+			next = ends
+		}
+	}
+	return next
+}
+
+// SetFallback sets the share that counts while an upstream has none; nil means
+// the whole upstream, or nothing once it had a share.
+func (s *Scheduler) SetFallback(now time.Time, fallback func(upstreamID string) Share) {
+	s.fallback = fallback
+	s.refreshAll(now)
+}
+
+// Demand returns the load by upstream ID, without idle ones. Waiting requests
+// count at an upstream of their pool that they are likely to go to.
+func (s *Scheduler) Demand(_ time.Time) map[string]Demand {
+	demands := map[string]Demand{}
+	for id, u := range s.upstreams {
+		if u.requests > 0 {
+			demands[id] = Demand{Running: u.requests, KVTokens: u.kvTokens}
+		}
+	}
+	for _, p := range s.orderedPools {
+		s.addWaiting(p, demands)
+	}
+	return demands
+}
+
+// addWaiting spreads a pool's waiting requests over its upstreams by slots.
+func (s *Scheduler) addWaiting(p *pool, demands map[string]Demand) {
+	if p.queue.Len() == 0 {
+		return
+	}
+	candidates := p.local.all
+	if len(candidates) == 0 {
+		candidates = p.remote.all
+	}
+	at := 0
+	for _, head := range p.waitingInOrder() {
+		m := s.likely(candidates, &at, head.request)
+		if m == nil {
+			continue
+		}
+		demand := demands[m.state.upstream.ID]
+		demand.Waiting++
+		demand.KVTokens += head.request.KVTokens()
+		demands[m.state.upstream.ID] = demand
+	}
+}
+
+func (p *pool) waitingInOrder() []*waiting {
+	all := make([]*waiting, 0, p.queue.Len())
+	p.queue.Each(func(e entryOf) { all = append(all, e.Value) })
+	slices.SortFunc(all, func(a, b *waiting) int { return cmp.Compare(a.request.ID, b.request.ID) })
+	return all
+}
+
+// likely goes round the candidates from at to the next that suits.
+func (s *Scheduler) likely(candidates []*member, at *int, request *Request) *member {
+	for range min(len(candidates), probeLimit) {
+		m := candidates[*at%len(candidates)]
+		*at++
+		if s.suits(m, request) {
+			return m
+		}
+	}
+	return nil
+}
+
+// Observe takes in an upstream's report; an older one is ignored.
+func (s *Scheduler) Observe(_ time.Time, report Report) {
+	u := s.upstreams[report.UpstreamID]
+	if u == nil || !report.At.After(u.reported) {
+		return
+	}
+	u.reported = report.At
+	u.others = max(0, report.Running+report.Waiting-u.requests)
+}
+
+// OrganisationKey names an organisation for SetOrganisationRates.
+func OrganisationKey(environment string, lane tables.Lane, organisation string) string {
+	return environment + "/" + string(lane) + "/" + organisation
+}
+
+// SetOrganisationRates replaces this node's part of the organisations' limits,
+// in tokens a second by OrganisationKey. For one that isn't named the
+// document's tokens_per_second counts.
+func (s *Scheduler) SetOrganisationRates(now time.Time, rates map[string]float64) {
+	s.rates = rates
+	if s.tables != nil {
+		s.resetRates(now)
+	}
+}
+
+func (s *Scheduler) rateOf(key string, organisation *environment.Organisation) float64 {
+	if rate, ok := s.rates[key]; ok {
+		return rate
+	}
+	return float64(organisation.TokensPerSecond)
+}
+
+func organisationKey(plan *tables.Plan, organisation *environment.Organisation) string {
+	return OrganisationKey(plan.Environment, plan.Lane, organisation.Name)
+}
+
+// bucketOf finds a limit; an organisation that the tables no longer hold has none.
+func (s *Scheduler) bucketOf(request *Request) *tokenbucket.Bucket {
+	bucket := s.buckets[organisationKey(request.Plan, request.Organisation)]
+	if bucket == nil {
+		return &tokenbucket.Bucket{}
+	}
+	return bucket
+}
--- a/scheduling/request.go
+++ b/scheduling/request.go
@@ -32,6 +32,8 @@
 	Deadline time.Time
 	// Avoid holds the IDs of upstreams that an earlier attempt failed at.
 	Avoid []string
+	// PrefixHash names the start of the prompt for prefix caches; 0 is none.
+	PrefixHash uint64
 }
 
 // KVTokens is the engine memory that the request may come to need, in tokens.
@@ -67,6 +69,9 @@
 	DeadlinePassed
 	// RateLimited means that the organisation is over its limit.
 	RateLimited
+	// Unavailable means that each upstream that could run the request is one
+	// to avoid for now.
+	Unavailable
 )
 
 // Decision is the scheduler's word on one request.
@@ -84,6 +89,9 @@
 type Outcome struct {
 	// Failed is true when the upstream did not complete its answer.
 	Failed bool
+	// Abandoned is true when the attempt says nothing of the upstream: nothing
+	// was sent, or the caller left.
+	Abandoned bool
 	// PromptTokens and AnswerTokens are the usage that the engine reported, or 0.
 	PromptTokens, AnswerTokens int
 	// FirstToken is the time from dispatch to the first token, or 0.
--- /dev/null
+++ b/scheduling/retrybudget/budget_test.go
@@ -0,0 +1,21 @@
+package retrybudget
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRetriesStayUnderTheShare(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	retries := 0
+	for range 1000 {
+		b.First(10)
+		for b.Spend() {
+			retries++
+		}
+	}
+	is.True(retries <= 100+burst)
+	is.True(retries >= 100-1)
+}
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -1,208 +1,203 @@
 package scheduling
 
 import (
+	"container/heap"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/scheduling/estimation"
+	"github.com/wigeontiller/wigeontiller/scheduling/fairqueue"
+	"github.com/wigeontiller/wigeontiller/scheduling/retrybudget"
+	"github.com/wigeontiller/wigeontiller/scheduling/tokenbucket"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
 // minRetryAfter is the shortest time that a refused caller is told to wait.
 const minRetryAfter = 500 * time.Millisecond
 
-// Scheduler holds the queue and the load of each upstream as this node knows it.
+// Scheduler holds the queues and the load of each upstream as this node knows it.
 type Scheduler struct {
 	dataCentre string
+	random     *rand.Rand
 	tables     *tables.Tables
-	queue      []*Request
-	running    map[string]running
-	load       map[string]*load
-}
-
-// running is a request that was placed and has not finished.
-type running struct {
-	request  *Request
-	upstream string
-}
-
-// load is what this node has placed on one upstream.
-type load struct {
-	requests int
-	kvTokens int
+	estimator  *estimation.Estimator
+
+	pools     map[poolKey]*pool
+	upstreams map[string]*upstreamState
+	// ordered and orderedPools are the tables' entries in a fixed order.
+	ordered      []*upstreamState
+	orderedPools []*pool
+	ramping      []*upstreamState
+	waiting      map[string]*waiting
+	running      map[string]*running
+	timers       timers
+	// pending holds decisions on waiting requests for the next Advance.
+	pending []Decision
+
+	prefills    map[prefillKey]int
+	fallback    func(upstreamID string) Share
+	shareExpiry time.Time
+	buckets     map[string]*tokenbucket.Bucket
+	rates       map[string]float64
+	retries     map[planKey]*retrybudget.Budget
+	// violation is the first broken invariant that a placement met.
+	violation error
+}
+
+// New returns a scheduler for a node in a data centre. All such schedulers
+// draw the same random numbers; a node among others uses NewSeeded.
+func New(dataCentre string) *Scheduler {
+	return NewSeeded(dataCentre, rand.New(rand.NewPCG(1, 1)))
 }
 
-// New returns a scheduler for a node in a data centre.
-func New(dataCentre string) *Scheduler {
+// NewSeeded returns a scheduler with its own source of random numbers.
+func NewSeeded(dataCentre string, random *rand.Rand) *Scheduler {
 	return &Scheduler{
 		dataCentre: dataCentre,
-		running:    map[string]running{},
-		load:       map[string]*load{},
+		random:     random,
+		estimator:  estimation.New(),
+		pools:      map[poolKey]*pool{},
+		upstreams:  map[string]*upstreamState{},
+		waiting:    map[string]*waiting{},
+		running:    map[string]*running{},
+		prefills:   map[prefillKey]int{},
+		buckets:    map[string]*tokenbucket.Bucket{},
+		retries:    map[planKey]*retrybudget.Budget{},
 	}
 }
 
-// Configure replaces the tables. Running requests keep their place.
-func (s *Scheduler) Configure(_ time.Time, built *tables.Tables) {
-	s.tables = built
-}
-
-// Submit decides on a new request. A queued one is decided by Advance.
+// Submit decides on a new request. A queued one is decided by Advance. The ID
+// must not be that of a request that waits or runs.
 func (s *Scheduler) Submit(now time.Time, request *Request) Decision {
-	if !request.Deadline.After(now) {
-		return refuse(request, DeadlinePassed)
-	}
-	if !s.canEverRun(request) {
-		return refuse(request, NoUpstream)
+	p := s.pools[keyOf(request)]
+	if refusal, ok := s.refuseAtOnce(now, p, request); ok {
+		return refusal
 	}
-	if len(s.queue) >= request.Plan.Document.Limits.QueueLength {
-		return refuse(request, QueueFull)
+	w := s.newWaiting(now, p, request)
+	if s.tooLate(now, w) {
+		return s.refuse(request, DeadlineInfeasible, 0)
 	}
-	s.enqueue(request)
-	for _, decision := range s.place() {
-		if decision.RequestID == request.ID {
-			return decision
-		}
+	s.bucketOf(request).Charge(w.entry.Cost)
+	p.queue.Push(w.entry)
+	s.add(w)
+	s.place(now, p)
+	if s.waiting[request.ID] == nil {
+		return s.takePending(request.ID)
 	}
-	return Decision{RequestID: request.ID, Kind: Queued}
-}
-
-// Advance returns the decisions that have become possible or due.
-func (s *Scheduler) Advance(now time.Time) []Decision {
-	decisions := s.expire(now)
-	return append(decisions, s.place()...)
+	return s.admitOrRefuse(now, w)
 }
 
-// Cancel removes a waiting request whose caller has gone.
-func (s *Scheduler) Cancel(_ time.Time, id string) {
-	s.queue = slices.DeleteFunc(s.queue, func(r *Request) bool { return r.ID == id })
-}
-
-// Finish frees what a placed request held.
-func (s *Scheduler) Finish(_ time.Time, id string, _ Outcome) {
-	ended, ok := s.running[id]
-	if !ok {
-		return
+// newWaiting estimates a request.
+func (s *Scheduler) newWaiting(now time.Time, p *pool, request *Request) *waiting {
+	model := modelOf(request)
+	w := &waiting{request: request, pool: p, index: -1, since: now}
+	w.tokens = s.estimator.PromptTokens(model, request.PromptTokens)
+	if estimate := s.estimator.Estimate(now, model, "", w.tokens, request.MaxTokens); estimate.Known {
+		w.run = estimate.Run
 	}
-	delete(s.running, id)
-	load := s.loadOf(ended.upstream)
-	load.requests--
-	load.kvTokens -= ended.request.KVTokens()
-}
-
-// Waiting is the number of requests in the queue.
-func (s *Scheduler) Waiting() int {
-	return len(s.queue)
-}
-
-// Running is the number of requests placed and not finished.
-func (s *Scheduler) Running() int {
-	return len(s.running)
-}
-
-func refuse(request *Request, reason RefusalReason) Decision {
-	return Decision{RequestID: request.ID, Kind: Refused, Reason: reason, RetryAfter: minRetryAfter}
-}
-
-// enqueue keeps the queue ordered by priority, then by arrival.
-func (s *Scheduler) enqueue(request *Request) {
-	at := len(s.queue)
-	for at > 0 && s.queue[at-1].Priority < request.Priority {
-		at--
+	class := shortClass
+	if s.isLong(p, request) {
+		class = longClass
+	} else {
+		p.lastShort = now.UnixNano()
+	}
+	w.entry = &fairqueue.Entry[*waiting]{
+		ID:           request.ID,
+		Organisation: request.Organisation.Name,
+		Weight:       float64(request.Organisation.Weight),
+		Cost:         float64(max(1, w.tokens+request.MaxTokens)),
+		Level:        int(request.Priority),
+		Class:        class,
+		Value:        w,
 	}
-	s.queue = slices.Insert(s.queue, at, request)
+	return w
 }
 
-func (s *Scheduler) expire(now time.Time) []Decision {
-	var decisions []Decision
-	s.queue = slices.DeleteFunc(s.queue, func(r *Request) bool {
-		if r.Deadline.After(now) {
-			return false
+// Advance returns the decisions that have become possible or due.
+func (s *Scheduler) Advance(now time.Time) []Decision {
+	s.refreshTimed(now)
+	s.fireTimers(now)
+	for _, p := range s.orderedPools {
+		if p.queue.Len() > 0 {
+			s.place(now, p)
 		}
-		decisions = append(decisions, refuse(r, DeadlinePassed))
-		return true
-	})
+	}
+	decisions := s.pending
+	s.pending = nil
 	return decisions
 }
 
-func (s *Scheduler) place() []Decision {
-	var decisions []Decision
-	s.queue = slices.DeleteFunc(s.queue, func(r *Request) bool {
-		upstream := s.choose(r)
-		if upstream == nil {
-			return false
-		}
-		s.start(r, upstream)
-		decisions = append(decisions, Decision{RequestID: r.ID, Kind: Placed, Upstream: upstream})
-		return true
+// refreshTimed looks again at upstreams whose limit changes with time alone.
+func (s *Scheduler) refreshTimed(now time.Time) {
+	s.ramping = slices.DeleteFunc(s.ramping, func(u *upstreamState) bool {
+		s.refresh(now, u)
+		u.isRamping = u.ramp.Active(now, u.upstream.Ramp)
+		return !u.isRamping
 	})
-	return decisions
-}
-
-func (s *Scheduler) start(request *Request, upstream *tables.Upstream) {
-	s.running[request.ID] = running{request: request, upstream: upstream.ID}
-	load := s.loadOf(upstream.ID)
-	load.requests++
-	load.kvTokens += request.KVTokens()
-}
-
-func (s *Scheduler) loadOf(id string) *load {
-	if s.load[id] == nil {
-		s.load[id] = new(load)
+	if s.shareExpiry.IsZero() || now.Before(s.shareExpiry) {
+		return
 	}
-	return s.load[id]
-}
-
-// choose returns the least loaded upstream with room, the node's own data
-// centre first, or nil.
-func (s *Scheduler) choose(request *Request) *tables.Upstream {
-	var best *tables.Upstream
-	var bestScore float64
-	for _, upstream := range s.upstreams(request) {
-		if !s.suits(request, upstream) || !s.hasRoom(request, upstream) {
+	s.shareExpiry = s.nextExpiry(now)
+	s.refreshAll(now)
+}
+
+// fireTimers promotes and gives up what is due.
+func (s *Scheduler) fireTimers(now time.Time) {
+	for len(s.timers) > 0 && !s.timers[0].due.After(now) {
+		w := s.timers[0]
+		if w.giveUp().After(now) {
+			w.pool.queue.Raise(w.request.ID, int(environment.Urgent))
+			w.due = w.giveUp()
+			heap.Fix(&s.timers, 0)
 			continue
 		}
-		score := float64(s.loadOf(upstream.ID).requests) / float64(upstream.Slots)
-		if upstream.DataCentre != s.dataCentre {
-			score++
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = upstream, score
+		reason := DeadlineInfeasible
+		if !w.request.Deadline.After(now) {
+			reason = DeadlinePassed
 		}
+		s.remove(w)
+		s.pending = append(s.pending, s.refuse(w.request, reason, s.drainTime(now, w.pool)))
 	}
-	return best
 }
 
-// upstreams looks the plan up again, so that a request queued under an older
-// site sees which upstreams were taken out since.
-func (s *Scheduler) upstreams(request *Request) []*tables.Upstream {
-	for _, plan := range s.tables.Plans {
-		if plan.Environment == request.Plan.Environment && plan.Lane == request.Plan.Lane {
-			return plan.Upstreams
-		}
+// Cancel removes a waiting request whose caller has gone.
+func (s *Scheduler) Cancel(_ time.Time, id string) {
+	if w := s.waiting[id]; w != nil {
+		s.remove(w)
 	}
-	return nil
 }
 
-func (s *Scheduler) canEverRun(request *Request) bool {
-	return slices.ContainsFunc(s.upstreams(request), func(u *tables.Upstream) bool {
-		return s.suits(request, u)
-	})
-}
+// Pending reports whether Advance has decisions to return already.
+func (s *Scheduler) Pending() bool { return len(s.pending) > 0 }
 
-func (s *Scheduler) suits(request *Request, upstream *tables.Upstream) bool {
-	if upstream.Out || slices.Contains(request.Avoid, upstream.ID) {
-		return false
-	}
-	if upstream.Kind == tables.ServiceUpstream {
-		return request.Service != "" && request.Service == upstream.Service
+// Waiting is the number of requests in the queues.
+func (s *Scheduler) Waiting() int { return len(s.waiting) }
+
+// Running is the number of requests placed and not finished.
+func (s *Scheduler) Running() int { return len(s.running) }
+
+// takePending takes out the decision on one request, which is near the end.
+func (s *Scheduler) takePending(id string) Decision {
+	for i := len(s.pending) - 1; i >= 0; i-- {
+		if s.pending[i].RequestID == id {
+			decision := s.pending[i]
+			s.pending = append(s.pending[:i], s.pending[i+1:]...)
+			return decision
+		}
 	}
-	fits := request.KVTokens() <= upstream.KVTokens
-	return request.Model != "" && fits && slices.Contains(upstream.Models, request.Model)
+	return Decision{RequestID: id, Kind: Refused, Reason: NoUpstream}
+}
+
+func (s *Scheduler) refuse(request *Request, reason RefusalReason, after time.Duration) Decision {
+	return Decision{RequestID: request.ID, Kind: Refused, Reason: reason, RetryAfter: after}
 }
 
-func (s *Scheduler) hasRoom(request *Request, upstream *tables.Upstream) bool {
-	load := s.loadOf(upstream.ID)
-	if load.requests >= upstream.Slots {
-		return false
+// modelOf names what an estimate is kept for.
+func modelOf(r *Request) string {
+	if r.Model == "" {
+		return "services/" + r.Service
 	}
-	return upstream.Kind == tables.ServiceUpstream || load.kvTokens+request.KVTokens() <= upstream.KVTokens
+	return r.Model
 }
--- /dev/null
+++ b/scheduling/upstream.go
@@ -0,0 +1,112 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/scheduling/breaker"
+	"github.com/wigeontiller/wigeontiller/scheduling/ramp"
+	"github.com/wigeontiller/wigeontiller/tables"
+)
+
+const (
+	// reportLifetime is the age from which a load report is no longer used.
+	reportLifetime = 5 * time.Second
+	// coldFailures is the number of failures in a row that look like a restart.
+	coldFailures = 2
+	// coldFactor and coldMargin say how far over the estimate a first token
+	// looks like a cold start.
+	coldFactor = 4
+	coldMargin = time.Second
+)
+
+// upstreamState is one upstream as this node knows it.
+type upstreamState struct {
+	upstream *tables.Upstream
+	// hash orders upstreams in the same way at every node.
+	hash    uint64
+	members []*member
+	// isRamping says that the upstream is in Scheduler.ramping.
+	isRamping bool
+	// configured is false once the tables no longer hold it.
+	configured    bool
+	wasConfigured bool
+
+	requests, kvTokens, long, prefills int
+
+	share    Share
+	hasShare bool
+	ramp     ramp.Ramp
+	failures int
+
+	// others is the load from other nodes by the last report.
+	others   int
+	reported time.Time
+}
+
+// member is an upstream's part in one pool.
+type member struct {
+	state   *upstreamState
+	pool    *pool
+	group   *group
+	breaker breaker.Breaker
+	// free is the place in the group's free list, or -1.
+	free int
+}
+
+// score compares upstreams by load; 1 is full.
+func (u *upstreamState) score(now time.Time) float64 {
+	load := float64(u.requests)
+	if now.Sub(u.reported) < reportLifetime {
+		load += float64(u.others)
+	}
+	score := load / float64(max(u.upstream.Slots, 1))
+	if u.upstream.KVTokens > 0 {
+		score = max(score, float64(u.kvTokens)/float64(u.upstream.KVTokens))
+	}
+	return score
+}
+
+// limit is what this node may have running at the upstream now.
+func (s *Scheduler) limit(now time.Time, u *upstreamState) (slots, kvTokens int) {
+	slots, kvTokens = u.upstream.Slots, u.upstream.KVTokens
+	switch {
+	case u.hasShare && now.Before(u.share.Expires):
+		slots, kvTokens = min(slots, u.share.Slots), min(kvTokens, u.share.KVTokens)
+	case s.fallback != nil:
+		share := s.fallback(u.upstream.ID)
+		slots, kvTokens = min(slots, share.Slots), min(kvTokens, share.KVTokens)
+	case u.hasShare:
+		slots, kvTokens = 0, 0
+	}
+	return u.ramp.Slots(now, u.upstream.Ramp, slots), kvTokens
+}
+
+// refresh puts the upstream on or off its groups' free lists.
+func (s *Scheduler) refresh(now time.Time, u *upstreamState) {
+	slots, _ := s.limit(now, u)
+	isFree := u.configured && !u.upstream.Out && u.requests < slots
+	for _, one := range u.members {
+		one.group.setFree(one, isFree)
+	}
+}
+
+// startRamp bounds the upstream's load from now on.
+func (s *Scheduler) startRamp(now time.Time, u *upstreamState) {
+	u.ramp.Start(now)
+	s.watchRamp(u)
+	s.refresh(now, u)
+}
+
+func (s *Scheduler) watchRamp(u *upstreamState) {
+	if !u.isRamping {
+		u.isRamping = true
+		s.ramping = append(s.ramping, u)
+	}
+}
+
+// drop forgets an upstream that is not configured and runs nothing.
+func (s *Scheduler) drop(u *upstreamState) {
+	delete(s.upstreams, u.upstream.ID)
+	s.ramping = slices.DeleteFunc(s.ramping, func(r *upstreamState) bool { return r == u })
+}
