Scheduler: full queue takes from the largest; tests of each decision; benchmarks

Cause: one organisation could fill the queue and shut the others out. Change: the newest entry of the organisation with the largest backlog for its weight gives way; tests for admission, placement, shares and failures. The check that an upstream is out is made twice (free list, suits); one alone taken out is not seen.

--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -51,8 +51,13 @@
 func (s *Scheduler) admitOrRefuse(now time.Time, w *waiting) Decision {
 	limits := w.request.Plan.Document.Limits
 	if len(s.waiting) > limits.QueueLength {
-		s.remove(w)
-		return s.refuse(w.request, QueueFull, s.drainTime(now, w.pool))
+		out := w.pool.queue.Displaced(w.entry)
+		if out == nil {
+			s.remove(w)
+			return s.refuse(w.request, QueueFull, s.drainTime(now, w.pool))
+		}
+		s.remove(out.Value)
+		s.pending = append(s.pending, s.refuse(out.Value.request, QueueFull, s.drainTime(now, w.pool)))
 	}
 	w.pool.drain.Pass(now, true)
 	wait, known := w.pool.drain.Wait(s.ahead(w))
--- /dev/null
+++ b/scheduling/cost_test.go
@@ -0,0 +1,83 @@
+package scheduling
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// maxAllocations bounds one Submit and Finish; it must not grow with the
+// number of upstreams or organisations.
+const maxAllocations = 20
+
+// cycle submits a request and finishes the one placed longest ago.
+type cycle struct {
+	*fixture
+	placed  []string
+	oldest  int
+	request int
+}
+
+func newCycle(t testing.TB, upstreams, organisations int) *cycle {
+	f := newFixture(t, upstreams, organisations)
+	f.configure()
+	c := &cycle{fixture: f, placed: make([]string, 2*upstreams)}
+	for range len(c.placed) {
+		c.turn()
+	}
+	return c
+}
+
+func (c *cycle) turn() {
+	c.request++
+	c.now = c.now.Add(time.Millisecond)
+	request := c.fixture.request(c.request%len(c.document.Organisations), 1000)
+	if decision := c.Submit(c.now, request); decision.Kind != Placed {
+		c.t.Fatalf("not placed: %+v", decision)
+	}
+	if last := c.placed[c.oldest]; last != "" {
+		c.Finish(c.now, last, Outcome{PromptTokens: 1000, AnswerTokens: 100})
+	}
+	c.placed[c.oldest] = request.ID
+	c.oldest = (c.oldest + 1) % len(c.placed)
+}
+
+func TestAllocationsDoNotGrow(t *testing.T) {
+	for _, size := range [][2]int{{10, 10}, {1000, 400}, {10_000, 4000}} {
+		c := newCycle(t, size[0], size[1])
+		allocations := testing.AllocsPerRun(500, c.turn)
+		t.Logf("%d upstreams, %d organisations: %.0f allocations", size[0], size[1], allocations)
+		c.is.True(allocations <= maxAllocations)
+	}
+}
+
+func BenchmarkSubmitFinish(b *testing.B) {
+	for _, upstreams := range []int{10, 100, 1000, 10_000} {
+		for _, organisations := range []int{10, 400, 4000} {
+			b.Run(fmt.Sprintf("upstreams=%d/organisations=%d", upstreams, organisations), func(b *testing.B) {
+				c := newCycle(b, upstreams, organisations)
+				b.ReportAllocs()
+				for b.Loop() {
+					c.turn()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkAdvanceQueued is a round in which 1,000 requests wait for a full
+// pool and nothing can start.
+func BenchmarkAdvanceQueued(b *testing.B) {
+	f := newFixture(b, 1000, 400)
+	f.configure()
+	f.fill()
+	for i := range 1000 {
+		request := f.request(i%400, 1000)
+		request.Deadline = f.now.Add(time.Hour)
+		f.Submit(f.now, request)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Advance(f.now)
+	}
+}
--- a/scheduling/fairqueue/queue.go
+++ b/scheduling/fairqueue/queue.go
@@ -42,6 +42,7 @@
 	entries       map[string]*Entry[T]
 	organisations map[string]*organisation[T]
 	lanes         [Levels][Classes]laneHeap[T]
+	sizes         sizeHeap[T]
 	backlog       float64
 	weights       float64
 }
@@ -53,6 +54,8 @@
 	backlog float64
 	count   int
 	lanes   [Levels][Classes]*lane[T]
+	// place is the index in Queue.sizes, or -1.
+	place int
 }
 
 // New returns an empty queue.
@@ -76,6 +79,7 @@
 	q.backlog += entry.Cost
 	q.entries[entry.ID] = entry
 	q.link(owner, entry)
+	q.resize(owner)
 }
 
 // Remove takes an entry out without a charge and returns it, or nil.
@@ -94,6 +98,7 @@
 		q.weights -= owner.weight
 		owner.backlog = 0
 	}
+	q.resize(owner)
 	if len(q.entries) == 0 {
 		q.backlog, q.weights = 0, 0
 	}
@@ -131,7 +136,7 @@
 func (q *Queue[T]) owner(name string, weight float64) *organisation[T] {
 	owner := q.organisations[name]
 	if owner == nil {
-		owner = &organisation[T]{name: name, tag: q.virtual}
+		owner = &organisation[T]{name: name, tag: q.virtual, place: -1}
 		q.organisations[name] = owner
 	}
 	if owner.count == 0 {
--- a/scheduling/fairqueue/queue_test.go
+++ b/scheduling/fairqueue/queue_test.go
@@ -32,6 +32,8 @@
 func TestIdleOrganisationGetsNoCredit(t *testing.T) {
 	is := is.New(t)
 	q := New[int]()
+	push(q, "b", "b", 1, 10, 1)
+	q.Take("b")
 	for i := range 100 {
 		push(q, fmt.Sprint("a", i), "a", 1, 10, 1)
 		q.Take(fmt.Sprint("a", i))
@@ -49,6 +51,20 @@
 	is.True(served["a"] >= 49 && served["a"] <= 51)
 }
 
+func TestLargestBacklogGivesWay(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	for i := range 10 {
+		push(q, fmt.Sprint("a", i), "a", 1, 10, 1)
+	}
+	push(q, "u", "a", 1, 10, 2)
+	push(q, "b", "b", 1, 10, 1)
+	is.Equal(q.Displaced(q.Get("b")).ID, "a9")
+	is.Equal(q.Displaced(q.Get("a3")), nil)
+	push(q, "low", "c", 1, 10, 0)
+	is.Equal(q.Displaced(q.Get("low")), nil) // never one of a higher level
+}
+
 func TestChargeCorrectsAnEstimate(t *testing.T) {
 	is := is.New(t)
 	q := New[int]()
@@ -91,6 +107,11 @@
 			is.Equal(q.Len(), len(costs))
 			is.Equal(linked, len(costs))
 			is.True(q.Backlog() == total)
+			waiting := 0
+			for _, owner := range q.sizes {
+				waiting += owner.count
+			}
+			is.Equal(waiting, len(costs))
 		}
 	}
 }
--- /dev/null
+++ b/scheduling/placement_test.go
@@ -0,0 +1,266 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLongPromptsLeaveEnginesAndSlotsToShortOnes(t *testing.T) {
+	f := newFixture(t, 4, 1)
+	f.document.Reserve.LongPrefillPerDataCentre = 3
+	f.configure()
+	f.submit(f.request(0, 1000)) // short prompts are about
+	used := map[string]bool{}
+	var long []string
+	for range 3 {
+		request := f.request(0, 60_000)
+		decision := f.submit(request)
+		f.is.Equal(decision.Kind, Placed)
+		used[decision.Upstream.ID] = true
+		long = append(long, request.ID)
+	}
+	f.is.True(len(used) <= 2) // gathered, though four engines are free
+	fourth := f.request(0, 60_000)
+	f.is.Equal(f.submit(fourth).Kind, Queued) // the bound on long prefills
+	for range 10 {
+		decision := f.submit(f.request(0, 1000))
+		f.is.Equal(decision.Kind, Placed)
+		f.is.True(!used[decision.Upstream.ID]) // short ones go where no long prefill runs
+	}
+	f.FirstToken(f.now, long[0])
+	decisions := f.advance()
+	f.is.Equal(len(decisions), 1)
+	f.is.Equal(decisions[0].RequestID, fourth.ID)
+}
+
+func TestReserveOpensWhenNoShortOnesCome(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.document.Reserve.LongPrefillPerDataCentre = 0
+	f.configure()
+	f.submit(f.request(0, 1000))
+	placed := 0
+	for range 8 {
+		if f.submit(f.request(0, 20_000)).Kind == Placed {
+			placed++
+		}
+	}
+	f.is.Equal(placed, 6) // 75 in 100 of 8 slots
+	f.now = f.now.Add(2 * shortDemand)
+	f.is.Equal(len(f.advance()), 1) // the slot of the reserve is lent out
+}
+
+func TestLongPromptIsNotPassedForEver(t *testing.T) {
+	f := newFixture(t, 1, 2)
+	f.configure()
+	var running []string
+	for range 8 {
+		request := f.request(0, 15_000)
+		f.submit(request)
+		running = append(running, request.ID)
+	}
+	huge := f.request(1, 390_000)
+	f.is.Equal(f.submit(huge).Kind, Queued)
+	for range 200 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for f.Waiting() < 10 {
+			f.submit(f.request(0, 15_000))
+		}
+		if len(running) > 0 {
+			f.finish(running[0], Outcome{})
+			running = running[1:]
+		}
+		for _, decision := range f.advance() {
+			if decision.RequestID == huge.ID {
+				f.is.Equal(decision.Kind, Placed)
+				return
+			}
+			if decision.Kind == Placed {
+				running = append(running, decision.RequestID)
+			}
+		}
+	}
+	t.Fatal("the huge prompt was never placed")
+}
+
+func TestOwnDataCentreFirstThenSpill(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	f.document.Engines[1].DataCentre = "dc2"
+	f.configure()
+	for range 8 {
+		f.is.Equal(f.submit(f.request(0, 1000)).Upstream.DataCentre, "dc1")
+	}
+	over := f.request(0, 1000)
+	f.is.Equal(f.submit(over).Kind, Queued) // the link costs more than no wait
+	f.now = f.now.Add(linkCost)
+	decisions := f.advance()
+	f.is.Equal(len(decisions), 1)
+	f.is.Equal(decisions[0].Upstream.DataCentre, "dc2")
+}
+
+func TestPrefixAffinityYieldsToLoad(t *testing.T) {
+	f := newFixture(t, 8, 1)
+	f.configure()
+	counts := map[string]int{}
+	for range 16 {
+		request := f.request(0, 1000)
+		request.PrefixHash = 12345
+		counts[f.submit(request).Upstream.ID]++
+	}
+	most := 0
+	for _, count := range counts {
+		most = max(most, count)
+	}
+	f.is.True(most >= 3)       // two choices alone would give about two
+	f.is.True(most <= 6)       // bounded by load
+	f.is.True(len(counts) > 2) // the rest spreads
+}
+
+func TestReportsSteerButOwnLoadCounts(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	f.configure()
+	f.Observe(f.now, Report{UpstreamID: "test/production/e0", Running: 6, At: f.now})
+	for range 5 {
+		f.is.Equal(f.submit(f.request(0, 1000)).Upstream.Name, "e1")
+	}
+	f.Observe(f.now, Report{UpstreamID: "test/production/e1", Running: 1, At: f.now.Add(-time.Second)})
+	f.now = f.now.Add(reportLifetime)
+	f.is.Equal(f.submit(f.request(0, 1000)).Upstream.Name, "e0") // the old report no longer counts
+}
+
+func TestSharesFallbackAndDemand(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	f.configure()
+	first, second := "test/production/e0", "test/production/e1"
+	f.SetFallback(f.now, func(string) Share { return Share{Slots: 1, KVTokens: 50_000} })
+	f.SetShares(f.now, map[string]Share{
+		first:  {Slots: 3, KVTokens: 400_000, Expires: f.now.Add(time.Second)},
+		second: {},
+	})
+	var ids []string
+	for range 10 {
+		request := f.request(0, 900)
+		request.Deadline = f.now.Add(time.Hour)
+		f.submit(request)
+		ids = append(ids, request.ID)
+	}
+	f.is.Equal(f.Running(), 4) // three by the share, one by the fallback
+	demand := f.Demand(f.now)
+	f.is.Equal(demand[first].Running+demand[second].Running, 4)
+	f.is.Equal(demand[first].Waiting+demand[second].Waiting, 6)
+	f.is.Equal(demand[first].KVTokens+demand[second].KVTokens, 10_000)
+	f.now = f.now.Add(time.Second)
+	f.finish(ids[0], Outcome{})
+	f.finish(ids[1], Outcome{})
+	f.advance()
+	f.is.True(f.Running() <= 3) // the share is over: one slot each for new ones
+	f.SetShares(f.now, map[string]Share{first: {Slots: 8, KVTokens: 400_000, Expires: f.now.Add(time.Second)}})
+	f.advance()
+	f.is.Equal(f.Waiting(), 0)
+}
+
+func TestReturnsOnARamp(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.document.Engines[0].Slots = 40
+	f.document.Engines[0].KVTokens = 4_000_000
+	f.configure()
+	f.is.Equal(len(f.fill()), 40) // the first tables start no ramp
+	for id := range f.running {
+		f.finish(id, Outcome{})
+	}
+	f.site.OutVMs["vm0"] = true
+	f.configure()
+	f.is.Equal(f.submit(f.request(0, 1000)).Reason, NoUpstream)
+	f.site.OutVMs["vm0"] = false
+	f.configure()
+	f.is.Equal(len(f.fill()), 4)
+	f.now = f.now.Add(15 * time.Second)
+	f.advance()
+	f.is.Equal(4+len(f.fill()), 22)
+	f.now = f.now.Add(15 * time.Second)
+	f.advance()
+	f.is.Equal(22+len(f.fill()), 40)
+}
+
+func TestTakenOutWhileWaiting(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.configure()
+	f.fill()
+	request := f.request(0, 1000)
+	f.is.Equal(f.submit(request).Kind, Queued)
+	f.site.OutVMs["vm0"] = true
+	f.configure()
+	decisions := f.advance()
+	f.is.Equal(len(decisions), 1)
+	f.is.Equal(decisions[0].Reason, NoUpstream) // at once, not at the deadline
+}
+
+func TestColdStartIsInferred(t *testing.T) {
+	for _, sign := range []string{"failures", "slow first token"} {
+		f := newFixture(t, 1, 1)
+		f.document.Engines[0].Slots = 20
+		f.configure()
+		f.teach()
+		for range 2 {
+			request := f.request(0, 1000)
+			f.submit(request)
+			if sign == "failures" {
+				f.finish(request.ID, Outcome{Failed: true})
+				continue
+			}
+			f.now = f.now.Add(3 * time.Second)
+			f.FirstToken(f.now, request.ID)
+			f.finish(request.ID, Outcome{})
+			break // one is enough
+		}
+		f.is.Equal(len(f.fill()), 2) // a tenth of 20
+	}
+}
+
+func TestBreakerAndRetries(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.configure()
+	for range 5 {
+		request := f.request(0, 1000)
+		f.is.Equal(f.submit(request).Kind, Placed)
+		f.finish(request.ID, Outcome{Failed: true})
+	}
+	refused := f.submit(f.request(0, 1000))
+	f.is.Equal(refused.Reason, Unavailable)
+	f.is.True(refused.RetryAfter > time.Second)
+	f.now = f.now.Add(refused.RetryAfter)
+	f.is.Equal(f.submit(f.request(0, 1000)).Kind, Placed)
+	retry := f.request(0, 1000)
+	retry.Avoid = []string{"test/production/e0"}
+	f.is.Equal(f.submit(retry).Reason, Unavailable) // avoided is not the same as none
+}
+
+func TestRetryIsNeverSentToARampingUpstream(t *testing.T) {
+	f := newFixture(t, 2, 1)
+	f.site.OutVMs["vm1"] = true
+	f.configure()
+	f.site.OutVMs["vm1"] = false
+	f.configure()
+	retry := f.request(0, 1000)
+	retry.Avoid = []string{"test/production/e0"}
+	f.is.Equal(f.submit(retry).Kind, Queued)
+	f.now = f.now.Add(30 * time.Second)
+	f.is.Equal(len(f.advance()), 1)
+}
+
+func TestRetryBudgetHolds(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.configure()
+	retries := 0
+	for range 200 {
+		request := f.request(0, 1000)
+		f.submit(request)
+		if f.MayRetry(f.now, request) {
+			retries++
+		}
+		f.finish(request.ID, Outcome{})
+	}
+	f.is.True(retries <= 23) // a tenth and the burst
+	late := f.request(0, 1000)
+	late.Deadline = f.now
+	f.is.True(!f.MayRetry(f.now, late))
+}
