Placement counts prompts being read and the memory that reports show

Change: load counts prompt tokens sent whose answer has not begun, and a report's KV memory of other nodes closes an engine to what can't fit.

--- a/scheduling/check.go
+++ b/scheduling/check.go
@@ -17,7 +17,7 @@
 	return s.checkWaiting()
 }
 
-type sum struct{ requests, kvTokens, long, prefills int }
+type sum struct{ requests, kvTokens, long, prefills, reading int }
 
 func (s *Scheduler) checkUpstreams() error {
 	sums := map[*upstreamState]sum{}
@@ -28,13 +28,16 @@
 		if run.long {
 			total.long++
 		}
+		if run.reads {
+			total.reading += run.tokens
+		}
 		if run.prefill {
 			total.prefills++
 		}
 		sums[run.state] = total
 	}
 	for id, u := range s.upstreams {
-		if have := (sum{u.requests, u.kvTokens, u.long, u.prefills}); have != sums[u] {
+		if have := (sum{u.requests, u.kvTokens, u.long, u.prefills, u.reading}); have != sums[u] {
 			return eris.Wrapf(ErrInvariant, "upstream %s: booked %+v, running %+v", id, have, sums[u])
 		}
 		delete(sums, u)
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -150,6 +150,7 @@
 
 func (s *Scheduler) scoreFor(now time.Time, m *member) float64 {
 	score := m.state.score(now)
+	score += float64(m.state.reading) / float64(max(1, m.pool.plan.Document.Reserve.ShortPromptTokens))
 	if m.state.prefills > 0 {
 		score += prefillPenalty
 	}
@@ -187,6 +188,10 @@
 	if u.kvTokens+w.request.KVTokens() > kvTokens {
 		return false
 	}
+	_, others := u.elsewhere(now)
+	if u.kvTokens+others+w.request.KVTokens() > u.upstream.KVTokens {
+		return false
+	}
 	return !w.long() || s.longFits(now, m, w, slots, kvTokens)
 }
 
--- a/scheduling/limits.go
+++ b/scheduling/limits.go
@@ -126,6 +126,7 @@
 	}
 	u.reported = report.At
 	u.others = max(0, report.Running+report.Waiting-u.requests)
+	u.othersKV = max(0, report.KVTokens-u.kvTokens)
 }
 
 // OrganisationKey names an organisation for SetOrganisationRates.
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -25,6 +25,8 @@
 	first   time.Time
 	long    bool
 	prefill bool
+	// reads says that the prompt counts in upstreamState.reading.
+	reads bool
 	// key and kvTokens are what was booked, whatever the tables say later.
 	key      prefillKey
 	kvTokens int
@@ -49,6 +51,8 @@
 func (s *Scheduler) occupy(run *running) {
 	u := run.state
 	u.requests++
+	u.reading += run.tokens
+	run.reads = true
 	if u.upstream.Kind == tables.EngineUpstream {
 		run.kvTokens = run.request.KVTokens()
 	}
@@ -85,6 +89,10 @@
 }
 
 func (s *Scheduler) endPrefill(run *running) {
+	if run.reads {
+		run.reads = false
+		run.state.reading -= run.tokens
+	}
 	if !run.prefill {
 		return
 	}
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -33,14 +33,17 @@
 	wasConfigured bool
 
 	requests, kvTokens, long, prefills int
+	// reading is the prompt tokens sent whose answer has not begun.
+	reading int
 
 	share    Share
 	hasShare bool
 	ramp     ramp.Ramp
 	failures int
 
-	// others is the load from other nodes by the last report.
+	// others and othersKV are the load from other nodes by the last report.
 	others   int
+	othersKV int
 	reported time.Time
 }
 
@@ -56,17 +59,23 @@
 
 // score compares upstreams by load; 1 is full.
 func (u *upstreamState) score(now time.Time) float64 {
-	load := float64(u.requests)
-	if now.Sub(u.reported) < reportLifetime {
-		load += float64(u.others)
-	}
+	others, othersKV := u.elsewhere(now)
+	load := float64(u.requests + others)
 	score := load / float64(max(u.upstream.Slots, 1))
 	if u.upstream.KVTokens > 0 {
-		score = max(score, float64(u.kvTokens)/float64(u.upstream.KVTokens))
+		score = max(score, float64(u.kvTokens+othersKV)/float64(u.upstream.KVTokens))
 	}
 	return score
 }
 
+// elsewhere is what other nodes have running by a report that still counts.
+func (u *upstreamState) elsewhere(now time.Time) (requests, kvTokens int) {
+	if now.Sub(u.reported) >= reportLifetime {
+		return 0, 0
+	}
+	return u.others, u.othersKV
+}
+
 // limit is what this node may have running at the upstream now.
 func (s *Scheduler) limit(now time.Time, u *upstreamState) (slots, kvTokens int) {
 	slots, kvTokens = u.upstream.Slots, u.upstream.KVTokens
