Long prompts yield at the engine and are spread

Change: a long prompt asks for the lowest engine priority; since it then costs short ones little, gathering and avoiding it are taken out again, and only short prompts count as unread load.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -3,13 +3,16 @@
 import (
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
 // Placement is an upstream held for one attempt.
 type Placement struct {
-	Upstream   *tables.Upstream
+	Upstream *tables.Upstream
+	// Priority is what to ask of the engine.
+	Priority   environment.Priority
 	dispatcher *Dispatcher
 	requestID  string
 }
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -88,6 +88,9 @@
 	ctx, span := s.config.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("upstream", placement.Upstream.ID)))
 	defer span.End()
+	if accepted.request.Model != "" {
+		accepted.header[upstream.HeaderPriority] = placement.Priority.String()
+	}
 	attempt := &upstream.Attempt{
 		ID:       uuid.NewString(),
 		Address:  placement.Upstream.Address,
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -11,8 +11,6 @@
 const (
 	// probeLimit bounds the upstreams looked at for one decision.
 	probeLimit = 64
-	// firstFitLimit bounds how far a long prompt looks along the common order.
-	firstFitLimit = 256
 	// choices is how many upstreams with room are compared.
 	choices = 2
 	// linkCost is the wait in the own data centre that sending a request over
@@ -21,8 +19,6 @@
 	// affinitySlack is how much more loaded, as a part of its slots, the
 	// upstream that holds a prompt's prefix may be.
 	affinitySlack = 0.25
-	// prefillPenalty is what a long prefill in progress counts for a short prompt.
-	prefillPenalty = 1.0
 	// shortDemand is how long a short prompt keeps the reserve closed.
 	shortDemand = 5 * time.Second
 	whole       = 100
@@ -64,9 +60,6 @@
 	if len(side.free) == 0 {
 		return nil
 	}
-	if w.long() {
-		return s.firstFit(now, w, side)
-	}
 	best, score := s.leastOfSome(now, w, side)
 	if best == nil || w.request.PrefixHash == 0 {
 		return best
@@ -78,8 +71,7 @@
 	return best
 }
 
-// leastOfSome compares a few random upstreams with room and without a long
-// prefill; one with a long prefill is the last resort. Looking at all would
+// leastOfSome compares a few random upstreams with room. Looking at all would
 // send every node to the one whose stale report is the lowest.
 func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) (*member, float64) {
 	var best *member
@@ -92,9 +84,7 @@
 		if !s.hasRoom(now, m, w) {
 			continue
 		}
-		if m.state.prefills == 0 {
-			found++
-		}
+		found++
 		score := s.scoreFor(now, m)
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
@@ -122,39 +112,9 @@
 	return a
 }
 
-// firstFit gathers long prompts on the first upstreams of the common order, so
-// that the others stay without a long prefill.
-func (s *Scheduler) firstFit(now time.Time, w *waiting, side *group) *member {
-	if len(side.free) <= probeLimit {
-		return s.firstOfFree(now, w, side)
-	}
-	for _, m := range side.all[:min(len(side.all), firstFitLimit)] {
-		if m.free >= 0 && s.hasRoom(now, m, w) {
-			return m
-		}
-	}
-	found, _ := s.leastOfSome(now, w, side)
-	return found
-}
-
-func (s *Scheduler) firstOfFree(now time.Time, w *waiting, side *group) *member {
-	var best *member
-	for _, m := range side.free {
-		earlier := best == nil || m.state.hash < best.state.hash
-		if earlier && s.hasRoom(now, m, w) {
-			best = m
-		}
-	}
-	return best
-}
-
 func (s *Scheduler) scoreFor(now time.Time, m *member) float64 {
-	score := m.state.score(now)
-	score += float64(m.state.reading) / float64(max(1, m.pool.plan.Document.Reserve.ShortPromptTokens))
-	if m.state.prefills > 0 {
-		score += prefillPenalty
-	}
-	return score
+	unread := float64(m.state.reading) / float64(max(1, m.pool.plan.Document.Reserve.ShortPromptTokens))
+	return m.state.score(now) + unread
 }
 
 // suits reports whether the upstream could run the request when idle.
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -120,6 +120,11 @@
 		return false
 	}
 	s.start(now, w, m)
-	s.pending = append(s.pending, Decision{RequestID: w.request.ID, Kind: Placed, Upstream: m.state.upstream})
+	s.pending = append(s.pending, Decision{
+		RequestID: w.request.ID,
+		Kind:      Placed,
+		Upstream:  m.state.upstream,
+		Priority:  w.enginePriority(),
+	})
 	return true
 }
--- a/scheduling/request.go
+++ b/scheduling/request.go
@@ -80,6 +80,9 @@
 	Kind      DecisionKind
 	// Upstream is set when the request was placed.
 	Upstream *tables.Upstream
+	// Priority is what to ask of the engine: a long prompt yields to short ones
+	// whatever its place in the queue was.
+	Priority environment.Priority
 	// Reason and RetryAfter are set when the request was refused.
 	Reason     RefusalReason
 	RetryAfter time.Duration
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -51,8 +51,10 @@
 func (s *Scheduler) occupy(run *running) {
 	u := run.state
 	u.requests++
-	u.reading += run.tokens
-	run.reads = true
+	if !run.long {
+		u.reading += run.tokens
+		run.reads = true
+	}
 	if u.upstream.Kind == tables.EngineUpstream {
 		run.kvTokens = run.request.KVTokens()
 	}
--- a/scheduling/waiting.go
+++ b/scheduling/waiting.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/scheduling/fairqueue"
 )
 
@@ -29,6 +30,15 @@
 
 func (w *waiting) long() bool { return w.entry.Class == longClass }
 
+// enginePriority is the request's own, but the lowest for a long prompt: an
+// engine that reads both in turns would slow the short ones down.
+func (w *waiting) enginePriority() environment.Priority {
+	if w.long() {
+		return environment.Batch
+	}
+	return w.request.Priority
+}
+
 // giveUp is the last time at which the answer is still expected to end in time.
 func (w *waiting) giveUp() time.Time {
 	return w.request.Deadline.Add(-w.run)
