--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/wigeontiller/wigeontiller/bench/model"
 	"github.com/wigeontiller/wigeontiller/configuration"
