Bench: nodes use reports, retry budget, engine priority and the books' check

Cause: the scheduler now takes first tokens and reports, says whether a retry is allowed and which priority to ask of the engine. Change: the bench's node does as package dispatch does, with pending decisions delivered after Submit.

--- a/bench/call.go
+++ b/bench/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeontiller/wigeontiller/bench/model"
 	"github.com/wigeontiller/wigeontiller/bench/workload"
+	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 )
 
@@ -33,6 +34,7 @@
 	call       *call
 	id         string
 	upstream   *upstream
+	priority   environment.Priority
 	connection *connection
 	sentAt     time.Duration
 	firstToken time.Duration
@@ -40,13 +42,16 @@
 
 func (c *call) place() {
 	c.handle(c.node.policy.Submit(c.node.site.now(), c.request))
+	if c.node.policy.Pending() {
+		c.node.handleAll(c.node.policy.Advance(c.node.site.now()))
+	}
 }
 
 func (c *call) handle(decision scheduling.Decision) {
 	switch decision.Kind {
 	case scheduling.Placed:
 		c.record.Admitted = true
-		c.send(decision.Upstream.ID)
+		c.send(decision)
 	case scheduling.Queued:
 		c.record.Admitted = true
 	case scheduling.Refused:
@@ -59,10 +64,11 @@
 	}
 }
 
-func (c *call) send(upstreamID string) {
+func (c *call) send(decision scheduling.Decision) {
 	site := c.node.site
+	upstreamID := decision.Upstream.ID
 	if !c.node.isInService(upstreamID) {
-		c.node.policy.Finish(site.now(), c.request.ID, scheduling.Outcome{Failed: true})
+		c.node.policy.Finish(site.now(), c.request.ID, scheduling.Outcome{Abandoned: true})
 		site.loop.After(0, c.placeAgain)
 		return
 	}
@@ -72,6 +78,7 @@
 		call:       c,
 		id:         fmt.Sprintf("%s/%d", c.request.ID, c.attempts),
 		upstream:   target,
+		priority:   decision.Priority,
 		connection: &connection{site: site, node: c.node.dataCentre, upstream: target.dataCentre},
 		sentAt:     site.loop.Now(),
 	}
@@ -101,7 +108,7 @@
 		PromptTokens: a.call.arrival.PromptTokens,
 		AnswerTokens: a.call.arrival.AnswerTokens,
 		MaxTokens:    a.call.arrival.MaxTokens,
-		Priority:     a.call.request.Priority,
+		Priority:     a.priority,
 		Token:        a.token,
 		End:          a.end,
 	})
@@ -163,6 +170,10 @@
 		c.end(Failed)
 		return
 	}
+	if !c.node.policy.MayRetry(c.node.site.now(), c.request) {
+		c.end(Failed)
+		return
+	}
 	c.request.Avoid = append(c.request.Avoid, from.upstream.id)
 	c.place()
 }
@@ -188,7 +199,8 @@
 		return
 	}
 	if abandoned := c.current; abandoned != nil {
-		c.finishAttempt(scheduling.Outcome{Failed: true, FirstToken: abandoned.firstToken})
+		left := kind == CallerLeft
+		c.finishAttempt(scheduling.Outcome{Failed: !left, Abandoned: left, FirstToken: abandoned.firstToken})
 		abandoned.cancel(0)
 	} else {
 		c.node.policy.Cancel(c.node.site.now(), c.request.ID)
--- a/bench/policy/baseline.go
+++ b/bench/policy/baseline.go
@@ -37,6 +37,7 @@
 	}
 	b.running++
 	decision.Kind = scheduling.Placed
+	decision.Priority = request.Priority
 	decision.Upstream = b.choose(candidates)
 	return decision
 }
@@ -64,6 +65,12 @@
 // Cancel does nothing: no request waits.
 func (b *baseline) Cancel(time.Time, string) {}
 
+// MayRetry is true: a baseline has no limit but the number of attempts.
+func (b *baseline) MayRetry(time.Time, *scheduling.Request) bool { return true }
+
+// Check finds nothing: a baseline keeps no books.
+func (b *baseline) Check() error { return nil }
+
 // FirstToken does nothing.
 func (b *baseline) FirstToken(time.Time, string) {}
 
@@ -77,6 +84,9 @@
 	}
 }
 
+// Pending is false: no request waits.
+func (b *baseline) Pending() bool { return false }
+
 // Waiting is 0.
 func (b *baseline) Waiting() int { return 0 }
 
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -36,8 +36,14 @@
 	FirstToken(now time.Time, id string)
 	// Finish frees what a placed request held.
 	Finish(now time.Time, id string, outcome scheduling.Outcome)
+	// MayRetry reports whether a failed attempt may be followed by another.
+	MayRetry(now time.Time, request *scheduling.Request) bool
+	// Check returns an error when the policy's books don't add up.
+	Check() error
 	// Observe takes a report.
 	Observe(now time.Time, report Report)
+	// Pending reports whether Advance has decisions to return already.
+	Pending() bool
 	// Waiting and Running count the requests held.
 	Waiting() int
 	Running() int
@@ -71,6 +77,6 @@
 		reported := &reportedLoad{running: map[string]int{}, random: random}
 		return &baseline{choose: reported.least, observe: reported.take}
 	default:
-		return newProduct(dataCentre)
+		return newProduct(dataCentre, random)
 	}
 }
--- a/bench/policy/product.go
+++ b/bench/policy/product.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/scheduling"
@@ -11,12 +12,16 @@
 	*scheduling.Scheduler
 }
 
-func newProduct(dataCentre string) *product {
-	return &product{Scheduler: scheduling.New(dataCentre)}
+func newProduct(dataCentre string, random *rand.Rand) *product {
+	return &product{Scheduler: scheduling.NewSeeded(dataCentre, random)}
 }
 
-// FirstToken tells the scheduler nothing: it does not ask for it.
-func (p *product) FirstToken(time.Time, string) {}
-
-// Observe tells the scheduler nothing: it does not ask for reports.
-func (p *product) Observe(time.Time, Report) {}
+// Observe takes a report.
+func (p *product) Observe(now time.Time, report Report) {
+	p.Scheduler.Observe(now, scheduling.Report{
+		UpstreamID: report.UpstreamID,
+		Running:    report.Running,
+		KVTokens:   report.KVTokens,
+		At:         report.Made,
+	})
+}
--- a/bench/site.go
+++ b/bench/site.go
@@ -256,6 +256,9 @@
 		s.breach("%d requests, %d cancels not ended", s.live, s.canceling)
 	}
 	for _, node := range s.nodes {
+		if err := node.policy.Check(); err != nil {
+			s.breach("node %d: %v", node.number, err)
+		}
 		if node.policy.Running() != 0 || node.policy.Waiting() != 0 {
 			s.breach("node %d still holds %d running and %d waiting requests",
 				node.number, node.policy.Running(), node.policy.Waiting())
