--- a/bench/targets_test.go
+++ b/bench/targets_test.go
@@ -109,3 +109,10 @@
 		}
 	})
 }
+
+// An upstream that has just started receives no more work than it can bear.
+func TestReturningUpstreamsBearTheirLoad(t *testing.T) {
+	eachMeasured(t, func(is *is.I, product *Measured) {
+		is.Equal(product.Result(DataCentreOut).FellOver, 0)
+	})
+}
