--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -245,7 +245,10 @@
 	f.control.Set(fault.Knobs{LoseCancels: 3})
 	ctx, leave := context.WithCancel(context.Background())
 	go func() {
-		_, _ = f.post(ctx, chat(strings.Repeat("a", 80_000), 10, true), nil)
+		response, err := f.post(ctx, chat(strings.Repeat("a", 80_000), 10, true), nil)
+		if err == nil {
+			_ = response.Body.Close()
+		}
 	}()
 	eventually(t, "the request runs", func() bool { return f.engine.Load().Running == 1 })
 	leave()
