Each lane has its own queue length; a long randomised run by a flag

Cause: queue_length counted the waiting requests of trial and production together. Change: counted by lane. Tests for it, for the memory reserve and for memory that other nodes hold; each failed with its mechanism taken out.

--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -50,7 +50,7 @@
 // admitOrRefuse decides on a request that could not be placed at once.
 func (s *Scheduler) admitOrRefuse(now time.Time, w *waiting) Decision {
 	limits := w.request.Plan.Document.Limits
-	if len(s.waiting) > limits.QueueLength {
+	if s.queued[planOf(w.request)] > limits.QueueLength {
 		out := w.pool.queue.Displaced(w.entry)
 		if out == nil {
 			s.remove(w)
--- a/scheduling/admission_test.go
+++ b/scheduling/admission_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
@@ -115,6 +116,27 @@
 	f.is.Equal(f.Waiting(), 10)
 }
 
+func TestTrialDoesNotFillTheQueueOfProduction(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.document.Limits.QueueLength = 5
+	f.site.Environments["test"] = configuration.Environment{ProductionDigest: "d", TrialDigest: "d"}
+	f.configure()
+	for lane := range f.tables.Plans {
+		placed, queued := 0, 0
+		for range 20 {
+			request := f.request(0, 1000)
+			request.Plan = f.tables.Plans[lane]
+			switch f.submit(request).Kind {
+			case Placed:
+				placed++
+			case Queued:
+				queued++
+			}
+		}
+		f.is.Equal([]int{placed, queued}, []int{8, 5})
+	}
+}
+
 func TestPrioritiesAndPromotion(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	f.configure()
--- a/scheduling/check.go
+++ b/scheduling/check.go
@@ -67,15 +67,18 @@
 }
 
 func (s *Scheduler) checkWaiting() error {
-	queued := 0
+	queued, counted := 0, 0
+	for _, count := range s.queued {
+		counted += count
+	}
 	for _, p := range s.pools {
 		queued += p.queue.Len()
 		if p.queue.Len() == 0 && p.queue.Backlog() != 0 {
 			return eris.Wrap(ErrInvariant, "an empty queue has a backlog")
 		}
 	}
-	if queued != len(s.waiting) || queued != len(s.timers) {
-		return eris.Wrapf(ErrInvariant, "%d queued, %d waiting, %d timers", queued, len(s.waiting), len(s.timers))
+	if queued != len(s.waiting) || queued != counted || queued != len(s.timers) {
+		return eris.Wrapf(ErrInvariant, "%d queued, %d counted, %d waiting, %d timers", queued, counted, len(s.waiting), len(s.timers))
 	}
 	return nil
 }
--- a/scheduling/placement_test.go
+++ b/scheduling/placement_test.go
@@ -58,6 +58,25 @@
 	f.is.Equal(len(f.advance()), 1) // the slot of the reserve is lent out
 }
 
+func TestReserveCoversMemory(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.document.Reserve.LongPrefillPerDataCentre = 0
+	f.configure()
+	f.submit(f.request(0, 1000))
+	f.is.Equal(f.submit(f.request(0, 250_000)).Kind, Placed)
+	f.is.Equal(f.submit(f.request(0, 100_000)).Kind, Queued) // over 300,000 of 400,000
+	f.is.Equal(f.submit(f.request(0, 15_000)).Kind, Placed)
+}
+
+func TestReportedMemoryOfOthersIsNotUsed(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.configure()
+	f.Observe(f.now, Report{UpstreamID: "test/production/e0", Running: 1, KVTokens: 300_000, At: f.now})
+	f.is.Equal(f.submit(f.request(0, 150_000)).Kind, Queued)
+	f.now = f.now.Add(reportLifetime)
+	f.is.Equal(len(f.advance()), 1)
+}
+
 func TestLongPromptIsNotPassedForEver(t *testing.T) {
 	f := newFixture(t, 1, 2)
 	f.configure()
--- a/scheduling/random_test.go
+++ b/scheduling/random_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +11,9 @@
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
+// seeds is more for a long run: go test ./scheduling -run Randomised -seeds 2000.
+var seeds = flag.Uint64("seeds", 20, "number of randomised runs")
+
 // run drives one scheduler with random events and keeps its own books.
 type run struct {
 	*fixture
@@ -236,7 +240,7 @@
 }
 
 func TestRandomisedRuns(t *testing.T) {
-	for seed := range uint64(20) {
+	for seed := range *seeds {
 		r := newRun(t, seed)
 		for range 2000 {
 			r.step()
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -31,8 +31,10 @@
 	orderedPools []*pool
 	ramping      []*upstreamState
 	waiting      map[string]*waiting
-	running      map[string]*running
-	timers       timers
+	// queued counts the waiting requests of each lane.
+	queued  map[planKey]int
+	running map[string]*running
+	timers  timers
 	// pending holds decisions on waiting requests for the next Advance.
 	pending []Decision
 
@@ -61,6 +63,7 @@
 		pools:      map[poolKey]*pool{},
 		upstreams:  map[string]*upstreamState{},
 		waiting:    map[string]*waiting{},
+		queued:     map[planKey]int{},
 		running:    map[string]*running{},
 		prefills:   map[prefillKey]int{},
 		buckets:    map[string]*tokenbucket.Bucket{},
--- a/scheduling/waiting.go
+++ b/scheduling/waiting.go
@@ -86,6 +86,7 @@
 // add files a request that has to wait.
 func (s *Scheduler) add(w *waiting) {
 	s.waiting[w.request.ID] = w
+	s.queued[planOf(w.request)]++
 	w.due = w.promoteAt()
 	heap.Push(&s.timers, w)
 }
@@ -99,6 +100,11 @@
 
 func (s *Scheduler) forget(w *waiting) {
 	delete(s.waiting, w.request.ID)
+	key := planOf(w.request)
+	s.queued[key]--
+	if s.queued[key] == 0 {
+		delete(s.queued, key)
+	}
 	if w.index >= 0 {
 		heap.Remove(&s.timers, w.index)
 	}
