The engine's reported usage reaches the scheduler

Cause: Finish got no usage, so that neither the length correction, the charges nor the decode interval learned anything in a running node. Change: the usage of a whole answer or of a stream's event is read; a figure over four times the estimate isn't charged in full. Seen: go test -race ./entry ./dispatch ./test/processes passes.

--- a/entry/completion.go
+++ b/entry/completion.go
@@ -102,7 +102,7 @@
 		return nil
 	}
 	defer finish()
-	defer answer.close(scheduling.Outcome{})
+	defer answer.close(wholeOutcome(answer))
 	return s.sendWhole(c, answer)
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -41,6 +41,7 @@
 // ends with an error event, so that the caller never takes it for whole.
 func (s *Server) copyEvents(ctx context.Context, w *bufio.Writer, accepted *call, got *answer) {
 	events := pump(ctx, got)
+	var outcome scheduling.Outcome
 	for {
 		var next streamEvent
 		select {
@@ -48,6 +49,7 @@
 		case <-ctx.Done():
 			next.err = ctx.Err()
 		}
+		readUsage(next.data, &outcome)
 		if next.err == nil {
 			next.err = writeEvent(w, next.data)
 		}
@@ -57,7 +59,7 @@
 		}
 		if bytes.Equal(next.data, upstream.EndMarker) {
 			drain(events)
-			got.close(scheduling.Outcome{})
+			got.close(outcome)
 			return
 		}
 	}
--- /dev/null
+++ b/entry/usage_test.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/scheduling"
+)
+
+func TestReadUsage(t *testing.T) {
+	is := is.New(t)
+	for data, want := range map[string]scheduling.Outcome{
+		`{"usage":{"prompt_tokens":7,"completion_tokens":3}}`:  {PromptTokens: 7, AnswerTokens: 3},
+		`{"usage":{"prompt_tokens":7,"completion_tokens":-3}}`: {PromptTokens: 7},
+		`{"usage":null}`: {},
+		`{"usage":"text`: {},
+		`{"choices":[]}`: {},
+		`[DONE]`:         {},
+	} {
+		var got scheduling.Outcome
+		readUsage([]byte(data), &got)
+		is.Equal(got, want)
+	}
+}
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -9,6 +9,9 @@
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
+// maxUsage bounds a reported usage by the estimate, against an engine that errs.
+const maxUsage = 4
+
 // ErrInvariant is returned by Check when the books don't add up.
 var ErrInvariant = eris.New("scheduler invariant broken")
 
@@ -147,7 +150,7 @@
 	used := run.cost
 	switch {
 	case outcome.PromptTokens > 0:
-		used = float64(outcome.PromptTokens + outcome.AnswerTokens)
+		used = min(float64(outcome.PromptTokens+outcome.AnswerTokens), maxUsage*run.cost)
 	case outcome.Failed:
 		used = 0
 	}
