An estimate from short prompts doesn't refuse long ones

Cause: the line of first-token time was used at any length; a slope from the noise of short prompts could refuse all long ones, and then no sample of a long one would ever correct it. Change: trusted up to four times the longest length seen lately.

--- a/scheduling/estimation/estimator.go
+++ b/scheduling/estimation/estimator.go
@@ -91,10 +91,10 @@
 // Estimate predicts a request on an upstream; an empty upstream is any of the model's.
 func (e *Estimator) Estimate(now time.Time, model, upstream string, promptTokens, maxTokens int) Estimate {
 	learned := e.pairs[pair{model, upstream}]
-	if !learned.known(now) {
+	if !learned.known(now, promptTokens) {
 		learned = e.models[model]
 	}
-	if !learned.known(now) {
+	if !learned.known(now, promptTokens) {
 		return Estimate{}
 	}
 	first := learned.prefill.at(float64(promptTokens))
@@ -114,8 +114,11 @@
 	return 0
 }
 
-func (c *curve) known(now time.Time) bool {
-	return c != nil && c.prefill.samples >= knownSamples && now.Sub(c.at) < lifetime
+func (c *curve) known(now time.Time, promptTokens int) bool {
+	if c == nil || c.prefill.samples < knownSamples {
+		return false
+	}
+	return now.Sub(c.at) < lifetime && c.prefill.covers(float64(promptTokens))
 }
 
 func (c *curve) learn(sample Sample) {
--- a/scheduling/estimation/estimator_test.go
+++ b/scheduling/estimation/estimator_test.go
@@ -61,3 +61,17 @@
 	after, _ := drain.Wait(1000)
 	is.Equal(after, before)
 }
+
+// TestShortSamplesDoNotRefuseLongPrompts learns from short prompts whose time
+// is noise alone.
+func TestShortSamplesDoNotRefuseLongPrompts(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	for i := range 50 {
+		e.Learn(Sample{At: start, Model: "m", Upstream: "u", EstimatedPrompt: 1000 + i, FirstToken: seconds(0.1 + float64(i)/100)})
+	}
+	is.True(e.Estimate(start, "m", "u", 2000, 0).Known)
+	is.True(!e.Estimate(start, "m", "u", 500_000, 0).Known)
+	e.Learn(Sample{At: start, Model: "m", Upstream: "u", EstimatedPrompt: 200_000, FirstToken: 10 * time.Second})
+	is.True(e.Estimate(start, "m", "u", 500_000, 0).Known)
+}
--- a/scheduling/random_test.go
+++ b/scheduling/random_test.go
@@ -11,8 +11,8 @@
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
-// seeds is more for a long run: go test ./scheduling -run Randomised -seeds 2000.
-var seeds = flag.Uint64("seeds", 20, "number of randomised runs")
+// seeds is more for a long run: go test ./scheduling -run Random -seeds 2000.
+var seeds = flag.Uint64("seeds", 20, "number of random runs")
 
 // run drives one scheduler with random events and keeps its own books.
 type run struct {
