Demand names other data centres after a wait, spread by request ID

Cause: waiting requests counted at the own data centre only and from the first upstream of the order at every node, so that a node without shares elsewhere would never be given one. Seen: the new test fails without the rule.

--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/scheduling/fairqueue"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
@@ -24,8 +23,6 @@
 	whole       = 100
 )
 
-type entryOf = *fairqueue.Entry[*waiting]
-
 // prefillKey names the long prefills that one bound covers.
 type prefillKey struct {
 	planKey
--- a/scheduling/limits.go
+++ b/scheduling/limits.go
@@ -1,11 +1,12 @@
 package scheduling
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/scheduling/fairqueue"
 	"github.com/wigeontiller/wigeontiller/scheduling/tokenbucket"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
@@ -64,7 +65,7 @@
 
 // Demand returns the load by upstream ID, without idle ones. Waiting requests
 // count at an upstream of their pool that they are likely to go to.
-func (s *Scheduler) Demand(_ time.Time) map[string]Demand {
+func (s *Scheduler) Demand(now time.Time) map[string]Demand {
 	demands := map[string]Demand{}
 	for id, u := range s.upstreams {
 		if u.requests > 0 {
@@ -72,52 +73,53 @@
 		}
 	}
 	for _, p := range s.orderedPools {
-		s.addWaiting(p, demands)
+		s.addWaiting(now, p, demands)
 	}
 	return demands
 }
 
-// addWaiting spreads a pool's waiting requests over its upstreams by slots.
-func (s *Scheduler) addWaiting(p *pool, demands map[string]Demand) {
-	if p.queue.Len() == 0 {
-		return
-	}
-	candidates := p.local.all
-	if len(candidates) == 0 {
-		candidates = p.remote.all
-	}
-	at := 0
-	for _, head := range p.waitingInOrder() {
-		m := s.likely(candidates, &at, head.request)
+// addWaiting spreads a pool's waiting requests over its upstreams. One that
+// waited for longer than a link costs counts at other data centres too, so that
+// this node is given a share there before it has anything running.
+func (s *Scheduler) addWaiting(now time.Time, p *pool, demands map[string]Demand) {
+	p.queue.Each(func(entry *fairqueue.Entry[*waiting]) {
+		w := entry.Value
+		m := s.likely(now, w)
 		if m == nil {
-			continue
+			return
 		}
 		demand := demands[m.state.upstream.ID]
 		demand.Waiting++
-		demand.KVTokens += head.request.KVTokens()
+		demand.KVTokens += w.request.KVTokens()
 		demands[m.state.upstream.ID] = demand
-	}
+	})
 }
 
-func (p *pool) waitingInOrder() []*waiting {
-	all := make([]*waiting, 0, p.queue.Len())
-	p.queue.Each(func(e entryOf) { all = append(all, e.Value) })
-	slices.SortFunc(all, func(a, b *waiting) int { return cmp.Compare(a.request.ID, b.request.ID) })
-	return all
-}
-
-// likely goes round the candidates from at to the next that suits.
-func (s *Scheduler) likely(candidates []*member, at *int, request *Request) *member {
-	for range min(len(candidates), probeLimit) {
-		m := candidates[*at%len(candidates)]
-		*at++
-		if s.suits(m, request) {
+// likely is the first suitable upstream from a place that the request's ID
+// gives, so that it stays the same from one call to the next.
+func (s *Scheduler) likely(now time.Time, w *waiting) *member {
+	local, remote := w.pool.local.all, w.pool.remote.all
+	count := len(local)
+	if count == 0 || now.Sub(w.since) >= linkCost {
+		count += len(remote)
+	}
+	from := xxhash.Sum64String(w.request.ID) % uint64(max(1, count))
+	for i := range min(count, probeLimit) {
+		m := memberAt(local, remote, (int(from)+i)%count)
+		if s.suits(m, w.request) {
 			return m
 		}
 	}
 	return nil
 }
 
+func memberAt(local, remote []*member, at int) *member {
+	if at < len(local) {
+		return local[at]
+	}
+	return remote[at-len(local)]
+}
+
 // Observe takes in an upstream's report; an older one is ignored.
 func (s *Scheduler) Observe(_ time.Time, report Report) {
 	u := s.upstreams[report.UpstreamID]
--- a/scheduling/placement_test.go
+++ b/scheduling/placement_test.go
@@ -194,6 +194,34 @@
 	f.is.Equal(f.Waiting(), 0)
 }
 
+func TestDemandAsksForOtherDataCentresAfterAWait(t *testing.T) {
+	f := newFixture(t, 4, 1)
+	f.document.Engines[2].DataCentre = "dc2"
+	f.document.Engines[3].DataCentre = "dc2"
+	f.configure()
+	f.SetFallback(f.now, func(string) Share { return Share{} })
+	for range 40 {
+		f.is.Equal(f.submit(f.request(0, 900)).Kind, Queued)
+	}
+	sides := func() (local, remote int) {
+		for id, demand := range f.Demand(f.now) {
+			f.is.True(demand.Waiting >= 3) // spread over the upstreams of a side
+			if f.tables.Upstreams[id].DataCentre == "dc1" {
+				local += demand.Waiting
+			} else {
+				remote += demand.Waiting
+			}
+		}
+		return local, remote
+	}
+	local, remote := sides()
+	f.is.Equal([]int{local, remote}, []int{40, 0})
+	f.now = f.now.Add(linkCost)
+	local, remote = sides()
+	f.is.Equal(local+remote, 40)
+	f.is.True(remote >= 10)
+}
+
 func TestReturnsOnARamp(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	f.document.Engines[0].Slots = 40
