The only engine of a data centre isn't held for a long prompt until it must

Cause: holding one engine of one stops all short prompts for as long as its running answers take. Change: there only in the last third of the time that the long one may wait.

--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -104,6 +104,10 @@
 	if p.held != nil || !w.long() {
 		return
 	}
+	// Holding the only engine stops all short prompts: only near the deadline.
+	if len(p.local.all) == 1 && now.Before(w.promoteAt()) {
+		return
+	}
 	for _, m := range p.local.all {
 		slots, kvTokens := s.limit(now, m.state)
 		fits := slots > 0 && w.request.KVTokens() <= kvTokens && m.breaker.Ready(now)
