Cancel before a decision was returned, and no placement past a deadline in Submit

Dispatch was not affected, since it calls Advance under the same lock. The randomised test, made to cancel at that point, also saw Submit place a waiting request after its deadline. Change: Cancel takes the decision back and frees the place; Submit first ends what is due.

--- a/scheduling/admission_test.go
+++ b/scheduling/admission_test.go
@@ -137,6 +137,24 @@
 	}
 }
 
+func TestCancelOfADecisionNotYetReturned(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.configure()
+	running := f.fill()
+	waiting := f.request(0, 1000)
+	f.is.Equal(f.submit(waiting).Kind, Queued)
+	f.finish(running[0], Outcome{})
+	f.is.Equal(f.submit(f.request(0, 1000)).Kind, Queued) // this round placed the one that waited
+	f.is.True(f.Pending())
+	f.Cancel(f.now, waiting.ID)
+	f.check()
+	f.is.Equal(f.Running(), 7)
+	for _, decision := range f.advance() {
+		f.is.True(decision.RequestID != waiting.ID)
+	}
+	f.is.Equal(f.Running(), 8)
+}
+
 func TestPrioritiesAndPromotion(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	f.configure()
--- a/scheduling/random_test.go
+++ b/scheduling/random_test.go
@@ -62,6 +62,9 @@
 	case 18:
 		r.firstToken()
 	}
+	if r.random.IntN(4) == 0 {
+		r.cancelOne() // before the round's decisions are returned
+	}
 	for _, decision := range r.advance() {
 		r.take(decision)
 	}
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -74,6 +74,7 @@
 // Submit decides on a new request. A queued one is decided by Advance. The ID
 // must not be that of a request that waits or runs.
 func (s *Scheduler) Submit(now time.Time, request *Request) Decision {
+	s.fireTimers(now)
 	p := s.pools[keyOf(request)]
 	if refusal, ok := s.refuseAtOnce(now, p, request); ok {
 		return refusal
@@ -165,11 +166,19 @@
 	}
 }
 
-// Cancel removes a waiting request whose caller has gone.
-func (s *Scheduler) Cancel(_ time.Time, id string) {
+// Cancel removes a waiting request whose caller has gone, also one that was
+// decided but whose decision Advance has not returned. No decision follows.
+func (s *Scheduler) Cancel(now time.Time, id string) {
 	if w := s.waiting[id]; w != nil {
 		s.remove(w)
+		return
+	}
+	decided := slices.IndexFunc(s.pending, func(d Decision) bool { return d.RequestID == id })
+	if decided < 0 {
+		return
 	}
+	s.pending = slices.Delete(s.pending, decided, decided+1)
+	s.Finish(now, id, Outcome{Abandoned: true})
 }
 
 // Pending reports whether Advance has decisions to return already.
