--- a/admin/server.go
+++ b/admin/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -51,6 +52,10 @@
 	// Waiting and Running count the requests at the node.
 	Waiting int `json:"waiting"`
 	Running int `json:"running"`
+	// LimitedUpstreams are those that the node doesn't use in full for now.
+	LimitedUpstreams []scheduling.Limited `json:"limited_upstreams"`
+	// EstimateErrors is the relative error of the first-token estimate by model.
+	EstimateErrors map[string]float64 `json:"estimate_errors"`
 	// OutDataCentres and OutVMs were taken out by operators.
 	OutDataCentres []string `json:"out_data_centres"`
 	OutVMs         []string `json:"out_vms"`
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -45,6 +45,20 @@
 	return d.scheduler.Demand(time.Now())
 }
 
+// Limited lists the upstreams that this node doesn't use in full for now.
+func (d *Dispatcher) Limited() []scheduling.Limited {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.Limited(time.Now())
+}
+
+// EstimateErrors is the relative error of the first-token estimate by model.
+func (d *Dispatcher) EstimateErrors() map[string]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.EstimateErrors()
+}
+
 // MayRetry spends one retry of the environment's budget, if there is one.
 func (d *Dispatcher) MayRetry(request *scheduling.Request) bool {
 	d.mutex.Lock()
--- a/node.go
+++ b/node.go
@@ -167,6 +167,8 @@
 		OutVMs:         []string{},
 	}
 	status.Waiting, status.Running = n.dispatcher.Load()
+	status.LimitedUpstreams = n.dispatcher.Limited()
+	status.EstimateErrors = n.dispatcher.EstimateErrors()
 	built := n.dispatcher.Tables()
 	if built == nil {
 		return status
--- a/scheduling/estimation/estimator.go
+++ b/scheduling/estimation/estimator.go
@@ -114,6 +114,17 @@
 	return 0
 }
 
+// Errors is Error of each model that has samples.
+func (e *Estimator) Errors() map[string]float64 {
+	errors := map[string]float64{}
+	for model, learned := range e.models {
+		if learned.prefill.samples > 0 {
+			errors[model] = learned.failure
+		}
+	}
+	return errors
+}
+
 func (c *curve) known(now time.Time, promptTokens int) bool {
 	if c == nil || c.prefill.samples < knownSamples {
 		return false
