--- a/scheduling/cost_test.go
+++ b/scheduling/cost_test.go
@@ -81,3 +81,23 @@
 		f.Advance(f.now)
 	}
 }
+
+// BenchmarkAdvanceMemoryFull is a round in which slots are free everywhere but
+// no memory for the 1,000 long prompts that wait.
+func BenchmarkAdvanceMemoryFull(b *testing.B) {
+	f := newFixture(b, 1000, 400)
+	f.document.Reserve.LongPrefillPerDataCentre = 0
+	f.configure()
+	for range 1000 {
+		f.Submit(f.now, f.request(0, 390_000))
+	}
+	for i := range 1000 {
+		request := f.request(i%400, 300_000)
+		request.Deadline = f.now.Add(time.Hour)
+		f.Submit(f.now, request)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Advance(f.now)
+	}
+}
