Claims: each keyed call runs at most once, over a guarded store

A call with an Idempotency-Key writes a claim before dispatch and its outcome after it.

Ruled out: deleting the claim of a call that was not sent. Versions start anew after a deletion, so that a repeated delete with a lost answer can remove the next holder's claim. The holder writes a released record instead.

--- /dev/null
+++ b/claim/claimstore/index.go
@@ -0,0 +1,134 @@
+package claimstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/claim"
+	"github.com/wigeontiller/wigeontiller/platform"
+)
+
+const (
+	// indexShards spreads the nodes' index rows, so that two nodes seldom
+	// append to the same list.
+	indexShards = 16
+	// indexEntries bounds the entries of one index row.
+	indexEntries = 1000
+	// bucket is the span of expiry times that one list of index rows covers.
+	bucket = time.Hour
+	// sweepBuckets is how many past buckets a sweep looks at.
+	sweepBuckets = 48
+)
+
+// entry names what expires together.
+type entry struct {
+	Row    string `json:"row"`
+	Object string `json:"object,omitempty"`
+}
+
+// index collects the keys of new claims by the hour in which they expire. The
+// table has no scan, so that expired rows are found through index rows, which
+// any node may read. The mutex guards pending and next.
+type index struct {
+	table platform.Platform
+	shard uint32
+	mutex sync.Mutex
+	// pending holds entries by bucket.
+	pending map[int64][]entry
+	// next is the first index row of a bucket that may be free.
+	next map[int64]int
+}
+
+func newIndex(table platform.Platform, node string) *index {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(node))
+	return &index{
+		table:   table,
+		shard:   hash.Sum32() % indexShards,
+		pending: map[int64][]entry{},
+		next:    map[int64]int{},
+	}
+}
+
+func bucketOf(at time.Time) int64 {
+	return at.Unix() / int64(bucket/time.Second)
+}
+
+func indexKey(hour int64, shard uint32, number int) string {
+	return fmt.Sprintf("claim-index/%d/%d/%d", hour, shard, number)
+}
+
+// add lists what expires at a time. It is due one bucket later.
+func (i *index) add(listed entry, expires time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	hour := bucketOf(expires.Add(claim.ClockMargin)) + 1
+	i.pending[hour] = append(i.pending[hour], listed)
+}
+
+// take removes up to indexEntries entries of one bucket.
+func (i *index) take() (hour int64, entries []entry, number int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for hour, entries := range i.pending {
+		count := min(len(entries), indexEntries)
+		i.pending[hour] = entries[count:]
+		if len(i.pending[hour]) == 0 {
+			delete(i.pending, hour)
+		}
+		return hour, entries[:count], i.next[hour]
+	}
+	return 0, nil, 0
+}
+
+func (i *index) putBack(hour int64, entries []entry) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.pending[hour] = append(i.pending[hour], entries...)
+}
+
+func (i *index) advance(hour int64, number int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.next[hour] = number + 1
+	for known := range i.next {
+		if known < hour-sweepBuckets {
+			delete(i.next, known)
+		}
+	}
+}
+
+// Flush writes the keys of new claims to the index. A write without an answer
+// is repeated in a further row: an entry that stands twice does no harm.
+func (s *Store) Flush(ctx context.Context) {
+	for {
+		hour, entries, number := s.index.take()
+		if len(entries) == 0 {
+			return
+		}
+		err := s.append(ctx, indexKey(hour, s.index.shard, number), entries)
+		if err != nil {
+			s.index.putBack(hour, entries)
+		}
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			s.index.advance(hour, number)
+			continue
+		}
+		return
+	}
+}
+
+func (s *Store) append(ctx context.Context, key string, entries []entry) error {
+	value, err := json.Marshal(entries)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.config.Platform.Transact(ctx, []platform.Write{{Key: key, Value: value}})
+}
--- /dev/null
+++ b/claim/claimstore/store.go
@@ -0,0 +1,203 @@
+// Package claimstore drives the claim state machine over the platform: it
+// reads the clock, makes the calls and keeps large results in the object store.
+//
+// Lock order: Store holds no lock while it calls the platform.
+package claimstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/claim"
+	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+const (
+	// callTimeout bounds one call to the platform.
+	callTimeout = 2 * time.Second
+	// rowResultBytes is the largest body that is kept in the row.
+	rowResultBytes = 16 << 10
+	// settleWait is how long a caller's answer waits for its result to be stored.
+	settleWait = time.Second
+	// indexInterval is how often the keys of new claims are written to the index.
+	indexInterval = 5 * time.Second
+	// sweepInterval is how often a node looks at one shard for expired claims.
+	sweepInterval = 10 * time.Minute
+)
+
+// Config holds what the store works with.
+type Config struct {
+	// Platform is required.
+	Platform platform.Platform
+	Logger   zerolog.Logger
+	// Metrics is required.
+	Metrics *telemetry.Metrics
+	// Node names this node in the index.
+	Node string
+	// Now and Sleep replace the clock in tests; nil is the machine's clock.
+	Now   func() time.Time
+	Sleep func(ctx context.Context, period time.Duration)
+}
+
+// Store makes claims at one node. It is safe for concurrent use.
+type Store struct {
+	config  Config
+	index   *index
+	settles sync.WaitGroup
+}
+
+// Call is a keyed call that wants to run.
+type Call struct {
+	Scope       claim.Scope
+	Fingerprint string
+	// Deadline is when the call must have ended.
+	Deadline time.Time
+	// Retention is how long the result answers a repeat.
+	Retention time.Duration
+}
+
+// Answered is returned when a call does not run.
+type Answered struct {
+	Verdict claim.Verdict
+	// Result is the whole first answer, for a replay; nil when it can't be
+	// read now.
+	Result *claim.Result
+}
+
+// New returns a store.
+func New(config Config) *Store {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Sleep == nil {
+		config.Sleep = sleep
+	}
+	return &Store{config: config, index: newIndex(config.Platform, config.Node)}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(period):
+	}
+}
+
+// Run writes the index and sweeps expired claims until the context ends.
+func (s *Store) Run(ctx context.Context) {
+	flush := time.NewTicker(indexInterval)
+	defer flush.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-flush.C:
+			s.Flush(ctx)
+		case <-sweep.C:
+			s.sweepShard(ctx, rand.Uint32N(indexShards))
+		}
+	}
+}
+
+// Wait returns when no outcome is being stored.
+func (s *Store) Wait() {
+	s.settles.Wait()
+}
+
+// Claim returns the held claim of a call that may run, or why it may not.
+// Exactly one of the two is set.
+func (s *Store) Claim(ctx context.Context, call Call) (*Held, *Answered) {
+	now := s.config.Now()
+	machine := claim.NewClaimant(now, uuid.NewString(), call.Fingerprint, call.Deadline, call.Retention)
+	row := call.Scope.RowKey()
+	action := machine.Begin()
+	for {
+		switch action.Kind {
+		case claim.Dispatch:
+			s.index.add(entry{Row: row}, machine.ExpiresAt())
+			return &Held{store: s, row: row, machine: machine}, nil
+		case claim.Answer:
+			return nil, s.answer(ctx, row, &machine, action)
+		}
+		event := s.perform(ctx, row, action)
+		action = machine.Next(s.config.Now(), event, rand.Float64())
+	}
+}
+
+func (s *Store) answer(ctx context.Context, row string, machine *claim.Claimant, action claim.Action) *Answered {
+	if action.Abandon {
+		settler := machine.Settle(s.config.Now(), claim.Released, nil)
+		s.start(func(ctx context.Context) { s.runSettler(ctx, row, settler) })
+	}
+	answered := &Answered{Verdict: action.Verdict, Result: action.Result}
+	if action.Verdict != claim.Replay || action.Result.Object == "" {
+		return answered
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := s.config.Platform.GetObject(ctx, action.Result.Object)
+	if err != nil {
+		s.config.Logger.Warn().Err(err).Msg("kept result not read")
+		return &Answered{Verdict: claim.Replay}
+	}
+	whole := *action.Result
+	whole.Body = body
+	answered.Result = &whole
+	return answered
+}
+
+// perform carries an action out and reports what happened.
+func (s *Store) perform(ctx context.Context, row string, action claim.Action) claim.Event {
+	if action.Kind == claim.Wait {
+		s.config.Sleep(ctx, action.Delay)
+		return claim.Event{Kind: claim.WaitOver}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if action.Kind == claim.Read {
+		return s.read(ctx, row)
+	}
+	return s.write(ctx, row, action)
+}
+
+func (s *Store) read(ctx context.Context, key string) claim.Event {
+	row, err := s.config.Platform.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return claim.Event{Kind: claim.ReadMissing}
+	}
+	if err != nil {
+		return claim.Event{Kind: claim.ReadFailed}
+	}
+	var record claim.Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		s.config.Logger.Error().Err(err).Str("row", key).Msg("claim not readable")
+		return claim.Event{Kind: claim.ReadFailed}
+	}
+	return claim.Event{Kind: claim.ReadRow, Row: claim.Row{Record: record, Version: row.Version}}
+}
+
+func (s *Store) write(ctx context.Context, key string, action claim.Action) claim.Event {
+	value, err := json.Marshal(action.Record)
+	if err != nil {
+		return claim.Event{Kind: claim.WriteRefused}
+	}
+	err = s.config.Platform.Transact(ctx, []platform.Write{{Key: key, Value: value, IfVersion: action.IfVersion}})
+	switch {
+	case err == nil:
+		return claim.Event{Kind: claim.WriteApplied}
+	case errors.Is(err, platform.ErrConflict):
+		return claim.Event{Kind: claim.WriteConflict}
+	case errors.Is(err, platform.ErrUnavailable):
+		return claim.Event{Kind: claim.WriteRefused}
+	}
+	return claim.Event{Kind: claim.WriteUnknown}
+}
--- /dev/null
+++ b/claim/settler.go
@@ -0,0 +1,90 @@
+package claim
+
+import "time"
+
+const (
+	// settlePeriod bounds the time in which an outcome is stored.
+	settlePeriod       = 30 * time.Second
+	firstSettleDelay   = 50 * time.Millisecond
+	longestSettleDelay = 2 * time.Second
+)
+
+// Settler stores the outcome of a claim. It is a plain value.
+type Settler struct {
+	record  Record
+	version uint64
+	until   time.Time
+	delay   time.Duration
+}
+
+// Settle returns the machine that stores the outcome of a held claim. State is
+// Done with a result, Unknown, or Released when the call was provably not sent
+// and never will be.
+func (c *Claimant) Settle(now time.Time, state State, result *Result) Settler {
+	record := c.record(state)
+	record.Result = result
+	return Settler{record: record, version: c.version, until: now.Add(settlePeriod), delay: firstSettleDelay}
+}
+
+// Begin returns the first action. Without a known version, the claim's write
+// was never confirmed and the row is read first.
+func (s *Settler) Begin() Action {
+	if s.version == 0 {
+		return Action{Kind: Read}
+	}
+	return s.write(s.version)
+}
+
+// Next takes the outcome of the last action.
+func (s *Settler) Next(now time.Time, event Event, chance float64) Action {
+	switch event.Kind {
+	case WriteApplied:
+		return Action{Kind: Stop, Settled: true}
+	case ReadRow:
+		return s.meet(event.Row)
+	case ReadMissing:
+		return s.missing()
+	case WriteRefused, ReadFailed:
+		return s.pause(now, chance)
+	case WriteConflict, WriteUnknown, WaitOver:
+	}
+	if now.After(s.until) {
+		return Action{Kind: Stop}
+	}
+	return Action{Kind: Read}
+}
+
+// meet writes over the own claim only. A row with another token is another
+// call's, which is possible after a release or an expiry.
+func (s *Settler) meet(row Row) Action {
+	if row.Token != s.record.Token {
+		return Action{Kind: Stop, Settled: s.record.State == Released}
+	}
+	if row.State != Held {
+		return Action{Kind: Stop, Settled: row.State == s.record.State}
+	}
+	return s.write(row.Version)
+}
+
+// missing writes a released record where there is none: the write of the claim
+// may still be on its way and can't take effect after that. Any other state
+// means that the record expired.
+func (s *Settler) missing() Action {
+	if s.record.State == Released {
+		return s.write(0)
+	}
+	return Action{Kind: Stop}
+}
+
+func (s *Settler) write(version uint64) Action {
+	return Action{Kind: Write, Record: s.record, IfVersion: version}
+}
+
+func (s *Settler) pause(now time.Time, chance float64) Action {
+	if now.After(s.until) {
+		return Action{Kind: Stop}
+	}
+	delay := time.Duration(float64(s.delay) * (1 + chance) / 2)
+	s.delay = min(2*s.delay, longestSettleDelay)
+	return Action{Kind: Wait, Delay: delay}
+}
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -94,6 +94,10 @@
 		Body:     accepted.body,
 		Deadline: accepted.request.Deadline,
 	}
+	if !accepted.dispatch() {
+		placement.Finish(scheduling.Outcome{})
+		return nil, upstream.ErrNotSent
+	}
 	s.config.Metrics.Attempt()
 	reply, err := s.config.Upstreams.Do(ctx, attempt)
 	if err != nil {
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -27,6 +27,8 @@
 	stream bool
 	// idempotent is true when the call may be sent again after it may have run.
 	idempotent bool
+	// claim is set when the call has an idempotency key.
+	claim *claimedCall
 }
 
 // completion serves both completion routes.
@@ -105,8 +107,5 @@
 }
 
 func (s *Server) sendWhole(c *fiber.Ctx, answer *answer) error {
-	if value, ok := answer.reply.Header[fiber.HeaderContentType]; ok {
-		c.Set(fiber.HeaderContentType, value)
-	}
-	return c.Status(answer.reply.Status).Send(answer.whole)
+	return sendFields(c, answer.reply.Status, endToEnd(answer.reply.Fields), answer.whole)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
@@ -36,6 +37,7 @@
 	Logger     zerolog.Logger
 	Tracer     trace.Tracer
 	Metrics    *telemetry.Metrics
+	Claims     *claimstore.Store
 }
 
 // Server serves callers.
@@ -82,6 +84,7 @@
 	go func() {
 		s.inFlight.Wait()
 		s.cleanups.Wait()
+		s.config.Claims.Wait()
 		close(done)
 	}()
 	select {
--- a/entry/service.go
+++ b/entry/service.go
@@ -2,30 +2,26 @@
 
 import (
 	"bytes"
+	"net/url"
+	pathpkg "path"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
-// hopHeaders are not forwarded: they belong to one connection or to this system.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Host": true,
-	"Content-Length": true, "Authorization": true, "X-Attempt-Id": true,
-}
-
-const ownHeaderPrefix = "X-Wigeontiller-"
-
 // service forwards a call to a plain service.
 func (s *Server) service(c *fiber.Ctx) error {
 	accepted, failure := s.acceptService(c)
 	if failure != nil {
 		return s.fail(c, failure)
 	}
+	if accepted.claim != nil {
+		return s.serveClaimed(c, accepted)
+	}
 	return s.serve(c, accepted)
 }
 
@@ -38,27 +34,59 @@
 	if !ok {
 		return nil, apierror.New(fiber.StatusNotFound, apierror.NotFound, "the service is not known")
 	}
+	if len(c.Body()) > caller.Plan.Document.Limits.BodyBytes {
+		return nil, apierror.New(fiber.StatusRequestEntityTooLarge, apierror.BodyTooLarge, "the body is over the environment's limit")
+	}
+	key, failure := idempotencyKey(c)
+	if failure != nil {
+		return nil, failure
+	}
 	request, failure := newRequest(c, caller, serviceTokens)
 	if failure != nil {
 		return nil, failure
 	}
 	request.Service = service.Name
-	path := "/" + c.Params("*")
-	method := strings.Clone(c.Method())
-	return &call{
-		request:    request,
-		callerID:   requestID(c),
-		method:     method,
-		path:       withQuery(path, c.Request().URI().QueryString()),
-		header:     forwardedHeader(c),
-		body:       bytes.Clone(c.Body()),
-		idempotent: isIdempotent(method) && !tables.HasSideEffect(service, method, path),
-	}, nil
+	path := servicePath(c)
+	accepted := &call{
+		request:  request,
+		callerID: requestID(c),
+		method:   strings.Clone(c.Method()),
+		path:     withQuery(path, c.Request().URI().QueryString()),
+		header:   forwardedHeader(c),
+		body:     bytes.Clone(c.Body()),
+	}
+	accepted.idempotent = isIdempotent(accepted.method) && !hasSideEffect(service, accepted.method, path)
+	if key != "" {
+		accepted.bind(key)
+	}
+	return accepted, nil
+}
+
+// servicePath returns what follows "/services/{name}" as the caller encoded it.
+func servicePath(c *fiber.Ctx) string {
+	const prefixSegments = 4
+	segments := strings.SplitN(string(c.Request().URI().PathOriginal()), "/", prefixSegments)
+	if len(segments) < prefixSegments {
+		return "/"
+	}
+	return "/" + segments[prefixSegments-1]
+}
+
+// hasSideEffect looks at the path as it came and as a service may read it, so
+// that an encoded or dotted path does not pass by a listed route.
+func hasSideEffect(service *environment.Service, method, path string) bool {
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return true
+	}
+	return tables.HasSideEffect(service, method, path) ||
+		tables.HasSideEffect(service, method, decoded) ||
+		tables.HasSideEffect(service, method, pathpkg.Clean(decoded))
 }
 
 func withQuery(path string, query []byte) string {
 	if len(query) == 0 {
-		return strings.Clone(path)
+		return path
 	}
 	return path + "?" + string(query)
 }
@@ -66,13 +94,3 @@
 func isIdempotent(method string) bool {
 	return method == fiber.MethodGet || method == fiber.MethodHead || method == fiber.MethodOptions
 }
-
-func forwardedHeader(c *fiber.Ctx) map[string]string {
-	header := map[string]string{}
-	for name, value := range c.Request().Header.All() {
-		if !hopHeaders[string(name)] && !strings.HasPrefix(string(name), ownHeaderPrefix) {
-			header[string(name)] = string(value)
-		}
-	}
-	return header
-}
--- a/node.go
+++ b/node.go
@@ -18,10 +18,12 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wigeontiller/wigeontiller/admin"
+	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/entry"
 	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/guard"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -45,6 +47,8 @@
 	metrics    *telemetry.Metrics
 	tracing    *sdktrace.TracerProvider
 	dispatcher *dispatch.Dispatcher
+	guard      *guard.Client
+	claims     *claimstore.Store
 	follower   *follower
 	entry      *entry.Server
 	admin      *admin.Server
@@ -75,7 +79,10 @@
 		tracing:  tracing,
 	}
 	node.dispatcher = dispatch.New(scheduling.New(s.DataCentre))
-	store := configuration.NewStore(p)
+	node.guard = guard.New(p, node.metrics)
+	node.guard.SetNodes(len(s.Seeds))
+	node.claims = claimstore.New(claimstore.Config{Platform: node.guard.Urgent(), Logger: node.logger, Metrics: node.metrics, Node: s.Name})
+	store := configuration.NewStore(node.guard.Ordinary())
 	node.follower = newFollower(store, node.dispatcher, node.logger)
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
@@ -83,6 +90,7 @@
 		Logger:     node.logger,
 		Tracer:     tracing.Tracer(telemetry.ScopeName),
 		Metrics:    node.metrics,
+		Claims:     node.claims,
 	})
 	node.admin = admin.NewServer(admin.Config{Store: store, Node: node, Tokens: tokens, Metrics: node.metrics})
 	return node, nil
@@ -103,6 +111,7 @@
 	n.stop = stop
 	n.workers.Go(func() { n.dispatcher.Run(ctx) })
 	n.workers.Go(func() { n.follower.run(ctx) })
+	n.workers.Go(func() { n.claims.Run(ctx) })
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).Msg("node started")
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -51,10 +51,18 @@
 	Deadline time.Time
 }
 
+// Field is one header field.
+type Field struct {
+	Name  string
+	Value string
+}
+
 // Reply is an upstream's answer. Close must be called, after the last read.
 type Reply struct {
-	Status   int
-	Header   map[string]string
+	Status int
+	Header map[string]string
+	// Fields holds every header field, also those that stand twice.
+	Fields   []Field
 	response *fasthttp.Response
 	body     *trackedBody
 }
@@ -204,6 +212,7 @@
 	}
 	for name, value := range response.Header.All() {
 		reply.Header[string(name)] = string(value)
+		reply.Fields = append(reply.Fields, Field{Name: string(name), Value: string(value)})
 	}
 	return reply
 }
