Claims: no write is sent past its time, rows are removed an hour after expiry

A holder that ran and was paused past the record's expiry met a row that had been swept and claimed anew, with the same version, and wrote its outcome over it; with a released outcome a third call would have run.

Ruled out: asserting less. Change: each write names the time before which it must be sent, asked directly before the send, and a row is removable an hour after its expiry, longer than any write is on its way. An expired row that is met is taken over by version, without removal.

--- a/claim/action.go
+++ b/claim/action.go
@@ -27,6 +27,10 @@
 	// Record and IfVersion belong to Write.
 	Record    Record
 	IfVersion uint64
+	// Before is when a Write must have been sent. A driver that was paused past
+	// it doesn't send the write and reports WriteRefused: the row may have been
+	// removed and made anew with the same version.
+	Before time.Time
 	// Delay belongs to Wait.
 	Delay time.Duration
 	// Verdict and Result belong to Answer.
--- a/claim/claimant.go
+++ b/claim/claimant.go
@@ -134,7 +134,7 @@
 	}
 	c.writes++
 	c.target = version
-	return Action{Kind: Write, Record: c.record(Held), IfVersion: version}
+	return Action{Kind: Write, Record: c.record(Held), IfVersion: version, Before: c.dispatchBy}
 }
 
 // unavailable gives up. The call never runs, also if its claim arrives late.
--- a/claim/claimstore/index.go
+++ b/claim/claimstore/index.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/claim"
 	"github.com/wigeontiller/wigeontiller/platform"
 )
 
@@ -63,11 +62,12 @@
 	return fmt.Sprintf("claim-index/%d/%d/%d", hour, shard, number)
 }
 
-// add lists what expires at a time. It is due one bucket later.
+// add lists what expires at a time. It is due two buckets later, when the
+// record is removable.
 func (i *index) add(listed entry, expires time.Time) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	hour := bucketOf(expires.Add(claim.ClockMargin)) + 1
+	hour := bucketOf(expires) + 2
 	i.pending[hour] = append(i.pending[hour], listed)
 }
 
--- a/claim/claimstore/store.go
+++ b/claim/claimstore/store.go
@@ -187,7 +187,7 @@
 
 func (s *Store) write(ctx context.Context, key string, action claim.Action) claim.Event {
 	value, err := json.Marshal(action.Record)
-	if err != nil {
+	if err != nil || !s.config.Now().Before(action.Before) {
 		return claim.Event{Kind: claim.WriteRefused}
 	}
 	err = s.config.Platform.Transact(ctx, []platform.Write{{Key: key, Value: value, IfVersion: action.IfVersion}})
--- a/claim/claimstore/sweep.go
+++ b/claim/claimstore/sweep.go
@@ -64,7 +64,7 @@
 	if event.Kind == claim.ReadFailed {
 		return false
 	}
-	if event.Kind == claim.ReadRow && !event.Row.Expired(s.config.Now()) {
+	if event.Kind == claim.ReadRow && !event.Row.Removable(s.config.Now()) {
 		// The key was used anew and is listed again under its new expiry. An
 		// object of the earlier use is gone with it.
 		return s.removeObject(ctx, listed, event.Row.Result)
--- a/claim/record.go
+++ b/claim/record.go
@@ -15,6 +15,9 @@
 	"time"
 )
 
+// removalMargin is longer than a write can be on its way.
+const removalMargin = time.Hour
+
 // State is what a record says of the call.
 type State string
 
@@ -98,6 +101,13 @@
 	return !now.Before(r.ExpiresAt.Add(ClockMargin))
 }
 
+// Removable reports whether the row may be removed. A row that is made anew
+// starts at version 1 again, so that a write that was sent before the expiry
+// must have taken effect by then, or never will.
+func (r Record) Removable(now time.Time) bool {
+	return !now.Before(r.ExpiresAt.Add(removalMargin))
+}
+
 // Row is a record with its version in the table.
 type Row struct {
 	Record
--- a/claim/settler.go
+++ b/claim/settler.go
@@ -77,7 +77,7 @@
 }
 
 func (s *Settler) write(version uint64) Action {
-	return Action{Kind: Write, Record: s.record, IfVersion: version}
+	return Action{Kind: Write, Record: s.record, IfVersion: version, Before: s.record.ExpiresAt}
 }
 
 func (s *Settler) pause(now time.Time, chance float64) Action {
