--- /dev/null
+++ b/entry/claim_random_test.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/wigeontiller/wigeontiller/claim/claimstore"
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/tables"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+const (
+	testKey = "caller"
+	// ciCalls is the size of the randomized run in CI, fullCalls with
+	// WIGEONTILLER_FULL set.
+	ciCalls     = 10_000
+	fullCalls   = 100_000
+	callsPerKey = 5
+	callers     = 16
+	headerCall  = "X-Call"
+)
+
+// faultyTable loses, refuses, delays and repeats writes at random.
+type faultyTable struct {
+	*memory.Platform
+	mutex  sync.Mutex
+	random *rand.Rand
+	late   sync.WaitGroup
+}
+
+func (f *faultyTable) draw() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.random.IntN(100)
+}
+
+func (f *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if f.draw() < 4 {
+		return platform.Row{}, platform.ErrUnknown
+	}
+	return f.Platform.Get(ctx, key)
+}
+
+func (f *faultyTable) Transact(ctx context.Context, writes []platform.Write) error {
+	draw := f.draw()
+	switch {
+	case draw < 3:
+		return platform.ErrUnavailable
+	case draw < 5:
+		return platform.ErrUnknown
+	case draw < 7:
+		f.later(ctx, writes)
+		return platform.ErrUnknown
+	case draw < 10:
+		_ = f.Platform.Transact(ctx, writes)
+		return platform.ErrUnknown
+	case draw < 12:
+		defer f.later(ctx, writes)
+	}
+	return f.Platform.Transact(ctx, writes)
+}
+
+func (f *faultyTable) later(ctx context.Context, writes []platform.Write) {
+	f.late.Go(func() {
+		time.Sleep(time.Millisecond)
+		_ = f.Platform.Transact(ctx, writes)
+	})
+}
+
+// stubService counts executions and fails at random.
+type stubService struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	keys   map[string]int
+	calls  map[string]int
+}
+
+func (s *stubService) handle(ctx *fasthttp.RequestCtx) {
+	s.mutex.Lock()
+	draw := s.random.IntN(100)
+	key, call := string(ctx.Request.Header.Peek(headerKey)), string(ctx.Request.Header.Peek(headerCall))
+	ran := draw >= 8
+	if ran {
+		s.keys[key]++
+		s.calls[call]++
+	}
+	s.mutex.Unlock()
+	switch {
+	case draw < 4: // refused without an effect
+		ctx.Response.Header.Set(upstream.HeaderNotRun, "true")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case draw < 12: // cut off, for 4 before and for 4 after the effect
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	case draw < 15: // half an answer
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(conn net.Conn) { _, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")) })
+	default:
+		ctx.Response.Header.Set("X-First", call)
+		ctx.SetBodyString(strings.Repeat(call+";", 1+draw*40)) // to either side of the row's limit
+	}
+}
+
+func startStub(t *testing.T, service *stubService) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: service.handle, Logger: quiet{}}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return listener.Addr().String()
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// newTestServer returns a node over a platform, with one service at address.
+func newTestServer(t *testing.T, store platform.Platform, address string) *Server {
+	t.Helper()
+	text := fmt.Sprintf(`name: works
+organisations: [{name: dock, key_digests: ["%s"]}]
+length_classes: [{name: short, max_prompt_tokens: 1000, deadline: 20s}]
+services:
+  - name: bookings
+    side_effects: [{method: GET, path: /confirm}]
+    endpoints: [{name: one, data_centre: dc, address: %q, slots: 1000}, {name: two, data_centre: dc, address: %q, slots: 1000}]
+`, environment.KeyDigest(testKey), address, address)
+	document, err := environment.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	site := configuration.Site{Version: 1, Environments: map[string]configuration.Environment{"works": {ProductionDigest: "d"}}}
+	dispatcher := dispatch.New(scheduling.New("dc"))
+	dispatcher.Configure(tables.Build(site, map[string]*environment.Document{"d": document}))
+	metrics := telemetry.NewMetrics()
+	claims := claimstore.New(claimstore.Config{
+		Platform: store, Logger: zerolog.Nop(), Metrics: metrics, Node: "test",
+		Sleep: func(context.Context, time.Duration) { time.Sleep(time.Millisecond) },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go dispatcher.Run(ctx)
+	return NewServer(Config{
+		Dispatcher: dispatcher, Upstreams: upstream.NewClient(), Logger: zerolog.Nop(),
+		Tracer: noop.NewTracerProvider().Tracer(""), Metrics: metrics, Claims: claims,
+	})
+}
+
+// exchange gives a request to the handlers without a connection.
+func exchange(server *Server, method, uri, body string, header map[string]string) *fasthttp.Response {
+	var request fasthttp.Request
+	request.Header.SetMethod(method)
+	request.SetRequestURI(uri)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	request.SetBodyString(body)
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&request, nil, quiet{})
+	server.App().Handler()(&ctx)
+	response := new(fasthttp.Response)
+	ctx.Response.CopyTo(response)
+	return response
+}
+
+// outcome is what one caller was told.
+type outcome struct {
+	key, call, code, execution, body string
+	status                           int
+	replayed                         bool
+}
+
+func told(key, call string, response *fasthttp.Response) outcome {
+	got := outcome{key: key, call: call, status: response.StatusCode(), body: string(response.Body())}
+	got.replayed = len(response.Header.Peek(headerReplayed)) > 0
+	var failure struct {
+		Error struct{ Code, Execution string }
+	}
+	if got.status != fasthttp.StatusOK && json.Unmarshal(response.Body(), &failure) == nil {
+		got.code, got.execution = failure.Error.Code, failure.Error.Execution
+	}
+	return got
+}
+
+// false names what is not true of an outcome, given what the stub saw.
+func (o outcome) false(service *stubService) string {
+	service.mutex.Lock()
+	keyRuns, callRuns := service.keys[o.key], service.calls[o.call]
+	service.mutex.Unlock()
+	switch {
+	case callRuns > 1:
+		return "the call ran twice"
+	case o.key != "" && keyRuns > 1:
+		return "the key ran twice"
+	case o.status == fasthttp.StatusOK && o.replayed && keyRuns != 1:
+		return "a replay without a run"
+	case o.status == fasthttp.StatusOK && !o.replayed && callRuns != 1:
+		return "an answer without a run"
+	case o.status != fasthttp.StatusOK && o.execution == "":
+		return "no execution"
+	case o.execution == "not_run" && callRuns != 0:
+		return "not_run is false"
+	case o.execution == "ran" && keyRuns != 1:
+		return "ran is false"
+	}
+	return ""
+}
+
+func TestRandomSideEffectCalls(t *testing.T) {
+	is := is.New(t)
+	calls := ciCalls
+	if os.Getenv("WIGEONTILLER_FULL") != "" {
+		calls = fullCalls
+	}
+	store := &faultyTable{Platform: memory.New(), random: rand.New(rand.NewPCG(1, 1))}
+	service := &stubService{random: rand.New(rand.NewPCG(2, 2)), keys: map[string]int{}, calls: map[string]int{}}
+	address := startStub(t, service)
+	nodes := []*Server{newTestServer(t, store, address), newTestServer(t, store, address)}
+	outcomes := make([]outcome, calls)
+	var group sync.WaitGroup
+	for worker := range callers {
+		group.Go(func() {
+			for i := worker; i < calls; i += callers {
+				outcomes[i] = randomCall(nodes[i%2], i)
+			}
+		})
+	}
+	group.Wait()
+	for _, node := range nodes {
+		node.config.Claims.Wait()
+	}
+	store.late.Wait()
+	tally := map[string]int{}
+	first := map[string]string{}
+	for _, got := range outcomes {
+		tally[fmt.Sprintf("%d %s %s replayed=%t", got.status, got.code, got.execution, got.replayed)]++
+		is.Equal(got.false(service), "")
+		if got.status == fasthttp.StatusOK && got.key != "" {
+			if first[got.key] == "" {
+				first[got.key] = got.body
+			}
+			is.Equal(got.body, first[got.key]) // the whole first answer
+		}
+	}
+	is.True(tally["200   replayed=true"] > calls/10)  // repeats met results
+	is.True(tally["200   replayed=false"] > calls/20) // calls ran
+	t.Logf("%d calls: %v", calls, tally)
+}
+
+// randomCall sends call i: one in ten without a key, one in thirty with
+// another body under its key.
+func randomCall(node *Server, i int) outcome {
+	key, call, body := fmt.Sprintf("key-%d", i/callsPerKey), fmt.Sprintf("call-%d", i), "seat"
+	header := map[string]string{headerKey: key, headerCall: call}
+	switch {
+	case i%10 == 0:
+		delete(header, headerKey)
+		key = ""
+	case i%30 == 7:
+		body = "another seat"
+	}
+	return told(key, call, exchange(node, "POST", "/services/bookings/confirm", body, header))
+}
