Upstream client test: a chunked answer left unread

Only chunked answers are streamed; the test now leaves one of those in the middle of a chunk, and asserts the same.

Seen with Reply.Close as the plain CloseBodyStream on a scratch copy: the next attempt gets "stale", the rest of the first answer.

--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -191,6 +191,7 @@
 func TestUnreadAnswerDoesNotReachTheNextAttempt(t *testing.T) {
 	is := is.New(t)
 	size := requestSize(t, "GET", nil)
+	const sent = 64
 	stale := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
 	server := startRaw(t, func(s *rawServer, conn net.Conn, number int) {
 		s.read(conn, size)
@@ -198,15 +199,15 @@
 			_, _ = io.WriteString(conn, wholeReply)
 			return
 		}
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 64+len(stale))
-		_, _ = io.WriteString(conn, head+string(make([]byte, 64)))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", sent+len(stale))
+		_, _ = conn.Write(make([]byte, sent))
 		s.read(conn, size)
 		_, _ = io.WriteString(conn, stale)
 	})
 	client := NewClient()
 	reply, err := client.Do(context.Background(), server.attempt("GET", nil))
 	is.NoErr(err)
-	_, err = io.ReadFull(reply.Body(), make([]byte, 64))
+	_, err = io.ReadFull(reply.Body(), make([]byte, sent))
 	is.NoErr(err)
 	reply.Close()
 	reply, err = client.Do(context.Background(), server.attempt("GET", nil))
