--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -44,8 +44,6 @@
 
 // attempts places and sends a call until an answer starts or the call is given up.
 func (s *Server) attempts(ctx context.Context, accepted *call) (*answer, *apierror.Error) {
-	ctx, span := s.config.Tracer.Start(ctx, "request")
-	defer span.End()
 	execution := apierror.NotRun
 	limit := accepted.request.Plan.Document.Retry.MaxAttempts
 	for number := 1; ; number++ {
@@ -64,6 +62,9 @@
 		if ctx.Err() != nil || !again || number >= limit {
 			return nil, attemptFailure(ctx, execution)
 		}
+		if !s.config.Dispatcher.MayRetry(accepted.request) {
+			return nil, attemptFailure(ctx, execution)
+		}
 		accepted.request.Avoid = append(accepted.request.Avoid, placement.Upstream.ID)
 	}
 }
@@ -76,7 +77,7 @@
 		if err != nil || placement.InService() {
 			return placement, err
 		}
-		placement.Finish(scheduling.Outcome{Failed: true})
+		placement.Finish(scheduling.Outcome{Abandoned: true})
 	}
 }
 
@@ -85,30 +86,36 @@
 	ctx, span := s.config.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("upstream", placement.Upstream.ID)))
 	defer span.End()
+	if accepted.request.Model != "" {
+		accepted.header[upstream.HeaderPriority] = placement.Priority.String()
+	}
 	attempt := &upstream.Attempt{
 		ID:       uuid.NewString(),
 		Address:  placement.Upstream.Address,
 		Method:   accepted.method,
 		Path:     accepted.path,
-		Header:   accepted.header,
+		Header:   traced(ctx, accepted.header),
 		Body:     accepted.body,
 		Deadline: accepted.request.Deadline,
 	}
 	if !accepted.dispatch() {
-		placement.Finish(scheduling.Outcome{})
+		placement.Finish(scheduling.Outcome{Abandoned: true})
 		return nil, upstream.ErrNotSent
 	}
 	s.config.Metrics.Attempt()
 	reply, err := s.config.Upstreams.Do(ctx, attempt)
 	if err != nil {
-		s.giveUp(accepted, placement, attempt, err)
+		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
 	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID}
 	if err := s.beginOrLeave(ctx, accepted, got); err != nil {
-		s.giveUp(accepted, placement, attempt, err)
+		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
+	if accepted.stream {
+		placement.FirstToken()
+	}
 	return got, nil
 }
 
@@ -159,8 +166,8 @@
 
 // giveUp frees the place at once when the attempt can't be running, and
 // otherwise when the engine's list shows it gone.
-func (s *Server) giveUp(accepted *call, placement *dispatch.Placement, attempt *upstream.Attempt, err error) {
-	failed := scheduling.Outcome{Failed: true}
+func (s *Server) giveUp(ctx context.Context, accepted *call, placement *dispatch.Placement, attempt *upstream.Attempt, err error) {
+	failed := failedOutcome(ctx)
 	if accepted.request.Model == "" || !errors.Is(err, upstream.ErrBroken) {
 		placement.Finish(failed)
 		return
@@ -173,6 +180,12 @@
 	}()
 }
 
+// failedOutcome doesn't blame the upstream when the caller left.
+func failedOutcome(ctx context.Context) scheduling.Outcome {
+	left := errors.Is(ctx.Err(), context.Canceled)
+	return scheduling.Outcome{Failed: !left, Abandoned: left}
+}
+
 func (s *Server) cancelUntilGone(attempt *upstream.Attempt) {
 	end := time.Now().Add(cancelPeriod)
 	for time.Now().Before(end) && s.ctx.Err() == nil {
@@ -209,6 +222,8 @@
 		failure = apierror.New(fiber.StatusGatewayTimeout, apierror.DeadlineExceeded, "the deadline passed before the request ran")
 	case scheduling.RateLimited:
 		failure = apierror.New(fiber.StatusTooManyRequests, apierror.RateLimited, "the organisation is over its limit")
+	case scheduling.Unavailable:
+		failure.Message = "no upstream can take the request for now"
 	case scheduling.QueueFull:
 	}
 	failure.RetryAfter = refused.RetryAfter
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -84,8 +84,10 @@
 func (s *Server) serveClaimed(c *fiber.Ctx, accepted *call) error {
 	s.inFlight.Add(1)
 	defer s.inFlight.Done()
-	ctx, cancel := context.WithDeadline(s.ctx, accepted.request.Deadline)
+	ctx, cancel := context.WithDeadline(callerTrace(s.ctx, c), accepted.request.Deadline)
 	defer cancel()
+	ctx, span := s.startEntry(ctx, accepted)
+	defer span.End()
 	go callerwatch.Watch(ctx, c.Context().Conn(), func() {
 		if !accepted.claim.dispatched.Load() {
 			cancel()
--- a/entry/claim_random_test.go
+++ b/entry/claim_random_test.go
@@ -30,7 +30,6 @@
 )
 
 const (
-	testKey = "caller"
 	// ciCalls is the size of the randomized run in CI, fullCalls with
 	// WIGEONTILLER_FULL set.
 	ciCalls     = 10_000
--- a/node.go
+++ b/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -78,7 +79,12 @@
 		metrics:  telemetry.NewMetrics(),
 		tracing:  tracing,
 	}
-	node.dispatcher = dispatch.New(scheduling.New(s.DataCentre))
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	node.dispatcher = dispatch.New(scheduling.NewSeeded(s.DataCentre, random))
+	node.dispatcher.OnBroken(func(err error) {
+		node.metrics.InvariantBroken("scheduler")
+		node.logger.Error().Err(err).Msg("scheduler invariant broken")
+	})
 	node.guard = guard.New(p, node.metrics)
 	node.guard.SetNodes(len(s.Seeds))
 	node.claims = claimstore.New(claimstore.Config{Platform: node.guard.Urgent(), Logger: node.logger, Metrics: node.metrics, Node: s.Name})
