--- a/entry/claim_random_test.go
+++ b/entry/claim_random_test.go
@@ -142,6 +142,7 @@
 	text := fmt.Sprintf(`name: works
 organisations: [{name: dock, key_digests: ["%s"]}]
 length_classes: [{name: short, max_prompt_tokens: 1000, deadline: 20s}]
+ramp: {initial_percent: 100, duration: 1ms}
 services:
   - name: bookings
     side_effects: [{method: GET, path: /confirm}]
