--- a/claim/claimstore/index.go
+++ b/claim/claimstore/index.go
@@ -34,7 +34,6 @@
 // table has no scan, so that expired rows are found through index rows, which
 // any node may read. The mutex guards pending and next.
 type index struct {
-	table platform.Platform
 	shard uint32
 	mutex sync.Mutex
 	// pending holds entries by bucket.
@@ -43,11 +42,10 @@
 	next map[int64]int
 }
 
-func newIndex(table platform.Platform, node string) *index {
+func newIndex(node string) *index {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(node))
 	return &index{
-		table:   table,
 		shard:   hash.Sum32() % indexShards,
 		pending: map[int64][]entry{},
 		next:    map[int64]int{},
@@ -130,5 +128,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.config.Platform.Transact(ctx, []platform.Write{{Key: key, Value: value}})
+	return s.config.Upkeep.Transact(ctx, []platform.Write{{Key: key, Value: value}})
 }
--- a/claim/claimstore/store.go
+++ b/claim/claimstore/store.go
@@ -37,7 +37,10 @@
 type Config struct {
 	// Platform is required.
 	Platform platform.Platform
-	Logger   zerolog.Logger
+	// Upkeep is used for the index and for sweeping, which can wait; nil is
+	// Platform.
+	Upkeep platform.Platform
+	Logger zerolog.Logger
 	// Metrics is required.
 	Metrics *telemetry.Metrics
 	// Node names this node in the index.
@@ -80,7 +83,10 @@
 	if config.Sleep == nil {
 		config.Sleep = sleep
 	}
-	return &Store{config: config, index: newIndex(config.Platform, config.Node)}
+	if config.Upkeep == nil {
+		config.Upkeep = config.Platform
+	}
+	return &Store{config: config, index: newIndex(config.Node)}
 }
 
 func sleep(ctx context.Context, period time.Duration) {
@@ -164,13 +170,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if action.Kind == claim.Read {
-		return s.read(ctx, row)
+		return s.read(ctx, s.config.Platform, row)
 	}
 	return s.write(ctx, row, action)
 }
 
-func (s *Store) read(ctx context.Context, key string) claim.Event {
-	row, err := s.config.Platform.Get(ctx, key)
+func (s *Store) read(ctx context.Context, table platform.Table, key string) claim.Event {
+	row, err := table.Get(ctx, key)
 	if errors.Is(err, platform.ErrNotFound) {
 		return claim.Event{Kind: claim.ReadMissing}
 	}
--- a/claim/claimstore/sweep.go
+++ b/claim/claimstore/sweep.go
@@ -85,24 +85,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.config.Platform.DeleteObject(ctx, listed.Object) == nil
+	return s.config.Upkeep.DeleteObject(ctx, listed.Object) == nil
 }
 
 func (s *Store) readClaim(ctx context.Context, key string) claim.Event {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.read(ctx, key)
+	return s.read(ctx, s.config.Upkeep, key)
 }
 
 func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.config.Platform.Get(ctx, key)
+	return s.config.Upkeep.Get(ctx, key)
 }
 
 func (s *Store) delete(ctx context.Context, key string, version uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.config.Platform.Transact(ctx, []platform.Write{{Key: key, IfVersion: version, Delete: true}})
+	err := s.config.Upkeep.Transact(ctx, []platform.Write{{Key: key, IfVersion: version, Delete: true}})
 	return err == nil
 }
--- a/node.go
+++ b/node.go
@@ -87,7 +87,10 @@
 	})
 	node.guard = guard.New(p, node.metrics)
 	node.guard.SetNodes(len(s.Seeds))
-	node.claims = claimstore.New(claimstore.Config{Platform: node.guard.Urgent(), Logger: node.logger, Metrics: node.metrics, Node: s.Name})
+	node.claims = claimstore.New(claimstore.Config{
+		Platform: node.guard.Urgent(), Upkeep: node.guard.Ordinary(),
+		Logger: node.logger, Metrics: node.metrics, Node: s.Name,
+	})
 	store := configuration.NewStore(node.guard.Ordinary())
 	node.follower = newFollower(store, node.dispatcher, node.logger)
 	node.entry = entry.NewServer(entry.Config{
