--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -20,9 +20,11 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
@@ -85,6 +87,7 @@
 		Logger:     zerolog.Nop(),
 		Tracer:     provider.Tracer("test"),
 		Metrics:    telemetry.NewMetrics(),
+		Claims:     claimstore.New(claimstore.Config{Platform: memory.New(), Metrics: telemetry.NewMetrics(), Node: "test"}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
