--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -49,7 +49,7 @@
 	spans      *tracetest.InMemoryExporter
 }
 
-func listen(t *testing.T, app *fiber.App) string {
+func listen(t testing.TB, app *fiber.App) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -60,7 +60,7 @@
 	return listener.Addr().String()
 }
 
-func newFixture(t *testing.T, config engine.Config) *fixture {
+func newFixture(t testing.TB, config engine.Config) *fixture {
 	t.Helper()
 	f := &fixture{control: new(fault.Control), spans: tracetest.NewInMemoryExporter()}
 	engineServer := engine.NewServer(config, f.control)
--- /dev/null
+++ b/entry/overhead_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// BenchmarkOverhead compares a call through the entry node with a direct call
+// to the same engine, in one run: "go test -run xxx -bench Overhead ./entry".
+func BenchmarkOverhead(b *testing.B) {
+	config := fast
+	config.PrefillTokensPerSecond = 1_000_000_000
+	f := newFixture(b, config)
+	engineURL := "http://" + f.dispatcher.Tables().Plans[0].Upstreams[0].Address
+	for _, target := range []struct{ name, url string }{{"direct", engineURL}, {"entry", f.url}} {
+		b.Run(target.name, func(b *testing.B) {
+			taken := make([]time.Duration, 0, b.N)
+			for b.Loop() {
+				start := time.Now()
+				callOnce(b, target.url)
+				taken = append(taken, time.Since(start))
+			}
+			slices.Sort(taken)
+			b.ReportMetric(float64(taken[len(taken)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(taken[len(taken)*95/100].Microseconds()), "p95-us")
+		})
+	}
+}
+
+func callOnce(b *testing.B, url string) {
+	b.Helper()
+	body := chat("Which hollow?", 1, false)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("X-Attempt-ID", time.Now().String())
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", response.StatusCode)
+	}
+}
