--- /dev/null
+++ b/budget/holding.go
@@ -0,0 +1,82 @@
+package budget
+
+import "time"
+
+// holding is what one node holds of a resource.
+type holding struct {
+	interest Interest
+	demand   Demand
+	share    Amount
+	expires  time.Time
+	// fallback may be used when share has expired.
+	fallback    Amount
+	fallbackEnd time.Time
+	start       start
+	// keeper, reported and sequence are of the latest report.
+	keeper   string
+	reported time.Time
+	sequence uint64
+	// quiet is true when the latest report showed neither use nor want.
+	quiet bool
+	// pledgedTo is the keeper that the node is pledged to until pledgeEnd.
+	pledgedTo string
+	pledgeEnd time.Time
+}
+
+func (h *holding) idle() bool {
+	return !h.interest.Local && h.demand == Demand{}
+}
+
+// interval is the time from the latest report to the next.
+func (h *holding) interval(now time.Time, timing Timing) time.Duration {
+	_, holds := h.current(now)
+	if h.idle() && h.quiet && !holds && !h.interest.Voter {
+		return timing.IdleInterval
+	}
+	return timing.Interval
+}
+
+func (h *holding) usage(now time.Time, name string) Usage {
+	usage := Usage{
+		Resource: name,
+		Running:  h.demand.Running,
+		Waiting:  h.demand.Waiting,
+		Next:     h.demand.Next,
+		Idle:     h.idle(),
+		Start:    h.start.tell(now),
+	}
+	if now.Before(h.expires) {
+		usage.Held = h.share
+	}
+	if now.Before(h.fallbackEnd) {
+		usage.Fallback = h.fallback
+	}
+	return usage
+}
+
+func (u Usage) empty() bool {
+	return u.Running == Amount{} && u.Waiting == Amount{} && u.Held == Amount{} && u.Fallback == Amount{}
+}
+
+// apply takes in the grant that answers a report sent at sentAt.
+func (h *holding) apply(now, sentAt time.Time, grant Grant, timing Timing) {
+	if grant.Start.Number < h.start.number {
+		return
+	}
+	h.start.learn(now, grant.Start, timing.Pledge)
+	h.share = grant.Share
+	h.expires = sentAt.Add(grant.Lifetime)
+	h.fallback = grant.Fallback
+	h.fallbackEnd = sentAt.Add(timing.Fallback)
+}
+
+// current returns the share in force, or false when there is none.
+func (h *holding) current(now time.Time) (Share, bool) {
+	if now.Before(h.expires) && h.share != (Amount{}) {
+		return Share{Amount: h.share, Expires: h.expires}, true
+	}
+	if now.Before(h.fallbackEnd) && h.fallback != (Amount{}) {
+		return Share{Amount: h.fallback, Expires: h.fallbackEnd}, true
+	}
+	return Share{}, false
+}
--- /dev/null
+++ b/budget/ledger.go
@@ -0,0 +1,193 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ledger is the account of one resource at its keeper.
+type ledger struct {
+	resource Resource
+	timing   Timing
+	start    start
+	entries  map[string]*entry
+	// leaseEnd is the latest time until which this keeper may have granted.
+	leaseEnd time.Time
+	// since is when the present term began: what was heard before it may have
+	// changed under another keeper.
+	since    time.Time
+	division division
+}
+
+// entry is what one node holds of a resource, as far as its keeper knows.
+type entry struct {
+	usage Usage
+	// share and fallback are the latest answer.
+	share, fallback Amount
+	// seen is when the latest report came; it was sent at sent or later.
+	seen, sent time.Time
+	// expires is when share has surely expired.
+	expires time.Time
+	// pledged is when the node's pledge may end.
+	pledged time.Time
+}
+
+func (e *entry) fallbackCharge() Amount {
+	return e.usage.Fallback.Max(e.fallback)
+}
+
+func newLedger(resource Resource, timing Timing, now time.Time) *ledger {
+	return &ledger{
+		resource: resource,
+		timing:   timing,
+		start:    start{at: now},
+		entries:  map[string]*entry{},
+		since:    now,
+	}
+}
+
+// limit is the most that all nodes together may hold.
+func (l *ledger) limit(now time.Time) Amount {
+	return l.resource.Capacity.Scale(l.resource.Ramp.Fraction(now.Sub(l.start.at)))
+}
+
+// charge is the most that a node can hold.
+func (l *ledger) charge(now time.Time, e *entry) Amount {
+	if l.resource.Rate {
+		return l.rateCharge(now, e)
+	}
+	held := e.usage.Held.Max(e.share).Max(e.fallbackCharge())
+	charge := e.usage.Running.Max(held)
+	if e.sent.Before(l.since) {
+		return charge.Max(l.resource.nodeLimit())
+	}
+	return charge
+}
+
+func (l *ledger) rateCharge(now time.Time, e *entry) Amount {
+	if !now.Before(e.expires) {
+		return Amount{}
+	}
+	return e.usage.Held.Max(e.share)
+}
+
+// record takes in one usage, which was sent at sent or later.
+func (l *ledger) record(now, sent time.Time, node string, usage Usage) {
+	e := l.entries[node]
+	if e == nil {
+		e = &entry{}
+		l.entries[node] = e
+	}
+	*e = entry{usage: usage, seen: now, sent: sent, expires: e.expires, pledged: e.pledged}
+	pledged := sent.Add(l.timing.shorten(l.timing.Pledge))
+	if usage.Pledged && pledged.After(e.pledged) {
+		e.pledged = pledged
+	}
+	l.start.learn(now, usage.Start, l.timing.Pledge)
+}
+
+// lead returns until when more than half of the voters are pledged. Another
+// keeper may have granted since the last lease ended, if it did.
+func (l *ledger) lead(now time.Time) (time.Time, bool) {
+	lease, ok := l.lease(now)
+	if !ok {
+		return time.Time{}, false
+	}
+	if l.leaseEnd.Before(now) {
+		l.since = laterOf(l.since, l.leaseEnd)
+	}
+	if l.start.number == 0 {
+		l.start.begin(l.start.at)
+	}
+	l.leaseEnd = laterOf(l.leaseEnd, lease)
+	return lease, true
+}
+
+func (l *ledger) lease(now time.Time) (time.Time, bool) {
+	var ends []time.Time
+	for _, e := range l.entries {
+		if e.pledged.After(now) {
+			ends = append(ends, e.pledged)
+		}
+	}
+	majority := l.resource.Voters/2 + 1
+	if len(ends) < majority {
+		return time.Time{}, false
+	}
+	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
+	return ends[majority-1], true
+}
+
+// total is the most that all nodes together can hold. A node that is known and
+// was never heard counts in full.
+func (l *ledger) total(now time.Time, known map[string]time.Time) Amount {
+	var sum Amount
+	for _, e := range l.entries {
+		sum = sum.Add(l.charge(now, e))
+	}
+	if l.resource.Rate {
+		return sum
+	}
+	for node := range known {
+		if l.entries[node] == nil {
+			sum = sum.Add(l.resource.nodeLimit())
+		}
+	}
+	return sum
+}
+
+// grant decides the share of a node that has just reported, and reports
+// whether the sum kept within its bound.
+func (l *ledger) grant(now time.Time, node string, known map[string]time.Time) (Grant, bool) {
+	grant := Grant{Resource: l.resource.Name}
+	lease, ok := l.lead(now)
+	if !ok {
+		return grant, true
+	}
+	e := l.entries[node]
+	before := l.total(now, known)
+	limit := l.limit(now)
+	free := limit.Sub(before.Sub(l.charge(now, e))).Max(Amount{})
+	e.share = l.target(now, node, before).Min(free)
+	e.fallback = l.fallback(node).Min(e.share)
+	e.expires = now.Add(l.timing.lengthen(lease.Sub(now)))
+	grant.Share = e.share
+	grant.Fallback = e.fallback
+	grant.Lifetime = l.timing.shorten(lease.Sub(now))
+	grant.Start = l.start.tell(now)
+	return grant, l.total(now, known).Within(limit.Max(before))
+}
+
+// fallback is what the node may hold without a keeper: an even part of what
+// the others leave. Nodes without a share get none.
+func (l *ledger) fallback(node string) Amount {
+	var others Amount
+	for name, e := range l.entries {
+		if name != node {
+			others = others.Add(e.fallbackCharge())
+		}
+	}
+	limit := l.resource.fallbackLimit()
+	left := limit.Sub(others).Max(Amount{})
+	nodes := len(l.entries)
+	return Amount{ceilDiv(limit.Slots, nodes), ceilDiv(limit.KVTokens, nodes)}.Min(left)
+}
+
+// expire forgets nodes whose work has ended by the longest deadline.
+func (l *ledger) expire(now time.Time, longest time.Duration) {
+	maps.DeleteFunc(l.entries, func(_ string, e *entry) bool {
+		return now.Sub(e.seen) > longest
+	})
+}
+
+func ceilDiv(a, b int) int {
+	return (a + b - 1) / b
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
