--- a/budget/client.go
+++ b/budget/client.go
@@ -113,8 +113,8 @@
 }
 
 // Report returns the next report to a keeper on the resources. Earlier reports
-// on them are void.
-func (c *Client) Report(now time.Time, keeper string, resources []string) Report {
+// on them are void. Departed names the dead nodes that this node knows of.
+func (c *Client) Report(now time.Time, keeper string, resources, departed []string) Report {
 	c.sequence++
 	c.sent[keeper] = sentReport{sequence: c.sequence, at: now}
 	known := c.sessions[keeper]
@@ -128,6 +128,9 @@
 		usage := h.usage(now, name)
 		usage.Pledged = c.pledge(now, h, known.id)
 		h.quiet = usage.empty()
+		if usage.Pledged && !h.introduced {
+			report.Departed = departed
+		}
 		report.Usages = append(report.Usages, usage)
 	}
 	return report
@@ -145,6 +148,9 @@
 	if h.pledgedTo != keeper && now.Before(h.pledgeEnd) {
 		return false
 	}
+	if h.pledgedTo != keeper {
+		h.introduced = false
+	}
 	h.pledgedTo = keeper
 	h.pledgeEnd = now.Add(c.timing.Pledge)
 	return true
@@ -163,7 +169,11 @@
 	c.sessions[keeper] = session{id: answer.Keeper, clock: answer.Clock}
 	for _, grant := range answer.Grants {
 		h := c.holdings[grant.Resource]
-		if h == nil || h.sequence != answer.Sequence || grant.Lifetime <= 0 {
+		if h == nil || h.sequence != answer.Sequence {
+			continue
+		}
+		h.introduced = h.pledgedTo == answer.Keeper
+		if grant.Lifetime <= 0 {
 			continue
 		}
 		h.apply(now, sent.at, grant, c.timing)
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -21,6 +21,8 @@
 	// pledgedTo is the keeper that the node is pledged to until pledgeEnd.
 	pledgedTo string
 	pledgeEnd time.Time
+	// introduced is true when that keeper has answered a pledge.
+	introduced bool
 }
 
 func (h *holding) idle() bool {
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -60,6 +61,28 @@
 	}
 }
 
+// learnDeparted adds nodes that a voter tells of and that are new here.
+func (k *Keeper) learnDeparted(now time.Time, nodes []string) {
+	for _, node := range nodes {
+		if _, ok := k.known[node]; !ok && k.sequences[node] != retired {
+			k.known[node] = now
+		}
+	}
+}
+
+// Departed returns nodes that were known and have not been for an interval,
+// sorted.
+func (k *Keeper) Departed(now time.Time) []string {
+	var departed []string
+	for node, last := range k.known {
+		if now.Sub(last) > k.timing.Interval {
+			departed = append(departed, node)
+		}
+	}
+	slices.Sort(departed)
+	return departed
+}
+
 // Released forgets a node that has died, once no upstream runs its work. A late
 // report of the node is ignored.
 func (k *Keeper) Released(node string) {
@@ -85,6 +108,7 @@
 	}
 	k.sequences[report.Node] = report.Sequence
 	k.known[report.Node] = now
+	k.learnDeparted(now, report.Departed)
 	k.record(now, report)
 	answer := Answer{Sequence: report.Sequence, Keeper: k.id, Clock: now.Sub(k.started)}
 	for _, usage := range report.Usages {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -14,6 +14,9 @@
 	Keeper string
 	// Echo is the Clock of the keeper's latest answer.
 	Echo time.Duration
+	// Departed names nodes that have died and may still have work running. It
+	// comes with pledges that are new to the keeper.
+	Departed []string
 	// Usages holds the resources that this keeper is believed to keep.
 	Usages []Usage
 }
