Budget: a term begins when its majority forms

Ruled out: starting the term at the end of the keeper's own last lease. Change: what was sent before the majority formed counts as unheard; idle nodes report often for two pledge lifetimes after a change of keeper.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -75,7 +75,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Interval:     500 * time.Millisecond,
-		IdleInterval: 10 * time.Second,
+		IdleInterval: 5 * time.Second,
 		Pledge:       3 * time.Second,
 		Fallback:     time.Hour,
 		Horizon:      4 * time.Hour,
--- a/budget/client.go
+++ b/budget/client.go
@@ -124,6 +124,9 @@
 		if h == nil {
 			continue
 		}
+		if h.keeper != keeper {
+			h.moved = now
+		}
 		h.keeper, h.reported, h.sequence = keeper, now, c.sequence
 		usage := h.usage(now, name, known.id)
 		h.applied, h.reportedStart = "", h.start.number
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -12,6 +12,8 @@
 	fallback    Amount
 	fallbackEnd time.Time
 	start       start
+	// moved is when keeper became the owner.
+	moved time.Time
 	// keeper, reported and sequence are of the latest report.
 	keeper   string
 	reported time.Time
@@ -30,6 +32,12 @@
 	introduced bool
 }
 
+// settleTime is how long after a change of keeper every node reports often, so
+// that the new one hears of all once the pledges to the old have ended.
+func settleTime(timing Timing) time.Duration {
+	return 2 * timing.Pledge
+}
+
 func (h *holding) idle() bool {
 	return !h.interest.Local && h.demand == Demand{}
 }
@@ -37,7 +45,8 @@
 // interval is the time from the latest report to the next.
 func (h *holding) interval(now time.Time, timing Timing) time.Duration {
 	_, holds := h.current(now)
-	if h.idle() && h.quiet && !holds && !h.interest.Voter {
+	settled := now.Sub(h.moved) > settleTime(timing)
+	if settled && h.idle() && h.quiet && !holds && !h.interest.Voter {
 		return timing.IdleInterval
 	}
 	return timing.Interval
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -14,7 +14,7 @@
 	entries  map[string]*entry
 	// leaseEnd is the latest time until which this keeper may have granted.
 	leaseEnd time.Time
-	// since is when the present term began: what was heard before it may have
+	// since is when the present term began: what was sent before it may have
 	// changed under another keeper.
 	since    time.Time
 	division division
@@ -96,15 +96,15 @@
 	l.start.learn(now, usage.Start, l.timing.Pledge)
 }
 
-// lead returns until when more than half of the voters are pledged. Another
-// keeper may have granted since the last lease ended, if it did.
+// lead returns until when more than half of the voters are pledged. A term
+// begins when they come to be: until then another keeper may have granted.
 func (l *ledger) lead(now time.Time) (time.Time, bool) {
 	lease, ok := l.lease(now)
 	if !ok {
 		return time.Time{}, false
 	}
 	if l.leaseEnd.Before(now) {
-		l.since = laterOf(l.since, l.leaseEnd)
+		l.since = now
 	}
 	if l.start.number == 0 {
 		l.start.begin(l.start.at)
@@ -155,6 +155,9 @@
 		return grant, true
 	}
 	e := l.entries[node]
+	if e.sent.Before(l.since) {
+		return grant, true
+	}
 	before := l.total(now, known)
 	limit := l.limit(now)
 	free := limit.Sub(before.Sub(l.charge(now, e))).Max(Amount{})
