--- a/budget/budgetrpc/codec.go
+++ b/budget/budgetrpc/codec.go
@@ -5,6 +5,7 @@
 package budgetrpc
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -138,13 +139,16 @@
 	}
 }
 
-// EncodeAnswer returns the message for an answer. Shares are rounded down.
-func EncodeAnswer(answer budget.Answer) *ReportResponse {
+// EncodeAnswer returns the message for an answer to a report that names a
+// keeper. Shares are rounded down.
+func EncodeAnswer(answer budget.Answer, keeper string) *ReportResponse {
 	response := &ReportResponse{
 		Sequence: answer.Sequence,
-		Keeper:   answer.Keeper,
 		Clock:    uint64(answer.Clock / time.Millisecond),
 	}
+	if answer.Keeper != keeper {
+		response.Keeper = answer.Keeper
+	}
 	for _, grant := range answer.Grants {
 		response.ShareSlots = append(response.ShareSlots, uint32(grant.Share.Slots))
 		response.ShareKv = append(response.ShareKv, uint32(grant.Share.KVTokens/kvUnit))
@@ -170,7 +174,7 @@
 func DecodeAnswer(response *ReportResponse, report budget.Report) (budget.Answer, error) {
 	answer := budget.Answer{
 		Sequence: response.Sequence,
-		Keeper:   response.Keeper,
+		Keeper:   cmp.Or(response.Keeper, report.Keeper),
 		Clock:    time.Duration(response.Clock) * time.Millisecond,
 	}
 	for _, column := range response.columns() {
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -49,6 +49,9 @@
 	if settled && h.idle() && h.quiet && !holds && !h.interest.Voter {
 		return timing.IdleInterval
 	}
+	if settled && h.demand.Waiting == (Amount{}) {
+		return 2 * timing.Interval
+	}
 	return timing.Interval
 }
 
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// seekInterval is the least time between two counts of the pledges while they
+// are too few.
+const seekInterval = 20 * time.Millisecond
+
 // ledger is the account of one resource at its keeper.
 type ledger struct {
 	resource Resource
@@ -14,8 +18,8 @@
 	entries  map[string]*entry
 	// leaseEnd is the latest time until which this keeper may have granted.
 	leaseEnd time.Time
-	// leaseFound is when it was worked out.
-	leaseFound time.Time
+	// leaseFound is when it was worked out, leaseSought when that failed.
+	leaseFound, leaseSought time.Time
 	// since is when the present term began: what was sent before it may have
 	// changed under another keeper.
 	since    time.Time
@@ -127,9 +131,13 @@
 	if now.Sub(l.leaseFound) < sumsLifetime && l.leaseEnd.After(now) {
 		return l.leaseEnd, true
 	}
+	if now.Sub(l.leaseSought) < seekInterval {
+		return time.Time{}, false
+	}
+	l.leaseSought = now
 	lease, ok := l.findLease(now)
 	if ok {
-		l.leaseFound = now
+		l.leaseFound, l.leaseSought = now, time.Time{}
 	}
 	return lease, ok
 }
