--- a/budget/budgetrpc/codec.go
+++ b/budget/budgetrpc/codec.go
@@ -28,6 +28,10 @@
 // ErrMalformed is returned for a message whose columns don't fit each other.
 var ErrMalformed = eris.New("budgetrpc: malformed message")
 
+// ErrOvertaken is returned for a report that is a repeat or came after a later
+// one.
+var ErrOvertaken = eris.New("budgetrpc: report overtaken")
+
 // Names finds a resource by the digest of its name.
 type Names map[uint32]string
 
--- /dev/null
+++ b/budget/budgetrpc/node.go
@@ -0,0 +1,247 @@
+package budgetrpc
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+	"storj.io/drpc"
+
+	"github.com/wigeontiller/wigeontiller/budget"
+)
+
+const (
+	// maxCalls bounds the reports that are on their way at once.
+	maxCalls = 32
+	// loopsPerInterval is how often in an interval the loop looks for due reports.
+	loopsPerInterval = 5
+	// expireInterval is how often a keeper forgets what can no longer be held.
+	expireInterval = time.Minute
+)
+
+// Members tells which nodes live.
+type Members interface {
+	// Owner returns the live node that a role falls to, among the nodes of a
+	// data centre or region, and its address.
+	Owner(scope, role string) (name string, address netip.AddrPort, ok bool)
+	// Processes returns the budget names of all live nodes, the node itself
+	// included. A restarted node has another one.
+	Processes() []string
+}
+
+// Work is what the node has running and waiting, and who may start it.
+type Work interface {
+	// Demands returns what runs and waits, by resource.
+	Demands() map[string]budget.Demand
+	// SetShares replaces what may run, by resource.
+	SetShares(shares map[string]budget.Share)
+}
+
+// Dial returns a connection to a node; it is closed after one call.
+type Dial func(ctx context.Context, address netip.AddrPort) drpc.Conn
+
+// Shared is a resource with the scope that its keeper is chosen from.
+type Shared struct {
+	budget.Resource
+	budget.Interest
+	// Scope names a data centre or region.
+	Scope string
+}
+
+// Node is the budget part of one entry node: the keeper of the resources that
+// others believe it keeps, and the client for all. It is safe for concurrent use.
+type Node struct {
+	DRPCBudgetUnimplementedServer
+	timing  budget.Timing
+	members Members
+	work    Work
+	dial    Dial
+	logger  zerolog.Logger
+	mutex   sync.Mutex
+	keeper  *budget.Keeper
+	client  *budget.Client
+	names   Names
+	scopes  map[string]string
+}
+
+// Config holds what a node's budgets need.
+type Config struct {
+	// Process is the node's name; it is unique to the process.
+	Process string
+	Timing  budget.Timing
+	Members Members
+	Work    Work
+	Dial    Dial
+	Logger  zerolog.Logger
+}
+
+// NewNode returns a node without resources.
+func NewNode(c Config) *Node {
+	now := time.Now()
+	return &Node{
+		timing:  c.Timing,
+		members: c.Members,
+		work:    c.Work,
+		dial:    c.Dial,
+		logger:  c.Logger,
+		keeper:  budget.NewKeeper(c.Process, c.Timing, now),
+		client:  budget.NewClient(c.Process, c.Timing, now),
+	}
+}
+
+// Configure replaces the resources.
+func (n *Node) Configure(shared []Shared) {
+	var names []string
+	var resources []budget.Resource
+	var interests []budget.Interest
+	scopes := map[string]string{}
+	for _, s := range shared {
+		names = append(names, s.Name)
+		resources = append(resources, s.Resource)
+		s.Interest.Resource = s.Name
+		interests = append(interests, s.Interest)
+		scopes[s.Name] = s.Scope
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.names = NewNames(names)
+	n.scopes = scopes
+	n.keeper.Configure(resources)
+	n.client.Configure(interests)
+}
+
+// ColdStart records that a resource has fallen back into its start.
+func (n *Node) ColdStart(resource string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.client.ColdStart(time.Now(), resource)
+}
+
+// Released records that no upstream runs work of a dead node's process.
+func (n *Node) Released(process string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.keeper.Released(process)
+}
+
+// Accounts returns the accounts of the resources that this node has kept.
+func (n *Node) Accounts() map[string]budget.Account {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.keeper.Accounts(time.Now())
+}
+
+// Report answers a node's report. It implements DRPCBudgetServer. Errors:
+// ErrMalformed, ErrOvertaken.
+func (n *Node) Report(_ context.Context, request *ReportRequest) (*ReportResponse, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	report, err := DecodeReport(request, n.names)
+	if err != nil {
+		return nil, err
+	}
+	answer, ok := n.keeper.Handle(time.Now(), report)
+	if !ok {
+		return nil, ErrOvertaken
+	}
+	return EncodeAnswer(answer, request.Keeper), nil
+}
+
+// Run reports to keepers until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	ticker := time.NewTicker(n.timing.Interval / loopsPerInterval)
+	defer ticker.Stop()
+	expired := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.round(ctx)
+		}
+		if time.Since(expired) > expireInterval {
+			expired = time.Now()
+			n.expire(expired)
+		}
+	}
+}
+
+func (n *Node) expire(now time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.keeper.Expire(now)
+}
+
+// call is one report with where it goes.
+type call struct {
+	keeper  string
+	address netip.AddrPort
+	report  budget.Report
+}
+
+// round sends the reports that are due and applies their answers.
+func (n *Node) round(ctx context.Context) {
+	demands := n.work.Demands()
+	processes := n.members.Processes()
+	calls := n.due(time.Now(), demands, processes)
+	ctx, cancel := context.WithTimeout(ctx, n.timing.Interval)
+	defer cancel()
+	workers := pool.New().WithMaxGoroutines(maxCalls)
+	for _, c := range calls {
+		workers.Go(func() { n.exchange(ctx, c) })
+	}
+	workers.Wait()
+	n.mutex.Lock()
+	shares := n.client.Shares(time.Now())
+	err := n.keeper.Check()
+	n.mutex.Unlock()
+	if err != nil {
+		n.logger.Error().Err(err).Msg("budget bound broken")
+	}
+	n.work.SetShares(shares)
+}
+
+func (n *Node) due(now time.Time, demands map[string]budget.Demand, processes []string) []call {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.keeper.Know(now, processes)
+	departed := n.keeper.Departed(now)
+	n.client.Observe(demands)
+	addresses := map[string]netip.AddrPort{}
+	due := n.client.Due(now, func(resource string) string {
+		scope := n.scopes[resource]
+		name, address, ok := n.members.Owner(scope, Role(scope, resource))
+		if !ok {
+			return ""
+		}
+		addresses[name] = address
+		return name
+	})
+	var calls []call
+	for keeper, resources := range due {
+		report := n.client.Report(now, keeper, resources, departed)
+		calls = append(calls, call{keeper: keeper, address: addresses[keeper], report: report})
+	}
+	return calls
+}
+
+func (n *Node) exchange(ctx context.Context, c call) {
+	conn := n.dial(ctx, c.address)
+	defer func() { _ = conn.Close() }()
+	response, err := NewDRPCBudgetClient(conn).Report(ctx, EncodeReport(c.report))
+	if err != nil {
+		n.logger.Debug().Err(err).Str("keeper", c.keeper).Msg("budget report failed")
+		return
+	}
+	answer, err := DecodeAnswer(response, c.report)
+	if err != nil {
+		n.logger.Warn().Err(err).Str("keeper", c.keeper).Msg("budget answer malformed")
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.client.Apply(time.Now(), c.keeper, answer)
+}
