--- a/budget/budgetrpc/cost_test.go
+++ b/budget/budgetrpc/cost_test.go
@@ -40,7 +40,7 @@
 	overhead := framing(t)
 	t.Logf("framing of one exchange: %d bytes", overhead)
 	t.Log("| nodes | reports/s a node | bytes/s sent, mean | most | keeper time a report |")
-	for _, nodes := range []intcostSizes() {
+	for _, nodes := range costSizes() {
 		f := newCostFleet(nodes, overhead)
 		f.run(costWarmUp)
 		clear(f.sent)
--- a/budget/pledge_test.go
+++ b/budget/pledge_test.go
@@ -130,3 +130,27 @@
 	is.Equal(spread(10, 8, []int{0, 2}), []int{4, 6})
 	is.Equal(spread(20, 8, []int{20, 2}), []int{8, 8})
 }
+
+func TestShareExpiresFromSending(t *testing.T) {
+	is := is.New(t)
+	c := NewClient("node", DefaultTiming(), epoch)
+	c.Configure([]Interest{{Resource: "engine", Local: true}})
+	r := c.Report(at(0), "keeper", []string{"engine"}, nil)
+	c.Apply(at(800), "keeper", Answer{Sequence: r.Sequence, Keeper: "k", Grants: []Grant{
+		{Resource: "engine", Share: Amount{5, 500}, Lifetime: time.Second, Fallback: Amount{1, 100}},
+	}})
+	is.Equal(c.Shares(at(999))["engine"].Amount, Amount{5, 500})
+	is.Equal(c.Shares(at(1000))["engine"].Amount, Amount{1, 100}) // the fallback follows
+}
+
+func TestFallbackIsSetAside(t *testing.T) {
+	is := is.New(t)
+	k := newTestKeeper("k", 1)
+	tell(k, 0, "voter", 0, true)
+	_, _ = k.Handle(at(100), Report{
+		Node: "far", Sequence: 1, Keeper: "k", Echo: 90 * time.Millisecond,
+		Usages: []Usage{{Resource: "engine", Fallback: Amount{10, 10_000}, Idle: true}},
+	})
+	k.ledgers["engine"].entries["far"].fallback = Amount{10, 10_000} // its answer is on the way
+	is.True(tell(k, 300, "voter", 250, true).Share.Within(Amount{90, 90_000}))
+}
