--- a/budget/resource.go
+++ b/budget/resource.go
@@ -17,11 +17,11 @@
 	Rate bool
 }
 
-// nodeLimit is the most that one node may hold.
+// nodeLimit is the most that one node may hold, rounded up.
 func (r Resource) nodeLimit() Amount {
 	return Amount{
-		Slots:    r.Capacity.Slots * r.NodeSlotsPercent / 100,
-		KVTokens: r.Capacity.KVTokens * r.NodeKVPercent / 100,
+		Slots:    ceilDiv(r.Capacity.Slots*r.NodeSlotsPercent, 100),
+		KVTokens: ceilDiv(r.Capacity.KVTokens*r.NodeKVPercent, 100),
 	}
 }
 
--- a/scheduling/limits.go
+++ b/scheduling/limits.go
@@ -22,6 +22,10 @@
 	Running, Waiting int
 	// KVTokens is the engine memory of both, in tokens.
 	KVTokens int
+	// RunningKVTokens is the engine memory of what runs.
+	RunningKVTokens int
+	// NextKVTokens is that of the first request that waits.
+	NextKVTokens int
 }
 
 // Report is an upstream's own word on its load, which may be old.
@@ -68,7 +72,7 @@
 	demands := map[string]Demand{}
 	for id, u := range s.upstreams {
 		if u.requests > 0 {
-			demands[id] = Demand{Running: u.requests, KVTokens: u.kvTokens}
+			demands[id] = Demand{Running: u.requests, KVTokens: u.kvTokens, RunningKVTokens: u.kvTokens}
 		}
 	}
 	for _, p := range s.orderedPools {
@@ -93,6 +97,9 @@
 			continue
 		}
 		demand := demands[m.state.upstream.ID]
+		if demand.Waiting == 0 {
+			demand.NextKVTokens = head.request.KVTokens()
+		}
 		demand.Waiting++
 		demand.KVTokens += head.request.KVTokens()
 		demands[m.state.upstream.ID] = demand
