Budget: a node confirms a smaller share at once

Ruled out: one report a second where nothing waits. Change: reports twice a second, and within 0.1 s after a share was made smaller.

--- a/budget/client.go
+++ b/budget/client.go
@@ -129,7 +129,7 @@
 		}
 		h.keeper, h.reported, h.sequence = keeper, now, c.sequence
 		usage := h.usage(now, name, known.id)
-		h.applied, h.reportedStart = "", h.start.number
+		h.applied, h.reportedStart, h.shrunk = "", h.start.number, false
 		usage.Pledged = c.pledge(now, h, known.id)
 		h.quiet = h.empty()
 		if usage.Pledged && !h.introduced {
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// confirmDivisor sets how soon a smaller share is confirmed, in parts of an
+// interval.
+const confirmDivisor = 5
+
 // holding is what one node holds of a resource.
 type holding struct {
 	interest Interest
@@ -25,6 +29,9 @@
 	applied string
 	// quiet is true when the latest report showed neither use nor want.
 	quiet bool
+	// shrunk is true when the latest answer took from the share. Others get what
+	// was taken once a report shows it.
+	shrunk bool
 	// pledgedTo is the keeper that the node is pledged to until pledgeEnd.
 	pledgedTo string
 	pledgeEnd time.Time
@@ -49,8 +56,8 @@
 	if settled && h.idle() && h.quiet && !holds && !h.interest.Voter {
 		return timing.IdleInterval
 	}
-	if settled && h.demand.Waiting == (Amount{}) {
-		return 2 * timing.Interval
+	if h.shrunk {
+		return timing.Interval / confirmDivisor
 	}
 	return timing.Interval
 }
@@ -88,6 +95,7 @@
 		return
 	}
 	h.applied = keeper
+	h.shrunk = !h.share.Within(grant.Share)
 	h.start.learn(now, grant.Start, timing.Pledge)
 	h.share = grant.Share
 	h.expires = sentAt.Add(grant.Lifetime)
