--- a/budget/pledge_test.go
+++ b/budget/pledge_test.go
@@ -14,8 +14,8 @@
 	return epoch.Add(time.Duration(ms) * time.Millisecond)
 }
 
-func newTestKeeper(id string, voters int) *Keeper {
-	k := NewKeeper(id, DefaultTiming(), epoch)
+func newTestKeeper(voters int) *Keeper {
+	k := NewKeeper("k", DefaultTiming(), epoch)
 	k.Configure([]Resource{{
 		Name: "engine", Capacity: Amount{100, 100_000}, Voters: voters, NodeSlotsPercent: 100, NodeKVPercent: 100,
 	}})
@@ -33,7 +33,7 @@
 
 func TestMinorityGrantsNothing(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 4)
+	k := newTestKeeper(4)
 	for now := 0; now < 3000; now += 100 {
 		is.Equal(tell(k, now, "a", now, true).Lifetime, time.Duration(0))
 		is.Equal(tell(k, now+50, "b", now, true).Lifetime, time.Duration(0)) // half is no majority
@@ -44,7 +44,7 @@
 
 func TestGrantEndsWithItsPledges(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 1)
+	k := newTestKeeper(1)
 	tell(k, 0, "voter", 0, true)
 	tell(k, 100, "voter", 100, true)
 	tell(k, 2900, "other", 2850, false)
@@ -55,7 +55,7 @@
 // A report that was on its way for long holds a pledge that has nearly ended.
 func TestPledgeCountsFromEcho(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 1)
+	k := newTestKeeper(1)
 	is.Equal(tell(k, 5000, "voter", 1000, true).Lifetime, time.Duration(0))
 }
 
@@ -92,7 +92,7 @@
 // A term begins when its majority forms: usages from before are not relied on.
 func TestNewTermForgetsUsages(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 1)
+	k := newTestKeeper(1)
 	tell(k, 0, "silent", 0, false)
 	tell(k, 40_000, "voter", 39_900, true)
 	grant := tell(k, 40_100, "voter", 40_050, true)
@@ -105,7 +105,7 @@
 // A report that echoes no answer may be old, and does not count as heard.
 func TestOldReportIsNotHeard(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 1)
+	k := newTestKeeper(1)
 	tell(k, 0, "voter", 0, true)
 	tell(k, 100, "voter", 90, true)
 	_, ok := k.Handle(at(200), Report{Node: "x", Sequence: 1, Usages: []Usage{{Resource: "engine"}}})
@@ -115,7 +115,7 @@
 
 func TestDriftShortensGrants(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 1)
+	k := newTestKeeper(1)
 	tell(k, 0, "voter", 0, true)
 	grant := tell(k, 1000, "voter", 1000, true)
 	is.True(grant.Lifetime <= 2*990*time.Millisecond+990*time.Millisecond) // by a node's clock that runs 1 % slow
@@ -145,7 +145,7 @@
 
 func TestFallbackIsSetAside(t *testing.T) {
 	is := is.New(t)
-	k := newTestKeeper("k", 1)
+	k := newTestKeeper(1)
 	tell(k, 0, "voter", 0, true)
 	_, _ = k.Handle(at(100), Report{
 		Node: "far", Sequence: 1, Keeper: "k", Echo: 90 * time.Millisecond,
@@ -154,3 +154,25 @@
 	k.ledgers["engine"].entries["far"].fallback = Amount{10, 10_000} // its answer is on the way
 	is.True(tell(k, 300, "voter", 250, true).Share.Within(Amount{90, 90_000}))
 }
+
+// Two nodes wait for a prompt that is over half of the memory: one gets it all.
+func TestMemoryIsPooledForOnePrompt(t *testing.T) {
+	is := is.New(t)
+	k := newTestKeeper(1)
+	want := Usage{
+		Resource: "engine", Waiting: Amount{1, 80_000}, Next: Amount{1, 80_000}, Pledged: true,
+	}
+	held := map[string]int{}
+	for i := range 40 {
+		for _, node := range []string{"a", "b"} {
+			now := at(i * 200)
+			answer, _ := k.Handle(now, Report{
+				Node: node, Sequence: uint64(i + 1), Keeper: "k", Echo: now.Sub(epoch), Usages: []Usage{want},
+			})
+			held[node] = max(held[node], answer.Grants[0].Share.KVTokens)
+		}
+	}
+	is.True(held["a"] >= 80_000)
+	is.True(held["b"] >= 80_000) // in turn
+	is.NoErr(k.Check())
+}
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -250,14 +250,6 @@
 	return sum
 }
 
-func (w *world) running(resource string) int {
-	sum := 0
-	for _, n := range w.nodes {
-		sum += len(n.demand[resource].ends)
-	}
-	return sum
-}
-
 // bound is what the exposure may be. After a reset every node has 2 s to see
 // it, and shares granted before then have a lifetime to run.
 func (w *world) bound(r Resource) int {
