--- a/budgets.go
+++ b/budgets.go
@@ -1,6 +1,9 @@
 package wigeontiller
 
 import (
+	"maps"
+	"math"
+	"strings"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/budget"
@@ -16,15 +19,30 @@
 	nodeSlotsPercent = 50
 	nodeKVPercent    = 100
 	fewNodes         = 2
+	// unkeptPercent is the part of an organisation's rate that is divided evenly
+	// among the nodes, for those without a share.
+	unkeptPercent = 10
 )
 
-// budgetWork lets budgets read the dispatcher's load and set its shares.
+// rateSmoothing is the time over which an organisation's demand is averaged.
+const rateSmoothing = 2 * time.Second
+
+// organisationPrefix tells the resources that are organisations' rates.
+const organisationPrefix = "organisation/"
+
+// budgetWork lets budgets read the dispatcher's load and set its shares. Its
+// methods are called from one goroutine.
 type budgetWork struct {
 	dispatcher *dispatch.Dispatcher
+	// unkept is the part of an organisation's rate without a share, by key.
+	unkept func() map[string]float64
+	wanted map[string]float64
+	looked time.Time
+	rates  map[string]float64
 }
 
 // Demands implements budgetrpc.Work.
-func (w budgetWork) Demands() map[string]budget.Demand {
+func (w *budgetWork) Demands() map[string]budget.Demand {
 	demands := map[string]budget.Demand{}
 	for id, demand := range w.dispatcher.Demand() {
 		demands[id] = budget.Demand{
@@ -33,16 +51,45 @@
 			Next:    budget.Amount{Slots: min(demand.Waiting, 1), KVTokens: demand.NextKVTokens},
 		}
 	}
+	w.average(time.Now(), w.dispatcher.TakeAskedTokens())
+	for key, rate := range w.wanted {
+		demands[organisationPrefix+key] = budget.Demand{Waiting: budget.Amount{Slots: int(rate) + 1}}
+	}
 	return demands
 }
 
+// average takes the tokens asked for since the last call into the rates wanted.
+func (w *budgetWork) average(now time.Time, asked map[string]float64) {
+	keep := math.Exp(-now.Sub(w.looked).Seconds() / rateSmoothing.Seconds())
+	w.looked = now
+	for key := range w.wanted {
+		w.wanted[key] *= keep
+		if w.wanted[key] < 1 {
+			delete(w.wanted, key)
+		}
+	}
+	for key, tokens := range asked {
+		w.wanted[key] += tokens / rateSmoothing.Seconds()
+	}
+}
+
 // SetShares implements budgetrpc.Work.
-func (w budgetWork) SetShares(shares map[string]budget.Share) {
+func (w *budgetWork) SetShares(shares map[string]budget.Share) {
 	set := map[string]scheduling.Share{}
-	for id, share := range shares {
-		set[id] = scheduling.Share{Slots: share.Slots, KVTokens: share.KVTokens, Expires: share.Expires}
+	rates := w.unkept()
+	for name, share := range shares {
+		key, isRate := strings.CutPrefix(name, organisationPrefix)
+		if isRate {
+			rates[key] = max(rates[key], float64(share.Slots))
+			continue
+		}
+		set[name] = scheduling.Share{Slots: share.Slots, KVTokens: share.KVTokens, Expires: share.Expires}
 	}
 	w.dispatcher.SetShares(set)
+	if !maps.Equal(rates, w.rates) {
+		w.rates = rates
+		w.dispatcher.SetOrganisationRates(maps.Clone(rates))
+	}
 }
 
 // sharedUpstreams returns the upstreams of the tables as shared resources.
@@ -68,6 +115,34 @@
 	return shared
 }
 
+// sharedRates returns the limited organisations of the tables as shared
+// resources of a region with so many nodes, and the part of each rate that a
+// node without a share may use.
+func sharedRates(built *tables.Tables, region string, nodes int) ([]budgetrpc.Shared, map[string]float64) {
+	var shared []budgetrpc.Shared
+	unkept := map[string]float64{}
+	for _, plan := range built.Plans {
+		for _, organisation := range plan.Document.Organisations {
+			if organisation.TokensPerSecond <= 0 {
+				continue
+			}
+			key := scheduling.OrganisationKey(plan.Environment, plan.Lane, organisation.Name)
+			unkept[key] = float64(organisation.TokensPerSecond) * unkeptPercent / 100 / float64(nodes)
+			shared = append(shared, budgetrpc.Shared{
+				Scope: region,
+				Resource: budget.Resource{
+					Name:             organisationPrefix + key,
+					Capacity:         budget.Amount{Slots: organisation.TokensPerSecond * (100 - unkeptPercent) / 100},
+					Voters:           nodes,
+					NodeSlotsPercent: 100,
+					Rate:             true,
+				},
+			})
+		}
+	}
+	return shared, unkept
+}
+
 func slotsPercent(nodes int) int {
 	if nodes <= fewNodes {
 		return 100
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -51,3 +51,11 @@
 	defer d.mutex.Unlock()
 	return d.scheduler.MayRetry(time.Now(), request)
 }
+
+// TakeAskedTokens returns the tokens that organisations with a limit have asked
+// for since the last call, by scheduling.OrganisationKey.
+func (d *Dispatcher) TakeAskedTokens() map[string]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.TakeAskedTokens()
+}
--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -34,6 +34,7 @@
 		return s.refuse(request, Unavailable, bounded(max(opens.Sub(now), minRetryAfter))), true
 	}
 	if allowed, after := s.bucketOf(request).Allow(now); !allowed {
+		s.ask(request, float64(request.KVTokens()))
 		return s.refuse(request, RateLimited, after), true
 	}
 	if len(request.Avoid) == 0 {
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -40,6 +40,7 @@
 	fallback    func(upstreamID string) Share
 	shareExpiry time.Time
 	buckets     map[string]*tokenbucket.Bucket
+	asked       map[string]float64
 	rates       map[string]float64
 	retries     map[planKey]*retrybudget.Budget
 	// violation is the first broken invariant that a placement met.
@@ -64,6 +65,7 @@
 		running:    map[string]*running{},
 		prefills:   map[prefillKey]int{},
 		buckets:    map[string]*tokenbucket.Bucket{},
+		asked:      map[string]float64{},
 		retries:    map[planKey]*retrybudget.Budget{},
 	}
 }
@@ -80,6 +82,7 @@
 		return s.refuse(request, DeadlineInfeasible, 0)
 	}
 	s.bucketOf(request).Charge(w.entry.Cost)
+	s.ask(request, w.entry.Cost)
 	p.queue.Push(w.entry)
 	s.add(w)
 	s.place(now, p)
