Budget: rates of a region share four ballots

Cause: a pledge for each of 4,000 organisations is too many bytes. Change: a rate's keeper leads by the pledges on its ballot, and nodes report on a rate only while they want or hold it.

--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -51,6 +51,18 @@
 	Scope string
 }
 
+// role is the role whose owner keeps the resource. A ballot and the resources
+// that use it have the same.
+func (s Shared) role() string {
+	if s.Ballot != "" {
+		return s.Ballot
+	}
+	if s.Capacity == (budget.Amount{}) {
+		return s.Name
+	}
+	return Role(s.Scope, s.Name)
+}
+
 // Node is the budget part of one entry node: the keeper of the resources that
 // others believe it keeps, and the client for all. It is safe for concurrent use.
 type Node struct {
@@ -65,6 +77,7 @@
 	client  *budget.Client
 	names   Names
 	scopes  map[string]string
+	roles   map[string]string
 }
 
 // Config holds what a node's budgets need.
@@ -98,17 +111,20 @@
 	var resources []budget.Resource
 	var interests []budget.Interest
 	scopes := map[string]string{}
+	roles := map[string]string{}
 	for _, s := range shared {
 		names = append(names, s.Name)
 		resources = append(resources, s.Resource)
 		s.Interest.Resource = s.Name
 		interests = append(interests, s.Interest)
 		scopes[s.Name] = s.Scope
+		roles[s.Name] = s.role()
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.names = NewNames(names)
 	n.scopes = scopes
+	n.roles = roles
 	n.keeper.Configure(resources)
 	n.client.Configure(interests)
 }
@@ -212,8 +228,7 @@
 	n.client.Observe(demands)
 	addresses := map[string]netip.AddrPort{}
 	due := n.client.Due(now, func(resource string) string {
-		scope := n.scopes[resource]
-		name, address, ok := n.members.Owner(scope, Role(scope, resource))
+		name, address, ok := n.members.Owner(n.scopes[resource], n.roles[resource])
 		if !ok {
 			return ""
 		}
--- a/budget/client.go
+++ b/budget/client.go
@@ -36,6 +36,9 @@
 	Voter bool
 	// Local is true when work is to be expected at any time.
 	Local bool
+	// OnDemand is true when no report is needed while the node has no use for
+	// the resource. That holds for rates, of which nothing outlasts a share.
+	OnDemand bool
 }
 
 // Demand is what a node uses and wants of a resource.
@@ -102,7 +105,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.holdings)) {
 		h := c.holdings[name]
 		keeper := owner(name)
-		if keeper == "" {
+		if keeper == "" || h.dormant(now) {
 			continue
 		}
 		if keeper != h.keeper || now.Sub(h.reported) >= h.interval(now, c.timing) {
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -49,6 +49,12 @@
 	return !h.interest.Local && h.demand == Demand{}
 }
 
+// dormant reports whether nothing need be reported.
+func (h *holding) dormant(now time.Time) bool {
+	_, holds := h.current(now)
+	return h.interest.OnDemand && h.idle() && !holds
+}
+
 // interval is the time from the latest report to the next.
 func (h *holding) interval(now time.Time, timing Timing) time.Duration {
 	_, holds := h.current(now)
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -152,8 +152,15 @@
 	if !ok {
 		return nil
 	}
-	k.ledgers[name] = newLedger(resource, k.timing, now)
-	return k.ledgers[name]
+	created := newLedger(resource, k.timing, now)
+	if resource.Ballot != "" {
+		created.ballot = k.ledger(now, resource.Ballot)
+	}
+	if created.ballot == nil {
+		return nil
+	}
+	k.ledgers[name] = created
+	return created
 }
 
 // Expire forgets what can no longer be held. It is called now and then.
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -13,9 +13,11 @@
 // ledger is the account of one resource at its keeper.
 type ledger struct {
 	resource Resource
-	timing   Timing
-	start    start
-	entries  map[string]*entry
+	// ballot holds the pledges; it is the ledger itself or another one.
+	ballot  *ledger
+	timing  Timing
+	start   start
+	entries map[string]*entry
 	// leaseEnd is the latest time until which this keeper may have granted.
 	leaseEnd time.Time
 	// leaseFound is when it was worked out, leaseSought when that failed.
@@ -47,13 +49,15 @@
 }
 
 func newLedger(resource Resource, timing Timing, now time.Time) *ledger {
-	return &ledger{
+	l := &ledger{
 		resource: resource,
 		timing:   timing,
 		start:    start{at: now},
 		entries:  map[string]*entry{},
 		since:    now,
 	}
+	l.ballot = l
+	return l
 }
 
 // limit is the most that all nodes together may hold.
@@ -144,12 +148,12 @@
 
 func (l *ledger) findLease(now time.Time) (time.Time, bool) {
 	var ends []time.Time
-	for _, e := range l.entries {
+	for _, e := range l.ballot.entries {
 		if e.pledged.After(now) {
 			ends = append(ends, e.pledged)
 		}
 	}
-	majority := l.resource.Voters/2 + 1
+	majority := l.ballot.resource.Voters/2 + 1
 	if len(ends) < majority {
 		return time.Time{}, false
 	}
--- a/budget/rate_test.go
+++ b/budget/rate_test.go
@@ -43,13 +43,18 @@
 
 // asRates turns the resources into token rates.
 func (w *world) asRates(rate int) {
+	ballot := w.resources[0]
+	ballot.Capacity, ballot.Rate = Amount{}, true
 	for i := range w.resources {
 		r := &w.resources[i]
+		ballot.Name = "ballot of " + r.Name
+		w.ballots = append(w.ballots, ballot)
+		r.Ballot = ballot.Name
 		r.Capacity, r.Ramp, r.Rate = Amount{Slots: rate}, Ramp{}, true
 		r.NodeSlotsPercent, r.FallbackPercent = 100, 0
 	}
 	for _, n := range w.nodes {
-		n.keeper.Configure(w.resources)
+		w.configure(n)
 	}
 }
 
--- a/budget/resource.go
+++ b/budget/resource.go
@@ -8,6 +8,9 @@
 	Ramp     Ramp
 	// Voters is the most nodes that can vote on the resource's keeper at once.
 	Voters int
+	// Ballot names the resource whose pledges count for this one too, so that
+	// many resources need one vote; it is empty for a resource with its own.
+	Ballot string
 	// NodeSlotsPercent and NodeKVPercent are the most that one node may hold.
 	NodeSlotsPercent, NodeKVPercent int
 	// FallbackPercent is the share of the capacity given out as fallback.
--- a/budget/safety_test.go
+++ b/budget/safety_test.go
@@ -11,7 +11,7 @@
 const (
 	safetySeeds    = 12
 	safetyDuration = 60 * time.Second
-	quietDuration  = 30 * time.Second
+	quietDuration  = 45 * time.Second
 )
 
 // faultKinds lists which faults come together, by seed.
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 	now       time.Duration
 	nodes     []*worldNode
 	resources []Resource
+	ballots   []Resource
 	network   []delivery
 	timing    Timing
 	loss      float64
@@ -82,23 +84,35 @@
 	}
 	n.client = NewClient(n.name, w.timing, n.clock(w.now))
 	n.keeper = NewKeeper(n.name, w.timing, n.clock(w.now))
-	n.keeper.Configure(w.resources)
-	var interests []Interest
 	for _, r := range w.resources {
-		local := r.Name == "upstream-"+dataCentre
-		interests = append(interests, Interest{Resource: r.Name, Voter: local, Local: local})
 		n.demand[r.Name] = &worldDemand{}
 	}
-	n.client.Configure(interests)
+	w.configure(n)
 	return n
 }
 
+func (w *world) configure(n *worldNode) {
+	n.keeper.Configure(append(slices.Clone(w.resources), w.ballots...))
+	var interests []Interest
+	for _, r := range w.resources {
+		local := r.Name == "upstream-"+n.dataCentre
+		interests = append(interests, Interest{
+			Resource: r.Name, Voter: local && r.Ballot == "", Local: local && !r.Rate, OnDemand: r.Rate,
+		})
+		if r.Ballot != "" {
+			interests = append(interests, Interest{Resource: r.Ballot, Voter: local, Local: local})
+		}
+	}
+	n.client.Configure(interests)
+}
+
 func (n *worldNode) clock(now time.Duration) time.Time {
 	return time.Unix(1_000_000, 0).Add(n.offset + time.Duration(float64(now)*n.rate))
 }
 
 // owner is the keeper in the eyes of a node: it sees those of its own group.
 func (w *world) owner(viewer *worldNode, resource string) string {
+	resource = strings.TrimPrefix(resource, "ballot of ")
 	best, bestScore := "", uint64(0)
 	for _, n := range w.nodes {
 		if n.dead || "upstream-"+n.dataCentre != resource || w.groups[n.name] != w.groups[viewer.name] || n.name == viewer.blind {
--- a/budgets.go
+++ b/budgets.go
@@ -121,6 +121,13 @@
 func sharedRates(built *tables.Tables, region string, nodes int) ([]budgetrpc.Shared, map[string]float64) {
 	var shared []budgetrpc.Shared
 	unkept := map[string]float64{}
+	for _, ballot := range budgetrpc.Ballots(region) {
+		shared = append(shared, budgetrpc.Shared{
+			Scope:    region,
+			Interest: budget.Interest{Voter: true, Local: true},
+			Resource: budget.Resource{Name: ballot, Voters: nodes, Rate: true},
+		})
+	}
 	for _, plan := range built.Plans {
 		for _, organisation := range plan.Document.Organisations {
 			if organisation.TokensPerSecond <= 0 {
@@ -129,11 +136,12 @@
 			key := scheduling.OrganisationKey(plan.Environment, plan.Lane, organisation.Name)
 			unkept[key] = float64(organisation.TokensPerSecond) * unkeptPercent / 100 / float64(nodes)
 			shared = append(shared, budgetrpc.Shared{
-				Scope: region,
+				Scope:    region,
+				Interest: budget.Interest{OnDemand: true},
 				Resource: budget.Resource{
 					Name:             organisationPrefix + key,
 					Capacity:         budget.Amount{Slots: organisation.TokensPerSecond * (100 - unkeptPercent) / 100},
-					Voters:           nodes,
+					Ballot:           budgetrpc.Ballot(region, key),
 					NodeSlotsPercent: 100,
 					Rate:             true,
 				},
