Budget: who votes on an upstream's keeper; entry_nodes in the settings

Cause: the first user's data centres have two entry nodes, of which a majority needs both. Change: below five entry nodes the region votes.

--- a/budget/pledge_test.go
+++ b/budget/pledge_test.go
@@ -57,6 +57,7 @@
 	is := is.New(t)
 	k := newTestKeeper(1)
 	is.Equal(tell(k, 5000, "voter", 1000, true).Lifetime, time.Duration(0))
+	is.True(!k.Accounts(at(5000))["engine"].Leading)
 }
 
 func TestNewProcessMakesNoPledge(t *testing.T) {
--- a/budgets.go
+++ b/budgets.go
@@ -19,6 +19,9 @@
 	nodeSlotsPercent = 50
 	nodeKVPercent    = 100
 	fewNodes         = 2
+	// fewVoters is the number of nodes below which a data centre's upstreams are
+	// voted on by the region: a majority of two would need both.
+	fewVoters = 5
 	// unkeptPercent is the part of an organisation's rate that is divided evenly
 	// among the nodes, for those without a share.
 	unkeptPercent = 10
@@ -92,21 +95,52 @@
 	}
 }
 
-// sharedUpstreams returns the upstreams of the tables as shared resources.
-// Voters is the most nodes that a data centre can have at once.
-func sharedUpstreams(built *tables.Tables, dataCentre string, voters func(dataCentre string) int) []budgetrpc.Shared {
+// electorate says who votes on the keeper of an upstream.
+type electorate struct {
+	dataCentre, region string
+	// nodes holds the most entry nodes at once by region and data centre.
+	nodes map[string]map[string]int
+}
+
+// of returns how many nodes vote for a data centre's upstreams and whether this
+// node does. Where a data centre has few, those of its region vote.
+func (e electorate) of(dataCentre string) (voters int, own bool) {
+	for region, centres := range e.nodes {
+		count, ok := centres[dataCentre]
+		if !ok {
+			continue
+		}
+		if count >= fewVoters {
+			return count, dataCentre == e.dataCentre
+		}
+		return e.inRegion(region), region == e.region
+	}
+	return 0, false
+}
+
+func (e electorate) inRegion(region string) int {
+	sum := 0
+	for _, count := range e.nodes[region] {
+		sum += count
+	}
+	return sum
+}
+
+// sharedUpstreams returns the upstreams of the tables as shared resources. One
+// in a data centre without entry nodes is never granted.
+func sharedUpstreams(built *tables.Tables, e electorate) []budgetrpc.Shared {
 	var shared []budgetrpc.Shared
 	for id, upstream := range built.Upstreams {
-		local := upstream.DataCentre == dataCentre
+		voters, own := e.of(upstream.DataCentre)
 		shared = append(shared, budgetrpc.Shared{
 			Scope:    upstream.DataCentre,
-			Interest: budget.Interest{Voter: local, Local: local},
+			Interest: budget.Interest{Voter: own, Local: own || upstream.DataCentre == e.dataCentre},
 			Resource: budget.Resource{
 				Name:             id,
 				Capacity:         budget.Amount{Slots: upstream.Slots, KVTokens: upstream.KVTokens},
 				Ramp:             budget.Ramp{InitialPercent: upstream.Ramp.InitialPercent, Duration: upstream.Ramp.Duration},
-				Voters:           voters(upstream.DataCentre),
-				NodeSlotsPercent: slotsPercent(voters(upstream.DataCentre)),
+				Voters:           voters,
+				NodeSlotsPercent: slotsPercent(voters),
 				NodeKVPercent:    nodeKVPercent,
 				FallbackPercent:  upstream.Ramp.InitialPercent,
 			},
@@ -157,10 +191,3 @@
 	}
 	return nodeSlotsPercent
 }
-
-// budgetTiming returns the timing for the longest deadline of the tables.
-func budgetTiming(longest time.Duration) budget.Timing {
-	timing := budget.DefaultTiming()
-	timing.Horizon = max(timing.Horizon, longest)
-	return timing
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,10 @@
 	PeerTLS PeerTLS `yaml:"peer_tls"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
+	// EntryNodes holds by region and data centre the most entry nodes that can run
+	// at once. It must be the same at all nodes. Without it each node keeps to its
+	// own limits and none are shared.
+	EntryNodes map[string]map[string]int `yaml:"entry_nodes"`
 	// OTLPEndpoint is the URL that traces go to; empty turns traces off.
 	OTLPEndpoint string `yaml:"otlp_endpoint"`
 	// ShutdownLag is how long a leaving node still accepts, for the balancer. Default 5s.
@@ -137,6 +141,9 @@
 			add(address.field, "must be an IP address and port")
 		}
 	}
+	if s.EntryNodes != nil && s.EntryNodes[s.Region][s.DataCentre] < 1 {
+		add("entry_nodes", "must hold the node's own region and data centre, at least 1")
+	}
 	if len(s.OperatorTokens) == 0 {
 		add("operator_tokens", "must name a token")
 	}
