Budget: twelve shards a data centre, each on a node of its own

Cause: one node kept several of 16 shards: 27 KB/s at 320 nodes. Change: shards are assigned to distinct nodes while there are enough. Ruled out: 16 such shards (mean 10.7 KB/s at 160 nodes, over 10). Seen: mean 9.6 KB/s, busiest 24.5 KB/s at 320 nodes: still over 20 (TestCost with WIGEONTILLER_COST_NODES fails there).

--- a/budget/budgetrpc/cost_test.go
+++ b/budget/budgetrpc/cost_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
@@ -146,8 +145,9 @@
 	}
 	resources, names := costResources(nodes)
 	f.names = NewNames(names)
+	f.assign(nodes, resources)
 	for i := range nodes {
-		f.add(i, nodes, resources)
+		f.add(i, resources)
 	}
 	return f
 }
@@ -175,7 +175,7 @@
 	return fmt.Sprintf("node-%d.1f3a", i)
 }
 
-func (f *costFleet) add(i, nodes int, resources []budget.Resource) {
+func (f *costFleet) add(i int, resources []budget.Resource) {
 	client := budget.NewClient(nodeName(i), budget.DefaultTiming(), f.now)
 	keeper := budget.NewKeeper(nodeName(i), budget.DefaultTiming(), f.now)
 	keeper.Configure(resources)
@@ -187,8 +187,6 @@
 		if local || (u+i)%(costUpstreams/costRemote) == 0 {
 			demands[resource.Name] = costDemand(u, i)
 		}
-		inCentre := voters(u%costDataCentres, nodes)
-		f.owners[resource.Name] = costOwner(u%costDataCentres, inCentre, resource.Name)
 	}
 	client.Configure(interests)
 	f.clients = append(f.clients, client)
@@ -205,18 +203,18 @@
 	return demand
 }
 
-// costOwner returns the node of a data centre with the highest weight for the
-// resource's role.
-func costOwner(dataCentre, inCentre int, resource string) string {
-	role := Role(fmt.Sprint(dataCentre), resource)
-	best, bestWeight := "", uint64(0)
-	for i := range inCentre {
-		name := nodeName(dataCentre + costDataCentres*i)
-		if weight := xxhash.Sum64String(role + name); best == "" || weight > bestWeight {
-			best, bestWeight = name, weight
+// assign sets the keeper of each upstream among the nodes of its data centre.
+func (f *costFleet) assign(nodes int, resources []budget.Resource) {
+	for dataCentre := range costDataCentres {
+		var names []string
+		for i := range voters(dataCentre, nodes) {
+			names = append(names, nodeName(dataCentre+costDataCentres*i))
+		}
+		owners := Assign(fmt.Sprint(dataCentre), names)
+		for u := dataCentre; u < len(resources); u += costDataCentres {
+			f.owners[resources[u].Name] = names[owners[ShardOf(resources[u].Name)]]
 		}
 	}
-	return best
 }
 
 func (f *costFleet) run(length time.Duration) {
--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -1,6 +1,7 @@
 package budgetrpc
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -24,14 +25,19 @@
 
 // Members tells which nodes live.
 type Members interface {
-	// Owner returns the live node that a role falls to, among the nodes of a
-	// data centre or region, and its address.
-	Owner(scope, role string) (name string, address netip.AddrPort, ok bool)
+	// Live returns the live nodes of a data centre or region, sorted by name.
+	Live(scope string) []Peer
 	// Processes returns the budget names of all live nodes, the node itself
 	// included. A restarted node has another one.
 	Processes() []string
 }
 
+// Peer is a live node.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
 // Work is what the node has running and waiting, and who may start it.
 type Work interface {
 	// Demands returns what runs and waits, by resource.
@@ -51,16 +57,10 @@
 	Scope string
 }
 
-// role is the role whose owner keeps the resource. A ballot and the resources
-// that use it have the same.
-func (s Shared) role() string {
-	if s.Ballot != "" {
-		return s.Ballot
-	}
-	if s.Capacity == (budget.Amount{}) {
-		return s.Name
-	}
-	return Role(s.Scope, s.Name)
+// shard is that of the resource. A ballot and the resources that use it have
+// the same.
+func (s Shared) shard() int {
+	return ShardOf(cmp.Or(s.Ballot, s.Name))
 }
 
 // Node is the budget part of one entry node: the keeper of the resources that
@@ -77,7 +77,7 @@
 	client  *budget.Client
 	names   Names
 	scopes  map[string]string
-	roles   map[string]string
+	shards  map[string]int
 }
 
 // Config holds what a node's budgets need.
@@ -111,20 +111,20 @@
 	var resources []budget.Resource
 	var interests []budget.Interest
 	scopes := map[string]string{}
-	roles := map[string]string{}
+	shards := map[string]int{}
 	for _, s := range shared {
 		names = append(names, s.Name)
 		resources = append(resources, s.Resource)
 		s.Interest.Resource = s.Name
 		interests = append(interests, s.Interest)
 		scopes[s.Name] = s.Scope
-		roles[s.Name] = s.role()
+		shards[s.Name] = s.shard()
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.names = NewNames(names)
 	n.scopes = scopes
-	n.roles = roles
+	n.shards = shards
 	n.keeper.Configure(resources)
 	n.client.Configure(interests)
 }
@@ -226,14 +226,12 @@
 	n.keeper.Know(now, processes)
 	departed := n.keeper.Departed(now)
 	n.client.Observe(demands)
+	owners := ownersOf(n.members)
 	addresses := map[string]netip.AddrPort{}
 	due := n.client.Due(now, func(resource string) string {
-		name, address, ok := n.members.Owner(n.scopes[resource], n.roles[resource])
-		if !ok {
-			return ""
-		}
-		addresses[name] = address
-		return name
+		owner := owners(n.scopes[resource], n.shards[resource])
+		addresses[owner.Name] = owner.Address
+		return owner.Name
 	})
 	var calls []call
 	for keeper, resources := range due {
@@ -243,6 +241,35 @@
 	return calls
 }
 
+// ownersOf returns a function that finds the keeper of a scope's shard, or the
+// zero Peer. It looks each scope up once.
+func ownersOf(members Members) func(scope string, shard int) Peer {
+	scopes := map[string][]Peer{}
+	return func(scope string, shard int) Peer {
+		owners, ok := scopes[scope]
+		if !ok {
+			owners = shardOwners(scope, members.Live(scope))
+			scopes[scope] = owners
+		}
+		if owners == nil {
+			return Peer{}
+		}
+		return owners[shard]
+	}
+}
+
+func shardOwners(scope string, live []Peer) []Peer {
+	var names []string
+	for _, peer := range live {
+		names = append(names, peer.Name)
+	}
+	var owners []Peer
+	for _, at := range Assign(scope, names) {
+		owners = append(owners, live[at])
+	}
+	return owners
+}
+
 func (n *Node) exchange(ctx context.Context, c call) {
 	conn := n.dial(ctx, c.address)
 	defer func() { _ = conn.Close() }()
--- a/budget/budgetrpc/node_test.go
+++ b/budget/budgetrpc/node_test.go
@@ -27,8 +27,8 @@
 	processes []string
 }
 
-func (m *fixedMembers) Owner(string, string) (string, netip.AddrPort, bool) {
-	return m.owner, m.address, true
+func (m *fixedMembers) Live(string) []Peer {
+	return []Peer{{Name: m.owner, Address: m.address}}
 }
 
 func (m *fixedMembers) Processes() []string { return m.processes }
--- a/budget/budgetrpc/role.go
+++ b/budget/budgetrpc/role.go
@@ -6,14 +6,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Shards is the number of keepers that the resources of one data centre are
-// divided among. More of them cost each node more messages, fewer cost the
-// keepers more.
-const Shards = 16
-
-// BallotShards is the number of keepers that the rates of one region are divided
-// among. Every node of the region votes on each.
-const BallotShards = 4
+const (
+	// Shards is the number of keepers that the upstreams of one data centre are
+	// divided among. More of them cost each node more messages, fewer cost the
+	// keepers more.
+	Shards = 12
+	// BallotShards is the number of keepers that the rates of one region are
+	// divided among. Every node of the region votes on each.
+	BallotShards = 4
+)
 
 // Ballot names the resource that holds the pledges for a rate of a region, and
 // that its keeper is chosen by.
@@ -34,9 +35,38 @@
 	return "ballot/" + region + "/" + strconv.FormatUint(shard, 10)
 }
 
-// Role names the role of the keeper of a resource. The live member of the
-// scope, a data centre or a region, that owns the role keeps the resource.
-func Role(scope, resource string) string {
-	shard := xxhash.Sum64String(resource) % Shards
-	return "budget/" + scope + "/" + strconv.FormatUint(shard, 10)
+// ShardOf returns the shard of a resource.
+func ShardOf(resource string) int {
+	return int(xxhash.Sum64String(resource) % Shards)
+}
+
+// Assign returns the keeper of each shard of a scope among nodes, as an index
+// into them, by rendezvous hashing. No node keeps a second shard before every
+// node keeps one. Without nodes it returns nil.
+func Assign(scope string, nodes []string) []int {
+	if len(nodes) == 0 {
+		return nil
+	}
+	owners := make([]int, Shards)
+	kept := make([]int, len(nodes))
+	for shard := range owners {
+		owners[shard] = heaviest(scope, shard, nodes, kept)
+		kept[owners[shard]]++
+	}
+	return owners
+}
+
+// heaviest returns the node of the highest weight among those that keep least.
+func heaviest(scope string, shard int, nodes []string, kept []int) int {
+	best, bestWeight := -1, uint64(0)
+	for i, node := range nodes {
+		if best >= 0 && kept[i] > kept[best] {
+			continue
+		}
+		weight := xxhash.Sum64String(scope + "/" + strconv.Itoa(shard) + "/" + node)
+		if best < 0 || kept[i] < kept[best] || weight > bestWeight {
+			best, bestWeight = i, weight
+		}
+	}
+	return best
 }
