--- a/budgets.go
+++ b/budgets.go
@@ -38,7 +38,7 @@
 type budgetWork struct {
 	dispatcher *dispatch.Dispatcher
 	// unkept is the part of an organisation's rate without a share, by key.
-	unkept func() map[string]float64
+	unkept map[string]float64
 	wanted map[string]float64
 	looked time.Time
 	rates  map[string]float64
@@ -79,7 +79,8 @@
 // SetShares implements budgetrpc.Work.
 func (w *budgetWork) SetShares(shares map[string]budget.Share) {
 	set := map[string]scheduling.Share{}
-	rates := w.unkept()
+	rates := map[string]float64{}
+	maps.Copy(rates, w.unkept)
 	for name, share := range shares {
 		key, isRate := strings.CutPrefix(name, organisationPrefix)
 		if isRate {
@@ -95,6 +96,10 @@
 	}
 }
 
+func dataCentreScope(name string) string { return "data-centre/" + name }
+
+func regionScope(name string) string { return "region/" + name }
+
 // electorate says who votes on the keeper of an upstream.
 type electorate struct {
 	dataCentre, region string
@@ -133,7 +138,7 @@
 	for id, upstream := range built.Upstreams {
 		voters, own := e.of(upstream.DataCentre)
 		shared = append(shared, budgetrpc.Shared{
-			Scope:    upstream.DataCentre,
+			Scope:    dataCentreScope(upstream.DataCentre),
 			Interest: budget.Interest{Voter: own, Local: own || upstream.DataCentre == e.dataCentre},
 			Resource: budget.Resource{
 				Name:             id,
@@ -157,7 +162,7 @@
 	unkept := map[string]float64{}
 	for _, ballot := range budgetrpc.Ballots(region) {
 		shared = append(shared, budgetrpc.Shared{
-			Scope:    region,
+			Scope:    regionScope(region),
 			Interest: budget.Interest{Voter: true, Local: true},
 			Resource: budget.Resource{Name: ballot, Voters: nodes, Rate: true},
 		})
@@ -170,7 +175,7 @@
 			key := scheduling.OrganisationKey(plan.Environment, plan.Lane, organisation.Name)
 			unkept[key] = float64(organisation.TokensPerSecond) * unkeptPercent / 100 / float64(nodes)
 			shared = append(shared, budgetrpc.Shared{
-				Scope:    region,
+				Scope:    regionScope(region),
 				Interest: budget.Interest{OnDemand: true},
 				Resource: budget.Resource{
 					Name:             organisationPrefix + key,
