--- /dev/null
+++ b/budgets_test.go
@@ -0,0 +1,88 @@
+package wigeontiller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/budget"
+	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/tables"
+)
+
+func testElectorate() electorate {
+	return electorate{dataCentre: "a", region: "north", nodes: map[string]map[string]int{
+		"north": {"a": 3, "b": 2},
+		"south": {"c": 40},
+	}}
+}
+
+func TestElectorate(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		dataCentre string
+		voters     int
+		own        bool
+	}{
+		{"a", 5, true},     // few nodes: the region votes
+		{"b", 5, true},     // also for its other data centres
+		{"c", 40, false},   // enough of its own
+		{"none", 0, false}, // no entry nodes
+	} {
+		voters, own := testElectorate().of(c.dataCentre)
+		is.Equal(voters, c.voters)
+		is.Equal(own, c.own)
+	}
+}
+
+func TestSharedResources(t *testing.T) {
+	is := is.New(t)
+	document := &environment.Document{Organisations: []environment.Organisation{
+		{Name: "limited", TokensPerSecond: 1000}, {Name: "free"},
+	}}
+	built := &tables.Tables{
+		Plans: []*tables.Plan{{Environment: "works", Lane: tables.Production, Document: document}},
+		Upstreams: map[string]*tables.Upstream{"engine": {
+			ID: "engine", DataCentre: "c", Slots: 64, KVTokens: 1000,
+			Ramp: environment.Ramp{InitialPercent: 10, Duration: time.Minute},
+		}},
+	}
+	upstreams := sharedUpstreams(built, testElectorate())
+	is.Equal(len(upstreams), 1)
+	is.Equal(upstreams[0].Capacity, budget.Amount{Slots: 64, KVTokens: 1000})
+	is.Equal(upstreams[0].Interest, budget.Interest{})
+	is.Equal(upstreams[0].Voters, 40)
+	rates, unkept := sharedRates(built, "north", 5)
+	key := scheduling.OrganisationKey("works", tables.Production, "limited")
+	is.Equal(unkept, map[string]float64{key: 20})
+	last := rates[len(rates)-1]
+	is.Equal(last.Capacity.Slots+5*20, 1000) // shares and unkept parts are the whole rate
+	is.Equal(last.Name, organisationPrefix+key)
+	ballots := map[string]int{}
+	for _, rate := range rates[:len(rates)-1] {
+		ballots[rate.Name] = rate.Voters
+	}
+	is.Equal(ballots[last.Ballot], 5)
+}
+
+func TestBudgetWorkAveragesRates(t *testing.T) {
+	is := is.New(t)
+	d := dispatch.New(scheduling.New("a"))
+	work := &budgetWork{dispatcher: d, wanted: map[string]float64{}, unkept: map[string]float64{"k": 20}}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		work.average(now, map[string]float64{"k": 50}) // 500 tokens a second
+	}
+	is.True(work.wanted["k"] > 480 && work.wanted["k"] < 540)
+	is.Equal(len(work.Demands()), 0+len(work.wanted))
+	work.SetShares(map[string]budget.Share{
+		organisationPrefix + "k": {Amount: budget.Amount{Slots: 700}},
+	})
+	is.Equal(work.rates["k"], 700.0)
+	work.SetShares(nil)
+	is.Equal(work.rates["k"], 20.0) // the part without a keeper
+}
