--- a/budget/baseline_test.go
+++ b/budget/baseline_test.go
@@ -18,6 +18,7 @@
 // into a cold start under full demand: with the keeper, and with a slow start
 // of each node's own.
 func TestRampAgainstOwnSlowStart(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	t.Log("| nodes | time after the reset | bound | keeper | own slow start |")
 	for nodes, length := range map[int]time.Duration{9: 36 * time.Second, 320: 4 * time.Second} {
--- a/budget/rate_test.go
+++ b/budget/rate_test.go
@@ -65,7 +65,8 @@
 		sum := 0
 		for _, n := range w.nodes {
 			if !n.dead {
-				sum += n.client.Shares(n.clock(w.now))[r.Name].Slots
+				share, _ := n.client.holdings[r.Name].current(n.clock(w.now))
+				sum += share.Slots
 			}
 		}
 		most = max(most, sum)
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -256,8 +256,9 @@
 	sum := 0
 	for _, n := range w.nodes {
 		held := 0
-		if !n.dead {
-			held = n.client.Shares(n.clock(w.now))[resource].Slots
+		if h := n.client.holdings[resource]; h != nil && !n.dead {
+			share, _ := h.current(n.clock(w.now))
+			held = share.Slots
 		}
 		sum += max(len(n.demand[resource].ends), held)
 	}
