--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -150,6 +150,13 @@
 	return n.keeper.Accounts(time.Now())
 }
 
+// Shares returns what this node may use now, by resource.
+func (n *Node) Shares() map[string]budget.Share {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.client.Shares(time.Now())
+}
+
 // Report answers a node's report. It implements DRPCBudgetServer. Errors:
 // ErrMalformed, ErrOvertaken.
 func (n *Node) Report(_ context.Context, request *ReportRequest) (*ReportResponse, error) {
--- a/budgets_test.go
+++ b/budgets_test.go
@@ -1,15 +1,24 @@
 package wigeontiller
 
 import (
+	"context"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"github.com/wigeontiller/wigeontiller/budget"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
@@ -86,3 +95,54 @@
 	work.SetShares(nil)
 	is.Equal(work.rates["k"], 20.0) // the part without a keeper
 }
+
+// oneNode is a site of this node alone.
+type oneNode struct {
+	address netip.AddrPort
+}
+
+func (o oneNode) live() []liveNode {
+	return []liveNode{{name: "vm", dataCentre: "a", region: "north", address: o.address, started: o.startedAt()}}
+}
+
+func (o oneNode) startedAt() uint64 { return 7 }
+
+func (o oneNode) dial(ctx context.Context, address netip.AddrPort) drpc.Conn {
+	plain, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		plain, _ = net.Pipe()
+		_ = plain.Close()
+	}
+	return drpcconn.New(plain)
+}
+
+// TestNodeKeepsAndUsesItsUpstream runs the budgets of a site with one node over
+// loopback until its dispatcher may use the upstream.
+func TestNodeKeepsAndUsesItsUpstream(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	d := dispatch.New(scheduling.New("a"))
+	d.Configure(&tables.Tables{Upstreams: map[string]*tables.Upstream{
+		"engine": {ID: "engine", DataCentre: "a", Slots: 64, KVTokens: 64_000},
+	}})
+	s := &settings.Settings{Name: "vm", DataCentre: "a", Region: "north"}
+	nodes := oneNode{netip.MustParseAddrPort(listener.Addr().String())}
+	is.True(newBudgets(s, d, nodes, zerolog.Nop()) == nil) // nothing is shared without entry_nodes
+	s.EntryNodes = map[string]map[string]int{"north": {"a": 1}}
+	b := newBudgets(s, d, nodes, zerolog.Nop())
+	mux := drpcmux.New()
+	is.NoErr(b.register(mux))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { _ = drpcserver.New(mux).Serve(ctx, listener); done <- struct{}{} }()
+	go func() { b.run(ctx); done <- struct{}{} }()
+	granted := func() bool { return b.node.Shares()["engine"].Slots == 64 }
+	for end := time.Now().Add(30 * time.Second); !granted() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.True(granted())
+	stop()
+	<-done
+	<-done
+}
--- a/scheduling/limits.go
+++ b/scheduling/limits.go
@@ -94,7 +94,7 @@
 		}
 		demand := demands[m.state.upstream.ID]
 		if demand.Waiting == 0 {
-			demand.NextKVTokens = head.request.KVTokens()
+			demand.NextKVTokens = w.request.KVTokens()
 		}
 		demand.Waiting++
 		demand.KVTokens += w.request.KVTokens()
