--- a/settings/settings.go
+++ b/settings/settings.go
@@ -118,8 +118,7 @@
 
 func (s *Settings) check(source *strictyaml.Source) strictyaml.Errors {
 	var problems strictyaml.Errors
-	add := func(field, format string, args ...any) {
-		message := fmt.Sprintf(format, args...)
+	add := func(field, message string) {
 		problems = append(problems, strictyaml.FieldError{Field: field, Line: source.Line(field), Message: message})
 	}
 	required := map[string]string{"name": s.Name, "data_centre": s.DataCentre, "region": s.Region, "platform_url": s.PlatformURL}
