Membership, calls between nodes and spread of the configuration

Cause: each node read the site row every second and knew of no other node. Change: membership/ is a pure state machine after SWIM (probes, suspicion, incarnations in a data centre; contacts that exchange summaries between them) with a UDP shell; every datagram is sealed with XChaCha20-Poly1305. peer/ serves drpc over mutual TLS. One node a region reads the site row; the others hear of newer versions in datagrams and fetch from a peer. A leave is announced. 'keys new' makes certificates; settings without them are refused. A repeat of the poller role in two views costs a read and no more. Ruled out: certificates by name, as VMs are replaced under other addresses.

--- a/admin/server.go
+++ b/admin/server.go
@@ -56,6 +56,23 @@
 	OutVMs         []string `json:"out_vms"`
 	// Environments names the documents in force.
 	Environments map[string]configuration.Environment `json:"environments"`
+	// Isolated is true while the node hears no other.
+	Isolated bool `json:"isolated"`
+	// Peers are the other entry nodes that the node knows of.
+	Peers []Peer `json:"peers"`
+}
+
+// PeerUnreachable is the state of a peer whose data centre can't be heard.
+const PeerUnreachable = "unreachable"
+
+// Peer is another entry node as seen from here.
+type Peer struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	// State is alive, suspect, dead, left or unreachable.
+	State string `json:"state"`
+	// Version is the highest site version that the peer told; 0 when none.
+	Version uint64 `json:"version"`
 }
 
 // Config holds what the interface works with; every field is required.
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -61,7 +61,7 @@
 	parser.String(&env.output, "o", "output", "Output format: text or json.")
 	var commands []*command
 	for _, add := range []func(*flaggy.Parser) []*command{
-		addServe, addCheck, addEnvironment, addState, addStatus, addVersion,
+		addServe, addCheck, addEnvironment, addState, addStatus, addKeys, addVersion,
 	} {
 		commands = append(commands, add(parser)...)
 	}
--- a/cli/state.go
+++ b/cli/state.go
@@ -63,5 +63,12 @@
 		fmt.Sprintf("waiting\t%d\trunning\t%d", status.Waiting, status.Running),
 		"out\t" + strings.Join(append(status.OutDataCentres, status.OutVMs...), " "),
 	}
+	for _, peer := range status.Peers {
+		line := fmt.Sprintf("peer\t%s\t%s\t%s\t%d", peer.Name, peer.DataCentre, peer.State, peer.Version)
+		if peer.Version < status.Version {
+			line += "\tlagging"
+		}
+		lines = append(lines, line)
+	}
 	return strings.Join(lines, "\n") + "\n"
 }
--- a/examples/local/run.sh
+++ b/examples/local/run.sh
@@ -5,7 +5,7 @@
 bin=$(mktemp -d)
 go build -o "$bin" ./cmd/...
 export WIGEONTILLER_TOKEN="${WIGEONTILLER_TOKEN:-demo-operator}"
-export WIGEONTILLER_PEER_KEY="${WIGEONTILLER_PEER_KEY:-local-peer-key-0123456789abcdef}"
+[ -d out/local-keys ] || "$bin/wigeontiller" keys new out/local-keys --node entry-a --node entry-b >/dev/null
 pids=()
 stop() {
   kill "${pids[@]}" 2>/dev/null || true
--- a/follower.go
+++ b/follower.go
@@ -2,48 +2,75 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/peer"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
 const (
-	followInterval = time.Second
-	followTimeout  = 2 * time.Second
+	followTick    = 100 * time.Millisecond
+	followTimeout = 2 * time.Second
 )
 
+// heldDocument is a document in force, as read and as stored.
+type heldDocument struct {
+	parsed *environment.Document
+	data   []byte
+}
+
 // follower brings each newer site into force at this node. The mutex guards
-// documents and the order in which sites are adopted.
+// documents and the order in which sites are adopted; spreadMutex guards spread
+// and is a leaf.
 type follower struct {
-	store      *configuration.Store
-	dispatcher *dispatch.Dispatcher
-	logger     zerolog.Logger
-	reachable  atomic.Bool
-	mutex      sync.Mutex
-	documents  map[string]*environment.Document
+	store       *configuration.Store
+	peers       *peer.ConfigurationClient
+	dispatcher  *dispatch.Dispatcher
+	logger      zerolog.Logger
+	reachable   atomic.Bool
+	view        func() configuration.SpreadView
+	announce    func(version uint64)
+	spreadMutex sync.Mutex
+	spread      *configuration.Spread
+	mutex       sync.Mutex
+	documents   map[string]heldDocument
 }
 
-func newFollower(store *configuration.Store, dispatcher *dispatch.Dispatcher, logger zerolog.Logger) *follower {
+func newFollower(store *configuration.Store, peers *peer.ConfigurationClient, dispatcher *dispatch.Dispatcher, logger zerolog.Logger) *follower {
 	return &follower{
 		store:      store,
+		peers:      peers,
 		dispatcher: dispatcher,
 		logger:     logger,
-		documents:  map[string]*environment.Document{},
+		spread:     configuration.NewSpread(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		documents:  map[string]heldDocument{},
 	}
 }
 
+// run reads the store and asks peers side by side, so that a slow store does
+// not hold up what a peer has.
 func (f *follower) run(ctx context.Context) {
-	ticker := time.NewTicker(followInterval)
+	var workers conc.WaitGroup
+	workers.Go(func() { every(ctx, followTick, f.pollIfDue) })
+	workers.Go(func() { every(ctx, followTick, f.fetchIfDue) })
+	workers.Wait()
+}
+
+func every(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		f.refresh(ctx)
+		step(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -52,7 +79,33 @@
 	}
 }
 
-func (f *follower) refresh(ctx context.Context) {
+// offer notes that a peer has a version in force.
+func (f *follower) offer(from netip.AddrPort, version uint64) {
+	site, ok := f.Site()
+	if ok && version <= site.Version {
+		return
+	}
+	f.spreadMutex.Lock()
+	defer f.spreadMutex.Unlock()
+	f.spread.Offer(from, version)
+}
+
+func (f *follower) currentView() configuration.SpreadView {
+	view := f.view()
+	site, ok := f.Site()
+	view.HasSite = ok
+	view.Version = site.Version
+	return view
+}
+
+func (f *follower) pollIfDue(ctx context.Context) {
+	view := f.currentView()
+	f.spreadMutex.Lock()
+	due := f.spread.NextPoll(time.Now(), view)
+	f.spreadMutex.Unlock()
+	if !due {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	site, err := f.store.Site(ctx)
@@ -64,32 +117,75 @@
 	f.adopt(ctx, site)
 }
 
+func (f *follower) fetchIfDue(ctx context.Context) {
+	view := f.currentView()
+	f.spreadMutex.Lock()
+	from, due := f.spread.NextFetch(time.Now(), view)
+	f.spreadMutex.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	site, err := f.peers.Site(ctx, from, view.Version)
+	if err == nil && f.adoptFrom(ctx, site, from) {
+		return
+	}
+	f.logger.Debug().Err(err).Stringer("peer", from).Msg("site not fetched")
+	f.spreadMutex.Lock()
+	defer f.spreadMutex.Unlock()
+	f.spread.FetchFailed(from)
+}
+
 // adopt brings a site into force unless an equal or newer one already is.
 func (f *follower) adopt(ctx context.Context, site configuration.Site) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	current := f.dispatcher.Tables()
-	if current != nil && !site.Newer(current.Site) {
-		return
+	f.adoptFrom(ctx, site, netip.AddrPort{})
+}
+
+// adoptFrom takes the documents from a peer, if valid, before the store. It
+// reports whether this or a newer site is in force.
+func (f *follower) adoptFrom(ctx context.Context, site configuration.Site, from netip.AddrPort) bool {
+	if current, ok := f.Site(); ok && !site.Newer(current) {
+		return true
 	}
-	documents, err := f.fetch(ctx, site)
+	documents, err := f.fetch(ctx, site, from)
 	if err != nil {
 		f.logger.Warn().Err(err).Uint64("version", site.Version).Msg("site not adopted")
+		return false
+	}
+	f.bringIntoForce(site, documents)
+	f.spreadMutex.Lock()
+	f.spread.Adopted()
+	f.spreadMutex.Unlock()
+	current, _ := f.Site()
+	f.announce(current.Version)
+	return true
+}
+
+func (f *follower) bringIntoForce(site configuration.Site, documents map[string]heldDocument) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	// Another loop may have been faster while the documents were fetched.
+	if current, ok := f.Site(); ok && !site.Newer(current) {
 		return
 	}
 	f.documents = documents
-	f.dispatcher.Configure(tables.Build(site, documents))
+	parsed := map[string]*environment.Document{}
+	for digest, held := range documents {
+		parsed[digest] = held.parsed
+	}
+	f.dispatcher.Configure(tables.Build(site, parsed))
 	f.logger.Info().Uint64("version", site.Version).Msg("site in force")
 }
 
-func (f *follower) fetch(ctx context.Context, site configuration.Site) (map[string]*environment.Document, error) {
-	documents := map[string]*environment.Document{}
+func (f *follower) fetch(ctx context.Context, site configuration.Site, from netip.AddrPort) (map[string]heldDocument, error) {
+	documents := map[string]heldDocument{}
 	for _, digest := range site.Digests() {
-		if known := f.documents[digest]; known != nil {
+		if known, ok := f.document(digest); ok {
 			documents[digest] = known
 			continue
 		}
-		data, err := f.store.Document(ctx, digest)
+		data, err := f.fetchDocument(ctx, digest, from)
 		if err != nil {
 			return nil, err
 		}
@@ -97,7 +193,39 @@
 		if err != nil {
 			return nil, err
 		}
-		documents[digest] = document
+		documents[digest] = heldDocument{parsed: document, data: data}
 	}
 	return documents, nil
 }
+
+func (f *follower) fetchDocument(ctx context.Context, digest string, from netip.AddrPort) ([]byte, error) {
+	if from.IsValid() {
+		data, err := f.peers.Document(ctx, from, digest)
+		if err == nil {
+			return data, nil
+		}
+	}
+	return f.store.Document(ctx, digest)
+}
+
+func (f *follower) document(digest string) (heldDocument, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	held, ok := f.documents[digest]
+	return held, ok
+}
+
+// Site returns the site in force, or false when there is none.
+func (f *follower) Site() (configuration.Site, bool) {
+	current := f.dispatcher.Tables()
+	if current == nil {
+		return configuration.Site{}, false
+	}
+	return current.Site, true
+}
+
+// Document returns the bytes of a document in force.
+func (f *follower) Document(digest string) ([]byte, bool) {
+	held, ok := f.document(digest)
+	return held.data, ok
+}
--- /dev/null
+++ b/membership/udp/agent.go
@@ -0,0 +1,186 @@
+// Package udp runs a membership view over a UDP socket: it reads the clock,
+// seals and opens datagrams and guards the view with one mutex.
+package udp
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/wigeontiller/wigeontiller/membership"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// The errors of the shell.
+var (
+	// ErrListen is returned when the address can't be listened on.
+	ErrListen = eris.New("membership can't listen")
+)
+
+// Config holds what an agent works with; every field is required.
+type Config struct {
+	Self    membership.Member
+	PeerKey string
+	Metrics *telemetry.Metrics
+	Logger  zerolog.Logger
+	// OnVersion hears of each datagram's sender and its site version. It must not block.
+	OnVersion func(from netip.AddrPort, version uint64)
+}
+
+// Agent is one node's membership. It is safe for concurrent use. The mutex
+// guards state and is a leaf: nothing else is locked under it.
+type Agent struct {
+	config Config
+	codec  *membership.Codec
+	conn   *net.UDPConn
+	mutex  sync.Mutex
+	state  *membership.State
+}
+
+// Listen opens the socket at the member's address.
+func Listen(config Config) (*Agent, error) {
+	codec, err := membership.NewCodec(config.PeerKey)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(config.Self.Address))
+	if err != nil {
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Agent{
+		config: config,
+		codec:  codec,
+		conn:   conn,
+		state:  membership.New(config.Self, time.Now(), random),
+	}, nil
+}
+
+// Run sends and receives until the context ends, then closes the socket.
+func (a *Agent) Run(ctx context.Context) {
+	var workers conc.WaitGroup
+	workers.Go(a.read)
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = a.conn.Close()
+			workers.Wait()
+			return
+		case <-ticker.C:
+			a.send(a.tick())
+		}
+	}
+}
+
+func (a *Agent) tick() []membership.Packet {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.Tick(time.Now())
+}
+
+func (a *Agent) read() {
+	buffer := make([]byte, membership.MaxDatagramBytes+1)
+	for {
+		size, from, err := a.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		a.receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:size])
+	}
+}
+
+func (a *Agent) receive(from netip.AddrPort, datagram []byte) {
+	a.config.Metrics.Count("wigeontiller_membership_received_bytes_total", int64(len(datagram)))
+	message, err := a.codec.Open(datagram)
+	if err != nil {
+		a.config.Metrics.Count("wigeontiller_membership_refused_datagrams_total", 1)
+		return
+	}
+	a.mutex.Lock()
+	packets := a.state.Receive(time.Now(), from, message)
+	a.mutex.Unlock()
+	if message.From != a.config.Self.Name {
+		a.config.OnVersion(from, message.SiteVersion)
+	}
+	a.send(packets)
+}
+
+func (a *Agent) send(packets []membership.Packet) {
+	for _, packet := range packets {
+		datagram, err := a.codec.Seal(packet.Message)
+		if err != nil {
+			a.config.Logger.Error().Err(err).Msg("datagram not sealed")
+			continue
+		}
+		if len(datagram) > membership.MaxDatagramBytes {
+			a.config.Metrics.InvariantBroken("membership_datagram_size")
+			continue
+		}
+		a.config.Metrics.Count("wigeontiller_membership_sent_bytes_total", int64(len(datagram)))
+		// A lost datagram is part of the protocol, an unsent one as well.
+		_, _ = a.conn.WriteToUDPAddrPort(datagram, packet.To)
+	}
+}
+
+// SetSiteVersion announces the configuration in force.
+func (a *Agent) SetSiteVersion(version uint64) {
+	a.mutex.Lock()
+	packets := a.state.SetSiteVersion(version)
+	a.mutex.Unlock()
+	a.send(packets)
+}
+
+// SetSeeds replaces the addresses to join by.
+func (a *Agent) SetSeeds(seeds []netip.AddrPort) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.state.SetSeeds(seeds)
+}
+
+// Leave announces that the node goes.
+func (a *Agent) Leave() {
+	a.mutex.Lock()
+	packets := a.state.Leave(time.Now())
+	a.mutex.Unlock()
+	a.send(packets)
+}
+
+// Live returns the live members of a scope, the node itself included.
+func (a *Agent) Live(scope membership.Scope) []membership.Member {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.Live(time.Now(), scope)
+}
+
+// Peers returns all other members.
+func (a *Agent) Peers() []membership.Peer {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.Peers(time.Now())
+}
+
+// Isolated reports whether the node hears nobody.
+func (a *Agent) Isolated() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.Isolated(time.Now())
+}
+
+// Owns reports whether a role falls to this node among the live members of a scope.
+func (a *Agent) Owns(role string, scope membership.Scope) bool {
+	owner, ok := membership.Owner(role, a.Live(scope))
+	return ok && owner.Name == a.config.Self.Name
+}
--- a/node.go
+++ b/node.go
@@ -38,7 +38,8 @@
 
 // Node is one entry node.
 //
-// Lock order: follower.mutex, then the dispatcher's.
+// Lock order: follower.mutex, then the dispatcher's; follower.spreadMutex and
+// the membership agent's are leaves.
 type Node struct {
 	settings   *settings.Settings
 	logger     zerolog.Logger
@@ -46,6 +47,7 @@
 	tracing    *sdktrace.TracerProvider
 	dispatcher *dispatch.Dispatcher
 	follower   *follower
+	cluster    *cluster
 	entry      *entry.Server
 	admin      *admin.Server
 	draining   atomic.Bool
@@ -76,7 +78,14 @@
 	}
 	node.dispatcher = dispatch.New(scheduling.New(s.DataCentre))
 	store := configuration.NewStore(p)
-	node.follower = newFollower(store, node.dispatcher, node.logger)
+	node.cluster, err = newCluster(s, p, node.metrics, node.logger)
+	if err != nil {
+		return nil, err
+	}
+	node.follower = newFollower(store, node.cluster.client, node.dispatcher, node.logger)
+	if err := node.cluster.follow(node.follower); err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
 		Upstreams:  upstream.NewClient(),
@@ -99,10 +108,18 @@
 		_ = callers.Close()
 		return eris.Wrap(ErrListen, err.Error())
 	}
+	if err := n.cluster.listen(); err != nil {
+		_ = callers.Close()
+		_ = operators.Close()
+		return err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.workers.Go(func() { n.dispatcher.Run(ctx) })
 	n.workers.Go(func() { n.follower.run(ctx) })
+	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
+	n.workers.Go(func() { n.cluster.serve(ctx) })
+	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).Msg("node started")
@@ -131,6 +148,7 @@
 	}
 	err := n.entry.Shutdown(ctx)
 	err = errors.Join(err, n.admin.App().ShutdownWithContext(ctx))
+	n.cluster.agent.Leave()
 	n.stop()
 	n.workers.Wait()
 	n.listeners.Wait()
@@ -150,7 +168,7 @@
 }
 
 // Status returns the node's state.
-func (n *Node) Status(context.Context) admin.Status {
+func (n *Node) Status(ctx context.Context) admin.Status {
 	status := admin.Status{
 		Node:           n.settings.Name,
 		DataCentre:     n.settings.DataCentre,
@@ -159,13 +177,16 @@
 		StoreReachable: n.follower.reachable.Load(),
 		OutDataCentres: []string{},
 		OutVMs:         []string{},
+		Isolated:       n.cluster.agent.Isolated(),
 	}
 	status.Waiting, status.Running = n.dispatcher.Load()
 	built := n.dispatcher.Tables()
 	if built == nil {
+		status.Peers = n.cluster.peers(ctx, 0)
 		return status
 	}
 	status.Version = built.Version
+	status.Peers = n.cluster.peers(ctx, built.Version)
 	status.Environments = built.Site.Environments
 	for name := range built.Site.OutDataCentres {
 		status.OutDataCentres = append(status.OutDataCentres, name)
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// maxMessageBytes bounds one message; a document is the largest.
+const maxMessageBytes = 16 << 20
+
+// Server serves calls from other nodes.
+type Server struct {
+	mux    *drpcmux.Mux
+	config *tls.Config
+}
+
+// NewServer returns a server without services. Without certificates it serves
+// in the clear, which only a demonstration in one process may do.
+func NewServer(config *tls.Config) *Server {
+	return &Server{mux: drpcmux.New(), config: config}
+}
+
+// Register adds a service; call it before Serve.
+func (s *Server) Register(register func(drpc.Mux) error) error {
+	return register(s.mux)
+}
+
+// Serve serves until the context ends and closes the listener.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if s.config != nil {
+		listener = tls.NewListener(listener, s.config)
+	}
+	options := drpcserver.Options{Manager: managerOptions()}
+	err := drpcserver.NewWithOptions(s.mux, options).Serve(ctx, listener)
+	if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+}
--- /dev/null
+++ b/peer/tls.go
@@ -0,0 +1,72 @@
+// Package peer carries calls between entry nodes: drpc over TLS with mutual
+// certificates. Other packages register their services on the server.
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeontiller/wigeontiller/settings"
+)
+
+// The errors of calls between nodes.
+var (
+	// ErrCertificates is returned when the certificates can't be used.
+	ErrCertificates = eris.New("peer certificates can't be used")
+	// ErrUnreachable is returned when a peer did not answer.
+	ErrUnreachable = eris.New("peer did not answer")
+)
+
+// LoadTLS reads the node's certificate and the root that peers must be signed by.
+func LoadTLS(files settings.PeerTLS) (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+	if err != nil {
+		return nil, eris.Wrap(ErrCertificates, err.Error())
+	}
+	text, err := os.ReadFile(files.RootFile)
+	if err != nil {
+		return nil, eris.Wrap(ErrCertificates, err.Error())
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, eris.Wrap(ErrCertificates, "no certificate in the root file")
+	}
+	return mutual(certificate, roots), nil
+}
+
+// mutual verifies both sides by the root. VMs are replaced under other
+// addresses, so that names are not compared.
+func mutual(certificate tls.Certificate, roots *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{certificate},
+		ClientAuth:         tls.RequireAndVerifyClientCert,
+		ClientCAs:          roots,
+		InsecureSkipVerify: true, // replaced by VerifyConnection
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verify(state, roots)
+		},
+	}
+}
+
+func verify(state tls.ConnectionState, roots *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return eris.Wrap(ErrCertificates, "the peer showed none")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	if err != nil {
+		return eris.Wrap(ErrCertificates, err.Error())
+	}
+	return nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,9 @@
 	PeerKey Secret `yaml:"peer_key"`
 	// PeerTLS holds the mutual certificates for calls between nodes.
 	PeerTLS PeerTLS `yaml:"peer_tls"`
+	// InProcessDemo allows nodes of one process to talk without certificates. It
+	// is no setting of a file.
+	InProcessDemo bool `yaml:"-"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
 	// OTLPEndpoint is the URL that traces go to; empty turns traces off.
@@ -134,5 +137,21 @@
 	if len(s.OperatorTokens) == 0 {
 		add("operator_tokens", "must name a token")
 	}
+	s.checkPeers(add)
 	return problems
 }
+
+func (s *Settings) checkPeers(add func(field, format string, args ...any)) {
+	if (s.PeerKey.Environment == "") == (s.PeerKey.File == "") {
+		add("peer_key", "must name an environment variable or a file")
+	}
+	if s.PeerTLS.CertificateFile == "" {
+		add("peer_tls.certificate_file", "is required")
+	}
+	if s.PeerTLS.KeyFile == "" {
+		add("peer_tls.key_file", "is required")
+	}
+	if s.PeerTLS.RootFile == "" {
+		add("peer_tls.root_file", "is required")
+	}
+}
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -23,12 +23,11 @@
 	operatorToken = "test-operator"
 	callerKey     = "test-key"
 	trialKey      = "test-trial-key"
-	peerKey       = "test-peer-key-0123456789abcdef"
 	// patience bounds every wait; it is a hang guard and no verdict on speed.
 	patience = 60 * time.Second
 )
 
-var programs string
+var programs, keys string
 
 func TestMain(m *testing.M) {
 	directory, err := os.MkdirTemp("", "wigeontiller-processes")
@@ -36,11 +35,17 @@
 		panic(err)
 	}
 	programs = directory
+	keys = filepath.Join(directory, "keys")
 	build := exec.Command("go", "build", "-o", directory, "../../cmd/...")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
 	}
+	makeKeys := exec.Command(filepath.Join(directory, "wigeontiller"), "keys", "new", keys, "--node", "entry-a", "--node", "entry-b", "--node", "entry-c")
+	makeKeys.Stderr = os.Stderr
+	if err := makeKeys.Run(); err != nil {
+		panic(err)
+	}
 	code := m.Run()
 	_ = os.RemoveAll(directory)
 	os.Exit(code)
@@ -56,7 +61,7 @@
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
 	started := &process{command: exec.Command(filepath.Join(programs, name), args...), done: make(chan struct{})}
-	started.command.Env = append(os.Environ(), "WIGEONTILLER_TOKEN="+operatorToken, "WIGEONTILLER_PEER_KEY="+peerKey)
+	started.command.Env = append(os.Environ(), "WIGEONTILLER_TOKEN="+operatorToken)
 	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
 	if err != nil {
 		t.Fatal(err)
@@ -142,18 +147,19 @@
 func (s *site) startNode(t *testing.T, name, dataCentre, peer string, seeds []string) *node {
 	t.Helper()
 	started := &node{callers: freeAddress(t), operators: freeAddress(t), peers: peer}
-	text := fmt.Sprintf(`name: %s
-data_centre: %s
+	text := fmt.Sprintf(`name: %[1]s
+data_centre: %[2]s
 region: test
-caller_address: %s
-operator_address: %s
-peer_address: %s
-seeds: [%s]
-platform_url: http://%s
+caller_address: %[3]s
+operator_address: %[4]s
+peer_address: %[5]s
+seeds: [%[6]s]
+platform_url: http://%[7]s
 operator_tokens: [{environment: WIGEONTILLER_TOKEN}]
-peer_key: {environment: WIGEONTILLER_PEER_KEY}
+peer_key: {file: %[8]s/peer.key}
+peer_tls: {certificate_file: %[8]s/%[1]s.crt, key_file: %[8]s/%[1]s.key, root_file: %[8]s/root.crt}
 shutdown_lag: 300ms
-`, name, dataCentre, started.callers, started.operators, peer, strings.Join(seeds, ", "), s.platform)
+`, name, dataCentre, started.callers, started.operators, peer, strings.Join(seeds, ", "), s.platform, keys)
 	file := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
