Membership in virtual time: tests by failure and of cost

Cause: nothing showed that the views agree, nor what they cost. Change: a network in one process with sealed datagrams, delay, loss, copies and reordering, over which the real decision code and codec run.

--- a/cluster.go
+++ b/cluster.go
@@ -139,6 +139,9 @@
 		Poller:   c.agent.Owns(configuration.PollerRole, membership.RegionScope),
 		Isolated: c.agent.Isolated(),
 	}
+	if _, ok := c.follower.Site(); ok {
+		return view
+	}
 	for _, p := range c.agent.Peers() {
 		if p.Live() && p.Reachable {
 			view.Peers = append(view.Peers, p.Address)
--- a/membership/centre.go
+++ b/membership/centre.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -70,7 +69,7 @@
 func (s *State) otherCentres() []string {
 	names := slices.Sorted(maps.Keys(s.centres))
 	return slices.DeleteFunc(names, func(name string) bool {
-		return name == s.self.DataCentre || len(s.liveIn(name)) == 0
+		return name == s.self.DataCentre || s.table.hashes[name] == 0
 	})
 }
 
@@ -84,10 +83,13 @@
 
 // contacts returns the members that speak for their data centre.
 func contacts(among []Member) []Member {
-	slices.SortFunc(among, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weigh("contact", a.Name), weigh("contact", b.Name)), cmp.Compare(a.Name, b.Name))
-	})
-	return among[:min(contactsPerCentre, len(among))]
+	var found []Member
+	for _, role := range contactRoles {
+		if owner, ok := Owner(role, among); ok {
+			found = append(found, owner)
+		}
+	}
+	return found
 }
 
 // contact returns whom to tell in another data centre: mostly one of its
@@ -107,6 +109,9 @@
 // all of its members.
 const anyoneEvery = 4
 
+// contactRoles are the roles that make a member a contact.
+var contactRoles = []string{"contact/0", "contact/1", "contact/2"}
+
 func (s *State) sameCentre(r *record) bool {
 	return r.DataCentre == s.self.DataCentre
 }
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -4,8 +4,9 @@
 
 // mergeAll takes in the updates and summaries of a message.
 func (s *State) mergeAll(now time.Time, message Message) {
-	// Pages from the own data centre are not news to it.
-	spread := message.Kind != Sync || message.DataCentre != s.self.DataCentre
+	// Pages are news to the data centre only when a contact asked for them; who
+	// joins or has fallen behind learns what the others know.
+	spread := message.Kind != Sync || message.Scope != ""
 	for _, update := range message.Updates {
 		s.merge(now, update, spread)
 	}
@@ -67,7 +68,7 @@
 // expireSuspicions declares suspects dead. Only the suspect's own data centre
 // does, and no node that hears nobody.
 func (s *State) expireSuspicions(now time.Time) {
-	if s.Isolated(now) {
+	if s.table.suspects == 0 || s.Isolated(now) {
 		return
 	}
 	expired := s.table.list(func(r *record) bool {
--- a/membership/message.go
+++ b/membership/message.go
@@ -39,7 +39,7 @@
 	Hash uint64
 	// Target is whom a PingRequest asks for.
 	Target netip.AddrPort
-	// Scope narrows a SyncRequest to one data centre; empty asks for all.
+	// Scope narrows a SyncRequest and its pages to one data centre; empty asks for all.
 	Scope     string
 	Updates   []Member
 	Summaries []Summary
--- /dev/null
+++ b/membership/network_test.go
@@ -0,0 +1,359 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/membership"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	storeLatency = 10 * time.Millisecond
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// event is a step at a time; order breaks ties, so that a run repeats.
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// node is a member in virtual time: the real view, spread and codec, without sockets.
+type node struct {
+	member             membership.Member
+	state              *membership.State
+	spread             *configuration.Spread
+	up, paused         bool
+	generation         int
+	inbox              []func()
+	hasSite, fetching  bool
+	version            uint64
+	inForce            time.Time
+	polls              int
+	bytesOut, bytesIn  int
+	packetsOut, pktsIn int
+	busy               time.Duration
+}
+
+// network carries sealed datagrams between nodes in one process.
+type network struct {
+	t          testing.TB
+	now        time.Time
+	rand       *rand.Rand
+	queue      events
+	order      int
+	nodes      []*node
+	byAddress  map[netip.AddrPort]*node
+	codec      *membership.Codec
+	loss, twin float64
+	// cut reports whether two nodes can't reach each other.
+	cut          func(a, b *node) bool
+	storeUp      bool
+	storeVersion uint64
+}
+
+func newNetwork(t testing.TB, seed uint64) *network {
+	codec, err := membership.NewCodec("test-key")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &network{
+		t: t, now: epoch, codec: codec,
+		rand:      rand.New(rand.NewPCG(seed, seed)),
+		byAddress: map[netip.AddrPort]*node{},
+		cut:       func(_, _ *node) bool { return false },
+		storeUp:   true, storeVersion: 1,
+	}
+}
+
+func (n *network) after(delay time.Duration, run func()) {
+	n.order++
+	heap.Push(&n.queue, event{at: n.now.Add(delay), order: n.order, run: run})
+}
+
+func (n *network) run(length time.Duration) {
+	until := n.now.Add(length)
+	for len(n.queue) > 0 && !n.queue[0].at.After(until) {
+		next := heap.Pop(&n.queue).(event)
+		n.now = next.at
+		next.run()
+	}
+	n.now = until
+}
+
+// add makes a node; the first three nodes are everyone's seeds.
+func (n *network) add(dataCentre, region string) *node {
+	index := len(n.nodes)
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(index >> 8), byte(index)}), 7000)
+	added := &node{member: membership.Member{
+		Name:       fmt.Sprintf("entry-%s-%03d", dataCentre, index),
+		DataCentre: dataCentre, Region: region, Address: address,
+	}}
+	n.nodes = append(n.nodes, added)
+	n.byAddress[address] = added
+	n.boot(added)
+	return added
+}
+
+// boot starts a node without anything that it knew before.
+func (n *network) boot(b *node) {
+	b.generation++
+	generation := b.generation
+	b.up, b.paused, b.hasSite, b.fetching = true, false, false, false
+	b.version, b.inbox, b.inForce = 0, nil, time.Time{}
+	b.state = membership.New(b.member, n.now, rand.New(rand.NewPCG(n.rand.Uint64(), 1)))
+	b.spread = configuration.NewSpread(rand.New(rand.NewPCG(n.rand.Uint64(), 2)))
+	var seeds []netip.AddrPort
+	for _, seed := range n.nodes[:min(3, len(n.nodes))] {
+		seeds = append(seeds, seed.member.Address)
+	}
+	b.state.SetSeeds(seeds)
+	var tick func()
+	tick = func() {
+		if b.generation != generation || !b.up {
+			return
+		}
+		if !b.paused {
+			n.measured(b, func() []membership.Packet { return b.state.Tick(n.now) })
+			n.follow(b)
+		}
+		n.after(membership.TickInterval, tick)
+	}
+	n.after(time.Duration(n.rand.Int64N(int64(membership.TickInterval))), tick)
+}
+
+func (n *network) kill(b *node) { b.up = false }
+
+func (n *network) resume(b *node) {
+	b.paused = false
+	for _, deliver := range b.inbox {
+		deliver()
+	}
+	b.inbox = nil
+}
+
+// measured runs decision code and sends what it returns; busy adds real time,
+// for tables only.
+func (n *network) measured(b *node, step func() []membership.Packet) {
+	start := time.Now()
+	packets := step()
+	datagrams := make([][]byte, len(packets))
+	for i, packet := range packets {
+		datagram, err := n.codec.Seal(packet.Message)
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		if len(datagram) > membership.MaxDatagramBytes {
+			n.t.Fatalf("datagram of %d bytes, kind %d", len(datagram), packet.Message.Kind)
+		}
+		datagrams[i] = datagram
+	}
+	b.busy += time.Since(start)
+	for i, packet := range packets {
+		n.send(b, packet.To, datagrams[i])
+	}
+}
+
+func (n *network) send(from *node, to netip.AddrPort, datagram []byte) {
+	from.packetsOut++
+	from.bytesOut += len(datagram) + headerBytes
+	target := n.byAddress[to]
+	if target == nil || n.cut(from, target) {
+		return
+	}
+	copies := 1
+	if n.rand.Float64() < n.twin {
+		copies = 2
+	}
+	for range copies {
+		if n.rand.Float64() >= n.loss {
+			n.after(n.delay(from, target), func() { n.deliver(from, target, datagram) })
+		}
+	}
+}
+
+// headerBytes are the IPv4 and UDP headers of a datagram.
+const headerBytes = 28
+
+// delay varies enough to reorder datagrams.
+func (n *network) delay(a, b *node) time.Duration {
+	base := 500 * time.Microsecond
+	if a.member.DataCentre != b.member.DataCentre {
+		base = 4 * time.Millisecond
+	}
+	if a.member.Region != b.member.Region {
+		base = 40 * time.Millisecond
+	}
+	return base + time.Duration(n.rand.Int64N(int64(2*base)))
+}
+
+func (n *network) deliver(from, to *node, datagram []byte) {
+	if !to.up {
+		return
+	}
+	if to.paused {
+		to.inbox = append(to.inbox, func() { n.deliver(from, to, datagram) })
+		return
+	}
+	to.pktsIn++
+	to.bytesIn += len(datagram) + headerBytes
+	n.measured(to, func() []membership.Packet {
+		message, err := n.codec.Open(datagram)
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		if !to.hasSite || message.SiteVersion > to.version {
+			to.spread.Offer(from.member.Address, message.SiteVersion)
+		}
+		return to.state.Receive(n.now, from.member.Address, message)
+	})
+}
+
+// follow does what the node's follower does, with calls as delayed events.
+func (n *network) follow(b *node) {
+	view := configuration.SpreadView{HasSite: b.hasSite, Version: b.version, Isolated: b.state.Isolated(n.now)}
+	view.Poller = b.state.Owns(n.now, configuration.PollerRole, membership.RegionScope)
+	if !b.hasSite {
+		for _, peer := range b.state.Peers(n.now) {
+			view.Peers = append(view.Peers, peer.Address)
+		}
+	}
+	if b.spread.NextPoll(n.now, view) {
+		b.polls++
+		n.after(storeLatency, func() {
+			if n.storeUp {
+				n.adopt(b, n.storeVersion)
+			}
+		})
+	}
+	if b.fetching {
+		return
+	}
+	if from, due := b.spread.NextFetch(n.now, view); due {
+		n.fetch(b, from)
+	}
+}
+
+func (n *network) fetch(b *node, from netip.AddrPort) {
+	b.fetching = true
+	generation := b.generation
+	peer := n.byAddress[from]
+	finish := func(delay time.Duration, answered bool) {
+		n.after(delay, func() {
+			if b.generation != generation {
+				return
+			}
+			b.fetching = false
+			if answered && peer.hasSite && (!b.hasSite || peer.version > b.version) {
+				n.adopt(b, peer.version)
+				return
+			}
+			b.spread.FetchFailed(from)
+		})
+	}
+	if peer == nil || !peer.up || peer.paused || n.cut(b, peer) {
+		finish(callTimeout, false)
+		return
+	}
+	// TCP hides a loss behind a retransmission.
+	round := 3 * n.delay(b, peer)
+	for n.rand.Float64() < n.loss {
+		round += 200 * time.Millisecond
+	}
+	finish(round, round < callTimeout)
+}
+
+func (n *network) adopt(b *node, version uint64) {
+	if !b.up || b.paused || b.hasSite && version <= b.version {
+		return
+	}
+	b.hasSite, b.version, b.inForce = true, version, n.now
+	b.spread.Adopted()
+	n.measured(b, func() []membership.Packet { return b.state.SetSiteVersion(version) })
+}
+
+// fleet adds count nodes over data centres as the largest site has them.
+func (n *network) fleet(count, dataCentres, regions int) {
+	for i := range count {
+		dataCentre := i % dataCentres
+		n.add(fmt.Sprintf("dc-%d", dataCentre), fmt.Sprintf("region-%d", dataCentre%regions))
+	}
+}
+
+// sees returns how many live members a node holds.
+func (n *network) sees(b *node) int {
+	return len(b.state.Live(n.now, membership.SiteScope))
+}
+
+// agree runs until every running node sees exactly the running nodes, and
+// returns how long that took; it fails after the limit.
+func (n *network) agree(limit time.Duration) time.Duration {
+	n.t.Helper()
+	start := n.now
+	for n.now.Sub(start) < limit {
+		if n.agreed() {
+			return n.now.Sub(start)
+		}
+		n.run(100 * time.Millisecond)
+	}
+	running := 0
+	counts := map[int]int{}
+	for _, b := range n.nodes {
+		if b.up {
+			running++
+			counts[n.sees(b)]++
+		}
+	}
+	n.t.Fatalf("no agreement after %v: %d run, nodes by members seen: %v", limit, running, counts)
+	return 0
+}
+
+func (n *network) agreed() bool {
+	running := 0
+	for _, b := range n.nodes {
+		if b.up {
+			running++
+		}
+	}
+	for _, b := range n.nodes {
+		if !b.up {
+			continue
+		}
+		live := b.state.Live(n.now, membership.SiteScope)
+		if len(live) != running {
+			return false
+		}
+		for _, member := range live {
+			if !n.byAddress[member.Address].up {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/membership/queries.go
+++ b/membership/queries.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Scope is the set of members that a role falls to one of.
 type Scope uint8
@@ -67,3 +71,21 @@
 func (s *State) Isolated(now time.Time) bool {
 	return now.Sub(s.lastHeard) >= isolatedAfter
 }
+
+// Owns reports whether a role falls to this node among the live members of a
+// scope; it is Owner over Live without a copy.
+func (s *State) Owns(now time.Time, role string, scope Scope) bool {
+	base := xxhash.Sum64String(role)
+	own := weigh(base, s.self.Name)
+	for _, r := range s.table.sorted {
+		if !r.Live() || r.Name == s.self.Name || !s.within(r, scope) {
+			continue
+		}
+		weight := weigh(base, r.Name)
+		ahead := weight > own || weight == own && r.Name < s.self.Name
+		if ahead && s.reachable(now, r) {
+			return false
+		}
+	}
+	return s.self.Live()
+}
--- a/membership/rendezvous.go
+++ b/membership/rendezvous.go
@@ -8,10 +8,11 @@
 // safe while that lasts.
 func Owner(role string, among []Member) (Member, bool) {
 	var owner Member
+	base := xxhash.Sum64String(role)
 	best := uint64(0)
 	found := false
 	for _, member := range among {
-		weight := weigh(role, member.Name)
+		weight := weigh(base, member.Name)
 		if !found || weight > best || weight == best && member.Name < owner.Name {
 			owner, best, found = member, weight, true
 		}
@@ -19,10 +20,10 @@
 	return owner, found
 }
 
-func weigh(role, name string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(role)
-	_, _ = digest.Write([]byte{0})
+// weigh mixes the role's hash into the name's.
+func weigh(role uint64, name string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(role)
 	_, _ = digest.WriteString(name)
 	return digest.Sum64()
 }
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -123,6 +123,7 @@
 	var packets []Packet
 	for len(members) > 0 {
 		page := s.message(Sync)
+		page.Scope = request.Scope
 		budget := pageBudgetBytes
 		for len(members) > 0 && budget >= sizeOf(members[0]) && len(page.Updates) < maxUpdates {
 			budget -= sizeOf(members[0])
--- a/membership/state.go
+++ b/membership/state.go
@@ -7,15 +7,14 @@
 )
 
 const (
-	probeInterval     = time.Second
-	probeTimeout      = 300 * time.Millisecond
-	indirectProbes    = 3
-	suspicionTime     = 4 * time.Second
-	gossipInterval    = 500 * time.Millisecond
-	summaryInterval   = time.Second
-	contactsPerCentre = 3
-	syncInterval      = 5 * time.Second
-	seedInterval      = time.Second
+	probeInterval   = time.Second
+	probeTimeout    = 300 * time.Millisecond
+	indirectProbes  = 3
+	suspicionTime   = 4 * time.Second
+	gossipInterval  = 500 * time.Millisecond
+	summaryInterval = time.Second
+	syncInterval    = 5 * time.Second
+	seedInterval    = time.Second
 	// seedHealInterval paces joins of seeds that are not members, so that two
 	// halves that lost each other for good meet again.
 	seedHealInterval = 10 * time.Second
--- a/membership/table.go
+++ b/membership/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -21,8 +20,12 @@
 // table holds all members by name, with a running hash for each data centre.
 type table struct {
 	records map[string]*record
-	hashes  map[string]uint64
-	total   uint64
+	// sorted holds the records by name, so that a seeded choice among them repeats.
+	sorted []*record
+	// suspects counts the records in suspicion.
+	suspects int
+	hashes   map[string]uint64
+	total    uint64
 }
 
 func newTable() table {
@@ -33,24 +36,46 @@
 func (t *table) put(now time.Time, member Member) {
 	known := t.records[member.Name]
 	if known == nil {
-		known = &record{}
-		t.records[member.Name] = known
+		known = &record{Member: Member{Name: member.Name}}
+		t.insert(member.Name, known)
 	} else {
-		t.toggle(known.Member)
+		t.count(known.Member, -1)
 	}
 	if known.Incarnation != member.Incarnation {
 		known.siteVersion = 0
 	}
 	known.Member = member
 	known.since = now
-	t.toggle(member)
+	t.count(member, 1)
+}
+
+func (t *table) insert(name string, added *record) {
+	t.records[name] = added
+	at, _ := t.find(name)
+	t.sorted = slices.Insert(t.sorted, at, added)
 }
 
 func (t *table) remove(name string) {
-	t.toggle(t.records[name].Member)
+	t.count(t.records[name].Member, -1)
+	at, _ := t.find(name)
+	t.sorted = slices.Delete(t.sorted, at, at+1)
 	delete(t.records, name)
 }
 
+func (t *table) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(t.sorted, name, func(r *record, name string) int {
+		return cmp.Compare(r.Name, name)
+	})
+}
+
+// count adds a member to the running figures, or takes it out again.
+func (t *table) count(member Member, sign int) {
+	t.toggle(member)
+	if member.Status == Suspect {
+		t.suspects += sign
+	}
+}
+
 // toggle adds a live member to the hashes, or takes it out again.
 func (t *table) toggle(member Member) {
 	if !member.Live() {
@@ -65,23 +90,19 @@
 }
 
 func hashOf(member Member) uint64 {
-	var incarnation [8]byte
-	binary.BigEndian.PutUint64(incarnation[:], member.Incarnation)
-	digest := xxhash.New()
+	var digest xxhash.Digest
+	digest.ResetWithSeed(member.Incarnation)
 	_, _ = digest.WriteString(member.Name)
-	_, _ = digest.Write(incarnation[:])
 	return digest.Sum64()
 }
 
-// list returns the members that pass, sorted by name so that a seeded choice
-// among them repeats.
+// list returns the members that pass, sorted by name.
 func (t *table) list(pass func(*record) bool) []Member {
 	var found []Member
-	for _, r := range t.records {
+	for _, r := range t.sorted {
 		if pass(r) {
 			found = append(found, r.Member)
 		}
 	}
-	slices.SortFunc(found, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return found
 }
--- a/membership/udp/agent.go
+++ b/membership/udp/agent.go
@@ -181,6 +181,7 @@
 
 // Owns reports whether a role falls to this node among the live members of a scope.
 func (a *Agent) Owns(role string, scope membership.Scope) bool {
-	owner, ok := membership.Owner(role, a.Live(scope))
-	return ok && owner.Name == a.config.Self.Name
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.Owns(time.Now(), role, scope)
 }
--- a/membership/updates.go
+++ b/membership/updates.go
@@ -13,7 +13,7 @@
 	updateFixedBytes = 24
 	// sendsPerDoubling is how often an update is sent for each doubling of the
 	// data centre's size.
-	sendsPerDoubling = 3
+	sendsPerDoubling = 2
 )
 
 // updates is the queue of news to send on: a name and how often it is still due.
@@ -31,6 +31,9 @@
 
 // order returns the queued names, the least sent first.
 func (u *updates) order() []string {
+	if len(u.left) == 0 {
+		return nil
+	}
 	names := make([]string, 0, len(u.left))
 	for name := range u.left {
 		names = append(names, name)
