--- a/membership/message.go
+++ b/membership/message.go
@@ -1,6 +1,11 @@
 package membership
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // Kind names what a message is for.
 type Kind uint8
@@ -41,8 +46,8 @@
 	Target netip.AddrPort
 	// Scope narrows a SyncRequest and its pages to one data centre; empty asks for all.
 	Scope     string
-	Updates   []Member
-	Summaries []Summary
+	Updates   Members
+	Summaries Summaries
 }
 
 // Summary is what other data centres see of one.
@@ -56,6 +61,41 @@
 	Hash uint64
 }
 
+// Members are the updates of one message, bounded when decoded.
+type Members []Member
+
+// DecodeMsgpack checks the length before anything is allocated for it.
+func (m *Members) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeBounded((*[]Member)(m), maxUpdates, decoder)
+}
+
+// Summaries are the summaries of one message, bounded when decoded.
+type Summaries []Summary
+
+// DecodeMsgpack checks the length before anything is allocated for it.
+func (s *Summaries) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeBounded((*[]Summary)(s), maxSummaries, decoder)
+}
+
+func decodeBounded[T any](list *[]T, most int, decoder *msgpack.Decoder) error {
+	length, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if length > most {
+		return eris.Wrap(ErrDatagram, "list too long")
+	}
+	*list = nil
+	for range length {
+		var entry T
+		if err := decoder.Decode(&entry); err != nil {
+			return err
+		}
+		*list = append(*list, entry)
+	}
+	return nil
+}
+
 // Packet is a message and where to send it.
 type Packet struct {
 	To      netip.AddrPort
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -84,7 +84,8 @@
 func (s *State) syncIfDiffers(now time.Time, from netip.AddrPort, message Message) []Packet {
 	scope := ""
 	differs := message.Hash != s.table.total
-	if message.DataCentre != s.self.DataCentre && len(s.localPeers("")) > 0 {
+	// An Ack from elsewhere comes from a seed, and a seed is asked for all.
+	if message.DataCentre != s.self.DataCentre && message.Kind != Ack && len(s.localPeers("")) > 0 {
 		// Of another data centre only its own members are asked for.
 		scope = message.DataCentre
 		differs = message.Kind == SummaryNote && s.summaryDiffers(message)
