--- a/configuration/site.go
+++ b/configuration/site.go
@@ -46,6 +46,8 @@
 	Target string `json:"target"`
 	// Digest is the document concerned, if any.
 	Digest string `json:"digest,omitempty"`
+	// Out is the state that SetDataCentre or SetVM set.
+	Out bool `json:"out,omitempty"`
 	// Version is the site version that the command made.
 	Version uint64 `json:"version"`
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -132,6 +132,7 @@
 		OperatorAddress: loopback(port + 1),
 		PeerAddress:     loopback(port + 2),
 		PlatformURL:     "http://" + platformAddress,
+		InProcessDemo:   true,
 		OperatorTokens:  []settings.Secret{{Literal: OperatorToken}},
 		PeerKey:         settings.Secret{Literal: "demo-peer-key-0123456789abcdef"},
 		OTLPEndpoint:    traces,
