Peer calls tested over mutual TLS

A site and a document pass; a peer under another root or without TLS does not; a document that doesn't match its digest and a site that isn't newer are refused. Process tests run again with -count=1 (cached results don't see the built programs change): pass, 14 s.

--- /dev/null
+++ b/peer/configuration_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"math/big"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/environment"
+)
+
+// identity makes a root and returns the configuration of a node that it signed.
+func identity(t *testing.T) *tls.Config {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true,
+	}
+	data, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	parsed, err := x509.ParseCertificate(data)
+	is.NoErr(err)
+	roots := x509.NewCertPool()
+	roots.AddCert(parsed)
+	return mutual(tls.Certificate{Certificate: [][]byte{data}, PrivateKey: key}, roots)
+}
+
+type held struct{ document []byte }
+
+func (h held) Site() (configuration.Site, bool) {
+	site := configuration.NewSite()
+	site.Version = 7
+	return site, true
+}
+
+func (h held) Document(digest string) ([]byte, bool) {
+	return h.document, digest == environment.Digest(h.document) || digest == "sha256:other"
+}
+
+func TestSiteAndDocumentOverMutualTLS(t *testing.T) {
+	is := is.New(t)
+	own := identity(t)
+	service, err := NewConfigurationService(held{document: []byte("name: works\n")})
+	is.NoErr(err)
+	server := NewServer(own)
+	is.NoErr(server.Register(service.Register))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	go func() { _ = server.Serve(ctx, listener) }()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+
+	client, err := NewConfigurationClient(NewPool(own))
+	is.NoErr(err)
+	site, err := client.Site(ctx, address, 6)
+	is.NoErr(err)
+	is.Equal(site.Version, uint64(7))
+	_, err = client.Site(ctx, address, 7)
+	is.True(errors.Is(err, ErrNotHeld)) // not newer
+	version, err := client.Version(ctx, address)
+	is.NoErr(err)
+	is.Equal(version, uint64(7))
+	data, err := client.Document(ctx, address, environment.Digest([]byte("name: works\n")))
+	is.NoErr(err)
+	is.Equal(string(data), "name: works\n")
+	_, err = client.Document(ctx, address, "sha256:other")
+	is.True(errors.Is(err, ErrNotHeld)) // does not match its digest
+
+	for _, stranger := range []*tls.Config{identity(t), nil} {
+		other, err := NewConfigurationClient(NewPool(stranger))
+		is.NoErr(err)
+		short, stop := context.WithTimeout(ctx, 2*time.Second)
+		_, err = other.Site(short, address, 0)
+		stop()
+		is.True(errors.Is(err, ErrUnreachable)) // another root, or none
+	}
+}
