Two tests that could not fail now can

Cause: on a scratch copy, TestIsolatedNodeReadsTheStoreItself passed with the isolated node's own reads taken out (its node held the poller role), and TestRacingOperators with lost answers taken for refused (no read failed). Change: the isolated node is no poller; reads fail as well. Seen: both fail with the mechanism out and pass with it.

--- a/configuration/execute_test.go
+++ b/configuration/execute_test.go
@@ -40,6 +40,13 @@
 	return err
 }
 
+func (f *faulty) Get(ctx context.Context, key string) (platform.Row, error) {
+	if f.draw() < f.refused {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return f.Platform.Get(ctx, key)
+}
+
 func newFaulty(seed uint64, refused, lost float64) *faulty {
 	return &faulty{Platform: memory.New(), rand: rand.New(rand.NewPCG(seed, 0)), refused: refused, lost: lost}
 }
@@ -115,7 +122,7 @@
 		})
 	}
 	group.Wait()
-	history, err := store.History(t.Context(), "works")
+	history, err := NewStore(store.platform.(*faulty).Platform).History(t.Context(), "works")
 	is.NoErr(err)
 	done := map[string]uint64{}
 	for i, outcome := range history {
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/membership"
 )
 
 // inForceLimit is the stated target for the largest site.
@@ -93,6 +96,9 @@
 	n := joined(t, 4, 9)
 	n.run(5 * time.Second)
 	alone := n.nodes[4]
+	if alone.state.Owns(n.now, configuration.PollerRole, membership.RegionScope) {
+		alone = n.nodes[5]
+	}
 	n.cut = func(a, b *node) bool { return a == alone || b == alone }
 	// At once, while the node does not know yet that it is cut off, and later.
 	for range 2 {
