--- a/node.go
+++ b/node.go
@@ -138,12 +138,25 @@
 	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
+	n.workers.Go(n.shareStoreBudget(ctx))
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).Msg("node started")
 	return nil
 }
 
+// shareStoreBudget divides the store's budget by the most nodes ever seen at
+// once: a node that is cut off must not take the others' part.
+func (n *Node) shareStoreBudget(ctx context.Context) func() {
+	most := len(n.settings.Seeds)
+	return func() {
+		every(ctx, seedInterval, func(context.Context) {
+			most = max(most, len(n.cluster.agent.Peers())+1)
+			n.guard.SetNodes(most)
+		})
+	}
+}
+
 func (n *Node) listen(serve func() error) {
 	n.listeners.Add(1)
 	go func() {
