--- /dev/null
+++ b/tables/tables_test.go
@@ -0,0 +1,75 @@
+package tables
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/environment"
+)
+
+func sampleTables(t *testing.T, change func(*configuration.Site)) *Tables {
+	t.Helper()
+	text := []byte(`name: works
+models: [{name: m, context_tokens: 1000}]
+organisations: [{name: dock, key_digests: ["` + environment.KeyDigest("live") + `"], trial_key_digests: ["` + environment.KeyDigest("trial") + `"]}]
+length_classes: [{name: short, max_prompt_tokens: 10, deadline: 1s}, {name: long, max_prompt_tokens: 100, deadline: 1m}]
+engines:
+  - {name: e1, data_centre: a, address: "127.0.0.1:1", models: [m], slots: 1, kv_tokens: 10}
+  - {name: e2, data_centre: b, address: "127.0.0.2:1", models: [m], slots: 1, kv_tokens: 10}
+services: [{name: s, endpoints: [{name: s1, data_centre: a, address: "127.0.0.1:2", slots: 1}], side_effects: [{method: POST, path: /pay}]}]
+`)
+	document, err := environment.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	site := configuration.NewSite()
+	site.Environments["works"] = configuration.Environment{ProductionDigest: "d", TrialDigest: "d"}
+	change(&site)
+	return Build(site, map[string]*environment.Document{"d": document})
+}
+
+func TestKeyChoosesTheLane(t *testing.T) {
+	is := is.New(t)
+	built := sampleTables(t, func(*configuration.Site) {})
+	live, ok := built.Caller("live")
+	is.True(ok)
+	is.Equal(live.Plan.Lane, Production)
+	trial, ok := built.Caller("trial")
+	is.True(ok)
+	is.Equal(trial.Plan.Lane, Trial)
+	_, ok = built.Caller("other")
+	is.True(!ok)
+	is.True(built.Upstreams["works/trial/e1"] != built.Upstreams["works/production/e1"]) // nothing shared
+}
+
+func TestOutByDataCentreAndVM(t *testing.T) {
+	is := is.New(t)
+	built := sampleTables(t, func(site *configuration.Site) {
+		site.OutDataCentres["a"] = true
+		site.OutVMs["127.0.0.2"] = true
+	})
+	for _, upstream := range built.Upstreams {
+		is.True(upstream.Out)
+	}
+	built = sampleTables(t, func(site *configuration.Site) { site.OutDataCentres["a"] = true })
+	is.True(built.Upstreams["works/production/e1"].Out)
+	is.True(built.Upstreams["works/production/s1"].Out)
+	is.True(!built.Upstreams["works/production/e2"].Out)
+}
+
+func TestDeadlineByLength(t *testing.T) {
+	is := is.New(t)
+	plan := sampleTables(t, func(*configuration.Site) {}).Plans[0]
+	tests := []struct {
+		tokens  int
+		seconds float64
+		ok      bool
+	}{{1, 1, true}, {10, 1, true}, {11, 60, true}, {100, 60, true}, {101, 0, false}}
+	for _, test := range tests {
+		deadline, ok := plan.Deadline(test.tokens)
+		is.Equal(ok, test.ok)
+		is.Equal(deadline.Seconds(), test.seconds)
+	}
+}
