--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -16,6 +16,9 @@
 	PrefillTokensPerSecond int
 	// TokenInterval is the time between two tokens of one answer.
 	TokenInterval time.Duration
+	// Grace is how long a stream without a reader runs on, and how long the
+	// events of a whole answer are kept. Default 15s.
+	Grace time.Duration
 }
 
 // stream is one attempt that the engine runs.
@@ -25,6 +28,13 @@
 	answer   int
 	produced int
 	canceled bool
+	// events are what a streamed attempt has produced; changed wakes its
+	// readers. left counts the readers that have gone.
+	events  [][]byte
+	changed *sync.Cond
+	readers int
+	left    int
+	ended   bool
 }
 
 // Engine keeps the streams that run. mutex guards the fields below it; prefill
@@ -35,6 +45,8 @@
 
 	mutex   sync.Mutex
 	streams map[string]*stream
+	// kept holds the whole answers that may still be read.
+	kept map[string]*stream
 	// kvTokens is the memory in use; peak is the most there ever was.
 	kvTokens int
 	peak     int
@@ -48,7 +60,10 @@
 
 // New returns an idle engine.
 func New(config Config) *Engine {
-	return &Engine{config: config, streams: map[string]*stream{}}
+	if config.Grace == 0 {
+		config.Grace = defaultGrace
+	}
+	return &Engine{config: config, streams: map[string]*stream{}, kept: map[string]*stream{}}
 }
 
 // admit takes memory for an attempt, or reports that there is none.
@@ -61,7 +76,7 @@
 		e.rejected++
 		return nil
 	}
-	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens}
+	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens, changed: sync.NewCond(&e.mutex)}
 	e.streams[id] = admitted
 	e.kvTokens += need
 	e.peak = max(e.peak, e.kvTokens)
@@ -120,7 +135,9 @@
 	found, ok := e.streams[id]
 	if ok {
 		found.canceled = true
+		found.changed.Broadcast()
 	}
+	delete(e.kept, id)
 	return ok
 }
 
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"strings"
@@ -40,6 +38,7 @@
 	server.app.Get("/v1/load", server.load)
 	server.app.Get("/v1/streams", server.list)
 	server.app.Get("/v1/streams/:id", server.show)
+	server.app.Get("/v1/streams/:id/events", server.events)
 	server.app.Delete("/v1/streams/:id", server.cancel)
 	return server
 }
@@ -98,36 +97,6 @@
 	return c.JSON(answer.whole(text.String(), admitted))
 }
 
-func (s *Server) stream(c *fiber.Ctx, admitted *stream, answer answerWriter) {
-	c.Set(fiber.HeaderContentType, "text/event-stream")
-	breaks := s.control.Take(func(k *fault.Knobs) *int { return &k.BreakStreams })
-	conn := c.Context().Conn()
-	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.engine.release(admitted)
-		if !s.engine.read(admitted) {
-			_ = conn.Close()
-			return
-		}
-		for s.engine.next(admitted) {
-			if breaks && admitted.produced > breakAfterTokens {
-				_ = conn.Close()
-				return
-			}
-			if !answer.writeEvent(w, answer.chunk(admitted.produced, "")) {
-				return
-			}
-		}
-		if s.engine.isCanceled(admitted) {
-			_ = conn.Close()
-			return
-		}
-		answer.writeEvent(w, answer.chunk(0, "stop"))
-		answer.writeEvent(w, answer.usage(admitted))
-		_, _ = w.WriteString("data: [DONE]\n\n")
-		_ = w.Flush()
-	})
-}
-
 func (s *Server) load(c *fiber.Ctx) error {
 	load := s.engine.Load()
 	time.Sleep(time.Duration(s.control.Knobs().LoadLagMS) * time.Millisecond)
@@ -246,14 +215,3 @@
 func usageOf(s *stream) *usage {
 	return &usage{PromptTokens: s.prompt, CompletionTokens: s.produced, TotalTokens: s.prompt + s.produced}
 }
-
-func (a answerWriter) writeEvent(w *bufio.Writer, part completion) bool {
-	data, err := json.Marshal(part)
-	if err != nil {
-		return false
-	}
-	_, _ = w.WriteString("data: ")
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
-	return w.Flush() == nil
-}
--- a/standin/fault/knobs.go
+++ b/standin/fault/knobs.go
@@ -32,8 +32,11 @@
 	LoseCancels int `json:"lose_cancels"`
 	// Leaving shows the stand-in as leaving.
 	Leaving bool `json:"leaving"`
-	// BreakStreams breaks off this many streams after three tokens.
+	// BreakStreams ends this many streams for good after three tokens.
 	BreakStreams int `json:"break_streams"`
+	// CutStreams cuts the connection of this many streams after three tokens;
+	// the streams run on.
+	CutStreams int `json:"cut_streams"`
 }
 
 // Control holds the knobs of one stand-in. It is safe for concurrent use.
--- a/standin/standincli/standincli.go
+++ b/standin/standincli/standincli.go
@@ -57,6 +57,7 @@
 	engines.Int(&chosen.engine.KVTokens, "", "kv-tokens", "KV memory in tokens.")
 	engines.Int(&chosen.engine.PrefillTokensPerSecond, "", "prefill", "Prompt tokens read a second.")
 	engines.Duration(&chosen.engine.TokenInterval, "", "token-interval", "Time between tokens.")
+	engines.Duration(&chosen.engine.Grace, "", "grace", "How long a stream without a reader runs on.")
 	services := flaggy.NewSubcommand("service")
 	services.Description = "A plain service."
 	services.String(&chosen.name, "n", "name", "The service's name.")
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 )
@@ -23,6 +24,7 @@
 // EventReader reads the data of server-sent events.
 type EventReader struct {
 	scanner *bufio.Scanner
+	id      int
 }
 
 // NewEventReader reads events from r.
@@ -32,11 +34,17 @@
 	return &EventReader{scanner: scanner}
 }
 
+// ID returns the number in the last event's id field, or 0 without one.
+func (e *EventReader) ID() int {
+	return e.id
+}
+
 // Next returns a copy of the next event's data. At the end of the input it
 // returns io.EOF; an event without its blank line is not returned.
 func (e *EventReader) Next() ([]byte, error) {
 	var data []byte
 	seen := false
+	e.id = 0
 	for e.scanner.Scan() {
 		line := bytes.TrimSuffix(e.scanner.Bytes(), []byte("\r"))
 		if len(line) == 0 {
@@ -45,6 +53,10 @@
 			}
 			continue
 		}
+		if number, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.id, _ = strconv.Atoi(string(bytes.TrimSpace(number)))
+			continue
+		}
 		value, ok := bytes.CutPrefix(line, []byte("data:"))
 		if !ok {
 			continue
