Streams are resumed at any node, and by a node after a cut connection

Cause: a stream whose entry node died, or whose connection to its engine broke, was lost, though the engine could go on with it. Change: each event carries its number as id, the first one with the signed token, which is also a response header; GET /v1/requests/{id}/stream goes on at any node with the same peer key. Numbers that come twice are dropped; a gap ends the stream with the error event. Ruled out: an own SSE event for the token (clients that parse every data line would fail on it); a comment (standard clients can't read it).

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -26,9 +26,11 @@
 
 // answer is an upstream's answer whose first part has arrived.
 type answer struct {
-	reply     *upstream.Reply
+	reply *upstream.Reply
+	// placement is nil for a stream that another node placed.
 	placement *dispatch.Placement
 	attemptID string
+	address   string
 	// first is the first event of a stream.
 	first  []byte
 	events *upstream.EventReader
@@ -39,7 +41,9 @@
 // close frees the connection and the place.
 func (a *answer) close(outcome scheduling.Outcome) {
 	a.reply.Close()
-	a.placement.Finish(outcome)
+	if a.placement != nil {
+		a.placement.Finish(outcome)
+	}
 }
 
 // attempts places and sends a call until an answer starts or the call is given up.
@@ -108,7 +112,7 @@
 		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
-	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID}
+	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID, address: attempt.Address}
 	if err := s.beginOrLeave(ctx, accepted, got); err != nil {
 		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -81,17 +81,23 @@
 	}
 }
 
-// serve runs a call to its end or, for a stream, to its first event.
-func (s *Server) serve(c *fiber.Ctx, accepted *call) error {
+// enter starts a call's span and its context, which ends at the deadline or
+// when the caller leaves. finish is called once, at the end of the call.
+func (s *Server) enter(c *fiber.Ctx, accepted *call) (ctx context.Context, finish func()) {
 	s.inFlight.Add(1)
 	ctx, cancel := context.WithDeadline(callerTrace(s.ctx, c), accepted.request.Deadline)
 	ctx, span := s.startEntry(ctx, accepted)
 	go callerwatch.Watch(ctx, c.Context().Conn(), cancel)
-	finish := func() {
+	return ctx, func() {
 		cancel()
 		span.End()
 		s.inFlight.Done()
 	}
+}
+
+// serve runs a call to its end or, for a stream, to its first event.
+func (s *Server) serve(c *fiber.Ctx, accepted *call) error {
+	ctx, finish := s.enter(c, accepted)
 	answer, failure := s.attempts(ctx, accepted)
 	if failure != nil {
 		finish()
@@ -100,7 +106,7 @@
 	}
 	s.config.Metrics.FirstToken(time.Since(accepted.request.Arrived))
 	if accepted.stream {
-		s.sendStream(ctx, c, accepted, answer, finish)
+		s.sendStream(ctx, c, s.newRelay(accepted, answer), finish)
 		return nil
 	}
 	defer finish()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -35,6 +35,8 @@
 
 const (
 	testKey = "key"
+	// otherKey belongs to another organisation.
+	otherKey = "other-key"
 	// patience is a hang guard.
 	patience = 30 * time.Second
 )
@@ -61,6 +63,12 @@
 }
 
 func newFixture(t *testing.T, config engine.Config) *fixture {
+	t.Helper()
+	return newFixtureThrough(t, config, func(address string) string { return address })
+}
+
+// newFixtureThrough puts something between the entry server and the engine.
+func newFixtureThrough(t *testing.T, config engine.Config, through func(address string) string) *fixture {
 	t.Helper()
 	f := &fixture{control: new(fault.Control), spans: tracetest.NewInMemoryExporter()}
 	engineServer := engine.NewServer(config, f.control)
@@ -68,10 +76,11 @@
 	document := fmt.Sprintf(`name: works
 models: [{name: adviser, context_tokens: 1048576}]
 engines: [{name: e1, data_centre: dc-a, address: %q, models: [adviser], slots: %d, kv_tokens: %d}]
-organisations: [{name: dock, key_digests: [%q]}]
+organisations: [{name: dock, key_digests: [%q]}, {name: quay, key_digests: [%q]}]
 length_classes: [{name: any, max_prompt_tokens: 1000000, deadline: 20s}]
 limits: {body_bytes: 100000}
-`, listen(t, engineServer.App()), config.Slots, config.KVTokens, environment.KeyDigest(testKey))
+`, through(listen(t, engineServer.App())), config.Slots, config.KVTokens,
+		environment.KeyDigest(testKey), environment.KeyDigest(otherKey))
 	parsed, err := environment.Parse([]byte(document))
 	if err != nil {
 		t.Fatal(err)
@@ -82,6 +91,7 @@
 	f.dispatcher.Configure(tables.Build(site, map[string]*environment.Document{"d": parsed}))
 	provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(f.spans))
 	f.server = NewServer(Config{
+		Tokens:     testSigner(t),
 		Dispatcher: f.dispatcher,
 		Upstreams:  upstream.NewClient(),
 		Logger:     zerolog.Nop(),
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
@@ -38,6 +39,8 @@
 	Tracer     trace.Tracer
 	Metrics    *telemetry.Metrics
 	Claims     *claimstore.Store
+	// Tokens signs the tokens that streams are resumed with.
+	Tokens *resume.Signer
 }
 
 // Server serves callers.
@@ -67,6 +70,7 @@
 	})
 	server.app.Post("/v1/chat/completions", server.completion)
 	server.app.Post("/v1/completions", server.completion)
+	server.app.Get("/v1/requests/:id/stream", server.resumeStream)
 	server.app.All("/services/:name/*", server.service)
 	return server
 }
--- /dev/null
+++ b/entry/resume.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/resume"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/tables"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+const (
+	headerResumeToken = ownHeaderPrefix + "Resume-Token"
+	headerLastEventID = "Last-Event-ID"
+	// resumeRetryAfter is when to ask again for a stream whose engine can't be
+	// reached now.
+	resumeRetryAfter = time.Second
+)
+
+// tokenText returns the resume token of a stream, or "" when it would be too
+// long; the stream can't be resumed by its caller then.
+func (s *Server) tokenText(accepted *call, got *answer) string {
+	digest := sha256.Sum256(accepted.body)
+	text, err := s.config.Tokens.Sign(resume.Token{
+		RequestID:    accepted.callerID,
+		AttemptID:    got.attemptID,
+		UpstreamID:   got.placement.Upstream.ID,
+		Organisation: accepted.request.Organisation.Name,
+		Environment:  accepted.request.Plan.Environment,
+		Lane:         string(accepted.request.Plan.Lane),
+		Deadline:     accepted.request.Deadline,
+		BodyDigest:   digest[:],
+	})
+	if err != nil {
+		s.config.Logger.Warn().Err(err).Str("request_id", accepted.callerID).Msg("stream has no resume token")
+		return ""
+	}
+	return text
+}
+
+// resumeStream goes on with a stream that broke, here or at another node.
+func (s *Server) resumeStream(c *fiber.Ctx) error {
+	r, failure := s.acceptResume(c)
+	if failure != nil {
+		return s.fail(c, failure)
+	}
+	c.Locals(localRequestID, r.call.callerID)
+	c.Set(headerRequestID, r.call.callerID)
+	ctx, finish := s.enter(c, r.call)
+	if err := r.reconnect(ctx); err != nil {
+		failure := resumeFailure(ctx, err)
+		finish()
+		return s.fail(c, failure)
+	}
+	s.sendStream(ctx, c, r, finish)
+	return nil
+}
+
+// acceptResume checks everything before the engine is asked.
+func (s *Server) acceptResume(c *fiber.Ctx) (*relay, *apierror.Error) {
+	caller, failure := s.authenticate(c)
+	if failure != nil {
+		return nil, failure
+	}
+	after, text, err := resume.ParseEventID(c.Get(headerLastEventID))
+	if err != nil {
+		return nil, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, headerLastEventID+" must be the id of an event")
+	}
+	if value := c.Get(headerResumeToken); value != "" {
+		text = value
+	}
+	text = strings.Clone(text)
+	token, err := s.config.Tokens.Open(text, time.Now())
+	if err != nil {
+		return nil, apierror.New(fiber.StatusForbidden, apierror.Forbidden, tokenMessage(err))
+	}
+	if !isFor(token, c.Params("id"), caller) {
+		return nil, apierror.New(fiber.StatusForbidden, apierror.Forbidden, "the resume token is not for this request and key")
+	}
+	found := s.config.Dispatcher.Tables().Upstreams[token.UpstreamID]
+	if found == nil {
+		failure := apierror.New(fiber.StatusBadGateway, apierror.UpstreamFailed, "the stream's engine is no longer configured")
+		failure.Execution = apierror.MayHaveRun
+		return nil, failure
+	}
+	return s.resumedRelay(token, text, after, caller, found), nil
+}
+
+func (s *Server) resumedRelay(token resume.Token, text string, after int, caller tables.Caller, found *tables.Upstream) *relay {
+	return &relay{
+		server: s,
+		call: &call{
+			request: &scheduling.Request{
+				ID:           token.AttemptID,
+				Plan:         caller.Plan,
+				Organisation: caller.Organisation,
+				Deadline:     token.Deadline,
+			},
+			callerID: token.RequestID,
+			stream:   true,
+		},
+		got:   &answer{attemptID: token.AttemptID, address: found.Address},
+		token: text,
+		sent:  after,
+	}
+}
+
+// isFor reports whether a token belongs to the request in the path and to the
+// caller's organisation, environment and lane.
+func isFor(token resume.Token, pathID string, caller tables.Caller) bool {
+	id, err := url.PathUnescape(pathID)
+	return err == nil && id == token.RequestID &&
+		token.Organisation == caller.Organisation.Name &&
+		token.Environment == caller.Plan.Environment &&
+		token.Lane == string(caller.Plan.Lane)
+}
+
+func tokenMessage(err error) string {
+	if errors.Is(err, resume.ErrExpired) {
+		return "the resume token has expired"
+	}
+	return "the resume token is not valid"
+}
+
+func resumeFailure(ctx context.Context, err error) *apierror.Error {
+	failure := attemptFailure(ctx, apierror.MayHaveRun)
+	if errors.Is(err, upstream.ErrGone) {
+		failure.Message = "the engine no longer has the stream"
+		return failure
+	}
+	if ctx.Err() == nil {
+		failure.RetryAfter = resumeRetryAfter
+	}
+	return failure
+}
--- /dev/null
+++ b/entry/resume_test.go
@@ -0,0 +1,412 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/resume"
+	"github.com/wigeontiller/wigeontiller/standin/engine"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+)
+
+const (
+	answerTokens = 8
+	// answerEvents adds the finish, the usage and the end marker.
+	answerEvents = answerTokens + 3
+)
+
+func testSigner(t *testing.T) *resume.Signer {
+	t.Helper()
+	signer, err := resume.NewSigner([]byte("peer key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return signer
+}
+
+// sse is what a caller reads of a stream.
+type sse struct {
+	ids   []string
+	datas []string
+}
+
+func parseSSE(text string) sse {
+	var got sse
+	for block := range strings.SplitSeq(text, "\n\n") {
+		for line := range strings.SplitSeq(block, "\n") {
+			if id, ok := strings.CutPrefix(line, "id: "); ok {
+				got.ids = append(got.ids, id)
+			}
+			if data, ok := strings.CutPrefix(line, "data: "); ok {
+				got.datas = append(got.datas, data)
+			}
+		}
+	}
+	return got
+}
+
+// checkRest checks that a caller that had the events up to after was sent
+// exactly the others, once each and in order.
+func checkRest(t *testing.T, text, mark string, after int) {
+	t.Helper()
+	got := parseSSE(text)
+	if len(got.ids) != answerEvents-after || len(got.datas) != len(got.ids) {
+		t.Fatalf("%d ids and %d events after %d:\n%s", len(got.ids), len(got.datas), after, text)
+	}
+	for i, id := range got.ids {
+		number, _, err := resume.ParseEventID(id)
+		if err != nil || number != after+i+1 {
+			t.Fatalf("id %q at %d", id, i)
+		}
+		if number > answerTokens {
+			continue
+		}
+		var part struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal([]byte(got.datas[i]), &part); err != nil {
+			t.Fatal(err)
+		}
+		if want := fmt.Sprintf("%s-%d ", mark, number); part.Choices[0].Delta.Content != want {
+			t.Fatalf("event %d holds %q, not %q", number, part.Choices[0].Delta.Content, want)
+		}
+	}
+	if got.datas[len(got.datas)-1] != "[DONE]" {
+		t.Fatalf("no end marker:\n%s", text)
+	}
+}
+
+// cutter passes connections on and cuts the first ones after a number of
+// answered bytes. The mutex guards seen and accepted.
+type cutter struct {
+	to       string
+	cuts     []int
+	reset    bool
+	mutex    sync.Mutex
+	accepted int
+	seen     []byte
+}
+
+func (p *cutter) start(t *testing.T, to string) string {
+	t.Helper()
+	p.to = to
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.pass(conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (p *cutter) pass(near *net.TCPConn) {
+	defer func() { _ = near.Close() }()
+	far, err := net.Dial("tcp", p.to)
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	go func() { _, _ = io.Copy(far, near) }()
+	p.mutex.Lock()
+	number := p.accepted
+	p.accepted++
+	p.mutex.Unlock()
+	if number >= len(p.cuts) {
+		_, _ = io.Copy(io.MultiWriter(p, near), far)
+		return
+	}
+	_, _ = io.CopyN(near, far, int64(p.cuts[number]))
+	if p.reset {
+		_ = near.SetLinger(0)
+	}
+}
+
+// Write records what passes uncut, before it is passed on.
+func (p *cutter) Write(data []byte) (int, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.seen = append(p.seen, data...)
+	return len(data), nil
+}
+
+func (p *cutter) recorded() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return string(p.seen)
+}
+
+func (p *cutter) connections() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.accepted
+}
+
+func (f *fixture) readAll(t *testing.T, body string) (text string, header http.Header) {
+	t.Helper()
+	response, err := f.post(context.Background(), body, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data), response.Header
+}
+
+// boundaries returns the offsets in an engine's raw answer after each event.
+func boundaries(raw string) []int {
+	var ends []int
+	for i := range raw {
+		if strings.HasPrefix(raw[i:], "\n\n") {
+			ends = append(ends, i+len("\n\n"))
+		}
+	}
+	return ends
+}
+
+// TestCutAnywhereLeavesNoGapAndNoDouble cuts the connection to the engine at
+// every event's end, around it, and inside events, once or several times.
+func TestCutAnywhereLeavesNoGapAndNoDouble(t *testing.T) {
+	body := chat("a", answerTokens, true)
+	mark := engine.Mark([]byte(body))
+	uncut := new(cutter)
+	f := newFixtureThrough(t, fast, func(address string) string { return uncut.start(t, address) })
+	text, _ := f.readAll(t, body)
+	checkRest(t, text, mark, 0)
+	raw := uncut.recorded()
+	ends := boundaries(raw)
+	if len(ends) != answerEvents {
+		t.Fatalf("%d events in the raw answer", len(ends))
+	}
+	last := ends[answerEvents-1]
+	var cases [][]int
+	for _, end := range ends[:answerEvents-1] {
+		cases = append(cases, []int{max(end-1, ends[0])}, []int{end}, []int{end + 3})
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 40 {
+		first := ends[0] + random.IntN(last-ends[0])
+		cases = append(cases, []int{first, random.IntN(last), random.IntN(last)})
+	}
+	for i, cuts := range cases {
+		t.Run(fmt.Sprint(cuts), func(t *testing.T) {
+			t.Parallel()
+			proxy := &cutter{cuts: cuts, reset: i%2 == 0}
+			f := newFixtureThrough(t, fast, func(address string) string { return proxy.start(t, address) })
+			text, _ := f.readAll(t, body)
+			checkRest(t, text, mark, 0)
+			if runs := f.engine.Load().Runs; runs != 1 {
+				t.Fatalf("%d runs", runs)
+			}
+			if proxy.connections() < 2 {
+				t.Fatal("nothing was cut")
+			}
+		})
+	}
+}
+
+func TestStreamGoesOnAfterACutConnection(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, fast)
+	f.control.Set(fault.Knobs{CutStreams: 1})
+	body := chat("a", answerTokens, true)
+	text, _ := f.readAll(t, body)
+	checkRest(t, text, engine.Mark([]byte(body)), 0)
+	is.Equal(f.control.Knobs().CutStreams, 0) // it was cut
+	is.Equal(f.engine.Load().Runs, 1)
+	eventually(t, "everything is free", func() bool {
+		_, running := f.dispatcher.Load()
+		return running == 0 && f.engine.Load().KVTokens == 0
+	})
+}
+
+// secondNode returns the address of another server with the same peer key.
+func (f *fixture) secondNode(t *testing.T) string {
+	t.Helper()
+	config := f.server.config
+	config.Tokens = testSigner(t)
+	return "http://" + listen(t, NewServer(config).App())
+}
+
+func resumeAt(t *testing.T, url, id string, header map[string]string) (status int, text string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url+"/v1/requests/"+id+"/stream", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(data)
+}
+
+func TestResumeAtAnotherNodeAfterEachEvent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, fast)
+	other := f.secondNode(t)
+	body := chat("a", answerTokens, true)
+	mark := engine.Mark([]byte(body))
+	text, header := f.readAll(t, body)
+	first := parseSSE(text).ids[0]
+	is.Equal(first, "1;"+header.Get(headerResumeToken)) // by either way
+	id := header.Get(headerRequestID)
+	for after := range answerEvents {
+		status, rest := resumeAt(t, other, id, map[string]string{
+			headerResumeToken: header.Get(headerResumeToken), headerLastEventID: fmt.Sprint(after),
+		})
+		is.Equal(status, http.StatusOK)
+		checkRest(t, rest, mark, after)
+	}
+	status, rest := resumeAt(t, other, id, map[string]string{headerLastEventID: first})
+	is.Equal(status, http.StatusOK)
+	checkRest(t, rest, mark, 1) // the first event's id is enough
+	is.Equal(f.engine.Load().Runs, 1)
+}
+
+func TestResumeOfARunningStream(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, engine.Config{Slots: 2, KVTokens: 100_000, PrefillTokensPerSecond: 1_000_000, TokenInterval: 20 * time.Millisecond})
+	other := f.secondNode(t)
+	body := chat("a", answerTokens, true)
+	response, err := f.post(context.Background(), body, nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	_, rest := resumeAt(t, other, response.Header.Get(headerRequestID), map[string]string{
+		headerResumeToken: response.Header.Get(headerResumeToken), headerLastEventID: "2",
+	})
+	checkRest(t, rest, engine.Mark([]byte(body)), 2)
+}
+
+func TestResumeRefusalsSayNotRun(t *testing.T) {
+	f := newFixture(t, fast)
+	_, header := f.readAll(t, chat("a", answerTokens, true))
+	id, token := header.Get(headerRequestID), header.Get(headerResumeToken)
+	signer := testSigner(t)
+	opened, err := signer.Open(token, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := func(change func(*resume.Token)) string {
+		copied := opened
+		change(&copied)
+		text, err := signer.Sign(copied)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	tests := []struct {
+		name, id, key, token, last string
+		status                     int
+	}{
+		{"no key", id, "", token, "1", 401},
+		{"unknown key", id, "no", token, "1", 401},
+		{"another organisation", id, otherKey, token, "1", 403},
+		{"another request", "x" + id, testKey, token, "1", 403},
+		{"no token", id, testKey, "", "1", 403},
+		{"changed token", id, testKey, "x" + token, "1", 403},
+		{"cut token", id, testKey, token[:len(token)-1], "1", 403},
+		{"expired", id, testKey, changed(func(c *resume.Token) { c.Deadline = time.Now().Add(-time.Second) }), "1", 403},
+		{"another environment", id, testKey, changed(func(c *resume.Token) { c.Environment = "x" }), "1", 403},
+		{"another lane", id, testKey, changed(func(c *resume.Token) { c.Lane = "trial" }), "1", 403},
+		{"bad event id", id, testKey, token, "-1", 400},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			status, text := resumeAt(t, f.url, test.id, map[string]string{
+				"Authorization": "Bearer " + test.key, headerResumeToken: test.token, headerLastEventID: test.last,
+			})
+			is.Equal(status, test.status)
+			is.True(strings.Contains(text, `"execution":"not_run"`))
+			is.True(!strings.Contains(text, "data:"))
+		})
+	}
+}
+
+func TestResumeOfAStreamThatIsGoneSaysMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, fast)
+	_, header := f.readAll(t, chat("a", answerTokens, true))
+	opened, err := testSigner(t).Open(header.Get(headerResumeToken), time.Now())
+	is.NoErr(err)
+	engineAddress := f.dispatcher.Tables().Upstreams[opened.UpstreamID].Address
+	f.server.config.Upstreams.Cancel(engineAddress, opened.AttemptID, time.Now().Add(patience))
+	status, text := resumeAt(t, f.url, opened.RequestID, map[string]string{headerResumeToken: header.Get(headerResumeToken)})
+	is.Equal(status, http.StatusBadGateway)
+	is.True(strings.Contains(text, `"execution":"may_have_run"`))
+}
+
+// startScripted is an engine whose stream breaks after event 3 and goes on at
+// the event that the test chooses.
+func startScripted(t *testing.T, from int) string {
+	t.Helper()
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	events := func(first, last int) string {
+		var text strings.Builder
+		for n := first; n <= last; n++ {
+			data := fmt.Sprintf(`{"n":%d}`, n)
+			if n == answerEvents {
+				data = "[DONE]"
+			}
+			_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", n, data)
+		}
+		return text.String()
+	}
+	app.Post("/*", func(c *fiber.Ctx) error { return c.SendString(events(1, 3)) })
+	app.Get("/v1/streams/:id/events", func(c *fiber.Ctx) error { return c.SendString(events(from, answerEvents)) })
+	app.Use(func(c *fiber.Ctx) error { return c.SendStatus(fiber.StatusNotFound) })
+	return listen(t, app)
+}
+
+func TestNumbersOfResumedEventsAreChecked(t *testing.T) {
+	for from, whole := range map[int]bool{1: true, 3: true, 4: true, 5: false, 9: false} {
+		t.Run(fmt.Sprint(from), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixtureThrough(t, fast, func(string) string { return startScripted(t, from) })
+			text, _ := f.readAll(t, chat("a", answerTokens, true))
+			is.Equal(strings.HasSuffix(text, "data: [DONE]\n\n"), whole)
+			is.Equal(strings.Contains(text, `"execution":"may_have_run"`), !whole)
+			sent := 3
+			if whole {
+				sent = answerEvents - 1
+			}
+			is.Equal(strings.Count(text, `{"n":`), sent)
+			for n := 1; n <= sent; n++ {
+				is.Equal(strings.Count(text, fmt.Sprintf(`{"n":%d}`, n)), 1) // no gap, no double
+			}
+		})
+	}
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -10,7 +10,6 @@
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/wigeontiller/wigeontiller/apierror"
-	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
 
@@ -18,73 +17,31 @@
 // last event.
 const writeGrace = time.Second
 
-// streamEvent is one event, or the end of the events.
-type streamEvent struct {
-	data []byte
-	err  error
-}
-
 // sendStream copies events to the caller after the handler has returned.
-func (s *Server) sendStream(ctx context.Context, c *fiber.Ctx, accepted *call, got *answer, finish func()) {
+func (s *Server) sendStream(ctx context.Context, c *fiber.Ctx, r *relay, finish func()) {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
+	c.Set(headerResumeToken, r.token)
 	conn := c.Context().Conn()
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer finish()
-		_ = conn.SetWriteDeadline(accepted.request.Deadline.Add(writeGrace))
-		s.copyEvents(ctx, w, accepted, got)
+		_ = conn.SetWriteDeadline(r.call.request.Deadline.Add(writeGrace))
+		s.copyEvents(ctx, w, r)
 		_ = conn.SetWriteDeadline(time.Time{})
 	})
 }
 
-// copyEvents forwards events until the end marker. A stream that breaks off
-// ends with an error event, so that the caller never takes it for whole.
-func (s *Server) copyEvents(ctx context.Context, w *bufio.Writer, accepted *call, got *answer) {
-	events := pump(ctx, got)
-	var outcome scheduling.Outcome
-	for {
-		var next streamEvent
-		select {
-		case next = <-events:
-		case <-ctx.Done():
-			next.err = ctx.Err()
-		}
-		readUsage(next.data, &outcome)
-		if next.err == nil {
-			next.err = writeEvent(w, next.data)
-		}
-		if next.err != nil {
-			s.endBroken(ctx, w, accepted, got, events)
-			return
-		}
-		if bytes.Equal(next.data, upstream.EndMarker) {
-			drain(events)
-			got.close(outcome)
-			return
-		}
+// copyEvents forwards events until the end marker. A stream that breaks off and
+// can't be resumed ends with an error event, so that the caller never takes it
+// for whole.
+func (s *Server) copyEvents(ctx context.Context, w *bufio.Writer, r *relay) {
+	whole := r.run(ctx, w)
+	if !whole {
+		s.endBroken(ctx, w, r)
+		return
 	}
-}
-
-// pump reads events on its own goroutine, so that a silent engine can't hold
-// the caller past its deadline. The channel is closed when reading has ended.
-func pump(ctx context.Context, got *answer) <-chan streamEvent {
-	events := make(chan streamEvent)
-	go func() {
-		defer close(events)
-		next := streamEvent{data: got.first}
-		for {
-			select {
-			case events <- next:
-			case <-ctx.Done():
-				return
-			}
-			if next.err != nil {
-				return
-			}
-			next.data, next.err = got.events.Next()
-		}
-	}()
-	return events
+	drain(r.events)
+	r.got.close(r.outcome)
 }
 
 func drain(events <-chan streamEvent) {
@@ -93,7 +50,11 @@
 	}
 }
 
-func writeEvent(w *bufio.Writer, data []byte) error {
+// writeEvent writes one event; without an id it has no id field.
+func writeEvent(w *bufio.Writer, id string, data []byte) error {
+	if id != "" {
+		_, _ = w.WriteString("id: " + id + "\n")
+	}
 	for _, line := range bytes.Split(data, []byte("\n")) {
 		_, _ = w.WriteString("data: ")
 		_, _ = w.Write(line)
@@ -103,20 +64,20 @@
 	return w.Flush()
 }
 
-func (s *Server) endBroken(ctx context.Context, w *bufio.Writer, accepted *call, got *answer, events <-chan streamEvent) {
+func (s *Server) endBroken(ctx context.Context, w *bufio.Writer, r *relay) {
 	failure := attemptFailure(ctx, apierror.MayHaveRun)
-	failure.RequestID = accepted.callerID
+	failure.RequestID = r.call.callerID
 	s.config.Metrics.Refusal(string(failure.Code))
 	if data, err := json.Marshal(failure); err == nil {
-		_ = writeEvent(w, data)
+		_ = writeEvent(w, "", data)
 	}
 	outcome := failedOutcome(ctx)
-	attempt := &upstream.Attempt{ID: got.attemptID, Address: got.placement.Upstream.Address}
+	attempt := &upstream.Attempt{ID: r.got.attemptID, Address: r.got.address}
 	s.cleanups.Add(1)
 	go func() {
 		defer s.cleanups.Done()
 		s.cancelUntilGone(attempt)
-		drain(events)
-		got.close(outcome)
+		drain(r.events)
+		r.got.close(outcome)
 	}()
 }
--- a/node.go
+++ b/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -25,6 +26,7 @@
 	"github.com/wigeontiller/wigeontiller/entry"
 	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/platform/guard"
+	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -79,6 +81,10 @@
 		metrics:  telemetry.NewMetrics(),
 		tracing:  tracing,
 	}
+	signer, err := newSigner(s.PeerKey)
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, "peer_key: "+err.Error())
+	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node.dispatcher = dispatch.New(scheduling.NewSeeded(s.DataCentre, random))
 	node.dispatcher.OnBroken(func(err error) {
@@ -100,11 +106,25 @@
 		Tracer:     tracing.Tracer(telemetry.ScopeName),
 		Metrics:    node.metrics,
 		Claims:     node.claims,
+		Tokens:     signer,
 	})
 	node.admin = admin.NewServer(admin.Config{Store: store, Node: node, Tokens: tokens, Metrics: node.metrics})
 	return node, nil
 }
 
+// newSigner derives the key of resume tokens from the peer key. Without one,
+// the tokens are good at this node only.
+func newSigner(peerKey settings.Secret) (*resume.Signer, error) {
+	if peerKey == (settings.Secret{}) {
+		return resume.NewSigner([]byte(cryptorand.Text()))
+	}
+	secret, err := peerKey.Read()
+	if err != nil {
+		return nil, err
+	}
+	return resume.NewSigner([]byte(secret))
+}
+
 // Start listens and begins to serve. It returns when the listeners are open.
 func (n *Node) Start() error {
 	callers, err := net.Listen("tcp", n.settings.CallerAddress)
--- /dev/null
+++ b/standin/engine/resume_test.go
@@ -0,0 +1,116 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+// patience is a hang guard.
+const patience = 30 * time.Second
+
+func startEngine(t *testing.T, grace time.Duration) (*Server, string) {
+	t.Helper()
+	server := NewServer(Config{
+		Slots: 4, KVTokens: 100_000, PrefillTokensPerSecond: 1_000_000, TokenInterval: time.Millisecond, Grace: grace,
+	}, new(fault.Control))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.App().Listener(listener) }()
+	t.Cleanup(func() { _ = server.App().ShutdownWithTimeout(time.Second) })
+	return server, "http://" + listener.Addr().String()
+}
+
+// begin starts a stream, reads its first line and drops the connection.
+func begin(t *testing.T, url string, tokens int) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"prompt":"a"}`, tokens)
+	request, err := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(upstream.HeaderAttempt, "one")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = bufio.NewReader(response.Body).ReadString('\n')
+	_ = response.Body.Close()
+}
+
+func get(t *testing.T, url string) (status int, text string) {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(data)
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func TestStreamOutlivesItsConnection(t *testing.T) {
+	is := is.New(t)
+	_, url := startEngine(t, patience)
+	begin(t, url, 300)
+	status, text := get(t, url+"/v1/streams/one/events?after=2")
+	is.Equal(status, http.StatusOK)
+	is.True(strings.HasPrefix(text, "id: 3\n"))
+	is.True(strings.HasSuffix(text, "id: 303\ndata: [DONE]\n\n"))
+	status, _ = get(t, url+"/v1/streams/one/events?after=-1")
+	is.Equal(status, http.StatusBadRequest)
+	status, _ = get(t, url+"/v1/streams/two/events")
+	is.Equal(status, http.StatusNotFound)
+}
+
+func TestStreamWithoutReaderEndsAfterTheGrace(t *testing.T) {
+	is := is.New(t)
+	server, url := startEngine(t, 50*time.Millisecond)
+	begin(t, url, 90_000)
+	eventually(t, "memory is free", func() bool { return server.Engine().Load().KVTokens == 0 })
+	status, _ := get(t, url+"/v1/streams/one/events")
+	is.Equal(status, http.StatusNotFound)
+}
+
+func TestWholeAnswerIsDroppedAfterTheGrace(t *testing.T) {
+	_, url := startEngine(t, 50*time.Millisecond)
+	begin(t, url, 1)
+	eventually(t, "the answer is dropped", func() bool {
+		status, _ := get(t, url+"/v1/streams/one/events")
+		return status == http.StatusNotFound
+	})
+}
+
+func TestDeleteEndsAStreamWithoutReader(t *testing.T) {
+	is := is.New(t)
+	server, url := startEngine(t, patience)
+	begin(t, url, 90_000)
+	is.Equal(server.Engine().Load().Running, 1)
+	request, err := http.NewRequest(http.MethodDelete, url+"/v1/streams/one", nil)
+	is.NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	_ = response.Body.Close()
+	eventually(t, "memory is free", func() bool { return server.Engine().Load().KVTokens == 0 })
+}
--- /dev/null
+++ b/test/processes/resume_test.go
@@ -0,0 +1,84 @@
+package processes
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	resumeTokens = 100
+	// resumeEvents adds the finish, the usage and the end marker.
+	resumeEvents = resumeTokens + 3
+)
+
+// readEvents reads up to the given number of whole events. It returns the id and the
+// data of each.
+func readEvents(body *bufio.Reader, limit int) (ids, datas []string) {
+	id, data := "", ""
+	for len(ids) < limit {
+		line, err := body.ReadString('\n')
+		if err != nil {
+			return ids, datas
+		}
+		switch line = strings.TrimSuffix(line, "\n"); {
+		case line == "":
+			ids, datas = append(ids, id), append(datas, data)
+		case strings.HasPrefix(line, "id: "):
+			id = line[len("id: "):]
+		case strings.HasPrefix(line, "data: "):
+			data = line[len("data: "):]
+		}
+	}
+	return ids, datas
+}
+
+func TestStreamIsResumedAtTheOtherNodeAfterAKill(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	s.promote(t, s.document(1))
+	body := fmt.Sprintf(`{"model":"adviser","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"a"}]}`, resumeTokens)
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.nodes[0].callers+"/v1/chat/completions", strings.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	reader := bufio.NewReader(response.Body)
+	ids, datas := readEvents(reader, 5)
+	is.Equal(len(ids), 5)
+	s.nodes[0].signal(t, syscall.SIGKILL)
+	s.nodes[0].waitExit(t)
+	more, moreDatas := readEvents(reader, resumeEvents)
+	ids, datas = append(ids, more...), append(datas, moreDatas...)
+	is.True(len(ids) < resumeEvents) // it broke in mid-stream
+	rest := call(context.Background(), http.MethodGet,
+		"http://"+s.nodes[1].callers+"/v1/requests/"+response.Header.Get("X-Request-ID")+"/stream", "",
+		map[string]string{
+			"Last-Event-ID":               ids[len(ids)-1],
+			"X-Wigeontiller-Resume-Token": response.Header.Get("X-Wigeontiller-Resume-Token"),
+		})
+	is.NoErr(rest.err)
+	is.Equal(rest.status, http.StatusOK)
+	more, moreDatas = readEvents(bufio.NewReader(strings.NewReader(rest.body)), resumeEvents)
+	ids, datas = append(ids, more...), append(datas, moreDatas...)
+	is.Equal(len(ids), resumeEvents)
+	for i, id := range ids {
+		number, _, _ := strings.Cut(id, ";")
+		is.Equal(number, fmt.Sprint(i+1)) // no gap, no double
+		if i < resumeTokens {
+			is.True(strings.Contains(datas[i], fmt.Sprintf(`-%d "`, i+1))) // the token itself
+		}
+	}
+	is.Equal(datas[resumeEvents-1], "[DONE]")
+	eventually(t, "no place is held at the survivor", func() bool {
+		status, err := s.cli(t, s.nodes[1], "status")
+		return err == nil && status["running"].(float64) == 0
+	})
+}
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/url"
 	"strconv"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -13,16 +12,15 @@
 // ErrGone is returned when an engine no longer has a stream.
 var ErrGone = eris.New("stream is gone")
 
-// Resume asks an engine for a running stream's events after number after. It
-// starts no new work. Errors: ErrGone, ErrNotSent, ErrBroken.
-func (c *Client) Resume(ctx context.Context, address, attemptID string, after int, deadline time.Time) (*Reply, error) {
-	reply, err := c.Do(ctx, &Attempt{
-		ID:       attemptID,
-		Address:  address,
-		Method:   fasthttp.MethodGet,
-		Path:     "/v1/streams/" + url.PathEscape(attemptID) + "/events?after=" + strconv.Itoa(after),
-		Deadline: deadline,
-	})
+// Resume asks an engine for the events after number after of an attempt that
+// runs. It starts no new work; the attempt's method, path and body are not
+// used. Errors: ErrGone, ErrNotSent, ErrBroken.
+func (c *Client) Resume(ctx context.Context, running *Attempt, after int) (*Reply, error) {
+	asked := *running
+	asked.Method = fasthttp.MethodGet
+	asked.Path = "/v1/streams/" + url.PathEscape(running.ID) + "/events?after=" + strconv.Itoa(after)
+	asked.Body = nil
+	reply, err := c.Do(ctx, &asked)
 	if err != nil {
 		return nil, err
 	}
