--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -369,33 +370,71 @@
 	is.True(strings.Contains(text, `"execution":"may_have_run"`))
 }
 
-// startScripted is an engine whose stream breaks after event 3 and goes on at
-// the event that the test chooses.
-func startScripted(t *testing.T, from int) string {
-	t.Helper()
-	app := fiber.New(fiber.Config{DisableStartupMessage: true})
-	events := func(first, last int) string {
-		var text strings.Builder
-		for n := first; n <= last; n++ {
-			data := fmt.Sprintf(`{"n":%d}`, n)
-			if n == answerEvents {
-				data = "[DONE]"
-			}
-			_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", n, data)
+func scriptedEvents(first, last int) string {
+	var text strings.Builder
+	for n := first; n <= last; n++ {
+		data := fmt.Sprintf(`{"n":%d}`, n)
+		if n == answerEvents {
+			data = "[DONE]"
 		}
-		return text.String()
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", n, data)
 	}
-	app.Post("/*", func(c *fiber.Ctx) error { return c.SendString(events(1, 3)) })
-	app.Get("/v1/streams/:id/events", func(c *fiber.Ctx) error { return c.SendString(events(from, answerEvents)) })
+	return text.String()
+}
+
+// scripted is an engine whose streams break after event 3; the test chooses
+// what a resumed one is given. asked counts how often it was asked.
+type scripted struct {
+	asked  atomic.Int32
+	resume func(c *fiber.Ctx, after int) error
+}
+
+func (e *scripted) start(t *testing.T) string {
+	t.Helper()
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app.Post("/*", func(c *fiber.Ctx) error { return c.SendString(scriptedEvents(1, 3)) })
+	app.Get("/v1/streams/:id/events", func(c *fiber.Ctx) error {
+		e.asked.Add(1)
+		return e.resume(c, c.QueryInt("after"))
+	})
 	app.Use(func(c *fiber.Ctx) error { return c.SendStatus(fiber.StatusNotFound) })
 	return listen(t, app)
 }
 
+func TestAttemptsToResumeAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		asked  int
+		whole  bool
+		resume func(c *fiber.Ctx, after int) error
+	}{
+		{"gone", 1, false, func(c *fiber.Ctx, _ int) error { return c.SendStatus(fiber.StatusNotFound) }},
+		{"failing", resumeAttempts, false, func(c *fiber.Ctx, _ int) error { return c.SendStatus(fiber.StatusBadGateway) }},
+		{"no progress", resumeAttempts, false, func(c *fiber.Ctx, _ int) error { return c.SendString("") }},
+		{"one event a time", answerEvents - 3, true, func(c *fiber.Ctx, after int) error {
+			return c.SendString(scriptedEvents(after+1, after+1))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scripted := &scripted{resume: test.resume}
+			f := newFixtureThrough(t, fast, func(string) string { return scripted.start(t) })
+			text, _ := f.readAll(t, chat("a", answerTokens, true))
+			is.Equal(int(scripted.asked.Load()), test.asked)
+			is.Equal(strings.HasSuffix(text, "data: [DONE]\n\n"), test.whole)
+			is.Equal(strings.Contains(text, `"execution":"may_have_run"`), !test.whole)
+		})
+	}
+}
+
 func TestNumbersOfResumedEventsAreChecked(t *testing.T) {
 	for from, whole := range map[int]bool{1: true, 3: true, 4: true, 5: false, 9: false} {
 		t.Run(fmt.Sprint(from), func(t *testing.T) {
 			is := is.New(t)
-			f := newFixtureThrough(t, fast, func(string) string { return startScripted(t, from) })
+			scripted := &scripted{resume: func(c *fiber.Ctx, _ int) error {
+				return c.SendString(scriptedEvents(from, answerEvents))
+			}}
+			f := newFixtureThrough(t, fast, func(string) string { return scripted.start(t) })
 			text, _ := f.readAll(t, chat("a", answerTokens, true))
 			is.Equal(strings.HasSuffix(text, "data: [DONE]\n\n"), whole)
 			is.Equal(strings.Contains(text, `"execution":"may_have_run"`), !whole)
--- a/resume/signer_test.go
+++ b/resume/signer_test.go
@@ -46,7 +46,7 @@
 	text, err := s.Sign(sample)
 	is.NoErr(err)
 	for i := range text {
-		for _, replaced := range []byte{'A', 'z', '.', '\n', '=', text[i] ^ 1} {
+		for replaced := range byte(128) {
 			changed := []byte(text)
 			changed[i] = replaced
 			if string(changed) == text {
--- a/test/processes/resume_test.go
+++ b/test/processes/resume_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -16,6 +17,8 @@
 	resumeTokens = 100
 	// resumeEvents adds the finish, the usage and the end marker.
 	resumeEvents = resumeTokens + 3
+	// callerPause lets the engine notice that the killed node's connection broke.
+	callerPause = 500 * time.Millisecond
 )
 
 // readEvents reads up to the given number of whole events. It returns the id and the
@@ -58,6 +61,7 @@
 	more, moreDatas := readEvents(reader, resumeEvents)
 	ids, datas = append(ids, more...), append(datas, moreDatas...)
 	is.True(len(ids) < resumeEvents) // it broke in mid-stream
+	time.Sleep(callerPause)
 	rest := call(context.Background(), http.MethodGet,
 		"http://"+s.nodes[1].callers+"/v1/requests/"+response.Header.Get("X-Request-ID")+"/stream", "",
 		map[string]string{
