--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,8 +34,15 @@
 	PeerKey Secret `yaml:"peer_key"`
 	// PeerTLS holds the mutual certificates for calls between nodes.
 	PeerTLS PeerTLS `yaml:"peer_tls"`
+	// InProcessDemo allows nodes of one process to talk without certificates. It
+	// is no setting of a file.
+	InProcessDemo bool `yaml:"-"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
+	// EntryNodes holds by region and data centre the most entry nodes that can run
+	// at once. It must be the same at all nodes. Without it each node keeps to its
+	// own limits and none are shared.
+	EntryNodes map[string]map[string]int `yaml:"entry_nodes"`
 	// OTLPEndpoint is the URL that traces go to; empty turns traces off.
 	OTLPEndpoint string `yaml:"otlp_endpoint"`
 	// ShutdownLag is how long a leaving node still accepts, for the balancer. Default 5s.
@@ -114,8 +121,7 @@
 
 func (s *Settings) check(source *strictyaml.Source) strictyaml.Errors {
 	var problems strictyaml.Errors
-	add := func(field, format string, args ...any) {
-		message := fmt.Sprintf(format, args...)
+	add := func(field, message string) {
 		problems = append(problems, strictyaml.FieldError{Field: field, Line: source.Line(field), Message: message})
 	}
 	required := map[string]string{"name": s.Name, "data_centre": s.DataCentre, "region": s.Region, "platform_url": s.PlatformURL}
@@ -137,8 +143,27 @@
 			add(address.field, "must be an IP address and port")
 		}
 	}
+	if s.EntryNodes != nil && s.EntryNodes[s.Region][s.DataCentre] < 1 {
+		add("entry_nodes", "must hold the node's own region and data centre, at least 1")
+	}
 	if len(s.OperatorTokens) == 0 {
 		add("operator_tokens", "must name a token")
 	}
+	s.checkPeers(add)
 	return problems
 }
+
+func (s *Settings) checkPeers(add func(field, message string)) {
+	if (s.PeerKey.Environment == "") == (s.PeerKey.File == "") {
+		add("peer_key", "must name an environment variable or a file")
+	}
+	if s.PeerTLS.CertificateFile == "" {
+		add("peer_tls.certificate_file", "is required")
+	}
+	if s.PeerTLS.KeyFile == "" {
+		add("peer_tls.key_file", "is required")
+	}
+	if s.PeerTLS.RootFile == "" {
+		add("peer_tls.root_file", "is required")
+	}
+}
