Lanes and environments divide a process that they share

Cause: production and trial (or two environments) that name the same engine each kept a full account of its memory and slots, so that together they ran over it. Ruled out: one account for both lanes (a trial's load would then count against production's requests); falling back to production. Change: tables divide capacity by lane; trial.capacity_percent, default 10. Seen to fail: without the division TestLanesDivideASharedProcess finds 40 of 20 slots.

--- a/environment/document.go
+++ b/environment/document.go
@@ -32,6 +32,8 @@
 	Retry Retry `yaml:"retry"`
 	// AtMostOnce sets how long a keyed result is kept.
 	AtMostOnce AtMostOnce `yaml:"at_most_once"`
+	// Trial bounds what the lane in trial may use.
+	Trial Trial `yaml:"trial"`
 }
 
 // Model is a model that callers may name.
@@ -151,6 +153,13 @@
 	Retention time.Duration `yaml:"retention"`
 }
 
+// Trial bounds what the lane in trial may use.
+type Trial struct {
+	// CapacityPercent is the part of an upstream that the trial lane gets while
+	// production names the same upstream. Default 10.
+	CapacityPercent int `yaml:"capacity_percent"`
+}
+
 // Digest returns the hex SHA-256 digest of a document's bytes.
 func Digest(data []byte) string {
 	sum := sha256.Sum256(data)
--- a/environment/parse.go
+++ b/environment/parse.go
@@ -21,6 +21,8 @@
 	defaultMaxAttempts       = 3
 	defaultRetryPercent      = 10
 	defaultRetention         = 24 * time.Hour
+	defaultTrialPercent      = 10
+	maxTrialPercent          = 50
 	maxBodyBytes             = 64 << 20
 	percentMax               = 100
 )
@@ -59,6 +61,7 @@
 	setDefault(&d.Retry.MaxAttempts, defaultMaxAttempts)
 	setDefault(&d.Retry.BudgetPercent, defaultRetryPercent)
 	setDefault(&d.AtMostOnce.Retention, defaultRetention)
+	setDefault(&d.Trial.CapacityPercent, defaultTrialPercent)
 	for i := range d.Organisations {
 		setDefault(&d.Organisations[i].Weight, 1)
 		setDefault(&d.Organisations[i].MaxPriority, "normal")
@@ -220,6 +223,7 @@
 	c.require(d.Ramp.Duration > 0, "ramp.duration", "must be positive")
 	c.require(d.Retry.MaxAttempts > 0, "retry.max_attempts", "must be positive")
 	c.between("retry.budget_percent", d.Retry.BudgetPercent, 1, percentMax)
+	c.between("trial.capacity_percent", d.Trial.CapacityPercent, 1, maxTrialPercent)
 	c.require(d.AtMostOnce.Retention > 0, "at_most_once.retention", "must be positive")
 }
 
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -89,6 +89,7 @@
 		built.add(name, Production, state.ProductionDigest, documents)
 		built.add(name, Trial, state.TrialDigest, documents)
 	}
+	built.divideShared()
 	return built
 }
 
--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -73,3 +73,28 @@
 		is.Equal(deadline.Seconds(), test.seconds)
 	}
 }
+
+func TestLanesDivideASharedProcess(t *testing.T) {
+	is := is.New(t)
+	text := []byte(`name: works
+models: [{name: m, context_tokens: 1000}]
+length_classes: [{name: any, max_prompt_tokens: 1000, deadline: 1s}]
+engines: [{name: e1, data_centre: a, address: "127.0.0.1:1", models: [m], slots: 20, kv_tokens: 1000}]
+trial: {capacity_percent: 20}
+`)
+	document, err := environment.Parse(text)
+	is.NoErr(err)
+	documents := map[string]*environment.Document{"d": document}
+	site := configuration.NewSite()
+	site.Environments["works"] = configuration.Environment{ProductionDigest: "d", TrialDigest: "d"}
+	built := Build(site, documents)
+	production, trial := built.Upstreams["works/production/e1"], built.Upstreams["works/trial/e1"]
+	is.Equal(production.Slots+trial.Slots, 20)
+	is.Equal(production.KVTokens+trial.KVTokens, 1000)
+	is.Equal(trial.KVTokens, 200)
+	site.Environments["works"] = configuration.Environment{ProductionDigest: "d"}
+	is.Equal(Build(site, documents).Upstreams["works/production/e1"].KVTokens, 1000) // all of it without a trial
+	site.Environments["other"] = configuration.Environment{ProductionDigest: "d"}
+	built = Build(site, documents)
+	is.Equal(built.Upstreams["other/production/e1"].Slots+built.Upstreams["works/production/e1"].Slots, 20)
+}
