Engine stand-in: incarnation, owners, crash, cold start, orders

Cause: reports had no sign of a restart, no owner of a stream and were slow, not old, under the lag knob. An answer cut by a cancel looked whole. Entry nodes send the owner. Conclusion: the stand-in shows what orphans, orders and cold starts need.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -88,6 +88,7 @@
 	defer span.End()
 	if accepted.request.Model != "" {
 		accepted.header[upstream.HeaderPriority] = placement.Priority.String()
+		accepted.header[upstream.HeaderOwner] = s.config.Owner
 	}
 	attempt := &upstream.Attempt{
 		ID:       uuid.NewString(),
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -38,6 +38,8 @@
 	Tracer     trace.Tracer
 	Metrics    *telemetry.Metrics
 	Claims     *claimstore.Store
+	// Owner names this process to engines.
+	Owner string
 }
 
 // Server serves callers.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -16,15 +16,23 @@
 	PrefillTokensPerSecond int
 	// TokenInterval is the time between two tokens of one answer.
 	TokenInterval time.Duration
+	// ColdStart is how long after a start it bears one request at a time.
+	ColdStart time.Duration
+	// Orders says how it takes orders.
+	Orders OrdersConfig
 }
 
 // stream is one attempt that the engine runs.
 type stream struct {
 	id       string
+	owner    string
+	admitted time.Time
 	prompt   int
 	answer   int
 	produced int
 	canceled bool
+	// begun is true once the prompt is being read.
+	begun bool
 }
 
 // Engine keeps the streams that run. mutex guards the fields below it; prefill
@@ -41,6 +49,11 @@
 	// runs counts the attempts by id, and rejected the attempts refused.
 	runs     int
 	rejected int
+	// unloaded counts the attempts for a model that was not loaded.
+	unloaded int
+	life     life
+	history  history
+	models   models
 }
 
 // chunkTokens is how much of a prompt is read before another prompt's turn.
@@ -48,33 +61,47 @@
 
 // New returns an idle engine.
 func New(config Config) *Engine {
-	return &Engine{config: config, streams: map[string]*stream{}}
+	e := &Engine{config: config, streams: map[string]*stream{}}
+	e.start(time.Now(), config.ColdStart)
+	return e
 }
 
-// admit takes memory for an attempt, or reports that there is none.
-func (e *Engine) admit(id string, promptTokens, answerTokens, slots int) *stream {
+// admit takes memory for an attempt, or reports that there is none. A second
+// attempt during a cold start makes the engine fall over.
+func (e *Engine) admit(id, owner string, promptTokens, answerTokens, slots int) *stream {
+	now := time.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.isCold(now) && len(e.streams) >= coldSlots {
+		e.start(now, e.life.coldStart)
+		e.rejected++
+		return nil
+	}
 	need := promptTokens + answerTokens
 	_, running := e.streams[id]
 	if running || len(e.streams) >= slots || e.kvTokens+need > e.config.KVTokens {
 		e.rejected++
 		return nil
 	}
-	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens}
+	admitted := &stream{id: id, owner: owner, admitted: now, prompt: promptTokens, answer: answerTokens}
 	e.streams[id] = admitted
 	e.kvTokens += need
 	e.peak = max(e.peak, e.kvTokens)
 	e.runs++
+	e.remember(now)
 	return admitted
 }
 
-// release frees an attempt's memory.
+// release frees an attempt's memory, unless the engine restarted meanwhile.
 func (e *Engine) release(ended *stream) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.streams[ended.id] != ended {
+		return
+	}
 	delete(e.streams, ended.id)
 	e.kvTokens -= ended.prompt + ended.answer
+	e.remember(time.Now())
 }
 
 // read spends the time that the prompt takes, a chunk at a time in turn with
@@ -86,6 +113,7 @@
 		}
 		tokens := min(left, chunkTokens)
 		e.prefill.Lock()
+		e.begin(s)
 		time.Sleep(time.Duration(tokens) * time.Second / time.Duration(e.config.PrefillTokensPerSecond))
 		e.prefill.Unlock()
 	}
@@ -107,6 +135,12 @@
 	return true
 }
 
+func (e *Engine) begin(s *stream) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s.begun = true
+}
+
 func (e *Engine) isCanceled(s *stream) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -123,33 +157,3 @@
 	}
 	return ok
 }
-
-// Load is an engine's report of its load.
-type Load struct {
-	Running  int `json:"running"`
-	KVTokens int `json:"kv_tokens"`
-	// PeakKVTokens, Runs and Rejected count since the start.
-	PeakKVTokens int `json:"peak_kv_tokens"`
-	Runs         int `json:"runs"`
-	Rejected     int `json:"rejected"`
-	// Streams lists the attempts that run.
-	Streams []string `json:"streams"`
-}
-
-// Load returns the engine's load as it is.
-func (e *Engine) Load() Load {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	load := Load{
-		Running:      len(e.streams),
-		KVTokens:     e.kvTokens,
-		PeakKVTokens: e.peak,
-		Runs:         e.runs,
-		Rejected:     e.rejected,
-		Streams:      []string{},
-	}
-	for id := range e.streams {
-		load.Streams = append(load.Streams, id)
-	}
-	return load
-}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -34,10 +34,12 @@
 func NewServer(config Config, control *fault.Control) *Server {
 	server := &Server{engine: New(config), control: control}
 	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
+	control.OnSet(server.knobsSet)
 	control.Routes(server.app)
 	server.app.Post("/v1/chat/completions", server.complete)
 	server.app.Post("/v1/completions", server.complete)
 	server.app.Get("/v1/load", server.load)
+	server.app.Post("/v1/orders", server.order)
 	server.app.Get("/v1/streams", server.list)
 	server.app.Get("/v1/streams/:id", server.show)
 	server.app.Delete("/v1/streams/:id", server.cancel)
@@ -66,6 +68,10 @@
 	body := c.Body()
 	fields := gjson.GetManyBytes(body, "model", "stream", "max_tokens", "messages", "prompt")
 	promptTokens := max(1, max(len(fields[3].Raw), len(fields[4].Raw))/bytesPerToken)
+	if !s.engine.serves(fields[0].String()) {
+		c.Set(upstream.HeaderNotRun, "true")
+		return c.SendStatus(fiber.StatusNotFound)
+	}
 	answerTokens := int(fields[2].Int())
 	if answerTokens <= 0 {
 		answerTokens = defaultMaxTokens
@@ -74,7 +80,7 @@
 	if s.control.Knobs().Cold {
 		slots = coldSlots
 	}
-	admitted := s.engine.admit(c.Get(upstream.HeaderAttempt), promptTokens, answerTokens, slots)
+	admitted := s.engine.admit(c.Get(upstream.HeaderAttempt), c.Get(upstream.HeaderOwner), promptTokens, answerTokens, slots)
 	if admitted == nil {
 		c.Set(upstream.HeaderNotRun, "true")
 		return c.SendStatus(fiber.StatusServiceUnavailable)
@@ -95,6 +101,9 @@
 			text.WriteString(answer.token(admitted.produced))
 		}
 	}
+	if s.engine.isCanceled(admitted) {
+		return c.Context().Conn().Close()
+	}
 	return c.JSON(answer.whole(text.String(), admitted))
 }
 
@@ -128,18 +137,8 @@
 	})
 }
 
-func (s *Server) load(c *fiber.Ctx) error {
-	load := s.engine.Load()
-	time.Sleep(time.Duration(s.control.Knobs().LoadLagMS) * time.Millisecond)
-	return c.JSON(load)
-}
-
-func (s *Server) list(c *fiber.Ctx) error {
-	return c.JSON(s.engine.Load().Streams)
-}
-
 func (s *Server) show(c *fiber.Ctx) error {
-	for _, id := range s.engine.Load().Streams {
+	for _, id := range s.engine.streamIDs() {
 		if id == c.Params("id") {
 			return c.SendStatus(fiber.StatusOK)
 		}
--- a/standin/fault/knobs.go
+++ b/standin/fault/knobs.go
@@ -26,8 +26,13 @@
 	Frozen bool `json:"frozen"`
 	// Cold lets an engine run one request at a time and refuse the others.
 	Cold bool `json:"cold"`
-	// LoadLagMS delays an engine's load report, in milliseconds.
+	// LoadLagMS is how old an engine's load report is, in milliseconds.
 	LoadLagMS int `json:"load_lag_ms"`
+	// Crash restarts an engine once: its streams and memory are lost.
+	Crash bool `json:"crash"`
+	// ColdStartMS is how long an engine bears one request at a time after its
+	// next starts, in milliseconds.
+	ColdStartMS int `json:"cold_start_ms"`
 	// LoseCancels ignores this many cancels.
 	LoseCancels int `json:"lose_cancels"`
 	// Leaving shows the stand-in as leaving.
@@ -40,6 +45,13 @@
 type Control struct {
 	mutex sync.Mutex
 	knobs Knobs
+	onSet func(Knobs)
+}
+
+// OnSet sets what is called with the knobs each time that they are replaced. It
+// is set before the first Set.
+func (c *Control) OnSet(call func(Knobs)) {
+	c.onSet = call
 }
 
 // Knobs returns the knobs as they are.
@@ -52,8 +64,11 @@
 // Set replaces the knobs.
 func (c *Control) Set(knobs Knobs) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.knobs = knobs
+	c.mutex.Unlock()
+	if c.onSet != nil {
+		c.onSet(knobs)
+	}
 }
 
 // Take uses up one unit of the counter that field selects.
--- a/standin/standincli/standincli.go
+++ b/standin/standincli/standincli.go
@@ -57,6 +57,11 @@
 	engines.Int(&chosen.engine.KVTokens, "", "kv-tokens", "KV memory in tokens.")
 	engines.Int(&chosen.engine.PrefillTokensPerSecond, "", "prefill", "Prompt tokens read a second.")
 	engines.Duration(&chosen.engine.TokenInterval, "", "token-interval", "Time between tokens.")
+	engines.Duration(&chosen.engine.ColdStart, "", "cold-start", "Time after a start in which it bears one request at a time.")
+	engines.Bool(&chosen.engine.Orders.Managed, "", "orders", "Take orders and serve only what is loaded.")
+	engines.StringSlice(&chosen.engine.Orders.Models, "", "model", "A model loaded at each start; may stand more than once.")
+	engines.Bool(&chosen.engine.Orders.Fencing, "", "fencing", "Refuse orders with an old fencing number.")
+	engines.Duration(&chosen.engine.Orders.LoadTime, "", "load-time", "Time that an order takes to load.")
 	services := flaggy.NewSubcommand("service")
 	services.Description = "A plain service."
 	services.String(&chosen.name, "n", "name", "The service's name.")
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,6 +24,8 @@
 	HeaderAttempt = "X-Attempt-ID"
 	// HeaderPriority carries the priority to an engine.
 	HeaderPriority = "X-Request-Priority"
+	// HeaderOwner names the entry node process that an engine's stream is for.
+	HeaderOwner = "X-Wigeontiller-Owner"
 	// HeaderNotRun is set by an upstream that refused an attempt unrun.
 	HeaderNotRun = "X-Not-Run"
 )
