Scheduling: leaving, restarted and unloaded upstreams by their reports

Cause: a report carried load only, so that a leaving engine, an announced restart and a model not yet loaded could not stop new work. Change: Report tells of leaving, incarnation and models; a leaving upstream counts like one that is out, also directly before an attempt is sent; a new incarnation starts a ramp; an engine gets no request of a model it has not loaded.

--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -36,6 +36,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.scheduler.Observe(time.Now(), report)
+	d.advance()
 }
 
 // Demand returns what runs and waits here by upstream ID.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -20,8 +20,9 @@
 // InService reports whether the upstream may still receive new work. It is
 // asked directly before an attempt is sent.
 func (p *Placement) InService() bool {
-	current := p.dispatcher.Tables().Upstreams[p.Upstream.ID]
-	return current != nil && !current.Out
+	p.dispatcher.mutex.Lock()
+	defer p.dispatcher.mutex.Unlock()
+	return p.dispatcher.scheduler.InService(p.requestID)
 }
 
 // FirstToken tells that the answer has begun, so that a long prompt no longer
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -117,7 +117,7 @@
 // suits reports whether the upstream could run the request when idle.
 func (s *Scheduler) suits(m *member, request *Request) bool {
 	upstream := m.state.upstream
-	if upstream.Out || slices.Contains(request.Avoid, upstream.ID) {
+	if !m.inService() || slices.Contains(request.Avoid, upstream.ID) {
 		return false
 	}
 	return upstream.Kind == tables.ServiceUpstream || request.KVTokens() <= upstream.KVTokens
--- a/scheduling/configure.go
+++ b/scheduling/configure.go
@@ -94,7 +94,7 @@
 	}
 	one.group.all = append(one.group.all, one)
 	u.members = append(u.members, one)
-	if !u.upstream.Out {
+	if one.inService() {
 		p.inService++
 		p.maxKV = max(p.maxKV, u.upstream.KVTokens)
 	}
--- a/scheduling/limits.go
+++ b/scheduling/limits.go
@@ -30,6 +30,12 @@
 	UpstreamID                 string
 	Running, Waiting, KVTokens int
 	At                         time.Time
+	// Leaving is true when the upstream asks for no new work.
+	Leaving bool
+	// Incarnation changes with each start; 0 means that it isn't told.
+	Incarnation int64
+	// Models is what an engine has loaded; nil means that it isn't told.
+	Models []string
 }
 
 // SetShares replaces the shares by upstream ID. An upstream that is not named
@@ -121,7 +127,7 @@
 }
 
 // Observe takes in an upstream's report; an older one is ignored.
-func (s *Scheduler) Observe(_ time.Time, report Report) {
+func (s *Scheduler) Observe(now time.Time, report Report) {
 	u := s.upstreams[report.UpstreamID]
 	if u == nil || !report.At.After(u.reported) {
 		return
@@ -129,6 +135,7 @@
 	u.reported = report.At
 	u.others = max(0, report.Running+report.Waiting-u.requests)
 	u.othersKV = max(0, report.KVTokens-u.kvTokens)
+	s.observeState(now, u, report)
 }
 
 // OrganisationKey names an organisation for SetOrganisationRates.
--- a/scheduling/queries.go
+++ b/scheduling/queries.go
@@ -20,7 +20,7 @@
 func (s *Scheduler) Limited(now time.Time) []Limited {
 	limited := []Limited{}
 	for _, u := range s.ordered {
-		if !u.configured || u.upstream.Out {
+		if !u.configured || u.out() {
 			continue
 		}
 		slots, _ := s.limit(now, u)
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -76,7 +76,7 @@
 func (s *Scheduler) verifyPlacement(now time.Time, u *upstreamState) {
 	slots, kvTokens := s.limit(now, u)
 	over := u.requests > slots || u.kvTokens > kvTokens
-	if (over || u.upstream.Out || !u.configured) && s.violation == nil {
+	if (over || u.out() || !u.configured) && s.violation == nil {
 		s.violation = eris.Wrapf(ErrInvariant, "placement on %s: %d of %d slots, %d of %d tokens",
 			u.upstream.ID, u.requests, slots, u.kvTokens, kvTokens)
 	}
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -45,6 +45,10 @@
 	others   int
 	othersKV int
 	reported time.Time
+	// leaving, incarnation and models are as the report says.
+	leaving     bool
+	incarnation int64
+	models      []string
 }
 
 // member is an upstream's part in one pool.
@@ -94,9 +98,9 @@
 // refresh puts the upstream on or off its groups' free lists.
 func (s *Scheduler) refresh(now time.Time, u *upstreamState) {
 	slots, _ := s.limit(now, u)
-	isFree := u.configured && !u.upstream.Out && u.requests < slots
+	isFree := u.configured && u.requests < slots
 	for _, one := range u.members {
-		one.group.setFree(one, isFree)
+		one.group.setFree(one, isFree && one.inService())
 	}
 }
 
