Engine load reports: one poller an engine, reports to the other nodes, orphans

Cause: nothing read the engines' reports, so that other nodes' load, restarts and leaving were not known, and the streams of a dead node kept their memory.

--- /dev/null
+++ b/orphan/finder_test.go
@@ -0,0 +1,93 @@
+package orphan
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestFinder compares the decision with the history of each stream.
+func TestFinder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &Finder{}
+		now := time.Unix(1000, 0)
+		history := map[string][]Standing{}
+		const tick = time.Second
+		for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+			now = now.Add(tick)
+			var streams []Stream
+			current := map[string]Standing{}
+			for i := range 4 {
+				id := fmt.Sprint(i)
+				if rapid.IntRange(0, 9).Draw(t, "listed") == 0 {
+					delete(history, id)
+					continue
+				}
+				last := Held
+				if seen := history[id]; len(seen) > 0 {
+					last = seen[len(seen)-1]
+				}
+				if rapid.IntRange(0, 5).Draw(t, "changes") == 0 {
+					last = Standing(rapid.IntRange(int(Unknown), int(Unlisted)).Draw(t, "standing"))
+				}
+				history[id] = append(history[id], last)
+				current[id] = last
+				streams = append(streams, Stream{ID: id, Owner: "node"})
+			}
+			streams = append(streams, Stream{ID: "foreign"})
+			current["foreign"] = Gone // what names no owner is never ours to cancel
+			found := f.Find(now, streams, func(s Stream) Standing { return current[s.ID] })
+			for _, s := range streams {
+				if got, want := slices.Contains(found, s.ID), expected(history[s.ID], tick); got != want {
+					t.Fatalf("stream %s: orphan %v, want %v after %v", s.ID, got, want, history[s.ID])
+				}
+			}
+		}
+	})
+}
+
+// expected says whether the last standing lasted for its margin.
+func expected(seen []Standing, tick time.Duration) bool {
+	if len(seen) == 0 {
+		return false
+	}
+	last := seen[len(seen)-1]
+	lasted := time.Duration(-1)
+	for i := len(seen) - 1; i >= 0 && seen[i] == last; i-- {
+		lasted++
+	}
+	lasted *= tick
+	return last == Gone && lasted >= 3*time.Second || last == Unlisted && lasted >= 10*time.Second
+}
+
+func TestOrphanIsFoundUntilTheListShowsItGone(t *testing.T) {
+	is := is.New(t)
+	f := &Finder{}
+	now := time.Unix(1000, 0)
+	listed := []Stream{{ID: "a", Owner: "dead"}, {ID: "b", Owner: "alive"}}
+	standing := func(s Stream) Standing {
+		if s.Owner == "dead" {
+			return Gone
+		}
+		return Held
+	}
+	is.Equal(len(f.Find(now, listed, standing)), 0)
+	now = now.Add(GoneMargin)
+	is.Equal(f.Find(now, listed, standing), []string{"a"})
+	is.Equal(f.Find(now, listed, standing), []string{"a"}) // a cancel may be lost
+	is.Equal(len(f.Find(now, listed[1:], standing)), 0)
+}
--- a/scheduling/service_test.go
+++ b/scheduling/service_test.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// report lets an engine tell of itself.
-func (f *fixture) report(id string, change func(*Report)) {
+// report lets the first engine tell of itself.
+func (f *fixture) report(change func(*Report)) {
 	f.now = f.now.Add(time.Second)
-	report := Report{UpstreamID: id, At: f.now, Incarnation: 1}
+	report := Report{UpstreamID: engineID, At: f.now, Incarnation: 1}
 	change(&report)
 	f.Observe(f.now, report)
 	f.check()
@@ -26,13 +26,13 @@
 	sent := f.submit(f.request(0, 100))
 	f.is.Equal(sent.Kind, Placed)
 	f.is.True(f.InService(sent.RequestID))
-	f.report(engineID, leaves)
+	f.report(leaves)
 	f.is.True(!f.InService(sent.RequestID)) // asked again before it is sent
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Refused)
 	f.configure()
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Refused) // also under new tables
 	f.finish(sent.RequestID, Outcome{})
-	f.report(engineID, idle)
+	f.report(idle)
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Placed)
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Queued) // it returns on a ramp
 }
@@ -44,7 +44,7 @@
 	first := f.submit(f.request(0, 100))
 	waits := f.submit(f.request(0, 100))
 	f.is.Equal(waits.Kind, Queued)
-	f.report(engineID, leaves)
+	f.report(leaves)
 	f.finish(first.RequestID, Outcome{})
 	decisions := f.advance()
 	f.is.Equal(len(decisions), 1)
@@ -54,21 +54,21 @@
 func TestRestartedUpstreamIsRamped(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	f.configure()
-	f.report(engineID, idle)
+	f.report(idle)
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Placed)
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Placed)
-	f.report(engineID, func(r *Report) { r.Incarnation = 2 })
+	f.report(func(r *Report) { r.Incarnation = 2 })
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Queued)
 }
 
 func TestEngineGetsNoTrafficForAModelThatItHasNotLoaded(t *testing.T) {
 	f := newFixture(t, 2, 1)
 	f.configure()
-	f.report(engineID, func(r *Report) { r.Models = []string{"another"} })
+	f.report(func(r *Report) { r.Models = []string{"another"} })
 	for range 8 {
 		f.is.Equal(f.submit(f.request(0, 100)).Upstream.Name, "e1")
 	}
 	f.is.Equal(f.submit(f.request(0, 100)).Kind, Queued) // rather than at e0
-	f.report(engineID, func(r *Report) { r.Models = []string{"m"} })
+	f.report(func(r *Report) { r.Models = []string{"m"} })
 	f.is.Equal(len(f.advance()), 1)
 }
