Entry: attempts are listed until they have ended

Cause: a node could not say whether it still holds a stream that an engine lists. Shown by TestAttemptIsHeldUntilItEnded.

--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -29,6 +29,8 @@
 	reply     *upstream.Reply
 	placement *dispatch.Placement
 	attemptID string
+	// ended is called when the attempt has ended.
+	ended func()
 	// first is the first event of a stream.
 	first  []byte
 	events *upstream.EventReader
@@ -40,6 +42,7 @@
 func (a *answer) close(outcome scheduling.Outcome) {
 	a.reply.Close()
 	a.placement.Finish(outcome)
+	a.ended()
 }
 
 // attempts places and sends a call until an answer starts or the call is given up.
@@ -104,12 +107,13 @@
 		return nil, upstream.ErrNotSent
 	}
 	s.config.Metrics.Attempt()
+	s.held.Store(attempt.ID, struct{}{})
 	reply, err := s.config.Upstreams.Do(ctx, attempt)
 	if err != nil {
 		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
-	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID}
+	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID, ended: func() { s.held.Delete(attempt.ID) }}
 	if err := s.beginOrLeave(ctx, accepted, got); err != nil {
 		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
@@ -171,11 +175,13 @@
 	failed := failedOutcome(ctx)
 	if accepted.request.Model == "" || !errors.Is(err, upstream.ErrBroken) {
 		placement.Finish(failed)
+		s.held.Delete(attempt.ID)
 		return
 	}
 	s.cleanups.Add(1)
 	go func() {
 		defer s.cleanups.Done()
+		defer s.held.Delete(attempt.ID)
 		s.cancelUntilGone(attempt)
 		placement.Finish(failed)
 	}()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -51,8 +51,10 @@
 	draining atomic.Bool
 	// cleanups waits for cancels that outlive their request.
 	cleanups sync.WaitGroup
-	ctx      context.Context
-	stop     context.CancelFunc
+	// held holds the ID of each attempt that has not ended.
+	held sync.Map
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // NewServer returns a server with its routes.
@@ -73,6 +75,12 @@
 	return server
 }
 
+// Holds reports whether an attempt of this node has not ended.
+func (s *Server) Holds(attemptID string) bool {
+	_, holds := s.held.Load(attemptID)
+	return holds
+}
+
 // App returns the HTTP application, for a listener of the caller's choice.
 func (s *Server) App() *fiber.App {
 	return s.app
--- /dev/null
+++ b/entry/held_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/standin/engine"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+)
+
+// heldCount is the number of attempts that have not ended.
+func (s *Server) heldCount() int {
+	count := 0
+	s.held.Range(func(any, any) bool {
+		count++
+		return true
+	})
+	return count
+}
+
+func TestAttemptIsHeldUntilItEnded(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		loseCancels int
+		stream      bool
+	}{{"whole answer", 0, false}, {"stream", 0, true}, {"stream whose cancel is lost", 2, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, engine.Config{Slots: 2, KVTokens: 100_000, PrefillTokensPerSecond: 3_000, TokenInterval: time.Millisecond})
+			f.server.config.Owner = "node/1"
+			f.control.Set(fault.Knobs{LoseCancels: test.loseCancels})
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				response, err := f.post(ctx, chat(strings.Repeat("a", 80_000), 10, test.stream), nil)
+				if err == nil {
+					_ = response.Body.Close()
+				}
+			}()
+			eventually(t, "the request runs", func() bool { return f.engine.Load().Running == 1 })
+			listed := f.engine.Load().Streams[0]
+			is.Equal(listed.Owner, "node/1")
+			is.True(f.server.Holds(listed.ID))
+			is.True(!f.server.Holds("another"))
+			leave()
+			eventually(t, "nothing is held", func() bool { return f.server.heldCount() == 0 })
+			is.Equal(len(f.engine.Load().Streams), 0) // not before the engine has let go
+		})
+	}
+}
