--- /dev/null
+++ b/configuration/execute_test.go
@@ -0,0 +1,146 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/memory"
+)
+
+// faulty is a platform whose writes fail before or after their effect.
+type faulty struct {
+	*memory.Platform
+	mutex sync.Mutex
+	rand  *rand.Rand
+	// refused and lost are the odds of each fault.
+	refused, lost float64
+}
+
+func (f *faulty) draw() float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.rand.Float64()
+}
+
+func (f *faulty) Transact(ctx context.Context, writes []platform.Write) error {
+	if f.draw() < f.refused {
+		return platform.ErrUnavailable
+	}
+	err := f.Platform.Transact(ctx, writes)
+	if f.draw() < f.lost {
+		return platform.ErrUnknown
+	}
+	return err
+}
+
+func (f *faulty) Get(ctx context.Context, key string) (platform.Row, error) {
+	if f.draw() < f.refused {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return f.Platform.Get(ctx, key)
+}
+
+func newFaulty(seed uint64, refused, lost float64) *faulty {
+	return &faulty{Platform: memory.New(), rand: rand.New(rand.NewPCG(seed, 0)), refused: refused, lost: lost}
+}
+
+func TestAnswerLostAfterItsEffect(t *testing.T) {
+	is := is.New(t)
+	store := NewStore(newFaulty(1, 0, 1))
+	command := Command{ID: "one", Kind: Try, Target: "works", Digest: "sha256:a"}
+	site, first, err := store.Execute(t.Context(), command)
+	is.NoErr(err)
+	is.Equal(site.Version, uint64(1))
+	_, again, err := store.Execute(t.Context(), command)
+	is.NoErr(err)
+	is.Equal(again, first) // the repeat changed nothing
+	command.Digest = "sha256:b"
+	_, _, err = store.Execute(t.Context(), command)
+	is.True(errors.Is(err, ErrCommandReused))
+}
+
+func TestReusedIDWithTheOppositeState(t *testing.T) {
+	is := is.New(t)
+	store := NewStore(memory.New())
+	_, _, err := store.Execute(t.Context(), Command{ID: "one", Kind: SetDataCentre, Target: "dc-a", Out: true})
+	is.NoErr(err)
+	_, _, err = store.Execute(t.Context(), Command{ID: "one", Kind: SetDataCentre, Target: "dc-a"})
+	is.True(errors.Is(err, ErrCommandReused)) // not "done" while it is still out
+}
+
+func TestStalePromotionIsToldTheCurrentVersion(t *testing.T) {
+	is := is.New(t)
+	store := NewStore(memory.New())
+	_, tried, err := store.Execute(t.Context(), Command{ID: "1", Kind: Try, Target: "works", Digest: "a"})
+	is.NoErr(err)
+	_, newer, err := store.Execute(t.Context(), Command{ID: "2", Kind: Try, Target: "works", Digest: "b"})
+	is.NoErr(err)
+	_, _, err = store.Execute(t.Context(), Command{ID: "3", Kind: Promote, Target: "works", Digest: "a", Replaces: tried.Version})
+	var stale *StaleError
+	is.True(errors.As(err, &stale))
+	is.Equal(stale.Current, newer.Version)
+	_, _, err = store.Execute(t.Context(), Command{ID: "4", Kind: Promote, Target: "works", Digest: "a", Replaces: newer.Version})
+	is.True(errors.Is(err, ErrNotInTrial))
+	_, _, err = store.Execute(t.Context(), Command{ID: "5", Kind: Withdraw, Target: "none"})
+	is.True(errors.Is(err, ErrUnknownEnvironment))
+}
+
+// TestRacingOperators lets operators race under faults and checks each answer
+// against the history: done means one entry, refused means none.
+func TestRacingOperators(t *testing.T) {
+	for seed := range uint64(40) {
+		race(t, seed)
+	}
+}
+
+func race(t *testing.T, seed uint64) {
+	const operators, commands = 4, 8
+	is := is.New(t)
+	store := NewStore(newFaulty(seed, 0.1, 0.3))
+	var mutex sync.Mutex
+	answers := map[string]error{}
+	versions := map[string]uint64{}
+	var group sync.WaitGroup
+	for operator := range operators {
+		group.Go(func() {
+			for number := range commands {
+				id := fmt.Sprintf("%d/%d", operator, number)
+				command := Command{ID: id, Kind: Try, Target: "works", Digest: id}
+				_, outcome, err := store.Execute(context.Background(), command)
+				mutex.Lock()
+				answers[id] = err
+				versions[id] = outcome.Version
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	history, err := NewStore(store.platform.(*faulty).Platform).History(t.Context(), "works")
+	is.NoErr(err)
+	done := map[string]uint64{}
+	for i, outcome := range history {
+		is.Equal(outcome.Version, uint64(i+1)) // a total order without gaps
+		_, twice := done[outcome.CommandID]
+		is.True(!twice)
+		done[outcome.CommandID] = outcome.Version
+	}
+	for id, err := range answers {
+		version, took := done[id]
+		switch {
+		case err == nil:
+			is.True(took)
+			is.Equal(versions[id], version)
+		case errors.Is(err, ErrOutcomeUnknown):
+			// Either is true; a repeat tells which.
+		default:
+			is.True(!took) // "not run" is true
+		}
+	}
+}
