Nodes poll, tell and cancel: reports and orphans in the daemon

Change: each node runs the poller and serves Tell on its peer listener; owners answer with their process and with the asked streams that they don't hold, so that a restarted node's and a living node's lost streams are found.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -81,6 +81,16 @@
 	return holds
 }
 
+// HeldAttempts returns the IDs of the attempts that have not ended.
+func (s *Server) HeldAttempts() []string {
+	var ids []string
+	s.held.Range(func(id, _ any) bool {
+		ids = append(ids, id.(string))
+		return true
+	})
+	return ids
+}
+
 // App returns the HTTP application, for a listener of the caller's choice.
 func (s *Server) App() *fiber.App {
 	return s.app
--- a/node.go
+++ b/node.go
@@ -53,6 +53,7 @@
 	claims     *claimstore.Store
 	follower   *follower
 	cluster    *cluster
+	reports    *reports
 	entry      *entry.Server
 	admin      *admin.Server
 	draining   atomic.Bool
@@ -102,6 +103,7 @@
 	if err := node.cluster.follow(node.follower); err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
+	owner := newOwner(s.Name)
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
 		Upstreams:  upstream.NewClient(),
@@ -109,7 +111,12 @@
 		Tracer:     tracing.Tracer(telemetry.ScopeName),
 		Metrics:    node.metrics,
 		Claims:     node.claims,
+		Owner:      owner.String(),
 	})
+	node.reports, err = newReports(owner, node.cluster, node.dispatcher, node.entry, node.metrics, node.logger)
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
 	node.admin = admin.NewServer(admin.Config{Store: store, Node: node, Tokens: tokens, Metrics: node.metrics})
 	return node, nil
 }
@@ -138,6 +145,7 @@
 	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
+	n.workers.Go(func() { n.reports.poller.Run(ctx) })
 	n.workers.Go(n.shareStoreBudget(ctx))
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
--- a/observe/load.go
+++ b/observe/load.go
@@ -59,7 +59,7 @@
 	}
 	for _, s := range wire.Streams {
 		age := time.Duration(s.AgeMS) * time.Millisecond
-		load.Streams = append(load.Streams, orphan.Stream{ID: s.ID, Owner: s.Owner, Age: age})
+		load.Streams = append(load.Streams, orphan.Stream{ID: s.ID, Owner: orphan.ParseOwner(s.Owner), Age: age})
 	}
 	return load, nil
 }
--- a/observe/outbox.go
+++ b/observe/outbox.go
@@ -59,6 +59,8 @@
 type letter struct {
 	peer         Peer
 	observations []Observation
+	// asked are the streams of the peer that engines list.
+	asked []string
 }
 
 // letters returns what to tell now; dataCentres is each engine's by address.
--- a/observe/poller.go
+++ b/observe/poller.go
@@ -41,14 +41,18 @@
 	Owns(role, dataCentre string) bool
 	// Peers returns the other live nodes.
 	Peers() []Peer
-	// Standing tells what is known of a stream's owner.
-	Standing(s orphan.Stream) orphan.Standing
+	// Standing tells what is known of a node, by its name and process.
+	Standing(owner orphan.Owner) orphan.Standing
+	// Holds reports whether a stream of this process has not ended.
+	Holds(streamID string) bool
+	// Self names this process.
+	Self() orphan.Owner
 }
 
 // Teller hands observations on to a peer.
 type Teller interface {
-	// Tell returns nil when the peer has taken the observations in.
-	Tell(ctx context.Context, to Peer, observations []Observation) error
+	// Tell hands observations on and asks which of the streams the peer holds.
+	Tell(ctx context.Context, to Peer, observations []Observation, asked []string) (Answer, error)
 }
 
 // Scheduler takes reports in.
@@ -77,6 +81,7 @@
 	config  Config
 	finders map[string]*orphan.Finder
 	outbox  outbox
+	peers   peerBook
 
 	mutex   sync.Mutex
 	built   *tables.Tables
@@ -209,18 +214,32 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	letters := p.outbox.letters(time.Now(), p.config.Members.Peers(), observations, dataCentres)
-	taken := make([]bool, len(letters))
+	peers := p.config.Members.Peers()
+	p.peers.forget(peers)
+	letters := p.outbox.letters(time.Now(), peers, observations, dataCentres)
+	answers := make([]Answer, len(letters))
 	round := pool.New().WithMaxGoroutines(workers)
-	for i, one := range letters {
-		round.Go(func() { taken[i] = p.config.Teller.Tell(ctx, one.peer, one.observations) == nil })
+	for i := range letters {
+		letters[i].asked = askedOf(letters[i].peer, observations)
+		round.Go(func() { answers[i] = p.send(ctx, letters[i]) })
 	}
 	round.Wait()
 	for i, one := range letters {
-		if taken[i] {
+		if answers[i].Complete {
 			p.outbox.acknowledge(time.Now(), one)
 		}
+		p.peers.note(one.peer, answers[i])
+	}
+}
+
+// send returns the answer to a letter, which is zero when there was none.
+func (p *Poller) send(ctx context.Context, one letter) Answer {
+	answer, err := p.config.Teller.Tell(ctx, one.peer, one.observations, one.asked)
+	if err != nil {
+		p.config.Metrics.Count("wigeontiller_reports_untold_total", 1)
+		return Answer{}
 	}
+	return answer
 }
 
 func (p *Poller) cancelOrphans(mine map[string]Target, observations []Observation) {
@@ -232,7 +251,7 @@
 			finder = &orphan.Finder{}
 		}
 		finders[one.Address] = finder
-		orphans := finder.Find(time.Now(), one.Load.Streams, p.config.Members.Standing)
+		orphans := finder.Find(time.Now(), one.Load.Streams, p.standing)
 		for _, id := range orphans[:min(len(orphans), cancelsPerRound)] {
 			round.Go(func() { p.cancel(one.Address, id) })
 		}
--- a/observe/reportrpc/service.go
+++ b/observe/reportrpc/service.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 
@@ -13,18 +15,27 @@
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
-// ErrNotTold is returned when a peer has not acknowledged.
+// ErrNotTold is returned when a peer has not answered.
 var ErrNotTold = eris.New("peer not told")
 
-// Service takes in what other nodes read.
-type Service struct {
-	tables func() *tables.Tables
-	take   func(observe.Observation)
+// Node is what the service needs of its node.
+type Node interface {
+	// Tables returns the tables in force, or nil.
+	Tables() *tables.Tables
+	// Observe takes in what another node read.
+	Observe(o observe.Observation)
+	// Process tells the node's starts apart.
+	Process() string
+	// HeldStreams returns the IDs of all attempts that have not ended.
+	HeldStreams() []string
 }
 
-// NewService returns a service that hands each observation to take.
-func NewService(current func() *tables.Tables, take func(observe.Observation)) *Service {
-	return &Service{tables: current, take: take}
+// Service takes in what other nodes read.
+type Service struct{ node Node }
+
+// NewService returns a service over a node.
+func NewService(node Node) *Service {
+	return &Service{node: node}
 }
 
 // Register adds the service to a peer server.
@@ -34,18 +45,26 @@
 
 // Tell implements the service.
 func (s *Service) Tell(_ context.Context, request *TellRequest) (*TellResponse, error) {
-	built := s.tables()
-	if built == nil {
-		return nil, eris.Wrap(ErrNotTold, "no site in force")
-	}
-	observations := decode(time.Now(), request, observe.Targets(built))
+	observations := decode(time.Now(), request, observe.Targets(s.node.Tables()))
 	for _, one := range observations {
-		s.take(one)
+		s.node.Observe(one)
 	}
-	if len(observations) < len(request.Reports) {
-		return nil, eris.Wrap(ErrNotTold, "an engine is not in the tables")
+	return &TellResponse{
+		Process:  s.node.Process(),
+		Unheld:   s.unheld(request.Asked),
+		Complete: len(observations) == len(request.Reports),
+	}, nil
+}
+
+func (s *Service) unheld(asked []uint64) []uint64 {
+	if len(asked) == 0 {
+		return nil
+	}
+	held := map[uint64]bool{}
+	for _, id := range s.node.HeldStreams() {
+		held[xxhash.Sum64String(id)] = true
 	}
-	return &TellResponse{}, nil
+	return slices.DeleteFunc(slices.Clone(asked), func(one uint64) bool { return held[one] })
 }
 
 // Teller tells other nodes.
@@ -59,12 +78,24 @@
 }
 
 // Tell implements observe.Teller. Error: ErrNotTold.
-func (t *Teller) Tell(ctx context.Context, to observe.Peer, observations []observe.Observation) error {
+func (t *Teller) Tell(ctx context.Context, to observe.Peer, observations []observe.Observation, asked []string) (observe.Answer, error) {
+	request := encode(time.Now(), observations)
+	names := map[uint64]string{}
+	for _, id := range asked {
+		names[xxhash.Sum64String(id)] = id
+		request.Asked = append(request.Asked, xxhash.Sum64String(id))
+	}
 	conn := t.dial(ctx, to.Address)
 	defer func() { _ = conn.Close() }()
-	_, err := NewDRPCReportsClient(conn).Tell(ctx, encode(time.Now(), observations))
+	response, err := NewDRPCReportsClient(conn).Tell(ctx, request)
 	if err != nil {
-		return eris.Wrap(ErrNotTold, err.Error())
+		return observe.Answer{}, eris.Wrap(ErrNotTold, err.Error())
+	}
+	answer := observe.Answer{Process: response.Process, Complete: response.Complete}
+	for _, one := range response.Unheld {
+		if id, known := names[one]; known {
+			answer.Unheld = append(answer.Unheld, id)
+		}
 	}
-	return nil
+	return answer, nil
 }
--- a/orphan/finder.go
+++ b/orphan/finder.go
@@ -10,6 +10,8 @@
 	GoneMargin = 3 * time.Second
 	// UnlistedMargin is how long a living owner must not list a stream.
 	UnlistedMargin = 10 * time.Second
+	// SilentMargin is how long nothing must be heard of an owner.
+	SilentMargin = 2 * time.Minute
 )
 
 // Standing is what is known of a stream's owner.
@@ -25,13 +27,16 @@
 	Gone
 	// Unlisted means that the owner lives and doesn't hold the stream.
 	Unlisted
+	// Silent means that nothing is heard of the owner: it is cut off, has ended
+	// with its whole data centre, or was never known here.
+	Silent
 )
 
 // Stream is one attempt that an engine lists.
 type Stream struct {
 	ID string
-	// Owner names the entry node process; empty for streams of others.
-	Owner string
+	// Owner is the entry node process; zero for streams of others.
+	Owner Owner
 	Age   time.Duration
 }
 
@@ -50,7 +55,7 @@
 	next := map[string]suspicion{}
 	var orphans []string
 	for _, s := range streams {
-		if s.Owner == "" {
+		if s.Owner.Node == "" {
 			continue
 		}
 		is := standing(s)
@@ -77,6 +82,8 @@
 		return GoneMargin, true
 	case Unlisted:
 		return UnlistedMargin, true
+	case Silent:
+		return SilentMargin, true
 	case Unknown, Held:
 	}
 	return 0, false
