--- a/node.go
+++ b/node.go
@@ -146,6 +146,7 @@
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
 	n.workers.Go(func() { n.reports.poller.Run(ctx) })
+	n.workers.Go(func() { newOrdering(n.reports, n.guard.Ordinary(), n).Run(ctx) })
 	n.workers.Go(n.shareStoreBudget(ctx))
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
