--- a/entry/relay.go
+++ b/entry/relay.go
@@ -124,7 +124,7 @@
 	return r.server.config.Upstreams.Resume(ctx, &upstream.Attempt{
 		ID:       r.got.attemptID,
 		Address:  r.got.address,
-		Header:   traced(ctx, nil),
+		Header:   traced(ctx, map[string]string{upstream.HeaderOwner: r.server.config.Owner}),
 		Deadline: r.call.request.Deadline,
 	}, r.sent)
 }
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -55,8 +55,11 @@
 	c.Locals(localRequestID, r.call.callerID)
 	c.Set(headerRequestID, r.call.callerID)
 	ctx, finish := s.enter(c, r.call)
+	// Held before the engine is asked: it then names this node as the owner.
+	r.got.ended = s.hold(r.got.attemptID)
 	if err := r.reconnect(ctx); err != nil {
 		failure := resumeFailure(ctx, err)
+		r.got.ended()
 		finish()
 		return s.fail(c, failure)
 	}
--- a/node.go
+++ b/node.go
@@ -55,6 +55,7 @@
 	claims     *claimstore.Store
 	follower   *follower
 	cluster    *cluster
+	reports    *reports
 	entry      *entry.Server
 	admin      *admin.Server
 	draining   atomic.Bool
@@ -108,6 +109,7 @@
 	if err := node.cluster.follow(node.follower); err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
+	owner := newOwner(s.Name)
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
 		Upstreams:  upstream.NewClient(),
@@ -116,7 +118,12 @@
 		Metrics:    node.metrics,
 		Claims:     node.claims,
 		Tokens:     signer,
+		Owner:      owner.String(),
 	})
+	node.reports, err = newReports(owner, node.cluster, node.dispatcher, node.entry, node.metrics, node.logger)
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
 	node.admin = admin.NewServer(admin.Config{Store: store, Node: node, Tokens: tokens, Metrics: node.metrics})
 	return node, nil
 }
@@ -158,6 +165,8 @@
 	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
+	n.workers.Go(func() { n.reports.poller.Run(ctx) })
+	n.workers.Go(func() { newOrdering(n.reports, n.guard.Ordinary(), n).Run(ctx) })
 	n.workers.Go(n.shareStoreBudget(ctx))
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
--- a/standin/engine/resume.go
+++ b/standin/engine/resume.go
@@ -9,6 +9,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/upstream"
 )
 
 // defaultGrace is how long a stream without a reader is kept.
@@ -59,8 +60,9 @@
 	}
 }
 
-// open adds a reader to a stream that runs or is kept, or returns nil.
-func (e *Engine) open(id string) *stream {
+// open adds a reader to a stream that runs or is kept, or returns nil. A reader
+// that names an owner becomes the stream's.
+func (e *Engine) open(id, owner string) *stream {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	s := e.streams[id]
@@ -71,6 +73,9 @@
 		return nil
 	}
 	s.readers++
+	if owner != "" {
+		s.owner = owner
+	}
 	return s
 }
 
@@ -139,7 +144,7 @@
 	} else if s.control.Take(func(k *fault.Knobs) *int { return &k.CutStreams }) {
 		chosen = cutConnection
 	}
-	s.engine.open(admitted.id)
+	s.engine.open(admitted.id, "")
 	go s.produce(admitted, answer)
 	s.send(c, admitted, 0, chosen)
 }
@@ -150,7 +155,7 @@
 	if err != nil || after < 0 {
 		return c.SendStatus(fiber.StatusBadRequest)
 	}
-	found := s.engine.open(c.Params("id"))
+	found := s.engine.open(c.Params("id"), c.Get(upstream.HeaderOwner))
 	if found == nil {
 		return c.SendStatus(fiber.StatusNotFound)
 	}
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -101,14 +101,33 @@
 	}
 }
 
+const (
+	// firstPort and lastPort lie below the ports that the system gives to
+	// outgoing connections, which could otherwise take an address before its
+	// process listens.
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
+var lastGiven = firstPort + os.Getpid()%(lastPort-firstPort)
+
+// freeAddress returns an address that it never returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		lastGiven++
+		if lastGiven >= lastPort {
+			lastGiven = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lastGiven)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // node is an entry node under test.
