--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -68,7 +68,7 @@
 }
 
 // newFixtureThrough puts something between the entry server and the engine.
-func newFixtureThrough(t *testing.T, config engine.Config, through func(address string) string) *fixture {
+func newFixtureThrough(t testing.TB, config engine.Config, through func(address string) string) *fixture {
 	t.Helper()
 	f := &fixture{control: new(fault.Control), spans: tracetest.NewInMemoryExporter()}
 	engineServer := engine.NewServer(config, f.control)
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -28,7 +28,7 @@
 	answerEvents = answerTokens + 3
 )
 
-func testSigner(t *testing.T) *resume.Signer {
+func testSigner(t testing.TB) *resume.Signer {
 	t.Helper()
 	signer, err := resume.NewSigner([]byte("peer key"))
 	if err != nil {
--- a/node.go
+++ b/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -83,10 +82,6 @@
 		metrics:  telemetry.NewMetrics(),
 		tracing:  tracing,
 	}
-	signer, err := newSigner(s.PeerKey)
-	if err != nil {
-		return nil, eris.Wrap(ErrSettings, "peer_key: "+err.Error())
-	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node.dispatcher = dispatch.New(scheduling.NewSeeded(s.DataCentre, random))
 	node.dispatcher.OnBroken(func(err error) {
@@ -108,6 +103,10 @@
 	if err := node.cluster.follow(node.follower); err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
+	signer, err := resume.NewSigner([]byte(node.cluster.peerKey))
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
 		Upstreams:  upstream.NewClient(),
@@ -121,19 +120,6 @@
 	return node, nil
 }
 
-// newSigner derives the key of resume tokens from the peer key. Without one,
-// the tokens are good at this node only.
-func newSigner(peerKey settings.Secret) (*resume.Signer, error) {
-	if peerKey == (settings.Secret{}) {
-		return resume.NewSigner([]byte(cryptorand.Text()))
-	}
-	secret, err := peerKey.Read()
-	if err != nil {
-		return nil, err
-	}
-	return resume.NewSigner([]byte(secret))
-}
-
 // Start listens and begins to serve. It returns when the listeners are open.
 func (n *Node) Start() error {
 	callers, err := net.Listen("tcp", n.settings.CallerAddress)
