--- a/entry/handler.go
+++ b/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
@@ -40,6 +41,8 @@
 	Claims     *claimstore.Store
 	// Owner names this process to engines.
 	Owner string
+	// Tokens signs the tokens that streams are resumed with.
+	Tokens *resume.Signer
 }
 
 // Server serves callers.
@@ -71,6 +74,7 @@
 	})
 	server.app.Post("/v1/chat/completions", server.completion)
 	server.app.Post("/v1/completions", server.completion)
+	server.app.Get("/v1/requests/:id/stream", server.resumeStream)
 	server.app.All("/services/:name/*", server.service)
 	return server
 }
@@ -81,6 +85,11 @@
 	return holds
 }
 
+// release returns what ends the hold on an attempt.
+func (s *Server) release(attemptID string) func() {
+	return func() { s.held.Delete(attemptID) }
+}
+
 // HeldAttempts returns the IDs of the attempts that have not ended.
 func (s *Server) HeldAttempts() []string {
 	var ids []string
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -20,6 +20,9 @@
 	ColdStart time.Duration
 	// Orders says how it takes orders.
 	Orders OrdersConfig
+	// Grace is how long a stream without a reader runs on, and how long the
+	// events of a whole answer are kept. Default 15s.
+	Grace time.Duration
 }
 
 // stream is one attempt that the engine runs.
@@ -33,6 +36,13 @@
 	canceled bool
 	// begun is true once the prompt is being read.
 	begun bool
+	// events are what a streamed attempt has produced; changed wakes its
+	// readers. left counts the readers that have gone.
+	events  [][]byte
+	changed *sync.Cond
+	readers int
+	left    int
+	ended   bool
 }
 
 // Engine keeps the streams that run. mutex guards the fields below it; prefill
@@ -43,6 +53,8 @@
 
 	mutex   sync.Mutex
 	streams map[string]*stream
+	// kept holds the whole answers that may still be read.
+	kept map[string]*stream
 	// kvTokens is the memory in use; peak is the most there ever was.
 	kvTokens int
 	peak     int
@@ -61,7 +73,10 @@
 
 // New returns an idle engine.
 func New(config Config) *Engine {
-	e := &Engine{config: config, streams: map[string]*stream{}}
+	if config.Grace == 0 {
+		config.Grace = defaultGrace
+	}
+	e := &Engine{config: config, streams: map[string]*stream{}, kept: map[string]*stream{}}
 	e.start(time.Now(), config.ColdStart)
 	return e
 }
@@ -83,7 +98,7 @@
 		e.rejected++
 		return nil
 	}
-	admitted := &stream{id: id, owner: owner, admitted: now, prompt: promptTokens, answer: answerTokens}
+	admitted := &stream{id: id, owner: owner, admitted: now, prompt: promptTokens, answer: answerTokens, changed: sync.NewCond(&e.mutex)}
 	e.streams[id] = admitted
 	e.kvTokens += need
 	e.peak = max(e.peak, e.kvTokens)
@@ -154,6 +169,8 @@
 	found, ok := e.streams[id]
 	if ok {
 		found.canceled = true
+		found.changed.Broadcast()
 	}
+	delete(e.kept, id)
 	return ok
 }
--- a/standin/engine/life.go
+++ b/standin/engine/life.go
@@ -20,8 +20,10 @@
 func (e *Engine) start(now time.Time, coldStart time.Duration) {
 	for _, lost := range e.streams {
 		lost.canceled = true
+		lost.changed.Broadcast()
 	}
 	clear(e.streams)
+	clear(e.kept)
 	e.kvTokens = 0
 	e.life = life{
 		incarnation: max(e.life.incarnation+1, now.UnixNano()),
--- a/standin/standincli/standincli.go
+++ b/standin/standincli/standincli.go
@@ -62,6 +62,7 @@
 	engines.StringSlice(&chosen.engine.Orders.Models, "", "model", "A model loaded at each start; may stand more than once.")
 	engines.Bool(&chosen.engine.Orders.Fencing, "", "fencing", "Refuse orders with an old fencing number.")
 	engines.Duration(&chosen.engine.Orders.LoadTime, "", "load-time", "Time that an order takes to load.")
+	engines.Duration(&chosen.engine.Grace, "", "grace", "How long a stream without a reader runs on.")
 	services := flaggy.NewSubcommand("service")
 	services.Description = "A plain service."
 	services.String(&chosen.name, "n", "name", "The service's name.")
