--- a/orphan/finder.go
+++ b/orphan/finder.go
@@ -6,8 +6,9 @@
 import "time"
 
 const (
-	// GoneMargin is how long an owner must be known to be gone.
-	GoneMargin = 3 * time.Second
+	// GoneMargin is how long an owner must be known to be gone. Until then its
+	// callers may resume their streams at another node.
+	GoneMargin = 8 * time.Second
 	// UnlistedMargin is how long a living owner must not list a stream.
 	UnlistedMargin = 10 * time.Second
 	// SilentMargin is how long nothing must be heard of an owner.
--- a/standin/engine/life_test.go
+++ b/standin/engine/life_test.go
@@ -73,3 +73,13 @@
 		})
 	}
 }
+
+func TestResumedStreamHasANewOwner(t *testing.T) {
+	is := is.New(t)
+	e := newTestEngine(Config{})
+	e.admit("a", "dead/1", 10, 10, 4)
+	e.open("a", "")
+	is.Equal(e.Load().Streams[0].Owner, "dead/1")
+	e.open("a", "next/1")
+	is.Equal(e.Load().Streams[0].Owner, "next/1") // so that it is no orphan
+}
