A full engine's refusal is not a failure

Cause: an attempt refused as not run spent the retry budget and opened the breaker, so that a short prompt in the return of a data centre was given up. Change: Outcome.Refused, a growing pause with jitter for the engine and for the request, the load corrected until the next report, no count of attempts.

--- a/bench/policy/baseline.go
+++ b/bench/policy/baseline.go
@@ -68,6 +68,9 @@
 // MayRetry is true: a baseline has no limit but the number of attempts.
 func (b *baseline) MayRetry(time.Time, *scheduling.Request) bool { return true }
 
+// Requeue is false: a baseline takes a refusal for a failure.
+func (b *baseline) Requeue(time.Time, *scheduling.Request) (time.Duration, bool) { return 0, false }
+
 // Check finds nothing: a baseline keeps no books.
 func (b *baseline) Check() error { return nil }
 
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -38,6 +38,9 @@
 	Finish(now time.Time, id string, outcome scheduling.Outcome)
 	// MayRetry reports whether a failed attempt may be followed by another.
 	MayRetry(now time.Time, request *scheduling.Request) bool
+	// Requeue reports whether, and after which pause, a request that a full
+	// upstream refused is submitted again without counting as a retry.
+	Requeue(now time.Time, request *scheduling.Request) (time.Duration, bool)
 	// Check returns an error when the policy's books don't add up.
 	Check() error
 	// Observe takes a report.
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -65,3 +65,11 @@
 	defer d.mutex.Unlock()
 	return d.scheduler.MayRetry(time.Now(), request)
 }
+
+// Requeue counts a refusal by a full upstream. It returns how long to wait
+// before the request is placed again, or false when its deadline is too near.
+func (d *Dispatcher) Requeue(request *scheduling.Request) (time.Duration, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.Requeue(time.Now(), request)
+}
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -46,7 +46,7 @@
 func (s *Server) attempts(ctx context.Context, accepted *call) (*answer, *apierror.Error) {
 	execution := apierror.NotRun
 	limit := accepted.request.Plan.Document.Retry.MaxAttempts
-	for number := 1; ; number++ {
+	for number := 1; ; {
 		placement, err := s.place(ctx, accepted)
 		if err != nil {
 			return nil, placeFailure(err, execution)
@@ -55,6 +55,12 @@
 		if err == nil {
 			return got, nil
 		}
+		if errors.Is(err, upstream.ErrRefused) {
+			if failure := s.requeue(ctx, accepted, execution); failure != nil {
+				return nil, failure
+			}
+			continue
+		}
 		if errors.Is(err, upstream.ErrBroken) {
 			execution = apierror.MayHaveRun
 		}
@@ -66,6 +72,23 @@
 			return nil, attemptFailure(ctx, execution)
 		}
 		accepted.request.Avoid = append(accepted.request.Avoid, placement.Upstream.ID)
+		number++
+	}
+}
+
+// requeue waits before a request that a full upstream refused is placed again.
+func (s *Server) requeue(ctx context.Context, accepted *call, execution apierror.Execution) *apierror.Error {
+	pause, ok := s.config.Dispatcher.Requeue(accepted.request)
+	if !ok {
+		return placeFailure(&dispatch.RefusedError{Reason: scheduling.DeadlineInfeasible}, execution)
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return attemptFailure(ctx, execution)
 	}
 }
 
@@ -168,6 +191,9 @@
 // otherwise when the engine's list shows it gone.
 func (s *Server) giveUp(ctx context.Context, accepted *call, placement *dispatch.Placement, attempt *upstream.Attempt, err error) {
 	failed := failedOutcome(ctx)
+	if errors.Is(err, upstream.ErrRefused) {
+		failed = scheduling.Outcome{Refused: true}
+	}
 	if accepted.request.Model == "" || !errors.Is(err, upstream.ErrBroken) {
 		placement.Finish(failed)
 		return
--- /dev/null
+++ b/entry/requeue_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/standin/engine"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+)
+
+// TestFullEngineIsTriedAgain has the engine refuse more attempts than a
+// request has retries; then it has room.
+func TestFullEngineIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, engine.Config{Slots: 8, KVTokens: 100_000, PrefillTokensPerSecond: 1_000_000, TokenInterval: fast.TokenInterval})
+	f.control.Set(fault.Knobs{Cold: true}) // one at a time
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	first, err := f.post(ctx, chat("a", 20_000, true), nil)
+	is.NoErr(err)
+	defer func() { _ = first.Body.Close() }()
+	status := make(chan int, 1)
+	go func() {
+		second, err := f.post(context.Background(), chat("b", 3, false), nil)
+		if err != nil {
+			status <- 0
+			return
+		}
+		text, _ := io.ReadAll(second.Body)
+		_ = second.Body.Close()
+		if !strings.Contains(string(text), "-3 ") {
+			status <- -1
+			return
+		}
+		status <- second.StatusCode
+	}()
+	eventually(t, "six refusals", func() bool { return f.engine.Load().Rejected >= 6 })
+	leave()
+	is.Equal(<-status, 200)
+	is.Equal(f.engine.Load().Runs, 2)
+	is.Equal(len(f.dispatcher.Limited()), 0)
+}
--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -33,6 +33,9 @@
 	if opens, broken := s.allBroken(now, p, request); broken {
 		return s.refuse(request, Unavailable, bounded(max(opens.Sub(now), minRetryAfter))), true
 	}
+	if request.Refusals > 0 {
+		return Decision{}, false
+	}
 	if allowed, after := s.bucketOf(request).Allow(now); !allowed {
 		return s.refuse(request, RateLimited, after), true
 	}
@@ -138,10 +141,7 @@
 // MayRetry spends one retry of the environment's budget, when there is one and
 // the deadline leaves time for another attempt.
 func (s *Scheduler) MayRetry(now time.Time, request *Request) bool {
-	model := modelOf(request)
-	tokens := s.estimator.PromptTokens(model, request.PromptTokens)
-	estimate := s.estimator.Estimate(now, model, "", tokens, request.MaxTokens)
-	if !now.Add(estimate.Run).Before(request.Deadline) {
+	if !s.endsInTime(now, request) {
 		return false
 	}
 	return s.retryBudget(request).Spend()
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -126,7 +126,7 @@
 // hasRoom reports whether the request may start at the upstream now.
 func (s *Scheduler) hasRoom(now time.Time, m *member, w *waiting) bool {
 	u := m.state
-	if !s.suits(m, w.request) || !m.breaker.Ready(now) {
+	if !s.suits(m, w.request) || !m.breaker.Ready(now) || !u.backoff.Ready(now, w.request.KVTokens()) {
 		return false
 	}
 	if len(w.request.Avoid) > 0 && u.ramp.Active(now, u.upstream.Ramp) {
--- a/scheduling/request.go
+++ b/scheduling/request.go
@@ -32,6 +32,9 @@
 	Deadline time.Time
 	// Avoid holds the IDs of upstreams that an earlier attempt failed at.
 	Avoid []string
+	// Refusals counts the attempts that a full upstream refused. Such an attempt
+	// was admitted before and has not run.
+	Refusals int
 	// PrefixHash names the start of the prompt for prefix caches; 0 is none.
 	PrefixHash uint64
 }
@@ -92,6 +95,8 @@
 type Outcome struct {
 	// Failed is true when the upstream did not complete its answer.
 	Failed bool
+	// Refused is true when the upstream was full and did not run the attempt.
+	Refused bool
 	// Abandoned is true when the attempt says nothing of the upstream: nothing
 	// was sent, or the caller left.
 	Abandoned bool
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -89,6 +89,7 @@
 		return
 	}
 	run.first = now
+	run.state.backoff.Accepted()
 	s.endPrefill(run)
 	s.inferCold(now, run, now.Sub(run.placed))
 }
@@ -144,14 +145,14 @@
 func (s *Scheduler) settle(now time.Time, run *running, outcome Outcome) {
 	p := run.pool
 	p.drain.Pass(now, p.queue.Len() > 0)
-	if p.queue.Len() > 0 {
+	if p.queue.Len() > 0 && !outcome.Refused {
 		p.drain.Done(run.cost)
 	}
 	used := run.cost
 	switch {
 	case outcome.PromptTokens > 0:
 		used = min(float64(outcome.PromptTokens+outcome.AnswerTokens), maxUsage*run.cost)
-	case outcome.Failed:
+	case outcome.Failed, outcome.Refused:
 		used = 0
 	}
 	correction := used - run.cost
@@ -172,6 +173,11 @@
 		if m != nil {
 			m.breaker.Abandoned()
 		}
+	case outcome.Refused:
+		s.noteFull(now, run)
+		if m != nil {
+			m.breaker.Abandoned()
+		}
 	case outcome.Failed:
 		u.failures++
 		if m != nil {
@@ -182,6 +188,7 @@
 		}
 	default:
 		u.failures = 0
+		u.backoff.Accepted()
 		if m != nil {
 			m.breaker.Succeeded()
 		}
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/scheduling/backoff"
 	"github.com/wigeontiller/wigeontiller/scheduling/breaker"
 	"github.com/wigeontiller/wigeontiller/scheduling/ramp"
 	"github.com/wigeontiller/wigeontiller/tables"
@@ -40,6 +41,8 @@
 	hasShare bool
 	ramp     ramp.Ramp
 	failures int
+	// backoff follows the upstream's own refusals for being full.
+	backoff backoff.Backoff
 
 	// others and othersKV are the load from other nodes by the last report.
 	others   int
