--- /dev/null
+++ b/budget/holding.go
@@ -0,0 +1,122 @@
+package budget
+
+import "time"
+
+// confirmDivisor sets how soon a smaller share is confirmed, in parts of an
+// interval.
+const confirmDivisor = 5
+
+// holding is what one node holds of a resource.
+type holding struct {
+	interest Interest
+	demand   Demand
+	share    Amount
+	expires  time.Time
+	// fallback may be used when share has expired.
+	fallback    Amount
+	fallbackEnd time.Time
+	start       start
+	// moved is when keeper became the owner.
+	moved time.Time
+	// keeper, reported and sequence are of the latest report.
+	keeper   string
+	reported time.Time
+	sequence uint64
+	// reportedStart is the number of the start known at the latest report.
+	reportedStart uint64
+	// applied is the keeper's process whose answer to the latest report was
+	// applied, or empty.
+	applied string
+	// quiet is true when the latest report showed neither use nor want.
+	quiet bool
+	// shrunk is true when the latest answer took from the share. Others get what
+	// was taken once a report shows it.
+	shrunk bool
+	// pledgedTo is the keeper that the node is pledged to until pledgeEnd.
+	pledgedTo string
+	pledgeEnd time.Time
+	// introduced is true when that keeper has answered a pledge.
+	introduced bool
+}
+
+// settleTime is how long after a change of keeper every node reports often, so
+// that the new one hears of all once the pledges to the old have ended.
+func settleTime(timing Timing) time.Duration {
+	return 2 * timing.Pledge
+}
+
+func (h *holding) idle() bool {
+	return !h.interest.Local && h.demand == Demand{}
+}
+
+// dormant reports whether nothing need be reported.
+func (h *holding) dormant(now time.Time) bool {
+	_, holds := h.current(now)
+	return h.interest.OnDemand && h.idle() && !holds
+}
+
+// interval is the time from the latest report to the next.
+func (h *holding) interval(now time.Time, timing Timing) time.Duration {
+	_, holds := h.current(now)
+	settled := now.Sub(h.moved) > settleTime(timing)
+	if settled && h.idle() && h.quiet && !holds && !h.interest.Voter {
+		return timing.IdleInterval
+	}
+	if h.shrunk {
+		return timing.Interval / confirmDivisor
+	}
+	return timing.Interval
+}
+
+// usage is what the node reports to a keeper's process.
+func (h *holding) usage(now time.Time, name, keeper string) Usage {
+	usage := Usage{
+		Resource: name,
+		Running:  h.demand.Running,
+		Waiting:  h.demand.Waiting,
+		Next:     h.demand.Next,
+		Idle:     h.idle(),
+	}
+	if keeper != "" && h.applied == keeper && h.start.number == h.reportedStart {
+		usage.Unchanged = true
+		return usage
+	}
+	usage.Start = h.start.tell(now)
+	if now.Before(h.expires) {
+		usage.Held = h.share
+	}
+	if now.Before(h.fallbackEnd) {
+		usage.Fallback = h.fallback
+	}
+	return usage
+}
+
+func (h *holding) empty() bool {
+	return h.demand == Demand{} && h.share == Amount{} && h.fallback == Amount{}
+}
+
+// apply takes in the grant that answers a report sent at sentAt.
+func (h *holding) apply(now, sentAt time.Time, keeper string, grant Grant, timing Timing) {
+	if max(grant.Start.Number, h.reportedStart) < h.start.number {
+		return
+	}
+	h.applied = keeper
+	h.shrunk = !h.share.Within(grant.Share)
+	h.start.learn(now, grant.Start, timing.Pledge)
+	h.share = grant.Share
+	h.expires = sentAt.Add(grant.Lifetime)
+	h.fallback = grant.Fallback
+	h.fallbackEnd = sentAt.Add(timing.Fallback)
+	h.reportedStart = h.start.number
+}
+
+// current returns the share in force, or false when there is none.
+func (h *holding) current(now time.Time) (Share, bool) {
+	if now.Before(h.expires) && h.share != (Amount{}) {
+		return Share{Amount: h.share, Expires: h.expires}, true
+	}
+	if now.Before(h.fallbackEnd) && h.fallback != (Amount{}) {
+		return Share{Amount: h.fallback, Expires: h.fallbackEnd}, true
+	}
+	return Share{}, false
+}
--- a/configuration/commands.go
+++ b/configuration/commands.go
@@ -70,6 +70,7 @@
 		Kind:      command.Kind,
 		Target:    command.Target,
 		Digest:    command.Digest,
+		Out:       command.Out,
 		Version:   next.Version,
 	}
 	next.Outcomes = append(next.Outcomes, outcome)
@@ -80,7 +81,7 @@
 }
 
 func repeated(site Site, earlier Outcome, command Command) (Site, Outcome, error) {
-	same := earlier.Kind == command.Kind && earlier.Target == command.Target && earlier.Digest == command.Digest
+	same := earlier.Kind == command.Kind && earlier.Target == command.Target && earlier.Digest == command.Digest && earlier.Out == command.Out
 	if !same {
 		return site, Outcome{}, ErrCommandReused
 	}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -73,3 +73,11 @@
 	defer d.mutex.Unlock()
 	return d.scheduler.Requeue(time.Now(), request)
 }
+
+// TakeAskedTokens returns the tokens that organisations with a limit have asked
+// for since the last call, by scheduling.OrganisationKey.
+func (d *Dispatcher) TakeAskedTokens() map[string]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.TakeAskedTokens()
+}
--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -37,6 +37,7 @@
 		return Decision{}, false
 	}
 	if allowed, after := s.bucketOf(request).Allow(now); !allowed {
+		s.ask(request, float64(request.KVTokens()))
 		return s.refuse(request, RateLimited, after), true
 	}
 	if len(request.Avoid) == 0 {
