--- a/bench/call.go
+++ b/bench/call.go
@@ -36,6 +36,7 @@
 	id         string
 	upstream   *upstream
 	priority   environment.Priority
+	members    []model.Part
 	connection *connection
 	sentAt     time.Duration
 	firstToken time.Duration
@@ -83,6 +84,10 @@
 		connection: &connection{site: site, node: c.node.dataCentre, upstream: target.dataCentre},
 		sentAt:     site.loop.Now(),
 	}
+	for i := 1; i < len(decision.Group); i++ {
+		member := site.upstreams[decision.Group[i].ID]
+		sent.members = append(sent.members, model.Part{Engine: member.engine, KVTokens: decision.GroupTokens[i]})
+	}
 	c.current = sent
 	c.record.Attempts = c.attempts
 	c.record.Upstream = upstreamID
@@ -110,6 +115,7 @@
 		AnswerTokens: a.call.arrival.AnswerTokens,
 		MaxTokens:    a.call.arrival.MaxTokens,
 		Priority:     a.priority,
+		Members:      a.members,
 		Token:        a.token,
 		End:          a.end,
 	})
--- a/bench/model/engine.go
+++ b/bench/model/engine.go
@@ -51,6 +51,10 @@
 	// End is called once, unless the job was canceled.
 	End func(whole bool)
 
+	// Members are other engines that hold part of the job's memory.
+	Members []Part
+
+	lead     *Engine
 	unread   int
 	produced int
 	lastAt   time.Duration
@@ -80,6 +84,8 @@
 	stepping             bool
 	stalledUntil         time.Duration
 	incarnation          uint64
+	// reserved is what jobs at other engines hold.
+	reserved map[string]reservation
 	// life tells the events of an earlier process from those of this one.
 	life uint64
 	// FellOver counts how often a load too large for a cold start broke it.
@@ -88,20 +94,21 @@
 
 // NewEngine returns a warm, idle engine.
 func NewEngine(loop *virtual.Loop) *Engine {
-	return &Engine{loop: loop}
+	return &Engine{loop: loop, reserved: map[string]reservation{}}
 }
 
 // Submit starts a job, or returns ErrFull or ErrDown.
 func (e *Engine) Submit(job *Job) error {
-	if e.down {
-		return ErrDown
+	if err := e.takes(job.memory()); err != nil {
+		return err
 	}
-	if e.Running() >= EngineSlots || e.kvTokens+job.kvTokens() > EngineKVTokens {
-		return ErrFull
+	if err := job.reserveAll(); err != nil {
+		return err
 	}
+	job.lead = e
 	job.unread = job.PromptTokens
 	e.prefilling = append(e.prefilling, job)
-	e.kvTokens += job.kvTokens()
+	e.kvTokens += job.memory()
 	e.peakKVTokens = max(e.peakKVTokens, e.kvTokens)
 	if e.Running() > e.bearable(e.loop.Now(), EngineSlots) {
 		e.FellOver++
@@ -117,7 +124,8 @@
 	match := func(job *Job) bool { return job.ID == id }
 	for _, job := range slices.Concat(e.prefilling, e.decoding) {
 		if match(job) {
-			e.kvTokens -= job.kvTokens()
+			e.kvTokens -= job.memory()
+			job.freeMembers()
 		}
 	}
 	e.prefilling = slices.DeleteFunc(e.prefilling, match)
@@ -134,7 +142,9 @@
 	e.life++
 	life := e.life
 	e.loop.After(RestartTime, func() { e.restart(life) })
+	e.breakLed()
 	for _, job := range broken {
+		e.loop.After(reserveTTL, job.freeMembers)
 		job.End(false)
 	}
 }
@@ -155,7 +165,7 @@
 
 // Load is the load at this moment. It reports false when the engine is down.
 func (e *Engine) Load() (Load, bool) {
-	return Load{Running: e.Running(), KVTokens: e.kvTokens, Incarnation: e.incarnation}, !e.down
+	return Load{Running: e.Running() + len(e.reserved), KVTokens: e.kvTokens, Incarnation: e.incarnation}, !e.down
 }
 
 // Running is the number of jobs.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -128,7 +128,14 @@
 	if decision.Kind == scheduling.Refused {
 		return nil, &RefusedError{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
 	}
-	return &Placement{Upstream: decision.Upstream, Priority: decision.Priority, dispatcher: d, requestID: request.ID}, nil
+	return &Placement{
+		Upstream:    decision.Upstream,
+		Group:       decision.Group,
+		GroupTokens: decision.GroupTokens,
+		Priority:    decision.Priority,
+		dispatcher:  d,
+		requestID:   request.ID,
+	}, nil
 }
 
 func (d *Dispatcher) submit(request *scheduling.Request) (scheduling.Decision, chan scheduling.Decision) {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/environment"
@@ -11,6 +12,10 @@
 // Placement is an upstream held for one attempt.
 type Placement struct {
 	Upstream *tables.Upstream
+	// Group is the engines that hold the request together, the lead first, and
+	// GroupTokens the memory booked at each; both are empty for a single one.
+	Group       []*tables.Upstream
+	GroupTokens []int
 	// Priority is what to ask of the engine.
 	Priority   environment.Priority
 	dispatcher *Dispatcher
@@ -20,8 +25,9 @@
 // InService reports whether the upstream may still receive new work. It is
 // asked directly before an attempt is sent.
 func (p *Placement) InService() bool {
-	current := p.dispatcher.Tables().Upstreams[p.Upstream.ID]
-	return current != nil && !current.Out
+	current := p.dispatcher.Tables().Upstreams
+	isOut := func(u *tables.Upstream) bool { return current[u.ID] == nil || current[u.ID].Out }
+	return !isOut(p.Upstream) && !slices.ContainsFunc(p.Group, isOut)
 }
 
 // FirstToken tells that the answer has begun, so that a long prompt no longer
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -111,6 +111,7 @@
 	defer span.End()
 	if accepted.request.Model != "" {
 		accepted.header[upstream.HeaderPriority] = placement.Priority.String()
+		nameGroup(accepted.header, placement)
 	}
 	attempt := &upstream.Attempt{
 		ID:       uuid.NewString(),
--- /dev/null
+++ b/entry/group_test.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/standin/engine"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/tables"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+// groupFixture is an entry server before three engine stand-ins of 10,000 tokens.
+type groupFixture struct {
+	*fixture
+	engines   []*engine.Engine
+	controls  []*fault.Control
+	addresses []string
+}
+
+// hugePrompt is 20,250 tokens: over twice an engine's memory.
+var hugePrompt = strings.Repeat("abcd", 20_250)
+
+func newGroupFixture(t *testing.T) *groupFixture {
+	f := &groupFixture{fixture: newFixture(t, fast)}
+	config := engine.Config{Slots: 8, KVTokens: 10_000, PrefillTokensPerSecond: 1_000_000, TokenInterval: time.Millisecond}
+	document := `name: works
+models: [{name: adviser, context_tokens: 1048576}]
+length_classes: [{name: any, max_prompt_tokens: 1000000, deadline: 20s}]
+reserve: {short_slots_percent: 10}
+limits: {body_bytes: 200000}
+`
+	document += fmt.Sprintf("organisations: [{name: dock, key_digests: [%q]}]\nengines:\n", environment.KeyDigest(testKey))
+	for i := range 3 {
+		control := new(fault.Control)
+		server := engine.NewServer(config, control)
+		address := listen(t, server.App())
+		f.engines = append(f.engines, server.Engine())
+		f.controls = append(f.controls, control)
+		f.addresses = append(f.addresses, address)
+		document += fmt.Sprintf("  - {name: e%d, data_centre: dc-a, address: %q, models: [adviser], slots: 8, kv_tokens: 10000}\n", i, address)
+	}
+	parsed, err := environment.Parse([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	site := configuration.NewSite()
+	site.Version = 2
+	site.Environments["works"] = configuration.Environment{ProductionDigest: "d"}
+	f.dispatcher.Configure(tables.Build(site, map[string]*environment.Document{"d": parsed}))
+	return f
+}
+
+func (f *groupFixture) held() int {
+	held := 0
+	for _, one := range f.engines {
+		held += one.Load().KVTokens
+	}
+	return held
+}
+
+func (f *groupFixture) isIdle() bool {
+	_, running := f.dispatcher.Load()
+	return running == 0 && f.held() == 0
+}
+
+func (f *groupFixture) reserve(t *testing.T, member int, body string) int {
+	t.Helper()
+	response, err := http.Post("http://"+f.addresses[member]+"/v1/kv/reserve", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestHugePromptIsAnsweredWhole also sends a list of engines of its own, which
+// must not get through.
+func TestHugePromptIsAnsweredWhole(t *testing.T) {
+	is := is.New(t)
+	f := newGroupFixture(t)
+	header := map[string]string{upstream.HeaderKVEngines: "127.0.0.1:1=5"}
+	for _, prompt := range []string{hugePrompt, "short"} {
+		body := chat(prompt, 100, false)
+		response, err := f.post(context.Background(), body, header)
+		is.NoErr(err)
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		is.Equal(response.StatusCode, 200)
+		is.True(strings.Contains(string(text), engine.Mark([]byte(body))+"-100 "))
+	}
+	eventually(t, "all freed", f.isIdle)
+	runs, used := 0, 0
+	for _, one := range f.engines {
+		runs += one.Load().Runs
+		if one.Load().PeakKVTokens > 1000 {
+			used++
+		}
+		is.True(one.Load().PeakKVTokens <= 10_000)
+	}
+	is.Equal(runs, 2)
+	is.Equal(used, 3)
+}
+
+// TestFullMemberRefusesTheWhole fills one engine behind the node's back.
+func TestFullMemberRefusesTheWhole(t *testing.T) {
+	is := is.New(t)
+	f := newGroupFixture(t)
+	is.Equal(f.reserve(t, 2, `{"attempt":"other","tokens":9900,"ttl_ms":60000}`), 200)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	done := make(chan error, 1)
+	go func() {
+		response, err := f.post(ctx, chat(hugePrompt, 10, false), nil)
+		if err == nil {
+			_ = response.Body.Close()
+			err = fmt.Errorf("status %d", response.StatusCode)
+		}
+		done <- err
+	}()
+	rejected := func() int {
+		return f.engines[0].Load().Rejected + f.engines[1].Load().Rejected + f.engines[2].Load().Rejected
+	}
+	eventually(t, "refusals", func() bool { return rejected() >= 3 })
+	leave()
+	is.True(<-done != nil)
+	eventually(t, "only the other's memory is held", func() bool { return f.held() == 9900 })
+	_, running := f.dispatcher.Load()
+	is.Equal(running, 0)
+	for _, one := range f.engines {
+		is.Equal(one.Load().Runs, 0)
+	}
+}
+
+func TestLeavingFreesTheGroup(t *testing.T) {
+	is := is.New(t)
+	f := newGroupFixture(t)
+	ctx, leave := context.WithCancel(context.Background())
+	response, err := f.post(ctx, chat(hugePrompt, 1500, true), nil)
+	is.NoErr(err)
+	is.True(f.held() > 20_000)
+	leave()
+	_ = response.Body.Close()
+	eventually(t, "all freed", f.isIdle)
+}
+
+// TestDeadLeadLosesItsMembers freezes the lead in the middle of an answer.
+func TestDeadLeadLosesItsMembers(t *testing.T) {
+	is := is.New(t)
+	f := newGroupFixture(t)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	response, err := f.post(ctx, chat(hugePrompt, 6000, true), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, 200)
+	for i, one := range f.engines {
+		if len(one.Load().Streams) > 0 {
+			f.controls[i].Set(fault.Knobs{Frozen: true})
+		}
+	}
+	eventually(t, "the members are free", func() bool {
+		free := 0
+		for _, one := range f.engines {
+			if load := one.Load(); load.KVTokens == 0 && len(load.Streams) == 0 {
+				free++
+			}
+		}
+		return free == 2
+	})
+	for i := range f.controls {
+		f.controls[i].Set(fault.Knobs{})
+	}
+}
+
+// TestDeadMemberEndsTheAttempt takes a member's memory away.
+func TestDeadMemberEndsTheAttempt(t *testing.T) {
+	is := is.New(t)
+	f := newGroupFixture(t)
+	response, err := f.post(context.Background(), chat(hugePrompt, 6000, true), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, 200)
+	for i, one := range f.engines {
+		if len(one.Load().Streams) == 0 {
+			f.controls[i].Set(fault.Knobs{Down: true})
+			break
+		}
+	}
+	text, _ := io.ReadAll(response.Body)
+	is.True(!strings.Contains(string(text), "[DONE]"))
+	eventually(t, "all freed", f.isIdle)
+}
--- a/entry/header.go
+++ b/entry/header.go
@@ -14,6 +14,7 @@
 	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Host": true,
 	"Content-Length": true, "Authorization": true, "X-Attempt-Id": true,
+	"X-Kv-Engines": true,
 }
 
 const (
--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -24,7 +24,7 @@
 	if !request.Deadline.After(now) {
 		return s.refuse(request, DeadlinePassed, 0), true
 	}
-	if p == nil || p.inService == 0 || !fitsAny(p, request) {
+	if p == nil || p.inService == 0 || !s.fitsAny(p, request) {
 		return s.refuse(request, NoUpstream, minRetryAfter), true
 	}
 	if !s.canEverRun(p, request) {
@@ -95,16 +95,16 @@
 	return min(max(after, time.Millisecond), maxRetryAfter)
 }
 
-func fitsAny(p *pool, request *Request) bool {
-	return request.Model == "" || request.KVTokens() <= p.maxKV
+func (s *Scheduler) fitsAny(p *pool, request *Request) bool {
+	return !needsGroup(p, request) || s.groupFits(p, request)
 }
 
 // canEverRun reports whether an upstream in service suits, whatever its load.
 func (s *Scheduler) canEverRun(p *pool, request *Request) bool {
-	if p.inService == 0 || !fitsAny(p, request) {
+	if p.inService == 0 || !s.fitsAny(p, request) {
 		return false
 	}
-	if len(request.Avoid) == 0 {
+	if len(request.Avoid) == 0 || needsGroup(p, request) {
 		return true
 	}
 	suits := func(m *member) bool { return s.suits(m, request) }
@@ -115,6 +115,9 @@
 // when the first of them lets a trial through.
 func (s *Scheduler) allBroken(now time.Time, p *pool, request *Request) (time.Time, bool) {
 	var opens time.Time
+	if needsGroup(p, request) {
+		return opens, false
+	}
 	for _, side := range []*group{&p.local, &p.remote} {
 		for _, m := range side.all {
 			if !s.suits(m, request) {
--- a/scheduling/check.go
+++ b/scheduling/check.go
@@ -35,6 +35,13 @@
 			total.prefills++
 		}
 		sums[run.state] = total
+		for _, one := range run.members {
+			total := sums[one.state]
+			total.requests++
+			total.long++
+			total.kvTokens += one.kvTokens
+			sums[one.state] = total
+		}
 	}
 	for id, u := range s.upstreams {
 		if have := (sum{u.requests, u.kvTokens, u.long, u.prefills, u.reading}); have != sums[u] {
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -135,6 +135,9 @@
 	if m.pool.held == u && m.pool.heldFor != w.request.ID {
 		return false
 	}
+	if s.heldForGroup(now, m, w) {
+		return false
+	}
 	slots, kvTokens := s.limit(now, u)
 	if u.requests >= slots {
 		return false
--- a/scheduling/configure.go
+++ b/scheduling/configure.go
@@ -34,6 +34,7 @@
 		p.local, p.remote = group{}, group{}
 		p.inService, p.maxKV = 0, 0
 		p.held, p.heldFor = nil, ""
+		p.groupHeld, p.groupFor = nil, ""
 	}
 	for _, u := range s.upstreams {
 		u.configured = false
--- a/scheduling/fixture_test.go
+++ b/scheduling/fixture_test.go
@@ -23,6 +23,7 @@
 	site     configuration.Site
 	now      time.Time
 	next     int
+	granted  map[string]Share
 }
 
 func newFixture(t testing.TB, engines, organisations int) *fixture {
--- a/scheduling/limits.go
+++ b/scheduling/limits.go
@@ -88,6 +88,10 @@
 func (s *Scheduler) addWaiting(now time.Time, p *pool, demands map[string]Demand) {
 	p.queue.Each(func(entry *fairqueue.Entry[*waiting]) {
 		w := entry.Value
+		if needsGroup(p, w.request) {
+			s.addGroupDemand(now, w, demands)
+			return
+		}
 		m := s.likely(now, w)
 		if m == nil {
 			return
--- a/scheduling/place.go
+++ b/scheduling/place.go
@@ -80,7 +80,7 @@
 	if !private {
 		return noRoom
 	}
-	if head.Passed >= maxPassed {
+	if head.Passed >= maxPassed && !needsGroup(p, head.Value.request) {
 		s.hold(now, p, head.Value)
 		if class == longClass {
 			return noRoom
@@ -119,6 +119,9 @@
 }
 
 func (s *Scheduler) tryStart(now time.Time, w *waiting) bool {
+	if needsGroup(w.pool, w.request) {
+		return s.tryGroup(now, w)
+	}
 	m := s.choose(now, w)
 	if m == nil {
 		return false
--- a/scheduling/pool.go
+++ b/scheduling/pool.go
@@ -44,7 +44,10 @@
 	// held is kept free of short prompts for the long one that waits longest.
 	held    *upstreamState
 	heldFor string
-	running int
+	// groupHeld is the engines kept for the prompt groupFor, which needs several.
+	groupHeld []*upstreamState
+	groupFor  string
+	running   int
 	// lastShort is when a short prompt was last submitted, in nanoseconds.
 	lastShort int64
 }
--- a/scheduling/request.go
+++ b/scheduling/request.go
@@ -83,6 +83,11 @@
 	Kind      DecisionKind
 	// Upstream is set when the request was placed.
 	Upstream *tables.Upstream
+	// Group is set when several engines of one data centre hold the request
+	// together: the lead, which is Upstream, and the others. GroupTokens is the
+	// memory booked at each.
+	Group       []*tables.Upstream
+	GroupTokens []int
 	// Priority is what to ask of the engine: a long prompt yields to short ones
 	// whatever its place in the queue was.
 	Priority environment.Priority
--- a/scheduling/requeue.go
+++ b/scheduling/requeue.go
@@ -32,6 +32,10 @@
 // reports only the pause counts. A short prompt may have met full slots instead.
 func (s *Scheduler) noteFull(now time.Time, run *running) {
 	u := run.state
+	if len(run.members) > 0 {
+		s.noteGroupFull(now, run)
+		return
+	}
 	u.backoff.Refused(now, run.request.KVTokens(), s.random)
 	_, others := u.elsewhere(now)
 	left := u.upstream.KVTokens - u.kvTokens - run.request.KVTokens()
@@ -39,3 +43,11 @@
 		u.othersKV = left + 1
 	}
 }
+
+// noteGroupFull pauses each engine of a group: which one was full isn't known.
+func (s *Scheduler) noteGroupFull(now time.Time, run *running) {
+	run.state.backoff.Refused(now, run.kvTokens, s.random)
+	for _, one := range run.members {
+		one.state.backoff.Refused(now, one.kvTokens, s.random)
+	}
+}
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -33,10 +33,17 @@
 	// key and kvTokens are what was booked, whatever the tables say later.
 	key      prefillKey
 	kvTokens int
+	// members is the parts beside the lead's, when several engines run it.
+	members []part
 }
 
 // start moves a waiting request to an upstream.
 func (s *Scheduler) start(now time.Time, w *waiting, m *member) {
+	s.startOn(now, w, m, nil)
+}
+
+// startOn moves a waiting request to an upstream, or to a group that it leads.
+func (s *Scheduler) startOn(now time.Time, w *waiting, m *member, parts []part) {
 	w.pool.queue.Take(w.request.ID)
 	s.forget(w)
 	u := m.state
@@ -46,12 +53,16 @@
 	s.running[w.request.ID] = run
 	w.pool.running++
 	m.breaker.Sent()
-	s.occupy(run)
+	s.occupy(run, parts)
 	s.verifyPlacement(now, u)
 	s.refresh(now, u)
+	for _, one := range run.members {
+		s.verifyPlacement(now, one.state)
+		s.refresh(now, one.state)
+	}
 }
 
-func (s *Scheduler) occupy(run *running) {
+func (s *Scheduler) occupy(run *running, parts []part) {
 	u := run.state
 	u.requests++
 	if !run.long {
@@ -61,6 +72,9 @@
 	if u.upstream.Kind == tables.EngineUpstream {
 		run.kvTokens = run.request.KVTokens()
 	}
+	if len(parts) > 0 {
+		run.occupyGroup(parts)
+	}
 	u.kvTokens += run.kvTokens
 	if !run.long {
 		return
@@ -123,9 +137,17 @@
 	s.free(run)
 	s.settle(now, run, outcome)
 	s.judge(now, run, outcome)
-	s.refresh(now, run.state)
-	if !run.state.configured && run.state.requests == 0 {
-		s.drop(run.state)
+	s.leave(now, run.state)
+	for _, one := range run.members {
+		s.leave(now, one.state)
+	}
+}
+
+// leave looks at an upstream that a request has left.
+func (s *Scheduler) leave(now time.Time, u *upstreamState) {
+	s.refresh(now, u)
+	if !u.configured && u.requests == 0 {
+		s.drop(u)
 	}
 }
 
@@ -133,6 +155,7 @@
 	s.endPrefill(run)
 	delete(s.running, run.request.ID)
 	run.pool.running--
+	run.freeGroup()
 	u := run.state
 	u.requests--
 	u.kvTokens -= run.kvTokens
--- a/scheduling/waiting.go
+++ b/scheduling/waiting.go
@@ -111,4 +111,7 @@
 	if w.pool.heldFor == w.request.ID {
 		w.pool.held, w.pool.heldFor = nil, ""
 	}
+	if w.pool.groupFor == w.request.ID {
+		w.pool.groupHeld, w.pool.groupFor = nil, ""
+	}
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -25,6 +25,9 @@
 	answer   int
 	produced int
 	canceled bool
+	// kvTokens is the memory held here; lead is set when others hold the rest.
+	kvTokens int
+	lead     *lead
 }
 
 // Engine keeps the streams that run. mutex guards the fields below it; prefill
@@ -38,6 +41,8 @@
 	// kvTokens is the memory in use; peak is the most there ever was.
 	kvTokens int
 	peak     int
+	// reserved is what attempts led by other engines hold.
+	reserved map[string]*reservation
 	// runs counts the attempts by id, and rejected the attempts refused.
 	runs     int
 	rejected int
@@ -48,20 +53,20 @@
 
 // New returns an idle engine.
 func New(config Config) *Engine {
-	return &Engine{config: config, streams: map[string]*stream{}}
+	return &Engine{config: config, streams: map[string]*stream{}, reserved: map[string]*reservation{}}
 }
 
 // admit takes memory for an attempt, or reports that there is none.
-func (e *Engine) admit(id string, promptTokens, answerTokens, slots int) *stream {
+func (e *Engine) admit(id string, promptTokens, answerTokens, need, slots int) *stream {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	need := promptTokens + answerTokens
+	e.lapse(time.Now())
 	_, running := e.streams[id]
-	if running || len(e.streams) >= slots || e.kvTokens+need > e.config.KVTokens {
+	if running || len(e.streams)+len(e.reserved) >= slots || e.kvTokens+need > e.config.KVTokens {
 		e.rejected++
 		return nil
 	}
-	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens}
+	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens, kvTokens: need}
 	e.streams[id] = admitted
 	e.kvTokens += need
 	e.peak = max(e.peak, e.kvTokens)
@@ -74,7 +79,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	delete(e.streams, ended.id)
-	e.kvTokens -= ended.prompt + ended.answer
+	e.kvTokens -= ended.kvTokens
 }
 
 // read spends the time that the prompt takes, a chunk at a time in turn with
@@ -140,8 +145,9 @@
 func (e *Engine) Load() Load {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.lapse(time.Now())
 	load := Load{
-		Running:      len(e.streams),
+		Running:      len(e.streams) + len(e.reserved),
 		KVTokens:     e.kvTokens,
 		PeakKVTokens: e.peak,
 		Runs:         e.runs,
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -37,6 +37,7 @@
 	control.Routes(server.app)
 	server.app.Post("/v1/chat/completions", server.complete)
 	server.app.Post("/v1/completions", server.complete)
+	server.reserveRoutes()
 	server.app.Get("/v1/load", server.load)
 	server.app.Get("/v1/streams", server.list)
 	server.app.Get("/v1/streams/:id", server.show)
@@ -70,11 +71,7 @@
 	if answerTokens <= 0 {
 		answerTokens = defaultMaxTokens
 	}
-	slots := s.engine.config.Slots
-	if s.control.Knobs().Cold {
-		slots = coldSlots
-	}
-	admitted := s.engine.admit(c.Get(upstream.HeaderAttempt), promptTokens, answerTokens, slots)
+	admitted := s.admit(c, promptTokens, answerTokens)
 	if admitted == nil {
 		c.Set(upstream.HeaderNotRun, "true")
 		return c.SendStatus(fiber.StatusServiceUnavailable)
@@ -88,7 +85,7 @@
 }
 
 func (s *Server) whole(c *fiber.Ctx, admitted *stream, answer answerWriter) error {
-	defer s.engine.release(admitted)
+	defer s.release(admitted)
 	var text strings.Builder
 	if s.engine.read(admitted) {
 		for s.engine.next(admitted) {
@@ -103,7 +100,7 @@
 	breaks := s.control.Take(func(k *fault.Knobs) *int { return &k.BreakStreams })
 	conn := c.Context().Conn()
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.engine.release(admitted)
+		defer s.release(admitted)
 		if !s.engine.read(admitted) {
 			_ = conn.Close()
 			return
