--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -16,6 +16,9 @@
 	PrefillTokensPerSecond int
 	// TokenInterval is the time between two tokens of one answer.
 	TokenInterval time.Duration
+	// Grace is how long a stream without a reader runs on, and how long the
+	// events of a whole answer are kept. Default 15s.
+	Grace time.Duration
 }
 
 // stream is one attempt that the engine runs.
@@ -28,6 +31,13 @@
 	// kvTokens is the memory held here; lead is set when others hold the rest.
 	kvTokens int
 	lead     *lead
+	// events are what a streamed attempt has produced; changed wakes its
+	// readers. left counts the readers that have gone.
+	events  [][]byte
+	changed *sync.Cond
+	readers int
+	left    int
+	ended   bool
 }
 
 // Engine keeps the streams that run. mutex guards the fields below it; prefill
@@ -38,6 +48,8 @@
 
 	mutex   sync.Mutex
 	streams map[string]*stream
+	// kept holds the whole answers that may still be read.
+	kept map[string]*stream
 	// kvTokens is the memory in use; peak is the most there ever was.
 	kvTokens int
 	peak     int
@@ -53,7 +65,15 @@
 
 // New returns an idle engine.
 func New(config Config) *Engine {
-	return &Engine{config: config, streams: map[string]*stream{}, reserved: map[string]*reservation{}}
+	if config.Grace == 0 {
+		config.Grace = defaultGrace
+	}
+	return &Engine{
+		config:   config,
+		streams:  map[string]*stream{},
+		kept:     map[string]*stream{},
+		reserved: map[string]*reservation{},
+	}
 }
 
 // admit takes memory for an attempt, or reports that there is none.
@@ -66,7 +86,7 @@
 		e.rejected++
 		return nil
 	}
-	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens, kvTokens: need}
+	admitted := &stream{id: id, prompt: promptTokens, answer: answerTokens, kvTokens: need, changed: sync.NewCond(&e.mutex)}
 	e.streams[id] = admitted
 	e.kvTokens += need
 	e.peak = max(e.peak, e.kvTokens)
@@ -125,7 +145,9 @@
 	found, ok := e.streams[id]
 	if ok {
 		found.canceled = true
+		found.changed.Broadcast()
 	}
+	delete(e.kept, id)
 	return ok
 }
 
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -221,12 +221,22 @@
 // release frees the members first, so that an attempt that this engine no
 // longer lists holds memory nowhere.
 func (s *Server) release(admitted *stream) {
-	if admitted.lead != nil {
-		admitted.lead.end()
-	}
+	admitted.endLead()
 	s.engine.release(admitted)
 }
 
+// end does the same for a stream, whose events may be kept.
+func (s *Server) end(admitted *stream) {
+	admitted.endLead()
+	s.engine.end(admitted)
+}
+
+func (s *stream) endLead() {
+	if s.lead != nil {
+		s.lead.end()
+	}
+}
+
 func (s *Server) slots() int {
 	if s.control.Knobs().Cold {
 		return coldSlots
