A full engine anywhere in the group; the engine list is stripped from calls

Cause: with only one engine filled the test passed when a refusal freed nothing, as that engine could be the first; the strip of X-KV-Engines had no test. Change: each of the three engines is full in turn; the service header test forges X-KV-Engines. Seen to fail: with neither free on refusal nor lapse TestFullMemberRefusesTheWhole/1; without the strip TestServiceHeadersPass; without lapse TestDeadLeadLosesItsMembers; without the cancel TestDeadMemberEndsTheAttempt; with neither free at the end nor lapse TestLeavingFreesTheGroup.

--- a/entry/group_test.go
+++ b/entry/group_test.go
@@ -112,11 +112,19 @@
 	is.Equal(used, 3)
 }
 
-// TestFullMemberRefusesTheWhole fills one engine behind the node's back.
+// TestFullMemberRefusesTheWhole fills one engine after the other behind the
+// node's back: the lead, the first member and the last, which finds the others
+// reserved.
 func TestFullMemberRefusesTheWhole(t *testing.T) {
+	for full := range 3 {
+		t.Run(fmt.Sprint(full), func(t *testing.T) { refuseAtFull(t, full) })
+	}
+}
+
+func refuseAtFull(t *testing.T, full int) {
 	is := is.New(t)
 	f := newGroupFixture(t)
-	is.Equal(f.reserve(t, 2, `{"attempt":"other","tokens":9900,"ttl_ms":60000}`), 200)
+	is.Equal(f.reserve(t, full, `{"attempt":"other","tokens":9900,"ttl_ms":60000}`), 200)
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	done := make(chan error, 1)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -63,7 +63,7 @@
 func TestServiceHeadersPass(t *testing.T) {
 	is := is.New(t)
 	service, server := startEcho(t)
-	header := map[string]string{"X-Wigeontiller-Forged": "1", "X-Kept": "1", "X-Named": "1", "Connection": "X-Named"}
+	header := map[string]string{"X-Wigeontiller-Forged": "1", "X-KV-Engines": "a=1", "X-Kept": "1", "X-Named": "1", "Connection": "X-Named"}
 	for _, key := range []string{"", "first"} {
 		if key != "" {
 			header[headerKey] = key
@@ -78,7 +78,7 @@
 		is.Equal(len(response.Header.Peek("X-Secret-Hop")), 0)
 		is.Equal(service.uri, "/seats%2F1/?a=%20b") // as the caller encoded it
 		is.Equal(service.header["X-Kept"], "1")
-		for _, name := range []string{"X-Wigeontiller-Forged", "X-Named", "Authorization"} {
+		for _, name := range []string{"X-Wigeontiller-Forged", "X-Kv-Engines", "X-Named", "Authorization"} {
 			is.Equal(service.header[name], "")
 		}
 	}
