Scheduling's fixture names an address for each engine

No parsed document lacks an address. Change: distinct addresses; the trial test's engine has 16 slots, half for each lane, and the same expectation of 8 placed and 5 queued a lane.

--- a/scheduling/admission_test.go
+++ b/scheduling/admission_test.go
@@ -119,6 +119,8 @@
 func TestTrialDoesNotFillTheQueueOfProduction(t *testing.T) {
 	f := newFixture(t, 1, 1)
 	f.document.Limits.QueueLength = 5
+	f.document.Trial.CapacityPercent = 50
+	f.document.Engines[0].Slots = 16 // 8 for each lane
 	f.site.Environments["test"] = configuration.Environment{ProductionDigest: "d", TrialDigest: "d"}
 	f.configure()
 	for lane := range f.tables.Plans {
--- a/scheduling/fixture_test.go
+++ b/scheduling/fixture_test.go
@@ -37,7 +37,7 @@
 	}
 	for i := range engines {
 		document.Engines = append(document.Engines, environment.Engine{
-			Name: fmt.Sprint("e", i), DataCentre: "dc1", VM: fmt.Sprint("vm", i),
+			Name: fmt.Sprint("e", i), Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: "dc1", VM: fmt.Sprint("vm", i),
 			Models: []string{"m"}, Slots: 8, KVTokens: 400_000,
 		})
 	}
