--- a/bench/call.go
+++ b/bench/call.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -35,6 +36,7 @@
 	id         string
 	upstream   *upstream
 	priority   environment.Priority
+	members    []model.Part
 	connection *connection
 	sentAt     time.Duration
 	firstToken time.Duration
@@ -82,6 +84,10 @@
 		connection: &connection{site: site, node: c.node.dataCentre, upstream: target.dataCentre},
 		sentAt:     site.loop.Now(),
 	}
+	for i := 1; i < len(decision.Group); i++ {
+		member := site.upstreams[decision.Group[i].ID]
+		sent.members = append(sent.members, model.Part{Engine: member.engine, KVTokens: decision.GroupTokens[i]})
+	}
 	c.current = sent
 	c.record.Attempts = c.attempts
 	c.record.Upstream = upstreamID
@@ -95,7 +101,7 @@
 	site.noteNewWork(a.upstream)
 	if err := a.submit(); err != nil {
 		site.recorder.upstreamRefusals++
-		a.connection.reply(func() { a.call.broken(a, true) })
+		a.connection.reply(func() { a.call.broken(a, err) })
 	}
 }
 
@@ -109,6 +115,7 @@
 		AnswerTokens: a.call.arrival.AnswerTokens,
 		MaxTokens:    a.call.arrival.MaxTokens,
 		Priority:     a.priority,
+		Members:      a.members,
 		Token:        a.token,
 		End:          a.end,
 	})
@@ -129,7 +136,7 @@
 		if whole {
 			a.call.complete(a)
 		} else {
-			a.call.broken(a, false)
+			a.call.broken(a, nil)
 		}
 	})
 }
@@ -159,14 +166,20 @@
 }
 
 // broken ends an attempt that was refused or cut off, and may try again.
-func (c *call) broken(from *attempt, notRun bool) {
+// The cause is nil when the attempt may have run.
+func (c *call) broken(from *attempt, cause error) {
 	if c.current != from {
 		return
 	}
 	began := from.firstToken > 0
-	c.finishAttempt(scheduling.Outcome{Failed: true, FirstToken: from.firstToken})
+	full := errors.Is(cause, model.ErrFull)
+	c.finishAttempt(scheduling.Outcome{Failed: !full, Refused: full, FirstToken: from.firstToken})
+	if full && c.requeue() {
+		return
+	}
+	notRun := cause != nil
 	repeatable := notRun || !c.arrival.Call && !began
-	if !repeatable || c.attempts >= c.request.Plan.Document.Retry.MaxAttempts {
+	if !repeatable || c.attempts-c.request.Refusals >= c.request.Plan.Document.Retry.MaxAttempts {
 		c.end(Failed)
 		return
 	}
@@ -178,6 +191,15 @@
 	c.place()
 }
 
+// requeue places a refused request again after a pause, if the policy does so.
+func (c *call) requeue() bool {
+	pause, ok := c.node.policy.Requeue(c.node.site.now(), c.request)
+	if ok {
+		c.node.site.loop.After(pause, c.placeAgain)
+	}
+	return ok
+}
+
 func (c *call) placeAgain() {
 	if !c.ended {
 		c.place()
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -67,6 +67,14 @@
 	return d.scheduler.MayRetry(time.Now(), request)
 }
 
+// Requeue counts a refusal by a full upstream. It returns how long to wait
+// before the request is placed again, or false when its deadline is too near.
+func (d *Dispatcher) Requeue(request *scheduling.Request) (time.Duration, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.Requeue(time.Now(), request)
+}
+
 // TakeAskedTokens returns the tokens that organisations with a limit have asked
 // for since the last call, by scheduling.OrganisationKey.
 func (d *Dispatcher) TakeAskedTokens() map[string]float64 {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -11,6 +11,10 @@
 // Placement is an upstream held for one attempt.
 type Placement struct {
 	Upstream *tables.Upstream
+	// Group is the engines that hold the request together, the lead first, and
+	// GroupTokens the memory booked at each; both are empty for a single one.
+	Group       []*tables.Upstream
+	GroupTokens []int
 	// Priority is what to ask of the engine.
 	Priority   environment.Priority
 	dispatcher *Dispatcher
--- a/scheduling/service.go
+++ b/scheduling/service.go
@@ -53,12 +53,17 @@
 	}
 }
 
-// InService reports whether a placed request may still be sent.
+// InService reports whether a placed request may still be sent, to each engine
+// of its group if it has one.
 func (s *Scheduler) InService(id string) bool {
 	run := s.running[id]
-	if run == nil || !run.state.configured {
+	if run == nil || !run.isServed(run.state) {
 		return false
 	}
-	at := slices.IndexFunc(run.state.members, func(m *member) bool { return m.pool == run.pool })
-	return at >= 0 && run.state.members[at].inService()
+	return !slices.ContainsFunc(run.members, func(one part) bool { return !run.isServed(one.state) })
+}
+
+func (r *running) isServed(u *upstreamState) bool {
+	at := slices.IndexFunc(u.members, func(m *member) bool { return m.pool == r.pool })
+	return u.configured && at >= 0 && u.members[at].inService()
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -34,6 +34,9 @@
 	answer   int
 	produced int
 	canceled bool
+	// kvTokens is the memory held here; lead is set when others hold the rest.
+	kvTokens int
+	lead     *lead
 	// events are what a streamed attempt has produced; changed wakes its
 	// readers. left counts the readers that have gone.
 	events  [][]byte
@@ -58,6 +61,8 @@
 	// kvTokens is the memory in use; peak is the most there ever was.
 	kvTokens int
 	peak     int
+	// reserved is what attempts led by other engines hold.
+	reserved map[string]*reservation
 	// runs counts the attempts by id, and rejected the attempts refused.
 	runs     int
 	rejected int
@@ -76,25 +81,30 @@
 	if config.Grace == 0 {
 		config.Grace = defaultGrace
 	}
-	e := &Engine{config: config, streams: map[string]*stream{}, kept: map[string]*stream{}}
+	e := &Engine{
+		config:   config,
+		streams:  map[string]*stream{},
+		kept:     map[string]*stream{},
+		reserved: map[string]*reservation{},
+	}
 	e.start(time.Now(), config.ColdStart)
 	return e
 }
 
-// admit takes memory for an attempt, or reports that there is none. A second
-// attempt during a cold start makes the engine fall over.
-func (e *Engine) admit(id, owner string, promptTokens, answerTokens, slots int) *stream {
+// admit takes need tokens of memory for an attempt, or reports that there are
+// none. A second attempt during a cold start makes the engine fall over.
+func (e *Engine) admit(id, owner string, promptTokens, answerTokens, need, slots int) *stream {
 	now := time.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.lapse(now)
 	if e.isCold(now) && len(e.streams) >= coldSlots {
 		e.start(now, e.life.coldStart)
 		e.rejected++
 		return nil
 	}
-	need := promptTokens + answerTokens
 	_, running := e.streams[id]
-	if running || len(e.streams) >= slots || e.kvTokens+need > e.config.KVTokens {
+	if running || len(e.streams)+len(e.reserved) >= slots || e.kvTokens+need > e.config.KVTokens {
 		e.rejected++
 		return nil
 	}
@@ -104,6 +114,7 @@
 		admitted: now,
 		prompt:   promptTokens,
 		answer:   answerTokens,
+		kvTokens: need,
 		changed:  sync.NewCond(&e.mutex),
 	}
 	e.streams[id] = admitted
@@ -122,7 +133,7 @@
 		return
 	}
 	delete(e.streams, ended.id)
-	e.kvTokens -= ended.prompt + ended.answer
+	e.kvTokens -= ended.kvTokens
 	e.remember(time.Now())
 }
 
--- a/standin/engine/life.go
+++ b/standin/engine/life.go
@@ -24,6 +24,7 @@
 	}
 	clear(e.streams)
 	clear(e.kept)
+	clear(e.reserved)
 	e.kvTokens = 0
 	e.life = life{
 		incarnation: max(e.life.incarnation+1, now.UnixNano()),
--- a/standin/engine/life_test.go
+++ b/standin/engine/life_test.go
@@ -15,11 +15,11 @@
 func TestCrashLosesStreamsAndMemory(t *testing.T) {
 	is := is.New(t)
 	e := newTestEngine(Config{})
-	lost := e.admit("a", "node-1", 10, 10, 4)
+	lost := e.admit("a", "node-1", 10, 10, 20, 4)
 	before := e.Load()
 	is.Equal(before.Streams[0].Owner, "node-1")
 	e.Crash(0)
-	again := e.admit("a", "node-2", 5, 5, 4)
+	again := e.admit("a", "node-2", 5, 5, 10, 4)
 	after := e.Load()
 	is.True(after.Incarnation > before.Incarnation)
 	is.True(e.isCanceled(lost)) // the caller's connection ends
@@ -33,20 +33,20 @@
 	is := is.New(t)
 	e := newTestEngine(Config{ColdStart: time.Hour})
 	before := e.Load().Incarnation
-	first := e.admit("a", "", 10, 10, 4)
+	first := e.admit("a", "", 10, 10, 20, 4)
 	is.True(first != nil)
-	is.True(e.admit("b", "", 10, 10, 4) == nil)
+	is.True(e.admit("b", "", 10, 10, 20, 4) == nil)
 	is.True(e.isCanceled(first))
 	is.True(e.Load().Incarnation > before)
 	e.Crash(0)
-	is.True(e.admit("a", "", 10, 10, 4) != nil)
-	is.True(e.admit("b", "", 10, 10, 4) != nil)
+	is.True(e.admit("a", "", 10, 10, 20, 4) != nil)
+	is.True(e.admit("b", "", 10, 10, 20, 4) != nil)
 }
 
 func TestLateReportIsAnOldSnapshot(t *testing.T) {
 	is := is.New(t)
 	e := newTestEngine(Config{})
-	e.admit("a", "", 10, 10, 4)
+	e.admit("a", "", 10, 10, 20, 4)
 	now := time.Now()
 	is.Equal(e.loadBefore(now, 0).KVTokens, 20)
 	is.Equal(e.loadBefore(now, time.Minute).KVTokens, 0)                 // before the attempt
@@ -77,7 +77,7 @@
 func TestResumedStreamHasANewOwner(t *testing.T) {
 	is := is.New(t)
 	e := newTestEngine(Config{})
-	e.admit("a", "dead/1", 10, 10, 4)
+	e.admit("a", "dead/1", 10, 10, 20, 4)
 	e.open("a", "")
 	is.Equal(e.Load().Streams[0].Owner, "dead/1")
 	e.open("a", "next/1")
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -50,6 +50,7 @@
 
 // measure makes a report; the mutex is held.
 func (e *Engine) measure(now time.Time) Load {
+	e.lapse(now)
 	load := Load{
 		Incarnation:  e.life.incarnation,
 		UptimeMS:     now.Sub(e.life.started).Milliseconds(),
@@ -62,6 +63,7 @@
 		Fencing:      e.models.fencing,
 		Streams:      make([]StreamLoad, 0, len(e.streams)),
 	}
+	load.Running = len(e.reserved)
 	for _, s := range e.streams {
 		if s.begun {
 			load.Running++
--- a/standin/engine/resume.go
+++ b/standin/engine/resume.go
@@ -114,7 +114,7 @@
 
 // produce runs an attempt to its end, whether or not it has a reader.
 func (s *Server) produce(admitted *stream, answer answerWriter) {
-	defer s.engine.end(admitted)
+	defer s.end(admitted)
 	if !s.engine.read(admitted) {
 		return
 	}
