Shared limits: nodes run their budgets where entry_nodes is set

Cause: package budget stood with tests but no node ran it, so engines met the sum of what all nodes allow. Change: the cluster implements site; Member carries the process's start time (updateFixedBytes 24 to 33 for it); Node registers and runs the budgets. The scheduler's ramp bounds a node by the whole upstream's part, where it scaled the share, so that a keeper's ramp doesn't count twice; inferred cold starts go to the budget through TakeColdStarts.

--- a/budgets_node.go
+++ b/budgets_node.go
@@ -82,6 +82,9 @@
 	if built := b.dispatcher.Tables(); built != nil && built != b.built {
 		b.configure(built)
 	}
+	for _, id := range b.dispatcher.TakeColdStarts() {
+		b.node.ColdStart(id)
+	}
 	return b.work.Demands()
 }
 
--- a/cluster.go
+++ b/cluster.go
@@ -49,6 +49,8 @@
 	listener net.Listener
 	seeds    []netip.AddrPort
 	nextVMs  time.Time
+	// started is when this process started, in Unix milliseconds.
+	started uint64
 }
 
 func newCluster(s *settings.Settings, p platform.VMList, metrics *telemetry.Metrics, logger zerolog.Logger) (*cluster, error) {
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrSettings, "peer_key: "+err.Error())
 	}
-	c := &cluster{settings: s, metrics: metrics, logger: logger, platform: p, peerKey: key}
+	c := &cluster{settings: s, metrics: metrics, logger: logger, platform: p, peerKey: key, started: uint64(time.Now().UnixMilli())}
 	for _, seed := range s.Seeds {
 		address, err := netip.ParseAddrPort(seed)
 		if err != nil {
@@ -113,6 +115,7 @@
 			DataCentre: c.settings.DataCentre,
 			Region:     c.settings.Region,
 			Address:    address,
+			Started:    c.started,
 		},
 		PeerKey:   c.peerKey,
 		Metrics:   c.metrics,
--- /dev/null
+++ b/cluster_site.go
@@ -0,0 +1,35 @@
+package wigeontiller
+
+import (
+	"context"
+	"net/netip"
+
+	"storj.io/drpc"
+
+	"github.com/wigeontiller/wigeontiller/membership"
+)
+
+// live implements site.
+func (c *cluster) live() []liveNode {
+	var nodes []liveNode
+	for _, member := range c.agent.Live(membership.SiteScope) {
+		nodes = append(nodes, liveNode{
+			name:       member.Name,
+			dataCentre: member.DataCentre,
+			region:     member.Region,
+			address:    member.Address,
+			started:    member.Started,
+		})
+	}
+	return nodes
+}
+
+// startedAt implements site.
+func (c *cluster) startedAt() uint64 {
+	return c.started
+}
+
+// dial implements site.
+func (c *cluster) dial(ctx context.Context, address netip.AddrPort) drpc.Conn {
+	return c.pool.Conn(ctx, address)
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -126,7 +126,7 @@
 	port := basePort + number*portStep
 	node := &settings.Settings{
 		Name:            fmt.Sprintf("entry-%c", 'a'+number),
-		DataCentre:      fmt.Sprintf("dc-%c", 'a'+number),
+		DataCentre:      dataCentre(number),
 		Region:          "demo",
 		CallerAddress:   loopback(port),
 		OperatorAddress: loopback(port + 1),
@@ -141,10 +141,18 @@
 	for other := range nodeCount {
 		node.Seeds = append(node.Seeds, loopback(basePort+other*portStep+2))
 	}
+	node.EntryNodes = map[string]map[string]int{node.Region: {}}
+	for other := range nodeCount {
+		node.EntryNodes[node.Region][dataCentre(other)] = 1
+	}
 	node.Provision()
 	return node
 }
 
+func dataCentre(number int) string {
+	return fmt.Sprintf("dc-%c", 'a'+number)
+}
+
 // putInForce promotes the sample document and returns the site version.
 func putInForce(ctx context.Context, store *configuration.Store) (uint64, error) {
 	digest, err := store.PutDocument(ctx, document)
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -73,3 +73,11 @@
 	defer d.mutex.Unlock()
 	return d.scheduler.TakeAskedTokens()
 }
+
+// TakeColdStarts returns the upstreams that were found to start cold since the
+// last call, by ID.
+func (d *Dispatcher) TakeColdStarts() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.TakeColdStarts()
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -47,6 +47,9 @@
 	// itself raises it.
 	Incarnation uint64
 	Status      Status
+	// Started is when the member's process started, in Unix milliseconds. Unlike
+	// Incarnation it stays the same while the process lives.
+	Started uint64
 }
 
 // Live reports whether the member still counts as there; a suspect does.
--- a/membership/updates.go
+++ b/membership/updates.go
@@ -12,7 +12,7 @@
 	// summaryBudgetBytes bounds those in a note to another data centre.
 	summaryBudgetBytes = 250
 	// updateFixedBytes is what an update takes beside its strings.
-	updateFixedBytes = 24
+	updateFixedBytes = 33
 	// sendsPerDoubling is how often an update is sent for each doubling of the
 	// data centre's size.
 	sendsPerDoubling = 2
--- a/node.go
+++ b/node.go
@@ -53,12 +53,14 @@
 	claims     *claimstore.Store
 	follower   *follower
 	cluster    *cluster
-	entry      *entry.Server
-	admin      *admin.Server
-	draining   atomic.Bool
-	workers    conc.WaitGroup
-	stop       context.CancelFunc
-	listeners  sync.WaitGroup
+	// budgets is nil where limits are not shared.
+	budgets   *budgets
+	entry     *entry.Server
+	admin     *admin.Server
+	draining  atomic.Bool
+	workers   conc.WaitGroup
+	stop      context.CancelFunc
+	listeners sync.WaitGroup
 }
 
 // New returns a node that is ready to start.
@@ -102,6 +104,9 @@
 	if err := node.cluster.follow(node.follower); err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
+	if err := node.shareLimits(); err != nil {
+		return nil, err
+	}
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
 		Upstreams:  upstream.NewClient(),
@@ -114,6 +119,18 @@
 	return node, nil
 }
 
+// shareLimits makes the node's part in shared limits, if the settings ask for it.
+func (n *Node) shareLimits() error {
+	n.budgets = newBudgets(n.settings, n.dispatcher, n.cluster, n.logger)
+	if n.budgets == nil {
+		return nil
+	}
+	if err := n.cluster.server.Register(n.budgets.register); err != nil {
+		return eris.Wrap(ErrSettings, err.Error())
+	}
+	return nil
+}
+
 // Start listens and begins to serve. It returns when the listeners are open.
 func (n *Node) Start() error {
 	callers, err := net.Listen("tcp", n.settings.CallerAddress)
@@ -137,6 +154,9 @@
 	n.workers.Go(func() { n.claims.Run(ctx) })
 	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
 	n.workers.Go(func() { n.cluster.serve(ctx) })
+	if n.budgets != nil {
+		n.workers.Go(func() { n.budgets.run(ctx) })
+	}
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
--- a/scheduling/queries.go
+++ b/scheduling/queries.go
@@ -49,6 +49,19 @@
 	return broken
 }
 
+// TakeColdStarts returns the upstreams that were found to start cold since the
+// last call, in a fixed order. Starts that the tables announce are not among them.
+func (s *Scheduler) TakeColdStarts() []string {
+	var ids []string
+	for _, u := range s.ordered {
+		if u.coldStart {
+			u.coldStart = false
+			ids = append(ids, u.upstream.ID)
+		}
+	}
+	return ids
+}
+
 // EstimateErrors is the moving average of each model's relative error of the
 // estimated first-token time.
 func (s *Scheduler) EstimateErrors() map[string]float64 {
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -40,6 +40,8 @@
 	hasShare bool
 	ramp     ramp.Ramp
 	failures int
+	// coldStart says that a cold start was inferred and not taken yet.
+	coldStart bool
 
 	// others and othersKV are the load from other nodes by the last report.
 	others   int
@@ -88,7 +90,9 @@
 	case u.hasShare:
 		slots, kvTokens = 0, 0
 	}
-	return u.ramp.Slots(now, u.upstream.Ramp, slots), kvTokens
+	// A share is already ramped by its keeper. The ramp here bounds this node by
+	// the whole upstream's part, so that it does not count twice.
+	return min(slots, u.ramp.Slots(now, u.upstream.Ramp, u.upstream.Slots)), kvTokens
 }
 
 // refresh puts the upstream on or off its groups' free lists.
@@ -100,9 +104,10 @@
 	}
 }
 
-// startRamp bounds the upstream's load from now on.
+// startRamp bounds the upstream's load from now on, after an inferred cold start.
 func (s *Scheduler) startRamp(now time.Time, u *upstreamState) {
 	u.ramp.Start(now)
+	u.coldStart = true
 	s.watchRamp(u)
 	s.refresh(now, u)
 }
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -23,6 +24,7 @@
 	operatorToken = "test-operator"
 	callerKey     = "test-key"
 	trialKey      = "test-trial-key"
+	engineSlots   = 64
 	// patience bounds every wait; it is a hang guard and no verdict on speed.
 	patience = 60 * time.Second
 )
@@ -124,15 +126,23 @@
 	engines  []string
 	services []string
 	nodes    []*node
+	// extra is settings that every node has besides its own.
+	extra string
 }
 
 func startSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{platform: freeAddress(t)}
+	return startSiteOf(t, engineSlots, "")
+}
+
+// startSiteOf starts a site with engines of so many slots and extra settings.
+func startSiteOf(t *testing.T, slots int, extra string) *site {
+	t.Helper()
+	s := &site{platform: freeAddress(t), extra: extra}
 	start(t, "wigeontiller-standin", "platform", "--address", s.platform)
 	for range 2 {
 		engine, service := freeAddress(t), freeAddress(t)
-		start(t, "wigeontiller-standin", "engine", "--address", engine, "--slots", "64", "--token-interval", "20ms")
+		start(t, "wigeontiller-standin", "engine", "--address", engine, "--slots", strconv.Itoa(slots), "--token-interval", "20ms")
 		start(t, "wigeontiller-standin", "service", "--name", "bookings", "--address", service)
 		s.engines = append(s.engines, engine)
 		s.services = append(s.services, service)
@@ -159,7 +169,7 @@
 peer_key: {file: %[8]s/peer.key}
 peer_tls: {certificate_file: %[8]s/%[1]s.crt, key_file: %[8]s/%[1]s.key, root_file: %[8]s/root.crt}
 shutdown_lag: 300ms
-`, name, dataCentre, started.callers, started.operators, peer, strings.Join(seeds, ", "), s.platform, keys)
+%[9]s`, name, dataCentre, started.callers, started.operators, peer, strings.Join(seeds, ", "), s.platform, keys, s.extra)
 	file := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
