Shares: a node that only votes on an upstream asks for none of it when idle

Cause: where a region votes, its nodes counted as local to all its upstreams and took even parts of idle capacity in other data centres. Change: a node is local to the upstreams of its own data centre alone; elsewhere it has a share when it has work there. It still votes. TestNodesTogetherKeepToTheSlots passes.

--- a/budgets.go
+++ b/budgets.go
@@ -139,7 +139,7 @@
 		voters, own := e.of(upstream.DataCentre)
 		shared = append(shared, budgetrpc.Shared{
 			Scope:    dataCentreScope(upstream.DataCentre),
-			Interest: budget.Interest{Voter: own, Local: own || upstream.DataCentre == e.dataCentre},
+			Interest: budget.Interest{Voter: own, Local: upstream.DataCentre == e.dataCentre},
 			Resource: budget.Resource{
 				Name:             id,
 				Capacity:         budget.Amount{Slots: upstream.Slots, KVTokens: upstream.KVTokens},
