--- a/bench/node.go
+++ b/bench/node.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/bench/policy"
@@ -22,11 +23,18 @@
 	calls      map[string]*call
 }
 
+func (n *node) name() string {
+	return fmt.Sprintf("node-%d", n.number)
+}
+
 // configure brings newer tables into force.
 func (n *node) configure(built *tables.Tables) {
 	if n.tables != nil && built.Version <= n.tables.Version {
 		return
 	}
+	if n.tables != nil && n.site.budgets != nil {
+		n.site.budgets.returned(n, n.tables, built)
+	}
 	n.tables = built
 	n.policy.Configure(n.site.now(), built)
 }
--- a/bench/policy/baseline.go
+++ b/bench/policy/baseline.go
@@ -68,6 +68,15 @@
 // MayRetry is true: a baseline has no limit but the number of attempts.
 func (b *baseline) MayRetry(time.Time, *scheduling.Request) bool { return true }
 
+// Demand is empty: a baseline takes no share.
+func (b *baseline) Demand(time.Time) map[string]scheduling.Demand { return nil }
+
+// SetShares does nothing.
+func (b *baseline) SetShares(time.Time, map[string]scheduling.Share) {}
+
+// TakeColdStarts finds none.
+func (b *baseline) TakeColdStarts() []string { return nil }
+
 // Check finds nothing: a baseline keeps no books.
 func (b *baseline) Check() error { return nil }
 
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -38,6 +38,12 @@
 	Finish(now time.Time, id string, outcome scheduling.Outcome)
 	// MayRetry reports whether a failed attempt may be followed by another.
 	MayRetry(now time.Time, request *scheduling.Request) bool
+	// Demand is what the node runs and waits for, by upstream ID.
+	Demand(now time.Time) map[string]scheduling.Demand
+	// SetShares replaces what the node may have running, by upstream ID.
+	SetShares(now time.Time, shares map[string]scheduling.Share)
+	// TakeColdStarts returns the upstreams newly found to start cold.
+	TakeColdStarts() []string
 	// Check returns an error when the policy's books don't add up.
 	Check() error
 	// Observe takes a report.
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -62,11 +62,11 @@
 )
 
 func (c Config) outAt() time.Duration {
-	return c.Deployment.Duration * outPercent / 100
+	return warmUp + c.Deployment.Duration*outPercent/100
 }
 
 func (c Config) backAt() time.Duration {
-	return c.Deployment.Duration * backPercent / 100
+	return warmUp + c.Deployment.Duration*backPercent/100
 }
 
 // planFaults adds the scenario's events to the loop.
@@ -89,7 +89,7 @@
 
 func every(interval, duration time.Duration, plan func(time.Duration)) {
 	for at := interval; at < duration; at += interval {
-		plan(at)
+		plan(warmUp + at)
 	}
 }
 
--- a/bench/site.go
+++ b/bench/site.go
@@ -46,6 +46,8 @@
 	arrivals, live, canceling int
 	finished                  bool
 	recorder                  *recorder
+	// budgets is nil for the baselines.
+	budgets *budgets
 }
 
 // upstream is an engine or a service process at its place.
@@ -74,6 +76,7 @@
 	built := build(document, 0, nil)
 	s.addUpstreams(built)
 	s.addNodes(built)
+	s.startBudgets(built)
 	s.addArrivals()
 	s.planFaults()
 	s.loop.After(0, s.advance)
@@ -128,7 +131,7 @@
 			continue
 		}
 		s.arrivals++
-		s.loop.At(request.At, func() { s.nodes[request.Node].accept(request) })
+		s.loop.At(warmUp+request.At, func() { s.nodes[request.Node].accept(request) })
 	}
 }
 
@@ -144,7 +147,7 @@
 	for _, node := range s.nodes {
 		node.handleAll(node.policy.Advance(s.now()))
 	}
-	if s.isIdle() || s.loop.Now() > s.config.Deployment.Duration+maxDrain {
+	if s.isIdle() || s.loop.Now() > warmUp+s.config.Deployment.Duration+maxDrain {
 		s.finished = true
 		return
 	}
@@ -251,6 +254,9 @@
 
 // checkEnd asserts what must hold once all requests have ended.
 func (s *site) checkEnd() {
+	if s.budgets != nil {
+		s.budgets.check()
+	}
 	if !s.isIdle() {
 		s.breach("%d requests, %d cancels not ended", s.live, s.canceling)
 	}
