Tombstones are kept also of members never heard of

Cause: in TestReplacementsInHalfAMinute nodes held dead members as live. A node that heard of a departure before it heard of the member dropped the news, and then took an older page with the member as live.

Change: the tombstone is kept; it expires as any other.

--- a/membership/merge.go
+++ b/membership/merge.go
@@ -24,10 +24,8 @@
 	if known != nil && !update.overrides(known.Member) {
 		return
 	}
-	if known == nil && !update.Live() {
-		// Nothing to override, so that nothing needs to be kept.
-		return
-	}
+	// A tombstone is kept also of a member never heard of: an older page with it
+	// as live may still come.
 	s.table.put(now, update)
 	s.noteCentre(now, update.DataCentre)
 	if spread {
