A contact asks its own data centre whatever others changed

Cause, by a trace of TestReplacementsInHalfAMinute: one limit of a sync each 5 s held for all scopes. A contact that got notes of six other data centres, each changing, spent it on them: from 48 s to 66 s it asked its own data centre not once and lacked two of its members. A lost tombstone was ruled out: it held no record of them at all.

Change: the limit is by scope. TestPollerDies watches all nodes at once for the poller; node by node it could miss it, and then killed nobody.

--- a/membership/spread.go
+++ b/membership/spread.go
@@ -90,10 +90,10 @@
 		scope = message.DataCentre
 		differs = message.Kind == SummaryNote && s.summaryDiffers(message)
 	}
-	if !differs || now.Before(s.nextSync) {
+	if !differs || now.Before(s.nextSync[scope]) {
 		return nil
 	}
-	s.nextSync = now.Add(syncInterval)
+	s.nextSync[scope] = now.Add(syncInterval)
 	request := s.message(SyncRequest)
 	request.Scope = scope
 	for name, hash := range s.table.hashes {
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -59,6 +59,9 @@
 // poller died.
 const takeoverLimit = 9 * time.Second
 
+// pollerWatch is long enough for several polls.
+const pollerWatch = 5 * time.Second
+
 func TestPollerDies(t *testing.T) {
 	for seed := range uint64(6) {
 		n := joined(t, seed, 30)
@@ -72,10 +75,13 @@
 // poller returns the node that reads the store.
 func poller(n *network) *node {
 	n.t.Helper()
+	before := map[*node]int{}
+	for _, b := range n.nodes {
+		before[b] = b.polls
+	}
+	n.run(pollerWatch)
 	for _, b := range n.nodes {
-		before := b.polls
-		n.run(time.Second)
-		if b.polls > before {
+		if b.polls > before[b] {
 			return b
 		}
 	}
--- a/membership/state.go
+++ b/membership/state.go
@@ -52,12 +52,15 @@
 
 	lastTick, lastHeard   time.Time
 	nextProbe, nextGossip time.Time
-	nextSummary, nextSync time.Time
+	nextSummary           time.Time
 	nextSeed, nextCleanup time.Time
 	sequence              uint64
-	ring                  []string
-	probe                 *probe
-	relays                map[uint64]relay
+	// nextSync is by scope, so that changes elsewhere do not keep a contact from
+	// asking its own data centre.
+	nextSync map[string]time.Time
+	ring     []string
+	probe    *probe
+	relays   map[uint64]relay
 }
 
 // New returns a view that knows only the node itself. The incarnation is the
@@ -72,6 +75,7 @@
 		updates:  newUpdates(),
 		centres:  map[string]*centre{},
 		relays:   map[uint64]relay{},
+		nextSync: map[string]time.Time{},
 		lastTick: now,
 		// Spread the rounds of nodes that start together.
 		nextProbe:   now.Add(time.Duration(random.Int64N(int64(probeInterval)))),
