--- a/demo/demo.go
+++ b/demo/demo.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -27,7 +28,6 @@
 )
 
 const (
-	platformAddress = "127.0.0.1:9000"
 	// OperatorToken and CallerKey are the demo's only secrets, and are public.
 	OperatorToken = "demo-operator"
 	// CallerKey is the key of the sample organisation.
@@ -35,6 +35,7 @@
 
 	environmentName = "demo"
 	nodeCount       = 3
+	platformPort    = 9000
 	basePort        = 8080
 	portStep        = 100
 	engineBasePort  = 9101
@@ -59,14 +60,21 @@
 
 // Demo is a running site.
 type Demo struct {
-	apps  []*fiber.App
-	nodes []*wigeontiller.Node
+	// portOffset is added to every port.
+	portOffset int
+	apps       []*fiber.App
+	nodes      []*wigeontiller.Node
 }
 
 // Start starts everything and returns when the sample environment is in force
 // on every node. traces is an OTLP URL, telemetry.EndpointStdout or empty.
 func Start(ctx context.Context, logger zerolog.Logger, traces string) (*Demo, error) {
-	demo := new(Demo)
+	return startAt(ctx, logger, traces, 0)
+}
+
+// startAt starts the demo with every port moved by an offset.
+func startAt(ctx context.Context, logger zerolog.Logger, traces string, portOffset int) (*Demo, error) {
+	demo := &Demo{portOffset: portOffset}
 	if err := demo.start(ctx, logger, traces); err != nil {
 		return nil, errors.Join(err, demo.Stop(ctx))
 	}
@@ -77,12 +85,12 @@
 	if err := d.startStandIns(); err != nil {
 		return err
 	}
-	client, err := httpplatform.NewClient("http://" + platformAddress)
+	client, err := httpplatform.NewClient("http://" + d.loopback(platformPort))
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
 	for number := range nodeCount {
-		node, err := wigeontiller.New(ctx, nodeSettings(number, traces), client, logger)
+		node, err := wigeontiller.New(ctx, d.nodeSettings(number, traces), client, logger)
 		if err != nil {
 			return eris.Wrap(ErrStart, err.Error())
 		}
@@ -91,7 +99,7 @@
 		}
 		d.nodes = append(d.nodes, node)
 	}
-	version, err := putInForce(ctx, configuration.NewStore(client))
+	version, err := d.putInForce(ctx, configuration.NewStore(client))
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
@@ -100,12 +108,12 @@
 
 func (d *Demo) startStandIns() error {
 	apps := map[string]*fiber.App{
-		platformAddress: platformserver.NewServer(memory.New(), new(fault.Control)).App(),
+		d.loopback(platformPort): platformserver.NewServer(memory.New(), new(fault.Control)).App(),
 	}
 	speed := engine.Config{Slots: slots, KVTokens: kvTokens, PrefillTokensPerSecond: prefillRate, TokenInterval: tokenInterval}
 	for number := range nodeCount {
-		apps[loopback(engineBasePort+number*portStep)] = engine.NewServer(speed, new(fault.Control)).App()
-		apps[loopback(serviceBasePort+number*portStep)] = service.NewServer("bookings", new(fault.Control)).App()
+		apps[d.loopback(engineBasePort+number*portStep)] = engine.NewServer(speed, new(fault.Control)).App()
+		apps[d.loopback(serviceBasePort+number*portStep)] = service.NewServer("bookings", new(fault.Control)).App()
 	}
 	for address, app := range apps {
 		listener, err := net.Listen("tcp", address)
@@ -118,20 +126,20 @@
 	return nil
 }
 
-func loopback(port int) string {
-	return fmt.Sprintf("127.0.0.1:%d", port)
+func (d *Demo) loopback(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port+d.portOffset)
 }
 
-func nodeSettings(number int, traces string) *settings.Settings {
+func (d *Demo) nodeSettings(number int, traces string) *settings.Settings {
 	port := basePort + number*portStep
 	node := &settings.Settings{
 		Name:            fmt.Sprintf("entry-%c", 'a'+number),
 		DataCentre:      fmt.Sprintf("dc-%c", 'a'+number),
 		Region:          "demo",
-		CallerAddress:   loopback(port),
-		OperatorAddress: loopback(port + 1),
-		PeerAddress:     loopback(port + 2),
-		PlatformURL:     "http://" + platformAddress,
+		CallerAddress:   d.loopback(port),
+		OperatorAddress: d.loopback(port + 1),
+		PeerAddress:     d.loopback(port + 2),
+		PlatformURL:     "http://" + d.loopback(platformPort),
 		InProcessDemo:   true,
 		OperatorTokens:  []settings.Secret{{Literal: OperatorToken}},
 		PeerKey:         settings.Secret{Literal: "demo-peer-key-0123456789abcdef"},
@@ -139,15 +147,15 @@
 		ShutdownLag:     readyPoll,
 	}
 	for other := range nodeCount {
-		node.Seeds = append(node.Seeds, loopback(basePort+other*portStep+2))
+		node.Seeds = append(node.Seeds, d.loopback(basePort+other*portStep+2))
 	}
 	node.Provision()
 	return node
 }
 
 // putInForce promotes the sample document and returns the site version.
-func putInForce(ctx context.Context, store *configuration.Store) (uint64, error) {
-	digest, err := store.PutDocument(ctx, document)
+func (d *Demo) putInForce(ctx context.Context, store *configuration.Store) (uint64, error) {
+	digest, err := store.PutDocument(ctx, d.document())
 	if err != nil {
 		return 0, err
 	}
@@ -176,6 +184,18 @@
 	return nil
 }
 
+// document returns the sample with the addresses of this demo's stand-ins.
+func (d *Demo) document() []byte {
+	text := string(document)
+	for number := range nodeCount {
+		for _, base := range []int{engineBasePort, serviceBasePort} {
+			port := base + number*portStep
+			text = strings.ReplaceAll(text, fmt.Sprintf("127.0.0.1:%d", port), d.loopback(port))
+		}
+	}
+	return []byte(text)
+}
+
 // Stop stops the nodes gracefully, then the stand-ins.
 func (d *Demo) Stop(ctx context.Context) error {
 	var failures []error
