--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -26,9 +26,13 @@
 
 // answer is an upstream's answer whose first part has arrived.
 type answer struct {
-	reply     *upstream.Reply
+	reply *upstream.Reply
+	// placement is nil for a stream that another node placed.
 	placement *dispatch.Placement
 	attemptID string
+	address   string
+	// ended is called when the attempt has ended.
+	ended func()
 	// first is the first event of a stream.
 	first  []byte
 	events *upstream.EventReader
@@ -39,7 +43,10 @@
 // close frees the connection and the place.
 func (a *answer) close(outcome scheduling.Outcome) {
 	a.reply.Close()
-	a.placement.Finish(outcome)
+	if a.placement != nil {
+		a.placement.Finish(outcome)
+	}
+	a.ended()
 }
 
 // attempts places and sends a call until an answer starts or the call is given up.
@@ -88,6 +95,7 @@
 	defer span.End()
 	if accepted.request.Model != "" {
 		accepted.header[upstream.HeaderPriority] = placement.Priority.String()
+		accepted.header[upstream.HeaderOwner] = s.config.Owner
 	}
 	attempt := &upstream.Attempt{
 		ID:       uuid.NewString(),
@@ -103,12 +111,19 @@
 		return nil, upstream.ErrNotSent
 	}
 	s.config.Metrics.Attempt()
+	ended := s.hold(attempt.ID)
 	reply, err := s.config.Upstreams.Do(ctx, attempt)
 	if err != nil {
 		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
 	}
-	got := &answer{reply: reply, placement: placement, attemptID: attempt.ID}
+	got := &answer{
+		reply:     reply,
+		placement: placement,
+		attemptID: attempt.ID,
+		address:   attempt.Address,
+		ended:     ended,
+	}
 	if err := s.beginOrLeave(ctx, accepted, got); err != nil {
 		s.giveUp(ctx, accepted, placement, attempt, err)
 		return nil, err
@@ -170,11 +185,13 @@
 	failed := failedOutcome(ctx)
 	if accepted.request.Model == "" || !errors.Is(err, upstream.ErrBroken) {
 		placement.Finish(failed)
+		s.held.Delete(attempt.ID)
 		return
 	}
 	s.cleanups.Add(1)
 	go func() {
 		defer s.cleanups.Done()
+		defer s.held.Delete(attempt.ID)
 		s.cancelUntilGone(attempt)
 		placement.Finish(failed)
 	}()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
@@ -38,6 +39,10 @@
 	Tracer     trace.Tracer
 	Metrics    *telemetry.Metrics
 	Claims     *claimstore.Store
+	// Tokens signs the tokens that streams are resumed with.
+	Tokens *resume.Signer
+	// Owner names this process to engines.
+	Owner string
 }
 
 // Server serves callers.
@@ -49,8 +54,10 @@
 	draining atomic.Bool
 	// cleanups waits for cancels that outlive their request.
 	cleanups sync.WaitGroup
-	ctx      context.Context
-	stop     context.CancelFunc
+	// held holds the ID of each attempt that has not ended.
+	held sync.Map
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // NewServer returns a server with its routes.
@@ -67,10 +74,33 @@
 	})
 	server.app.Post("/v1/chat/completions", server.completion)
 	server.app.Post("/v1/completions", server.completion)
+	server.app.Get("/v1/requests/:id/stream", server.resumeStream)
 	server.app.All("/services/:name/*", server.service)
 	return server
 }
 
+// hold lists an attempt as this node's own until the function returned is called.
+func (s *Server) hold(attemptID string) (ended func()) {
+	s.held.Store(attemptID, struct{}{})
+	return func() { s.held.Delete(attemptID) }
+}
+
+// Holds reports whether an attempt of this node has not ended.
+func (s *Server) Holds(attemptID string) bool {
+	_, holds := s.held.Load(attemptID)
+	return holds
+}
+
+// HeldAttempts returns the IDs of the attempts that have not ended.
+func (s *Server) HeldAttempts() []string {
+	var ids []string
+	s.held.Range(func(id, _ any) bool {
+		ids = append(ids, id.(string))
+		return true
+	})
+	return ids
+}
+
 // App returns the HTTP application, for a listener of the caller's choice.
 func (s *Server) App() *fiber.App {
 	return s.app
--- a/node.go
+++ b/node.go
@@ -25,6 +25,7 @@
 	"github.com/wigeontiller/wigeontiller/entry"
 	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/platform/guard"
+	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -53,6 +54,7 @@
 	claims     *claimstore.Store
 	follower   *follower
 	cluster    *cluster
+	reports    *reports
 	entry      *entry.Server
 	admin      *admin.Server
 	draining   atomic.Bool
@@ -102,6 +104,11 @@
 	if err := node.cluster.follow(node.follower); err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
+	signer, err := resume.NewSigner([]byte(node.cluster.peerKey))
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
+	owner := newOwner(s.Name)
 	node.entry = entry.NewServer(entry.Config{
 		Dispatcher: node.dispatcher,
 		Upstreams:  upstream.NewClient(),
@@ -109,7 +116,13 @@
 		Tracer:     tracing.Tracer(telemetry.ScopeName),
 		Metrics:    node.metrics,
 		Claims:     node.claims,
+		Tokens:     signer,
+		Owner:      owner.String(),
 	})
+	node.reports, err = newReports(owner, node.cluster, node.dispatcher, node.entry, node.metrics, node.logger)
+	if err != nil {
+		return nil, eris.Wrap(ErrSettings, err.Error())
+	}
 	node.admin = admin.NewServer(admin.Config{Store: store, Node: node, Tokens: tokens, Metrics: node.metrics})
 	return node, nil
 }
@@ -138,12 +151,27 @@
 	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
+	n.workers.Go(func() { n.reports.poller.Run(ctx) })
+	n.workers.Go(func() { newOrdering(n.reports, n.guard.Ordinary(), n).Run(ctx) })
+	n.workers.Go(n.shareStoreBudget(ctx))
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).Msg("node started")
 	return nil
 }
 
+// shareStoreBudget divides the store's budget by the most nodes ever seen at
+// once: a node that is cut off must not take the others' part.
+func (n *Node) shareStoreBudget(ctx context.Context) func() {
+	most := len(n.settings.Seeds)
+	return func() {
+		every(ctx, seedInterval, func(context.Context) {
+			most = max(most, len(n.cluster.agent.Peers())+1)
+			n.guard.SetNodes(most)
+		})
+	}
+}
+
 func (n *Node) listen(serve func() error) {
 	n.listeners.Add(1)
 	go func() {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"strings"
@@ -34,12 +32,15 @@
 func NewServer(config Config, control *fault.Control) *Server {
 	server := &Server{engine: New(config), control: control}
 	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
+	control.OnSet(server.knobsSet)
 	control.Routes(server.app)
 	server.app.Post("/v1/chat/completions", server.complete)
 	server.app.Post("/v1/completions", server.complete)
 	server.app.Get("/v1/load", server.load)
+	server.app.Post("/v1/orders", server.order)
 	server.app.Get("/v1/streams", server.list)
 	server.app.Get("/v1/streams/:id", server.show)
+	server.app.Get("/v1/streams/:id/events", server.events)
 	server.app.Delete("/v1/streams/:id", server.cancel)
 	return server
 }
@@ -66,6 +67,10 @@
 	body := c.Body()
 	fields := gjson.GetManyBytes(body, "model", "stream", "max_tokens", "messages", "prompt")
 	promptTokens := max(1, max(len(fields[3].Raw), len(fields[4].Raw))/bytesPerToken)
+	if !s.engine.serves(fields[0].String()) {
+		c.Set(upstream.HeaderNotRun, "true")
+		return c.SendStatus(fiber.StatusNotFound)
+	}
 	answerTokens := int(fields[2].Int())
 	if answerTokens <= 0 {
 		answerTokens = defaultMaxTokens
@@ -74,7 +79,7 @@
 	if s.control.Knobs().Cold {
 		slots = coldSlots
 	}
-	admitted := s.engine.admit(c.Get(upstream.HeaderAttempt), promptTokens, answerTokens, slots)
+	admitted := s.engine.admit(c.Get(upstream.HeaderAttempt), c.Get(upstream.HeaderOwner), promptTokens, answerTokens, slots)
 	if admitted == nil {
 		c.Set(upstream.HeaderNotRun, "true")
 		return c.SendStatus(fiber.StatusServiceUnavailable)
@@ -95,51 +100,14 @@
 			text.WriteString(answer.token(admitted.produced))
 		}
 	}
+	if s.engine.isCanceled(admitted) {
+		return c.Context().Conn().Close()
+	}
 	return c.JSON(answer.whole(text.String(), admitted))
 }
 
-func (s *Server) stream(c *fiber.Ctx, admitted *stream, answer answerWriter) {
-	c.Set(fiber.HeaderContentType, "text/event-stream")
-	breaks := s.control.Take(func(k *fault.Knobs) *int { return &k.BreakStreams })
-	conn := c.Context().Conn()
-	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.engine.release(admitted)
-		if !s.engine.read(admitted) {
-			_ = conn.Close()
-			return
-		}
-		for s.engine.next(admitted) {
-			if breaks && admitted.produced > breakAfterTokens {
-				_ = conn.Close()
-				return
-			}
-			if !answer.writeEvent(w, answer.chunk(admitted.produced, "")) {
-				return
-			}
-		}
-		if s.engine.isCanceled(admitted) {
-			_ = conn.Close()
-			return
-		}
-		answer.writeEvent(w, answer.chunk(0, "stop"))
-		answer.writeEvent(w, answer.usage(admitted))
-		_, _ = w.WriteString("data: [DONE]\n\n")
-		_ = w.Flush()
-	})
-}
-
-func (s *Server) load(c *fiber.Ctx) error {
-	load := s.engine.Load()
-	time.Sleep(time.Duration(s.control.Knobs().LoadLagMS) * time.Millisecond)
-	return c.JSON(load)
-}
-
-func (s *Server) list(c *fiber.Ctx) error {
-	return c.JSON(s.engine.Load().Streams)
-}
-
 func (s *Server) show(c *fiber.Ctx) error {
-	for _, id := range s.engine.Load().Streams {
+	for _, id := range s.engine.streamIDs() {
 		if id == c.Params("id") {
 			return c.SendStatus(fiber.StatusOK)
 		}
@@ -246,14 +214,3 @@
 func usageOf(s *stream) *usage {
 	return &usage{PromptTokens: s.prompt, CompletionTokens: s.produced, TotalTokens: s.prompt + s.produced}
 }
-
-func (a answerWriter) writeEvent(w *bufio.Writer, part completion) bool {
-	data, err := json.Marshal(part)
-	if err != nil {
-		return false
-	}
-	_, _ = w.WriteString("data: ")
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
-	return w.Flush() == nil
-}
