A node that was paused confirms the site before it sends anything

Ruled out: a check in the membership alone, since the handlers run before the first datagram arrives. Change: dispatch notices that it did not run for 2 s (in each submit and directly before each send); nothing is sent until the store, or a peer with at least this version, has confirmed the site by an answer to a question asked after the pause. A paused peer tells no version. A node without store and peers stays closed after a pause. A pause between the last check and the send is not covered.

--- a/cluster.go
+++ b/cluster.go
@@ -92,7 +92,7 @@
 	c.follower = f
 	f.view = c.spreadView
 	f.announce = func(version uint64) { c.agent.SetSiteVersion(version) }
-	service, err := peer.NewConfigurationService(f)
+	service, err := peer.NewConfigurationService(confirmedSite{f})
 	if err != nil {
 		return err
 	}
@@ -145,11 +145,7 @@
 	if _, ok := c.follower.Site(); ok {
 		return view
 	}
-	for _, p := range c.agent.Peers() {
-		if p.Live() && p.Reachable {
-			view.Peers = append(view.Peers, p.Address)
-		}
-	}
+	view.Peers = c.reachable()
 	return view
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -48,6 +48,8 @@
 	// placements numbers the calls of Place.
 	placements uint64
 	onBroken   func(error)
+	freshness  freshness
+	onPause    func()
 }
 
 // New returns a dispatcher over a scheduler that nothing else uses.
@@ -60,6 +62,9 @@
 
 // Run wakes queued requests until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	d.mutex.Lock()
+	d.freshness.ran = time.Now()
+	d.mutex.Unlock()
 	ticker := time.NewTicker(advanceInterval)
 	defer ticker.Stop()
 	checks := time.NewTicker(checkInterval)
@@ -70,6 +75,7 @@
 			return
 		case <-ticker.C:
 			d.mutex.Lock()
+			d.isFresh()
 			d.advance()
 			d.mutex.Unlock()
 		case <-checks.C:
@@ -118,6 +124,9 @@
 	request := new(scheduling.Request)
 	*request = *wanted
 	request.Avoid = slices.Clone(wanted.Avoid)
+	if err := d.awaitFresh(ctx); err != nil {
+		return nil, err
+	}
 	decision, wait := d.submit(request)
 	if decision.Kind == scheduling.Queued {
 		var err error
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -21,12 +21,13 @@
 	requestID  string
 }
 
-// InService reports whether the upstream may still receive new work. It is
-// asked directly before an attempt is sent.
+// InService reports whether the upstream may still receive new work, and the
+// node was not paused since the site was last confirmed. It is asked directly
+// before an attempt is sent.
 func (p *Placement) InService() bool {
 	p.dispatcher.mutex.Lock()
 	defer p.dispatcher.mutex.Unlock()
-	return p.dispatcher.scheduler.InService(p.requestID)
+	return p.dispatcher.isFresh() == nil && p.dispatcher.scheduler.InService(p.requestID)
 }
 
 // FirstToken tells that the answer has begun, so that a long prompt no longer
--- a/node.go
+++ b/node.go
@@ -162,6 +162,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
+	n.dispatcher.OnPause(func() { n.confirm(ctx) })
 	n.workers.Go(func() { n.dispatcher.Run(ctx) })
 	n.workers.Go(func() { n.follower.run(ctx) })
 	n.workers.Go(func() { n.claims.Run(ctx) })
