--- a/cluster.go
+++ b/cluster.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/wigeontiller/wigeontiller/admin"
 	"github.com/wigeontiller/wigeontiller/configuration"
@@ -53,7 +54,7 @@
 	started uint64
 }
 
-func newCluster(s *settings.Settings, p platform.VMList, metrics *telemetry.Metrics, logger zerolog.Logger) (*cluster, error) {
+func newCluster(s *settings.Settings, p platform.VMList, metrics *telemetry.Metrics, tracer trace.Tracer, logger zerolog.Logger) (*cluster, error) {
 	config, err := peerTLS(s)
 	if err != nil {
 		return nil, err
@@ -70,8 +71,8 @@
 		}
 		c.seeds = append(c.seeds, address)
 	}
-	c.server = peer.NewServer(config)
-	c.pool = peer.NewPool(config)
+	c.server = peer.NewServer(config, tracer)
+	c.pool = peer.NewPool(config, tracer)
 	c.client, err = peer.NewConfigurationClient(c.pool)
 	return c, err
 }
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -93,7 +93,7 @@
 			cancel()
 		}
 	})
-	held, answered := s.config.Claims.Claim(ctx, accepted.claim.call)
+	held, answered := s.claim(ctx, accepted)
 	if answered != nil {
 		return s.sendAnswered(c, accepted, answered)
 	}
@@ -110,6 +110,13 @@
 	return s.sendWhole(c, answer)
 }
 
+// claim claims the call's key, or returns what a repeat is answered with.
+func (s *Server) claim(ctx context.Context, accepted *call) (*claimstore.Held, *claimstore.Answered) {
+	ctx, span := s.config.Tracer.Start(ctx, "claim")
+	defer span.End()
+	return s.config.Claims.Claim(ctx, accepted.claim.call)
+}
+
 func settleFailure(held *claimstore.Held, failure *apierror.Error) {
 	if failure.Execution == apierror.NotRun {
 		held.Release()
--- a/follower_test.go
+++ b/follower_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
@@ -34,7 +35,7 @@
 // testFollower is a follower without a cluster; announced holds what it told.
 func testFollower(t *testing.T, store *configuration.Store) (*follower, *[]uint64) {
 	t.Helper()
-	client, err := peer.NewConfigurationClient(peer.NewPool(nil))
+	client, err := peer.NewConfigurationClient(peer.NewPool(nil, noop.NewTracerProvider().Tracer("")))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -124,7 +125,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := peer.NewServer(nil)
+	server := peer.NewServer(nil, noop.NewTracerProvider().Tracer(""))
 	if err := server.Register(service.Register); err != nil {
 		t.Fatal(err)
 	}
--- a/node.go
+++ b/node.go
@@ -98,7 +98,7 @@
 		Logger: node.logger, Metrics: node.metrics, Node: s.Name,
 	})
 	store := configuration.NewStore(node.guard.Ordinary())
-	node.cluster, err = newCluster(s, node.guard.Ordinary(), node.metrics, node.logger)
+	node.cluster, err = newCluster(s, node.guard.Ordinary(), node.metrics, tracing.Tracer(telemetry.ScopeName), node.logger)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/configuration_test.go
+++ b/peer/configuration_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/environment"
@@ -54,9 +56,11 @@
 func TestSiteAndDocumentOverMutualTLS(t *testing.T) {
 	is := is.New(t)
 	own := identity(t)
+	spans := tracetest.NewInMemoryExporter()
+	tracer := sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)).Tracer("test")
 	service, err := NewConfigurationService(held{document: []byte("name: works\n")})
 	is.NoErr(err)
-	server := NewServer(own)
+	server := NewServer(own, tracer)
 	is.NoErr(server.Register(service.Register))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -65,13 +69,14 @@
 	go func() { _ = server.Serve(ctx, listener) }()
 	address := netip.MustParseAddrPort(listener.Addr().String())
 
-	client, err := NewConfigurationClient(NewPool(own))
+	client, err := NewConfigurationClient(NewPool(own, tracer))
 	is.NoErr(err)
 	site, err := client.Site(ctx, address, 6)
 	is.NoErr(err)
 	is.Equal(site.Version, uint64(7))
 	_, err = client.Site(ctx, address, 7)
 	is.True(errors.Is(err, ErrNotHeld)) // not newer
+	isOneTrace(t, spans)
 	version, err := client.Version(ctx, address)
 	is.NoErr(err)
 	is.Equal(version, uint64(7))
@@ -82,7 +87,7 @@
 	is.True(errors.Is(err, ErrNotHeld)) // does not match its digest
 
 	for _, stranger := range []*tls.Config{identity(t), nil} {
-		other, err := NewConfigurationClient(NewPool(stranger))
+		other, err := NewConfigurationClient(NewPool(stranger, tracer))
 		is.NoErr(err)
 		short, stop := context.WithTimeout(ctx, 2*time.Second)
 		_, err = other.Site(short, address, 0)
@@ -90,3 +95,20 @@
 		is.True(errors.Is(err, ErrUnreachable)) // another root, or none
 	}
 }
+
+// isOneTrace checks that a call and its service are two hops of one trace. The
+// service's span may end after the call has returned.
+func isOneTrace(t *testing.T, spans *tracetest.InMemoryExporter) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, served := range spans.GetSpans() {
+			for _, called := range spans.GetSpans() {
+				if served.Parent.SpanID() == called.SpanContext.SpanID() {
+					is.New(t).Equal(served.SpanContext.TraceID(), called.SpanContext.TraceID())
+					return
+				}
+			}
+		}
+	}
+	t.Fatal("no served call is the child of a call")
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -24,17 +25,18 @@
 type Pool struct {
 	config *tls.Config
 	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	tracer trace.Tracer
 }
 
 // NewPool returns an empty pool; without certificates it dials in the clear.
-func NewPool(config *tls.Config) *Pool {
+func NewPool(config *tls.Config, tracer trace.Tracer) *Pool {
 	options := drpcpool.Options{Expiration: idleTime, Capacity: idleInAll, KeyCapacity: idlePerPeer}
-	return &Pool{config: config, pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](options)}
+	return &Pool{config: config, tracer: tracer, pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](options)}
 }
 
 // Conn returns a connection that is opened at its first call. Close it after use.
 func (p *Pool) Conn(ctx context.Context, address netip.AddrPort) drpc.Conn {
-	return p.pool.Get(ctx, address, p.dial)
+	return tracedConn{Conn: p.pool.Get(ctx, address, p.dial), tracer: p.tracer, address: address.String()}
 }
 
 func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 
+	"go.opentelemetry.io/otel/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -20,12 +21,13 @@
 type Server struct {
 	mux    *drpcmux.Mux
 	config *tls.Config
+	tracer trace.Tracer
 }
 
 // NewServer returns a server without services. Without certificates it serves
 // in the clear, which only a demonstration in one process may do.
-func NewServer(config *tls.Config) *Server {
-	return &Server{mux: drpcmux.New(), config: config}
+func NewServer(config *tls.Config, tracer trace.Tracer) *Server {
+	return &Server{mux: drpcmux.New(), config: config, tracer: tracer}
 }
 
 // Register adds a service; call it before Serve.
@@ -39,7 +41,7 @@
 		listener = tls.NewListener(listener, s.config)
 	}
 	options := drpcserver.Options{Manager: managerOptions()}
-	err := drpcserver.NewWithOptions(s.mux, options).Serve(ctx, listener)
+	err := drpcserver.NewWithOptions(tracedHandler{Handler: s.mux, tracer: s.tracer}, options).Serve(ctx, listener)
 	if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
--- a/test/processes/path_test.go
+++ b/test/processes/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -31,6 +32,9 @@
 		is.Equal(got.status, http.StatusUnauthorized)
 		is.True(strings.Contains(got.body, `"execution":"not_run"`))
 	}
+	for _, n := range s.nodes {
+		is.Equal(children(t, n.process), "") // a process starts no other process
+	}
 	version := s.mustCLI(t, s.nodes[1], "env", "withdraw", "works")["version"]
 	s.waitVersion(t, version)
 	for _, n := range s.nodes {
@@ -76,3 +80,20 @@
 	is.NoErr(err)
 	is.True(strings.Contains(string(output), "libc.so"))
 }
+
+// children returns the process IDs of a process's children.
+func children(t *testing.T, p *process) string {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", p.command.Process.Pid))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no threads listed: ", err)
+	}
+	found := ""
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err == nil {
+			found += string(text)
+		}
+	}
+	return found
+}
