A leaving engine, or one without the model, is in no group

Cause: group placement asked only whether operators had taken an engine out; the reports of leaving and of loaded models came by another branch. Such a group is refused directly before it is sent and placed again at once, over and over. Seen to fail: TestLeavingEngineIsInNoGroup, before the change. After: passes, with the other tests of scheduling under the race detector.

--- a/scheduling/group.go
+++ b/scheduling/group.go
@@ -47,7 +47,7 @@
 	for _, side := range []*group{&p.local, &p.remote} {
 		for _, m := range side.all {
 			u := m.state.upstream
-			if u.Out || u.KVTokens <= 0 || slices.Contains(request.Avoid, u.ID) {
+			if !m.inService() || u.KVTokens <= 0 || slices.Contains(request.Avoid, u.ID) {
 				continue
 			}
 			at, known := places[u.DataCentre]
--- a/scheduling/service_test.go
+++ b/scheduling/service_test.go
@@ -72,3 +72,19 @@
 	f.report(func(r *Report) { r.Models = []string{"m"} })
 	f.is.Equal(len(f.advance()), 1)
 }
+
+func TestLeavingEngineIsInNoGroup(t *testing.T) {
+	f := newFixture(t, 4, 1)
+	f.configure()
+	f.report(leaves)
+	decision := f.submit(f.request(0, 850_000))
+	f.is.Equal(decision.Kind, Placed)
+	f.is.Equal(len(decision.Group), 3)
+	for _, upstream := range decision.Group {
+		f.is.True(upstream.ID != engineID)
+	}
+	f = newFixture(t, 3, 1)
+	f.configure()
+	f.report(leaves)
+	f.is.Equal(f.submit(f.request(0, 850_000)).Reason, NoUpstream) // two can't hold it
+}
