--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -11,7 +11,7 @@
 	// probeLimit bounds the upstreams looked at for one decision.
 	probeLimit = 64
 	// choices is how many upstreams with room are compared.
-	choices = 3
+	choices = 2
 	// linkCost is the wait in the own data centre that sending a request over
 	// a link is worth.
 	linkCost = 50 * time.Millisecond
