--- a/entry/overhead_test.go
+++ b/entry/overhead_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // BenchmarkOverhead compares a call through the entry node with a direct call
@@ -32,6 +34,30 @@
 	}
 }
 
+// BenchmarkSaturated keeps one core busy with both sides of the call: "go test
+// -run xxx -bench Saturated -cpu 1 ./entry". The difference of the two is the
+// entry node's processor time for a request.
+func BenchmarkSaturated(b *testing.B) {
+	config := fast
+	config.Slots = 4096
+	config.KVTokens = 1 << 30
+	config.PrefillTokensPerSecond = 1_000_000_000
+	f := newFixture(b, config)
+	engineURL := "http://" + f.dispatcher.Tables().Plans[0].Upstreams[0].Address
+	for _, target := range []struct{ name, url string }{{"direct", engineURL}, {"entry", f.url}} {
+		b.Run(target.name, func(b *testing.B) {
+			b.SetParallelism(saturatingCalls)
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					callOnce(b, target.url)
+				}
+			})
+		})
+	}
+}
+
+const saturatingCalls = 64
+
 func callOnce(b *testing.B, url string) {
 	b.Helper()
 	body := chat("Which hollow?", 1, false)
@@ -40,7 +66,7 @@
 		b.Fatal(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+testKey)
-	request.Header.Set("X-Attempt-ID", time.Now().String())
+	request.Header.Set("X-Attempt-ID", uuid.NewString())
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		b.Fatal(err)
