A node that hears neither the store nor another node sends nothing

Cause: a node cut off from all, without having been paused, went on with the site it had, so that a data centre taken out meanwhile kept getting its work for as long as the cut lasted (GUARANTEES named it as a limit). Ruled out: stopping when the store alone is away, which would make every outage of the store one of the service. Change: after 4 s without a word from the store or a node the site is unconfirmed, as after a pause: unready, nothing sent, store and peers asked until one answers. Requests wait 1 s for that and are then refused as not_ready, not_run, where they waited for their deadline before. A node without others goes on. Conclusion: the invariant holds for a node cut off alone; nodes cut off together from the rest and the store are still not covered, and said so.

--- a/confirm.go
+++ b/confirm.go
@@ -8,18 +8,32 @@
 	"github.com/wigeontiller/wigeontiller/configuration"
 )
 
-// confirmInterval is the time between two rounds of questions after a pause.
-const confirmInterval = 200 * time.Millisecond
+const (
+	// confirmInterval is the time between two rounds of questions.
+	confirmInterval = 200 * time.Millisecond
+	// contactInterval is how often the dispatcher is told who was heard.
+	contactInterval = 500 * time.Millisecond
+)
+
+// tellContact tells the dispatcher when the store or another node was last
+// heard. A node that knows of no other has nobody to miss a change from.
+func (n *Node) tellContact(context.Context) {
+	if !n.cluster.agent.KnowsOthers() {
+		n.dispatcher.SetContact(time.Time{})
+		return
+	}
+	n.dispatcher.SetContact(n.cluster.agent.LastHeard())
+}
 
 // confirm asks the store and then the peers until one of them has shown that
 // the site in force is the newest, or has given a newer one.
 func (n *Node) confirm(ctx context.Context) {
-	n.logger.Warn().Msg("node was paused: the site is confirmed before anything is sent")
+	n.logger.Warn().Msg("node was paused or heard nobody: the site is confirmed before anything is sent")
 	for ctx.Err() == nil {
 		asked := time.Now()
 		if n.follower.confirmByStore(ctx) || n.follower.confirmByPeers(ctx, n.cluster.reachable()) {
 			n.dispatcher.Confirm(asked)
-			n.logger.Info().Msg("site confirmed after a pause")
+			n.logger.Info().Msg("site confirmed")
 			return
 		}
 		time.Sleep(confirmInterval)
@@ -59,14 +73,16 @@
 	return err == nil && f.adoptFrom(ctx, site, address)
 }
 
-// confirmedSite is what peers are told: nothing while it is unconfirmed.
+// confirmedSite is what peers are told: nothing while it is unconfirmed after a
+// pause. A node that only lost contact does tell: otherwise nodes that all lost
+// it in an outage of the store could never confirm each other again.
 type confirmedSite struct {
 	*follower
 }
 
 // Site returns the site in force, or false when there is none to tell of.
 func (c confirmedSite) Site() (configuration.Site, bool) {
-	if !c.dispatcher.Confirmed() {
+	if c.dispatcher.Paused() {
 		return configuration.Site{}, false
 	}
 	return c.follower.Site()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -46,10 +46,10 @@
 	tables    *tables.Tables
 	waiting   map[string]chan scheduling.Decision
 	// placements numbers the calls of Place.
-	placements uint64
-	onBroken   func(error)
-	freshness  freshness
-	onPause    func()
+	placements    uint64
+	onBroken      func(error)
+	freshness     freshness
+	onUnconfirmed func()
 }
 
 // New returns a dispatcher over a scheduler that nothing else uses.
@@ -118,7 +118,7 @@
 // Place waits until the request has an upstream. The caller of Place calls the
 // placement's Finish once, when the attempt has ended. The same request may be
 // placed again while an earlier attempt's Finish is still to come. Errors:
-// ErrLeft, *RefusedError.
+// ErrLeft, ErrUnconfirmed, *RefusedError.
 func (d *Dispatcher) Place(ctx context.Context, wanted *scheduling.Request) (*Placement, error) {
 	// The attempt has its own ID and its own view of what to avoid.
 	request := new(scheduling.Request)
--- a/dispatch/freshness_test.go
+++ b/dispatch/freshness_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/scheduling"
 )
 
 func isClosed(c chan struct{}) bool {
@@ -47,3 +50,42 @@
 	f.confirm(asked)
 	is.True(!isClosed(waiting)) // the answer is as old as the question
 }
+
+func TestLostContactLeavesTheSiteUnconfirmed(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_000, 0)
+	f := freshness{contact: start}
+	now := start
+	for ; !now.After(start.Add(contactLimit)); now = now.Add(time.Second) {
+		is.True(!f.notice(now))
+	}
+	is.True(f.notice(now))
+	is.True(!f.notice(now.Add(time.Second))) // told once
+	is.True(!f.paused)                       // others may still take its word
+	waiting := f.confirmed
+	asked := now.Add(time.Second)
+	f.confirm(asked)
+	is.True(isClosed(waiting))
+	is.True(!f.notice(asked.Add(time.Second))) // an answer is contact
+}
+
+func TestNobodyToHearNeedsNoContact(t *testing.T) {
+	is := is.New(t)
+	var f freshness
+	now := time.Unix(1_000, 0)
+	for range 10 {
+		is.True(!f.notice(now))
+		now = now.Add(time.Second)
+	}
+}
+
+func TestUnconfirmedNodeRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := New(nil)
+	now := time.Now()
+	d.freshness.notice(now.Add(-time.Second))
+	d.freshness.contact = now.Add(-2 * contactLimit)
+	d.freshness.notice(now.Add(-2 * confirmPatience))
+	_, err := d.Place(t.Context(), new(scheduling.Request))
+	is.True(errors.Is(err, ErrUnconfirmed))
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -22,8 +22,7 @@
 }
 
 // InService reports whether the upstream may still receive new work, and the
-// node was not paused since the site was last confirmed. It is asked directly
-// before an attempt is sent.
+// site is confirmed. It is asked directly before an attempt is sent.
 func (p *Placement) InService() bool {
 	p.dispatcher.mutex.Lock()
 	defer p.dispatcher.mutex.Unlock()
--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -247,6 +247,9 @@
 	if errors.As(err, &refused) {
 		failure = refusal(refused)
 	}
+	if errors.Is(err, dispatch.ErrUnconfirmed) {
+		failure = unconfirmed()
+	}
 	failure.Execution = execution
 	return failure
 }
@@ -255,6 +258,13 @@
 	return apierror.New(fiber.StatusRequestTimeout, apierror.CallerGone, "the caller left")
 }
 
+// unconfirmed sends the caller to another node.
+func unconfirmed() *apierror.Error {
+	failure := apierror.New(fiber.StatusServiceUnavailable, apierror.NotReady, "the node can't confirm its configuration")
+	failure.RetryAfter = time.Second
+	return failure
+}
+
 func refusal(refused *dispatch.RefusedError) *apierror.Error {
 	failure := apierror.New(fiber.StatusServiceUnavailable, apierror.Overloaded, "too many requests wait")
 	switch refused.Reason {
--- a/follower.go
+++ b/follower.go
@@ -109,12 +109,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
+	asked := time.Now()
 	site, err := f.store.Site(ctx)
 	f.reachable.Store(err == nil)
 	if err != nil {
 		f.logger.Warn().Err(err).Msg("site not read")
 		return
 	}
+	f.dispatcher.SetContact(asked)
 	f.adopt(ctx, site)
 }
 
--- a/membership/queries.go
+++ b/membership/queries.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,6 +73,19 @@
 	return now.Sub(s.lastHeard) >= isolatedAfter
 }
 
+// LastHeard returns when the node last heard another; zero for never.
+func (s *State) LastHeard() time.Time {
+	return s.lastHeard
+}
+
+// KnowsOthers reports whether there is a member besides the node that has not
+// left by its own word.
+func (s *State) KnowsOthers() bool {
+	return slices.ContainsFunc(s.table.sorted, func(r *record) bool {
+		return r.Name != s.self.Name && r.Status != Left
+	})
+}
+
 // Owns reports whether a role falls to this node among the live members of a
 // scope; it is Owner over Live without a copy.
 func (s *State) Owns(now time.Time, role string, scope Scope) bool {
--- a/membership/udp/agent.go
+++ b/membership/udp/agent.go
@@ -179,6 +179,21 @@
 	return a.state.Isolated(time.Now())
 }
 
+// LastHeard returns when the node last heard another; zero for never.
+func (a *Agent) LastHeard() time.Time {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.LastHeard()
+}
+
+// KnowsOthers reports whether there is a member besides the node that has not
+// left by its own word.
+func (a *Agent) KnowsOthers() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.state.KnowsOthers()
+}
+
 // Owns reports whether a role falls to this node among the live members of a scope.
 func (a *Agent) Owns(role string, scope membership.Scope) bool {
 	a.mutex.Lock()
--- a/node.go
+++ b/node.go
@@ -162,9 +162,10 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	n.dispatcher.OnPause(func() { n.confirm(ctx) })
+	n.dispatcher.OnUnconfirmed(func() { n.confirm(ctx) })
 	n.workers.Go(func() { n.dispatcher.Run(ctx) })
 	n.workers.Go(func() { n.follower.run(ctx) })
+	n.workers.Go(func() { every(ctx, contactInterval, n.tellContact) })
 	n.workers.Go(func() { n.claims.Run(ctx) })
 	n.workers.Go(func() { n.cluster.agent.Run(ctx) })
 	n.workers.Go(func() { n.cluster.serve(ctx) })
@@ -224,9 +225,9 @@
 	return err
 }
 
-// Ready reports whether the node has a site in force and is not leaving.
+// Ready reports whether the node has a confirmed site in force and is not leaving.
 func (n *Node) Ready() bool {
-	return n.dispatcher.Tables() != nil && !n.draining.Load()
+	return n.dispatcher.Tables() != nil && n.dispatcher.Confirmed() && !n.draining.Load()
 }
 
 // Adopt tells the node of a site that it may not have seen yet.
