Certificates between nodes come from files or environment variables

An operator token without a place was found at the start of the node and not by `check`. Change: peer_tls.certificate, .key and .root name a place as the other secrets do (they were certificate_file, key_file, root_file); one check serves all secrets and names field and line. Measured: go test ./peer ./settings ./examples, test/processes TestWholePath; TestSecretsNeedOnePlace failed first on a wrong field of the test itself.

--- a/peer/tls.go
+++ b/peer/tls.go
@@ -5,7 +5,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 
 	"github.com/rotisserie/eris"
 
@@ -20,23 +19,36 @@
 	ErrUnreachable = eris.New("peer did not answer")
 )
 
-// LoadTLS reads the node's certificate and the root that peers must be signed by.
-func LoadTLS(files settings.PeerTLS) (*tls.Config, error) {
-	certificate, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+// LoadTLS reads the node's certificate and the root that peers must be signed
+// by. Error: ErrCertificates.
+func LoadTLS(places settings.PeerTLS) (*tls.Config, error) {
+	certificate, err := loadCertificate(places)
 	if err != nil {
 		return nil, eris.Wrap(ErrCertificates, err.Error())
 	}
-	text, err := os.ReadFile(files.RootFile)
+	root, err := places.Root.Read()
 	if err != nil {
-		return nil, eris.Wrap(ErrCertificates, err.Error())
+		return nil, eris.Wrap(ErrCertificates, "root: "+err.Error())
 	}
 	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(text) {
-		return nil, eris.Wrap(ErrCertificates, "no certificate in the root file")
+	if !roots.AppendCertsFromPEM([]byte(root)) {
+		return nil, eris.Wrap(ErrCertificates, "root: no certificate")
 	}
 	return mutual(certificate, roots), nil
 }
 
+func loadCertificate(places settings.PeerTLS) (tls.Certificate, error) {
+	certificate, err := places.Certificate.Read()
+	if err != nil {
+		return tls.Certificate{}, eris.Wrap(err, "certificate")
+	}
+	key, err := places.Key.Read()
+	if err != nil {
+		return tls.Certificate{}, eris.Wrap(err, "key")
+	}
+	return tls.X509KeyPair([]byte(certificate), []byte(key))
+}
+
 // mutual verifies both sides by the root. VMs are replaced under other
 // addresses, so that names are not compared.
 func mutual(certificate tls.Certificate, roots *x509.CertPool) *tls.Config {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -49,11 +49,12 @@
 	ShutdownLag time.Duration `yaml:"shutdown_lag"`
 }
 
-// PeerTLS names the files of a node's certificate, key and trusted root.
+// PeerTLS names where a node's certificate, its key and the trusted root are
+// kept, each as PEM.
 type PeerTLS struct {
-	CertificateFile string `yaml:"certificate_file"`
-	KeyFile         string `yaml:"key_file"`
-	RootFile        string `yaml:"root_file"`
+	Certificate Secret `yaml:"certificate"`
+	Key         Secret `yaml:"key"`
+	Root        Secret `yaml:"root"`
 }
 
 // Secret names where a secret is kept; exactly one field is set.
@@ -149,21 +150,29 @@
 	if len(s.OperatorTokens) == 0 {
 		add("operator_tokens", "must name a token")
 	}
-	s.checkPeers(add)
+	s.checkSecrets(add)
 	return problems
 }
 
-func (s *Settings) checkPeers(add func(field, message string)) {
-	if (s.PeerKey.Environment == "") == (s.PeerKey.File == "") {
-		add("peer_key", "must name an environment variable or a file")
-	}
-	if s.PeerTLS.CertificateFile == "" {
-		add("peer_tls.certificate_file", "is required")
-	}
-	if s.PeerTLS.KeyFile == "" {
-		add("peer_tls.key_file", "is required")
-	}
-	if s.PeerTLS.RootFile == "" {
-		add("peer_tls.root_file", "is required")
+func (s *Settings) checkSecrets(add func(field, message string)) {
+	secrets := []struct {
+		field string
+		value Secret
+	}{
+		{"peer_key", s.PeerKey},
+		{"peer_tls.certificate", s.PeerTLS.Certificate},
+		{"peer_tls.key", s.PeerTLS.Key},
+		{"peer_tls.root", s.PeerTLS.Root},
+	}
+	for i, token := range s.OperatorTokens {
+		secrets = append(secrets, struct {
+			field string
+			value Secret
+		}{fmt.Sprintf("operator_tokens[%d]", i), token})
+	}
+	for _, secret := range secrets {
+		if (secret.value.Environment == "") == (secret.value.File == "") {
+			add(secret.field, "must name an environment variable or a file")
+		}
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,6 +34,20 @@
 	is.Equal(fields, map[string]int{"region": 3, "caller_address": 4})
 }
 
+func TestSecretsNeedOnePlace(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(sample(t), "  key: {file:", "  key: {environment: KEY, file:", 1)
+	text = strings.Replace(text, "- environment: WIGEONTILLER_TOKEN", "- environment: ''", 1)
+	_, err := Parse([]byte(text))
+	var problems strictyaml.Errors
+	is.True(errors.As(err, &problems))
+	fields := map[string]bool{}
+	for _, problem := range problems {
+		fields[problem.Field] = true
+	}
+	is.Equal(fields, map[string]bool{"peer_tls.key": true, "operator_tokens[0]": true})
+}
+
 func TestSecretIsReadWithoutLineEnd(t *testing.T) {
 	is := is.New(t)
 	file := t.TempDir() + "/token"
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -186,7 +186,7 @@
 platform_url: http://%[7]s
 operator_tokens: [{environment: WIGEONTILLER_TOKEN}]
 peer_key: {file: %[8]s/peer.key}
-peer_tls: {certificate_file: %[8]s/%[1]s.crt, key_file: %[8]s/%[1]s.key, root_file: %[8]s/root.crt}
+peer_tls: {certificate: {file: %[8]s/%[1]s.crt}, key: {file: %[8]s/%[1]s.key}, root: {file: %[8]s/root.crt}}
 shutdown_lag: 300ms
 %[9]s`, name, dataCentre, started.callers, started.operators, peer, strings.Join(seeds, ", "), s.platform, keys, s.extra)
 	file := filepath.Join(t.TempDir(), name+".yaml")
