Orders: roles, unloading, and signatures for engines that check who orders

Ruled out: a bearer token (an engine that doesn't check could collect it) and a shared key (each engine could forge orders to the others). Change: `role` and `exclusive` of an engine in the document; roles need no load slot; what nobody has named for 2 minutes is unloaded from exclusive engines. Orders to engines that check are signed by Ed25519 over address and body and numbered; others get no signature; without a key nothing is sent to those that check. The giver is the engine's poller, which alone has the whole report. `keys new` makes the pair. The stand-in checks signature and number. Tests changed: Next and Send take more; TestOrdersCarryNoSecret asks the same of an engine that doesn't check although there is a key, and more; `keys new` makes 9 files instead of 7. After: go test ./orders/... ./cli ./settings ./standin/... ./observe/... . and test/processes TestOrders under -race pass.

--- a/cli/keys.go
+++ b/cli/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ecdsa"
+	"crypto/ed25519"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/x509"
@@ -29,6 +30,9 @@
 	keyFileMode     = 0o600
 	keyDirMode      = 0o700
 	peerKeyFileName = "peer.key"
+	// The private key signs orders; engines that check them get the public one.
+	ordersKeyFileName       = "orders.key"
+	ordersPublicKeyFileName = "orders.pub"
 )
 
 // keysReport is the outcome of the keys command.
@@ -40,7 +44,7 @@
 func addKeys(parser *flaggy.Parser) []*command {
 	group := subcommand("keys", "Make the keys and certificates of the entry nodes.")
 	parser.AttachSubcommand(group, 1)
-	parsed := subcommand("new", "Make a root, a certificate for each node and a peer key.")
+	parsed := subcommand("new", "Make a root, a certificate for each node, a peer key and a key for orders.")
 	directory, nodes := "", []string(nil)
 	parsed.AddPositionalValue(&directory, "directory", 1, true, "A directory without keys.")
 	parsed.StringSlice(&nodes, "", "node", "A node as NAME or NAME=IP; repeat it for each node.")
@@ -74,10 +78,33 @@
 	if err := writer.write(peerKeyFileName, []byte(hex.EncodeToString(secret)+"\n")); err != nil {
 		return err
 	}
+	if err := writer.ordersKeys(); err != nil {
+		return err
+	}
 	report := keysReport{Directory: directory, Files: writer.files}
 	return env.print(report, strings.Join(writer.files, "\n")+"\n")
 }
 
+// ordersKeys makes the key pair of orders to engines.
+func (w *keyWriter) ordersKeys() error {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return eris.Wrap(err, "generate key")
+	}
+	privateDER, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return eris.Wrap(err, "encode key")
+	}
+	publicDER, err := x509.MarshalPKIXPublicKey(public)
+	if err != nil {
+		return eris.Wrap(err, "encode key")
+	}
+	if err := w.write(ordersKeyFileName, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: privateDER})); err != nil {
+		return err
+	}
+	return w.write(ordersPublicKeyFileName, pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: publicDER}))
+}
+
 // authority signs certificates.
 type authority struct {
 	certificate *x509.Certificate
--- a/cli/keys_test.go
+++ b/cli/keys_test.go
@@ -22,7 +22,7 @@
 	is.Equal(Run(args, out, errs), ExitOK)
 	var report keysReport
 	is.NoErr(json.Unmarshal(out.Bytes(), &report))
-	is.Equal(len(report.Files), 7) // root, two nodes and the peer key
+	is.Equal(len(report.Files), 9) // root, two nodes, the peer key and the orders' pair
 	for _, file := range report.Files {
 		info, err := os.Stat(file)
 		is.NoErr(err)
--- a/environment/document.go
+++ b/environment/document.go
@@ -59,8 +59,14 @@
 	KVTokens int `yaml:"kv_tokens"`
 	// Fencing is true when the engine refuses orders with an old fencing number.
 	Fencing bool `yaml:"fencing"`
-	// ChecksOrders is true when the engine checks who gives an order.
+	// ChecksOrders is true when the engine checks who gives an order. Orders to
+	// it are signed.
 	ChecksOrders bool `yaml:"checks_orders"`
+	// Role is the role that the engine is ordered to take, in its own words; empty
+	// leaves it as it is.
+	Role string `yaml:"role"`
+	// Exclusive is true when models that no document names may be unloaded.
+	Exclusive bool `yaml:"exclusive"`
 }
 
 // Service is a plain HTTP service that runs beside the engines.
--- a/node.go
+++ b/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -55,6 +56,8 @@
 	follower   *follower
 	cluster    *cluster
 	reports    *reports
+	// ordersKey signs orders to engines; nil where the settings name none.
+	ordersKey ed25519.PrivateKey
 	// budgets is nil where limits are not shared.
 	budgets   *budgets
 	entry     *entry.Server
@@ -110,6 +113,9 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
+	if node.ordersKey, err = readOrdersKey(s.OrdersKey); err != nil {
+		return nil, err
+	}
 	owner := newOwner(s.Name)
 	if err := node.shareLimits(); err != nil {
 		return nil, err
--- a/observe/load.go
+++ b/observe/load.go
@@ -24,7 +24,9 @@
 	KVTokens    int
 	Leaving     bool
 	// Models is what is loaded; nil when the engine takes no orders.
-	Models  []string
+	Models []string
+	// Role is empty for an engine without roles. Other nodes are not told of it.
+	Role    string
 	Streams []orphan.Stream
 }
 
@@ -36,6 +38,7 @@
 	KVTokens    int      `json:"kv_tokens"`
 	Leaving     bool     `json:"leaving"`
 	Models      []string `json:"models"`
+	Role        string   `json:"role"`
 	Streams     []struct {
 		ID    string `json:"id"`
 		Owner string `json:"owner"`
@@ -56,6 +59,7 @@
 		KVTokens:    max(0, wire.KVTokens),
 		Leaving:     wire.Leaving,
 		Models:      wire.Models,
+		Role:        wire.Role,
 	}
 	for _, s := range wire.Streams {
 		age := time.Duration(s.AgeMS) * time.Millisecond
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -27,14 +27,16 @@
 	renewAt time.Time
 	// quietUntil is when the former giver's orders can have no more effect.
 	quietUntil time.Time
-	// ordered is when each model was last ordered.
-	ordered map[string]time.Time
+	// ordered is when each order was last given; sequence numbers all of them.
+	ordered  map[target]time.Time
+	sequence uint64
+	unwanted unwanted
 }
 
 // NewGiver returns a giver that holds no lease. Token returns a new unique
 // name at each call.
 func NewGiver(fences bool, token func() string) *Giver {
-	return &Giver{fences: fences, token: token, ordered: map[string]time.Time{}}
+	return &Giver{fences: fences, token: token, ordered: map[target]time.Time{}, unwanted: unwanted{}}
 }
 
 // Holds reports whether the lease is in force.
@@ -47,9 +49,17 @@
 	return g.Holds(now) && order.Fencing == g.seen.Row.Fencing && !now.Before(g.quietUntil)
 }
 
+// Lacks reports whether the engine needs any order, and whether one of them
+// loads a model. It is asked with each report.
+func (g *Giver) Lacks(now time.Time, desired Desired, report Report) (anything, model bool) {
+	g.unwanted.note(now, desired, report)
+	model = desired.LacksModel(report)
+	return model || desired.lacksRole(report) || len(g.unwanted.due(now, desired, report)) > 0, model
+}
+
 // Next returns what to do. Owns says that the role falls to this node; without
-// it the lease is left to lapse.
-func (g *Giver) Next(now time.Time, owns bool, desired []string, report Report) Action {
+// it the lease is left to lapse. MayLoad says that models may be loaded now.
+func (g *Giver) Next(now time.Time, owns, mayLoad bool, desired Desired, report Report) Action {
 	switch {
 	case !owns:
 		return Action{Kind: Wait}
@@ -63,7 +73,10 @@
 	case now.Before(g.quietUntil):
 		return Action{Kind: Wait}
 	}
-	return g.order(now, desired, report)
+	if order, ok := g.order(now, mayLoad, desired, report); ok {
+		return Action{Kind: Send, Order: order}
+	}
+	return Action{Kind: Wait}
 }
 
 // take gets the lease once its holder has let it lapse.
@@ -90,24 +103,43 @@
 	return Action{Kind: Write, Row: row, IfVersion: g.seen.Version}
 }
 
-// order gives the first order that is missing and not given lately. Only a
-// report asked for after an order says whether it had effect.
-func (g *Giver) order(now time.Time, desired []string, report Report) Action {
-	for _, model := range desired {
-		given, ever := g.ordered[model]
+// order returns the first order that is missing and not given lately: the role,
+// then what to load, then what to unload. Only a report asked for after an order
+// says whether it had effect.
+func (g *Giver) order(now time.Time, mayLoad bool, desired Desired, report Report) (Order, bool) {
+	if desired.lacksRole(report) && g.isDue(now, target{SetRole, desired.Role}) {
+		return g.number(SetRole, desired.Role), true
+	}
+	for _, model := range desired.Models {
+		load := target{kindOf(model), model}
+		given, ever := g.ordered[load]
 		shown := slices.Contains(report.Models, model) && (!ever || report.At.After(given))
-		if shown || ever && now.Sub(given) < repeatAfter {
-			continue
+		if mayLoad && !shown && g.isDue(now, load) {
+			return g.number(load.kind, model), true
 		}
-		order := Order{Fencing: g.seen.Row.Fencing, Kind: kindOf(model), Model: model}
-		return Action{Kind: Send, Order: order}
 	}
-	return Action{Kind: Wait}
+	for _, model := range g.unwanted.due(now, desired, report) {
+		if g.isDue(now, target{Unload, model}) {
+			return g.number(Unload, model), true
+		}
+	}
+	return Order{}, false
+}
+
+// isDue reports whether an order was not given lately.
+func (g *Giver) isDue(now time.Time, wanted target) bool {
+	given, ever := g.ordered[wanted]
+	return !ever || now.Sub(given) >= repeatAfter
+}
+
+func (g *Giver) number(kind Kind, model string) Order {
+	return Order{Fencing: g.seen.Row.Fencing, Sequence: g.sequence + 1, Kind: kind, Model: model}
 }
 
 // Sent notes that an order was sent, whatever became of it.
 func (g *Giver) Sent(now time.Time, order Order) {
-	g.ordered[order.Model] = now
+	g.ordered[order.target()] = now
+	g.sequence = order.Sequence
 }
 
 // Refused notes that an engine called an order too old. The table decides, not
--- a/orders/giver_test.go
+++ b/orders/giver_test.go
@@ -12,7 +12,7 @@
 	g := NewGiver(fences, func() string { return "own" })
 	g.SeenRow(now.Add(-takeOverAfter), known)
 	g.nextRead = now.Add(time.Second)
-	if action := g.Next(now, true, nil, Report{}); action.Kind == Write {
+	if action := g.Next(now, true, true, Desired{}, Report{}); action.Kind == Write {
 		g.Wrote(now)
 	}
 	return g
@@ -49,24 +49,24 @@
 	is.True(g.Holds(now))
 	g.Refused()
 	is.True(!g.Holds(now))
-	is.Equal(g.Next(now.Add(readInterval), true, []string{"m"}, Report{}).Kind, Read)
+	is.Equal(g.Next(now.Add(readInterval), true, true, Desired{Models: []string{"m"}}, Report{}).Kind, Read)
 	g.SeenRow(now.Add(readInterval), Versioned{Row: g.written, Version: 1})
 	is.True(g.Holds(now.Add(readInterval))) // the table says so
-	is.Equal(g.Next(now.Add(readInterval), true, []string{"m"}, Report{}).Order.Fencing, uint64(1))
+	is.Equal(g.Next(now.Add(readInterval), true, true, Desired{Models: []string{"m"}}, Report{}).Order.Fencing, uint64(1))
 }
 
 func TestOrderIsGivenAgainUntilALaterReportShowsIt(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	g := holder(now, true, Versioned{})
-	desired := []string{"m"}
-	first := g.Next(now, true, desired, Report{At: now})
-	is.Equal(first.Order, Order{Fencing: 1, Kind: LoadModel, Model: "m"})
+	desired := Desired{Models: []string{"m"}}
+	first := g.Next(now, true, true, desired, Report{At: now})
+	is.Equal(first.Order, Order{Fencing: 1, Sequence: 1, Kind: LoadModel, Model: "m"})
 	g.Sent(now, first.Order)
-	is.Equal(g.Next(now.Add(time.Second), true, desired, Report{At: now}).Kind, Wait)
+	is.Equal(g.Next(now.Add(time.Second), true, true, desired, Report{At: now}).Kind, Wait)
 	g.renewAt = now.Add(Lease)
-	old := Report{Models: desired, At: now.Add(-time.Second)}
-	is.Equal(g.Next(now.Add(repeatAfter), true, desired, old).Kind, Send) // from before the order
-	later := Report{Models: desired, At: now.Add(time.Second)}
-	is.Equal(g.Next(now.Add(repeatAfter), true, desired, later).Kind, Wait)
+	old := Report{Models: desired.Models, At: now.Add(-time.Second)}
+	is.Equal(g.Next(now.Add(repeatAfter), true, true, desired, old).Kind, Send) // from before the order
+	later := Report{Models: desired.Models, At: now.Add(time.Second)}
+	is.Equal(g.Next(now.Add(repeatAfter), true, true, desired, later).Kind, Wait)
 }
--- a/orders/order.go
+++ b/orders/order.go
@@ -34,14 +34,30 @@
 	LoadModel   Kind = "load_model"
 	LoadAdapter Kind = "load_adapter"
 	LoadVersion Kind = "load_version"
+	Unload      Kind = "unload"
+	SetRole     Kind = "set_role"
 )
 
 // Order is one order to an engine.
 type Order struct {
 	// Fencing is from the table and grows with each change of giver.
 	Fencing uint64 `json:"fencing"`
-	Kind    Kind   `json:"kind"`
-	Model   string `json:"model"`
+	// Sequence grows with each order under one fencing number, so that an engine
+	// can tell a repeated datagram or recording from a new order.
+	Sequence uint64 `json:"sequence"`
+	Kind     Kind   `json:"kind"`
+	// Model is what to load or unload, or the role.
+	Model string `json:"model"`
+}
+
+// target is what an order changes: the same for the same kind and model.
+type target struct {
+	kind  Kind
+	model string
+}
+
+func (o Order) target() target {
+	return target{kind: o.Kind, model: o.Model}
 }
 
 // kindOf tells what loads a model: "NAME@VERSION" is a version, "NAME+ADAPTER"
@@ -97,6 +113,8 @@
 // Report is what an engine has loaded, by its own word.
 type Report struct {
 	Models []string
+	// Role is empty for an engine without roles.
+	Role string
 	// At is when the report was asked for.
 	At time.Time
 }
--- a/orders/ordering/engines.go
+++ b/orders/ordering/engines.go
@@ -1,6 +1,8 @@
 package ordering
 
 import (
+	"crypto/ed25519"
+	"encoding/base64"
 	"encoding/json"
 	"time"
 
@@ -16,27 +18,46 @@
 	ErrRefused = eris.New("engine refused the order as old")
 	// ErrUnknown is returned when the order may or may not have had an effect.
 	ErrUnknown = eris.New("outcome of the order unknown")
+	// ErrNoKey is returned for an engine that checks orders when there is no key
+	// to sign with. Nothing was sent.
+	ErrNoKey = eris.New("no key to sign orders with")
 )
 
 const (
 	pathOrders = "/v1/orders"
+	// headerSignature holds the signature of an order, in base64.
+	headerSignature = "X-Order-Signature"
 	// sendTimeout and the engine's own handling stay under orders.LongestSend.
 	sendTimeout = 2 * time.Second
 )
 
-// Client sends orders over HTTP. It carries no secret and never repeats a send.
-type Client struct{ http *fasthttp.Client }
+// Client sends orders over HTTP. It never repeats a send. Only orders to engines
+// that check them are signed, and a signature tells nothing of its key.
+type Client struct {
+	http *fasthttp.Client
+	key  ed25519.PrivateKey
+}
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{http: &fasthttp.Client{
+// NewClient returns a client without connections. The key signs orders; it may
+// be nil where no engine checks them.
+func NewClient(key ed25519.PrivateKey) *Client {
+	return &Client{key: key, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
 
-// Send gives an engine an order. Errors: ErrRefused, ErrUnknown.
-func (c *Client) Send(address string, order orders.Order) error {
+// sign covers the engine's address, so that an order can't be handed on to another.
+func (c *Client) sign(address string, body []byte) string {
+	message := append([]byte(address+"\n"), body...)
+	return base64.StdEncoding.EncodeToString(ed25519.Sign(c.key, message))
+}
+
+// Send gives an engine an order. Errors: ErrRefused, ErrUnknown, ErrNoKey.
+func (c *Client) Send(engine Engine, order orders.Order) error {
+	if engine.Checks && c.key == nil {
+		return ErrNoKey
+	}
 	body, err := json.Marshal(order)
 	if err != nil {
 		return eris.Wrap(ErrUnknown, err.Error())
@@ -47,8 +68,11 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
-	request.SetRequestURI("http://" + address + pathOrders)
+	request.SetRequestURI("http://" + engine.Address + pathOrders)
 	request.SetBodyRaw(body)
+	if engine.Checks {
+		request.Header.Set(headerSignature, c.sign(engine.Address, body))
+	}
 	if err := c.http.DoTimeout(request, response, sendTimeout); err != nil {
 		return eris.Wrap(ErrUnknown, err.Error())
 	}
--- a/orders/ordering/shell.go
+++ b/orders/ordering/shell.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,10 +34,11 @@
 type Engine struct {
 	Address    string
 	DataCentre string
-	// Desired lists the models that it is to have loaded.
-	Desired []string
+	Desired    orders.Desired
 	// Fences is true when it refuses orders with an old fencing number.
 	Fences bool
+	// Checks is true when it checks who gives an order.
+	Checks bool
 }
 
 // Site is what the shell needs to know.
@@ -54,8 +54,8 @@
 
 // Sender sends orders.
 type Sender interface {
-	// Send gives an engine an order. Errors: ErrRefused, ErrUnknown.
-	Send(address string, order orders.Order) error
+	// Send gives an engine an order. Errors: ErrRefused, ErrUnknown, ErrNoKey.
+	Send(engine Engine, order orders.Order) error
 }
 
 // Config is what a shell works with.
@@ -134,21 +134,33 @@
 		return
 	}
 	g := s.giverOf(now, engine)
-	lacks := slices.ContainsFunc(engine.Desired, func(model string) bool { return !slices.Contains(report.Models, model) })
+	lacks, lacksModel := g.Lacks(now, engine.Desired, report)
 	fresh := known && now.Sub(report.At) < reportLifetime
-	if g.hasSlot && (fresh && !lacks || now.Sub(g.slotSince) >= loadPatience) {
-		s.release(ctx, now, engine, g, lacks)
+	if g.hasSlot && (fresh && !lacksModel || now.Sub(g.slotSince) >= loadPatience) {
+		s.release(ctx, now, engine, g, lacksModel)
 	}
-	if !fresh || !lacks || now.Before(g.notBefore) {
+	if !fresh || !lacks {
 		return
 	}
-	if !g.isSure {
-		if !s.slots.take(ctx, now, engine.Address, func(one string) bool { return configured[one] }) {
-			return
-		}
-		g.hasSlot, g.isSure, g.slotSince = true, true, now
+	mayLoad := lacksModel && s.hasSlot(ctx, now, engine, g, configured)
+	if mayLoad || !lacksModel {
+		s.act(ctx, engine, g, mayLoad, report)
+	}
+}
+
+// hasSlot reports whether the engine may load now, and takes a slot if it can.
+func (s *Shell) hasSlot(ctx context.Context, now time.Time, engine Engine, g *giver, configured map[string]bool) bool {
+	if now.Before(g.notBefore) {
+		return false
+	}
+	if g.isSure {
+		return true
+	}
+	if !s.slots.take(ctx, now, engine.Address, func(one string) bool { return configured[one] }) {
+		return false
 	}
-	s.act(ctx, engine, g, report)
+	g.hasSlot, g.isSure, g.slotSince = true, true, now
+	return true
 }
 
 func (s *Shell) giverOf(now time.Time, engine Engine) *giver {
@@ -173,9 +185,9 @@
 	}
 }
 
-func (s *Shell) act(ctx context.Context, engine Engine, g *giver, report orders.Report) {
+func (s *Shell) act(ctx context.Context, engine Engine, g *giver, mayLoad bool, report orders.Report) {
 	for range actionsPerRound {
-		action := g.Next(s.config.Now(), true, engine.Desired, report)
+		action := g.Next(s.config.Now(), true, mayLoad, engine.Desired, report)
 		switch action.Kind {
 		case orders.Wait:
 			return
@@ -184,7 +196,7 @@
 		case orders.Write:
 			s.write(ctx, engine.Address, g, action)
 		case orders.Send:
-			s.send(engine.Address, g, action.Order)
+			s.send(engine, g, action.Order)
 		}
 	}
 }
@@ -219,16 +231,16 @@
 }
 
 // send asks the giver directly before the order goes out.
-func (s *Shell) send(address string, g *giver, order orders.Order) {
+func (s *Shell) send(engine Engine, g *giver, order orders.Order) {
 	if !g.MaySend(s.config.Now(), order) {
 		return
 	}
 	g.Sent(s.config.Now(), order)
-	err := s.config.Sender.Send(address, order)
+	err := s.config.Sender.Send(engine, order)
 	if errors.Is(err, ErrRefused) {
 		g.Refused()
 	}
 	s.config.Metrics.Count("wigeontiller_orders_total", 1)
-	s.config.Logger.Info().Err(err).Str("address", address).Str("model", order.Model).
-		Uint64("fencing", order.Fencing).Msg("order given")
+	s.config.Logger.Info().Err(err).Str("address", engine.Address).Str("kind", string(order.Kind)).
+		Str("model", order.Model).Uint64("fencing", order.Fencing).Msg("order given")
 }
--- a/orders/ordering/shell_test.go
+++ b/orders/ordering/shell_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -38,7 +40,7 @@
 func (f *farm) Engines() []Engine {
 	var engines []Engine
 	for i := range f.count {
-		engines = append(engines, Engine{Address: fmt.Sprint("10.0.0.1:", i), Desired: []string{f.desired}, Fences: i%2 == 0})
+		engines = append(engines, Engine{Address: fmt.Sprint("10.0.0.1:", i), Desired: orders.Desired{Models: []string{f.desired}}, Fences: i%2 == 0})
 	}
 	return engines
 }
@@ -50,7 +52,8 @@
 	return orders.Report{Models: append([]string{}, f.loaded[address]...), At: f.now}, true
 }
 
-func (f *farm) Send(address string, order orders.Order) error {
+func (f *farm) Send(engine Engine, order orders.Order) error {
+	address := engine.Address
 	f.sent++
 	f.orders = append(f.orders, order)
 	if _, loads := f.loading[address]; !loads {
@@ -198,17 +201,28 @@
 		w.WriteHeader(status)
 	}))
 	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://")
-	client := NewClient()
-	is.NoErr(client.Send(address, orders.Order{Fencing: 3, Kind: orders.LoadModel, Model: "m"}))
-	is.Equal(body, `{"fencing":3,"kind":"load_model","model":"m"}`)
+	engine := Engine{Address: strings.TrimPrefix(server.URL, "http://")}
+	public, key, err := ed25519.GenerateKey(nil)
+	is.NoErr(err)
+	client := NewClient(key)
+	is.NoErr(client.Send(engine, orders.Order{Fencing: 3, Sequence: 2, Kind: orders.LoadModel, Model: "m"}))
+	is.Equal(body, `{"fencing":3,"sequence":2,"kind":"load_model","model":"m"}`)
 	for name := range header {
 		is.True(name == "Content-Type" || name == "Content-Length" || name == "User-Agent")
 	}
 	status = http.StatusConflict
-	is.Equal(client.Send(address, orders.Order{}), ErrRefused)
+	is.Equal(client.Send(engine, orders.Order{}), ErrRefused)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	_ = listener.Close()
-	is.True(client.Send(listener.Addr().String(), orders.Order{}) != nil)
+	is.True(client.Send(Engine{Address: listener.Addr().String()}, orders.Order{}) != nil)
+
+	engine.Checks = true
+	is.Equal(client.Send(engine, orders.Order{}), ErrRefused)
+	signature, err := base64.StdEncoding.DecodeString(header.Get(headerSignature))
+	is.NoErr(err)
+	is.True(ed25519.Verify(public, []byte(engine.Address+"\n"+body), signature))
+	body = "nothing sent"
+	is.Equal(NewClient(nil).Send(engine, orders.Order{}), ErrNoKey)
+	is.Equal(body, "nothing sent")
 }
--- a/orders/random_test.go
+++ b/orders/random_test.go
@@ -168,7 +168,7 @@
 		return
 	}
 	report := Report{Models: []string{s.model}, At: s.now.Add(-shownAfter)}
-	action := n.giver.Next(s.now, n.owns, []string{s.desired}, report)
+	action := n.giver.Next(s.now, n.owns, true, Desired{Models: []string{s.desired}}, report)
 	switch action.Kind {
 	case Wait:
 	case Send:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,9 @@
 	OperatorTokens []Secret `yaml:"operator_tokens"`
 	// PeerKey is the shared key for messages between nodes.
 	PeerKey Secret `yaml:"peer_key"`
+	// OrdersKey is the private key, as PEM, that orders to engines are signed
+	// with. It is needed only where a document says `checks_orders`.
+	OrdersKey Secret `yaml:"orders_key"`
 	// PeerTLS holds the mutual certificates for calls between nodes.
 	PeerTLS PeerTLS `yaml:"peer_tls"`
 	// InProcessDemo allows nodes of one process to talk without certificates. It
@@ -155,20 +158,21 @@
 }
 
 func (s *Settings) checkSecrets(add func(field, message string)) {
-	secrets := []struct {
+	type place struct {
 		field string
 		value Secret
-	}{
+	}
+	secrets := []place{
 		{"peer_key", s.PeerKey},
 		{"peer_tls.certificate", s.PeerTLS.Certificate},
 		{"peer_tls.key", s.PeerTLS.Key},
 		{"peer_tls.root", s.PeerTLS.Root},
 	}
 	for i, token := range s.OperatorTokens {
-		secrets = append(secrets, struct {
-			field string
-			value Secret
-		}{fmt.Sprintf("operator_tokens[%d]", i), token})
+		secrets = append(secrets, place{fmt.Sprintf("operator_tokens[%d]", i), token})
+	}
+	if s.OrdersKey != (Secret{}) {
+		secrets = append(secrets, place{"orders_key", s.OrdersKey})
 	}
 	for _, secret := range secrets {
 		if (secret.value.Environment == "") == (secret.value.File == "") {
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -27,8 +27,12 @@
 	Unloaded     int `json:"unloaded"`
 	// Models lists what is loaded; null when the engine takes no orders.
 	Models []string `json:"models"`
-	// Fencing is the highest fencing number of an order taken.
-	Fencing uint64 `json:"fencing"`
+	// Role is left out by an engine without roles.
+	Role string `json:"role,omitempty"`
+	// Fencing is the highest fencing number of an order taken; UnsignedOrders
+	// counts the orders refused for their signature.
+	Fencing        uint64 `json:"fencing"`
+	UnsignedOrders int    `json:"unsigned_orders"`
 	// Streams lists the attempts that run, by id.
 	Streams []StreamLoad `json:"streams"`
 }
@@ -52,16 +56,18 @@
 func (e *Engine) measure(now time.Time) Load {
 	e.lapse(now)
 	load := Load{
-		Incarnation:  e.life.incarnation,
-		UptimeMS:     now.Sub(e.life.started).Milliseconds(),
-		KVTokens:     e.kvTokens,
-		PeakKVTokens: e.peak,
-		Runs:         e.runs,
-		Rejected:     e.rejected,
-		Unloaded:     e.unloaded,
-		Models:       e.models.list(now),
-		Fencing:      e.models.fencing,
-		Streams:      make([]StreamLoad, 0, len(e.streams)),
+		Incarnation:    e.life.incarnation,
+		UptimeMS:       now.Sub(e.life.started).Milliseconds(),
+		KVTokens:       e.kvTokens,
+		PeakKVTokens:   e.peak,
+		Runs:           e.runs,
+		Rejected:       e.rejected,
+		Unloaded:       e.unloaded,
+		Models:         e.models.list(now),
+		Role:           e.models.role,
+		Fencing:        e.models.fencing,
+		UnsignedOrders: e.models.unsigned,
+		Streams:        make([]StreamLoad, 0, len(e.streams)),
 	}
 	load.Running = len(e.reserved)
 	for _, s := range e.streams {
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"crypto/ed25519"
+	"encoding/base64"
 	"encoding/json"
 	"slices"
 	"time"
@@ -19,14 +21,22 @@
 	LoadTime time.Duration
 	// Models are loaded at each start.
 	Models []string
+	// Role is the role at each start; empty is an engine without roles.
+	Role string
+	// Key makes the engine take only orders signed with its private half.
+	Key ed25519.PublicKey
+	// Address is what a signature must cover, as the engine is addressed.
+	Address string
 }
 
 // Order is one order to an engine.
 type Order struct {
 	Fencing uint64 `json:"fencing"`
-	// Kind is load_model, load_adapter, load_version or set_role.
+	// Sequence grows under one fencing number.
+	Sequence uint64 `json:"sequence"`
+	// Kind is load_model, load_adapter, load_version, unload or set_role.
 	Kind string `json:"kind"`
-	// Model is what to load, or the role.
+	// Model is what to load or unload, or the role.
 	Model string `json:"model"`
 }
 
@@ -40,14 +50,18 @@
 type models struct {
 	managed bool
 	fencing uint64
-	loads   []loading
-	role    string
+	// sequence is the highest one taken under fencing by an engine that checks
+	// orders; unsigned counts the orders refused for their signature.
+	sequence uint64
+	unsigned int
+	loads    []loading
+	role     string
 }
 
 // start forgets all but what each start loads. The fencing number stays, as a
 // deployment that uses it keeps it on disk.
 func (m *models) start(config OrdersConfig) {
-	m.managed, m.loads, m.role = config.Managed, nil, ""
+	m.managed, m.loads, m.role = config.Managed, nil, config.Role
 	for _, name := range config.Models {
 		m.loads = append(m.loads, loading{name: name})
 	}
@@ -67,23 +81,48 @@
 	return names
 }
 
-// take applies an order, or reports that its fencing number is too old.
+// take applies an order, or reports that it is too old.
 func (m *models) take(now time.Time, config OrdersConfig, order Order) bool {
 	if config.Fencing && order.Fencing < m.fencing {
 		return false
 	}
-	m.fencing = max(m.fencing, order.Fencing)
-	if order.Kind == "set_role" {
-		m.role = order.Model
-		return true
+	if config.Key != nil && order.Fencing == m.fencing && order.Sequence <= m.sequence {
+		return false
 	}
-	if !slices.ContainsFunc(m.loads, func(one loading) bool { return one.name == order.Model }) {
+	if order.Fencing >= m.fencing {
+		m.fencing, m.sequence = order.Fencing, order.Sequence
+	}
+	isNamed := func(one loading) bool { return one.name == order.Model }
+	switch {
+	case order.Kind == kindSetRole:
+		m.role = order.Model
+	case order.Kind == kindUnload:
+		m.loads = slices.DeleteFunc(m.loads, isNamed)
+	case !slices.ContainsFunc(m.loads, isNamed):
 		m.loads = append(m.loads, loading{name: order.Model, ready: now.Add(config.LoadTime)})
 	}
 	return true
 }
 
-var orderKinds = []string{"load_model", "load_adapter", "load_version", "set_role"}
+const (
+	kindSetRole = "set_role"
+	kindUnload  = "unload"
+	// headerSignature holds the Ed25519 signature, in base64, of the engine's
+	// address, a line end and the body.
+	headerSignature = "X-Order-Signature"
+)
+
+var orderKinds = []string{"load_model", "load_adapter", "load_version", kindUnload, kindSetRole}
+
+// isSigned reports whether an order is from who may give them.
+func (o OrdersConfig) isSigned(signature string, body []byte) bool {
+	if o.Key == nil {
+		return true
+	}
+	decoded, err := base64.StdEncoding.DecodeString(signature)
+	message := append([]byte(o.Address+"\n"), body...)
+	return err == nil && ed25519.Verify(o.Key, message, decoded)
+}
 
 // serves reports whether a model's requests can run.
 func (e *Engine) serves(model string) bool {
@@ -100,6 +139,12 @@
 	if !s.engine.config.Orders.Managed {
 		return c.SendStatus(fiber.StatusNotFound)
 	}
+	if !s.engine.config.Orders.isSigned(c.Get(headerSignature), c.Body()) {
+		s.engine.mutex.Lock()
+		s.engine.models.unsigned++
+		s.engine.mutex.Unlock()
+		return c.SendStatus(fiber.StatusUnauthorized)
+	}
 	var order Order
 	err := json.Unmarshal(c.Body(), &order)
 	if err != nil || order.Model == "" || !slices.Contains(orderKinds, order.Kind) {
--- a/standin/standincli/standincli.go
+++ b/standin/standincli/standincli.go
@@ -3,14 +3,19 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/pem"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
 
 	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
@@ -29,11 +34,40 @@
 	defaultTokenInterval = 20 * time.Millisecond
 )
 
+var errOrdersKey = eris.New("--orders-key must be an Ed25519 public key as PEM")
+
 // options are the flags of every stand-in.
 type options struct {
 	address string
 	name    string
 	engine  engine.Config
+	// ordersKey is the file of the public key that orders must be signed for.
+	ordersKey string
+}
+
+// checkOrders makes the engine check who gives orders, if a key is named.
+func (o *options) checkOrders() error {
+	if o.ordersKey == "" {
+		return nil
+	}
+	text, err := os.ReadFile(o.ordersKey)
+	if err != nil {
+		return err
+	}
+	block, _ := pem.Decode(text)
+	if block == nil {
+		return errOrdersKey
+	}
+	parsed, err := x509.ParsePKIXPublicKey(block.Bytes)
+	if err != nil {
+		return err
+	}
+	key, ok := parsed.(ed25519.PublicKey)
+	if !ok {
+		return errOrdersKey
+	}
+	o.engine.Orders.Key, o.engine.Orders.Address = key, o.address
+	return nil
 }
 
 // Run runs one stand-in until SIGTERM and returns the exit code.
@@ -63,6 +97,8 @@
 	engines.StringSlice(&chosen.engine.Orders.Models, "", "model", "A model loaded at each start; may stand more than once.")
 	engines.Bool(&chosen.engine.Orders.Fencing, "", "fencing", "Refuse orders with an old fencing number.")
 	engines.Duration(&chosen.engine.Orders.LoadTime, "", "load-time", "Time that an order takes to load.")
+	engines.String(&chosen.engine.Orders.Role, "", "role", "The role at each start; empty for none.")
+	engines.String(&chosen.ordersKey, "", "orders-key", "File of the public key that orders must be signed for.")
 	services := flaggy.NewSubcommand("service")
 	services.Description = "A plain service."
 	services.String(&chosen.name, "n", "name", "The service's name.")
@@ -78,6 +114,10 @@
 	control := new(fault.Control)
 	switch {
 	case engines.Used:
+		if err := chosen.checkOrders(); err != nil {
+			_, _ = fmt.Fprintln(stderr, "wigeontiller-standin:", err)
+			return exitUsage
+		}
 		return serve(stderr, engine.NewServer(chosen.engine, control).App(), chosen.address)
 	case services.Used:
 		return serve(stderr, service.NewServer(chosen.name, control).App(), chosen.address)
--- a/test/processes/orders_test.go
+++ b/test/processes/orders_test.go
@@ -2,23 +2,25 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 )
 
 // TestOrdersLoadWhatTheDocumentNames uses engines that start with nothing
-// loaded; the one refuses old fencing numbers, the other takes any.
+// loaded; the one refuses old fencing numbers and checks who orders, the other
+// takes any.
 func TestOrdersLoadWhatTheDocumentNames(t *testing.T) {
 	is := is.New(t)
-	s := startSite(t)
-	for i, flags := range [][]string{{"--fencing"}, {}} {
+	s := startSiteOf(t, engineSlots, "orders_key: {file: "+keys+"/orders.key}\n")
+	for i, flags := range [][]string{{"--fencing", "--role", "both", "--orders-key", keys + "/orders.pub"}, {}} {
 		s.engines[i] = freeAddress(t)
 		start(t, "wigeontiller-standin", append([]string{"engine", "--address", s.engines[i], "--orders", "--load-time", "500ms"}, flags...)...)
 	}
-	s.promote(t, s.document(1))
+	checked := "vm: engine-vm-0, fencing: true, checks_orders: true, role: prefill"
+	s.promote(t, strings.Replace(s.document(1), "vm: engine-vm-0", checked, 1))
 	for _, n := range s.nodes {
 		eventually(t, "the model is served", func() bool { return n.complete("Hello", 2).status == http.StatusOK })
 	}
@@ -29,16 +31,15 @@
 		eventually(t, "the model is loaded again", func() bool { return len(loadedModels(t, address)) == 1 })
 	}
 	is.Equal(s.nodes[0].complete("Hello", 2).status, http.StatusOK)
+	eventually(t, "the role is set again", func() bool { return readLoad(t, s.engines[0]).Role == "prefill" })
+	is.Equal(readLoad(t, s.engines[0]).Unsigned, 0)
+	order := `{"fencing":99,"sequence":1,"kind":"unload","model":"adviser"}`
+	forged := call(context.Background(), http.MethodPost, "http://"+s.engines[0]+"/v1/orders", order, nil)
+	is.Equal(forged.status, http.StatusUnauthorized)
+	is.Equal(len(loadedModels(t, s.engines[0])), 1)
 }
 
 func loadedModels(t *testing.T, address string) []string {
 	t.Helper()
-	var load struct {
-		Models []string `json:"models"`
-	}
-	got := call(context.Background(), http.MethodGet, "http://"+address+"/v1/load", "", nil)
-	if err := json.Unmarshal([]byte(got.body), &load); err != nil {
-		t.Fatal(err)
-	}
-	return load.Models
+	return readLoad(t, address).Models
 }
--- a/test/processes/orphans_test.go
+++ b/test/processes/orphans_test.go
@@ -14,7 +14,10 @@
 
 // engineLoad is what an engine reports of itself.
 type engineLoad struct {
-	KVTokens int `json:"kv_tokens"`
+	KVTokens int      `json:"kv_tokens"`
+	Models   []string `json:"models"`
+	Role     string   `json:"role"`
+	Unsigned int      `json:"unsigned_orders"`
 	Streams  []struct {
 		ID    string `json:"id"`
 		Owner string `json:"owner"`
