A leaving engine's last new work is counted and timed under load

Cause: GUARANTEES said that the outcome was tested and not the time, and the test looked at refusals only, not at what the engine got. The time of its last new work, and the time until each version is in force, are printed.

--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -272,6 +272,8 @@
 
 func (s *site) waitVersion(t *testing.T, version any) {
 	t.Helper()
+	accepted := time.Now()
+	defer func() { t.Logf("version %v in force after %v", version, time.Since(accepted)) }()
 	for _, n := range s.nodes {
 		eventually(t, "version in force", func() bool {
 			status, err := s.cli(t, n, "status")
--- a/test/processes/orphans_test.go
+++ b/test/processes/orphans_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -15,6 +16,7 @@
 // engineLoad is what an engine reports of itself.
 type engineLoad struct {
 	KVTokens int      `json:"kv_tokens"`
+	Runs     int      `json:"runs"`
 	Models   []string `json:"models"`
 	Role     string   `json:"role"`
 	Unsigned int      `json:"unsigned_orders"`
@@ -106,8 +108,16 @@
 func TestLeavingEngineGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
 	s := startOrphanSite(t)
-	is.Equal(s.nodes[0].complete("Hello", 2).status, http.StatusOK)
+	l := startLoad(t, s.nodes...)
+	eventually(t, "it is used", func() bool { return s.work(t, 0) > 0 })
 	control(t, s.engines[0], `{"leaving":true}`)
+	left := time.Now()
+	last := lastNewWork(t, s.engines[0], left.Add(noNewWorkAfter))
+	out := readLoad(t, s.engines[0]).Runs
+	time.Sleep(quietTime)
+	is.Equal(readLoad(t, s.engines[0]).Runs, out) // nothing new there
+	t.Logf("the last new work came by %v after it was leaving", last.Sub(left))
+	l.end(t)
 	control(t, s.engines[1], `{"leaving":true}`)
 	for _, n := range s.nodes {
 		eventually(t, "no new work", func() bool { return n.complete("Hello", 2).status == http.StatusServiceUnavailable })
@@ -117,3 +127,17 @@
 		eventually(t, "work again", func() bool { return n.complete("Hello", 2).status == http.StatusOK })
 	}
 }
+
+// lastNewWork watches an engine until the end and returns when it was last seen
+// to have got more.
+func lastNewWork(t *testing.T, engine string, end time.Time) time.Time {
+	t.Helper()
+	last, runs := time.Now(), readLoad(t, engine).Runs
+	for time.Now().Before(end) {
+		if now := readLoad(t, engine).Runs; now > runs {
+			last, runs = time.Now(), now
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return last
+}
