Membership: datagrams are compressed

Traced: pages of members are 217 of the 430 KB that it sends, each member with its data centre and region spelled out. Ruled out: fewer pages (4 a second and 20 at once: 19,720, but 130 replacements agree after 29.9 s instead of 17.1 s; 4 and 40: not within 30 s).

--- a/membership/codec.go
+++ b/membership/codec.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 
+	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/crypto/chacha20poly1305"
@@ -17,7 +18,15 @@
 	maxName          = 64
 	maxUpdates       = 64
 	maxSummaries     = 64
-	keyPurpose       = "wigeontiller membership datagram v1"
+	// maxPlainBytes bounds a message before it is compressed.
+	maxPlainBytes = 16 << 10
+	keyPurpose    = "wigeontiller membership datagram v2"
+)
+
+// The first byte of a plain message tells how the rest is encoded.
+const (
+	encodingPlain byte = iota
+	encodingZstd
 )
 
 // The errors of the codec.
@@ -34,7 +43,9 @@
 // of a member is overridden by that member's later incarnation, and a site
 // version is only a hint to ask. At worst it delays the suspicion of its sender's address.
 type Codec struct {
-	aead cipher.AEAD
+	aead    cipher.AEAD
+	encoder *zstd.Encoder
+	decoder *zstd.Decoder
 }
 
 // NewCodec derives the datagram key from the shared peer key.
@@ -47,12 +58,21 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrKey, err.Error())
 	}
-	return &Codec{aead: aead}, nil
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+		zstd.WithEncoderCRC(false), zstd.WithWindowSize(maxPlainBytes))
+	if err != nil {
+		return nil, eris.Wrap(ErrKey, err.Error())
+	}
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxPlainBytes))
+	if err != nil {
+		return nil, eris.Wrap(ErrKey, err.Error())
+	}
+	return &Codec{aead: aead, encoder: encoder, decoder: decoder}, nil
 }
 
 // Seal encodes and encrypts a message under a fresh nonce.
 func (c *Codec) Seal(message Message) ([]byte, error) {
-	plain, err := msgpack.Marshal(&message)
+	plain, err := c.encode(message)
 	if err != nil {
 		return nil, eris.Wrap(ErrDatagram, err.Error())
 	}
@@ -73,12 +93,43 @@
 	if err != nil {
 		return Message{}, eris.Wrap(ErrDatagram, err.Error())
 	}
-	return decode(plain)
+	return c.decode(plain)
+}
+
+// encode compresses a message where that makes it smaller.
+func (c *Codec) encode(message Message) ([]byte, error) {
+	packed, err := msgpack.Marshal(&message)
+	if err != nil {
+		return nil, err
+	}
+	compressed := c.encoder.EncodeAll(packed, []byte{encodingZstd})
+	if len(compressed) <= len(packed) {
+		return compressed, nil
+	}
+	return append([]byte{encodingPlain}, packed...), nil
+}
+
+func (c *Codec) decode(plain []byte) (Message, error) {
+	if len(plain) == 0 {
+		return Message{}, eris.Wrap(ErrDatagram, "empty")
+	}
+	encoding, packed := plain[0], plain[1:]
+	switch encoding {
+	case encodingPlain:
+		return unpack(packed)
+	case encodingZstd:
+		whole, err := c.decoder.DecodeAll(packed, nil)
+		if err != nil {
+			return Message{}, eris.Wrap(ErrDatagram, err.Error())
+		}
+		return unpack(whole)
+	}
+	return Message{}, eris.Wrap(ErrDatagram, "unknown encoding")
 }
 
-func decode(plain []byte) (Message, error) {
+func unpack(packed []byte) (Message, error) {
 	var message Message
-	if err := msgpack.Unmarshal(plain, &message); err != nil {
+	if err := msgpack.Unmarshal(packed, &message); err != nil {
 		return Message{}, eris.Wrap(ErrDatagram, err.Error())
 	}
 	if !message.valid() {
