--- a/demo/demo.go
+++ b/demo/demo.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/standin/local"
 	"github.com/wigeontiller/wigeontiller/standin/platformserver"
 	"github.com/wigeontiller/wigeontiller/standin/service"
 )
@@ -46,8 +46,7 @@
 	prefillRate   = 40_000
 	tokenInterval = 20 * time.Millisecond
 
-	readyTimeout = 15 * time.Second
-	readyPoll    = 20 * time.Millisecond
+	shutdownLag = 20 * time.Millisecond
 )
 
 // document is the sample environment, put in force at the start.
@@ -99,7 +98,7 @@
 		}
 		d.nodes = append(d.nodes, node)
 	}
-	version, err := d.putInForce(ctx, configuration.NewStore(client))
+	version, err := local.PutInForce(ctx, configuration.NewStore(client), environmentName, d.document())
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
@@ -116,12 +115,10 @@
 		apps[d.loopback(serviceBasePort+number*portStep)] = service.NewServer("bookings", new(fault.Control)).App()
 	}
 	for address, app := range apps {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
+		if err := local.Serve(address, app); err != nil {
 			return eris.Wrap(ErrStart, err.Error())
 		}
 		d.apps = append(d.apps, app)
-		go func() { _ = app.Listener(listener) }()
 	}
 	return nil
 }
@@ -144,7 +141,7 @@
 		OperatorTokens:  []settings.Secret{{Literal: OperatorToken}},
 		PeerKey:         settings.Secret{Literal: "demo-peer-key-0123456789abcdef"},
 		OTLPEndpoint:    traces,
-		ShutdownLag:     readyPoll,
+		ShutdownLag:     shutdownLag,
 	}
 	for other := range nodeCount {
 		node.Seeds = append(node.Seeds, d.loopback(basePort+other*portStep+2))
@@ -153,33 +150,9 @@
 	return node
 }
 
-// putInForce promotes the sample document and returns the site version.
-func (d *Demo) putInForce(ctx context.Context, store *configuration.Store) (uint64, error) {
-	digest, err := store.PutDocument(ctx, d.document())
-	if err != nil {
-		return 0, err
-	}
-	try := configuration.Command{ID: "demo-try", Kind: configuration.Try, Target: environmentName, Digest: digest}
-	_, tried, err := store.Execute(ctx, try)
-	if err != nil {
-		return 0, err
-	}
-	promote := configuration.Command{ID: "demo-promote", Kind: configuration.Promote, Target: environmentName, Digest: digest, Replaces: tried.Version}
-	_, promoted, err := store.Execute(ctx, promote)
-	return promoted.Version, err
-}
-
 func (d *Demo) wait(ctx context.Context, version uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, node := range d.nodes {
-		for node.Status(ctx).Version < version {
-			select {
-			case <-ctx.Done():
-				return eris.Wrap(ErrStart, "the sample environment did not come into force")
-			case <-time.After(readyPoll):
-			}
-		}
+	if err := local.Wait(ctx, version, d.nodes...); err != nil {
+		return eris.Wrap(ErrStart, err.Error())
 	}
 	return nil
 }
