A node can be closed at once, as if its process had died

Cause: a long run in one process has to end nodes as SIGKILL does, and a library that embeds a node has no way to but Shutdown. Node.Close stands beside Shutdown as http.Server has both: listeners and all connections are closed, no peer hears a leave message, no engine a cancel.

The HTTP library closes only idle connections, and the upstream client can't tell its open ones, so openconn keeps them by their states. Wrapping callers' connections was ruled out: the handlers look at their type.

Proof: TestCloseIsAbrupt and TestCloseTellsNoPeer. On a scratch copy they failed with the upstream connections left open and the requests' context left running (1 cancel sent), with the callers' connections left open (the stream ended instead of breaking) and with the leave message sent (state left), and pass here.

--- a/admin/server.go
+++ b/admin/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/openconn"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -93,6 +94,8 @@
 	config Config
 	tokens [][sha256.Size]byte
 	app    *fiber.App
+	// operators holds the connections that operators have open.
+	operators openconn.Set
 }
 
 // NewServer returns a server with its routes.
@@ -108,10 +111,17 @@
 		Immutable:             true,
 		ErrorHandler:          libraryError,
 	})
+	server.app.Server().ConnState = server.operators.Follow
 	server.routes()
 	return server
 }
 
+// Close closes the operators' connections at once. The listener's owner closes
+// the listener first.
+func (s *Server) Close() {
+	s.operators.Close()
+}
+
 func (s *Server) routes() {
 	s.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.ready)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/openconn"
 	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
@@ -62,6 +63,8 @@
 	draining atomic.Bool
 	// cleanups waits for cancels that outlive their request.
 	cleanups sync.WaitGroup
+	// callers holds the connections that callers have open.
+	callers openconn.Set
 	// held holds the ID of each attempt that has not ended.
 	held sync.Map
 	ctx  context.Context
@@ -84,7 +87,7 @@
 		ErrorHandler:          server.libraryError,
 	})
 	server.app.Use(server.limitWrite)
-	server.app.Server().ConnState = clearWriteLimit
+	server.app.Server().ConnState = server.connState
 	server.app.Post("/v1/chat/completions", server.completion)
 	server.app.Post("/v1/completions", server.completion)
 	server.app.Get("/v1/requests/:id/stream", server.resumeStream)
@@ -105,6 +108,11 @@
 	return err
 }
 
+func (s *Server) connState(conn net.Conn, state fasthttp.ConnState) {
+	s.callers.Follow(conn, state)
+	clearWriteLimit(conn, state)
+}
+
 // clearWriteLimit lets the server write to a connection again whose last answer
 // was written, also before the next request reaches a handler.
 func clearWriteLimit(conn net.Conn, state fasthttp.ConnState) {
@@ -169,6 +177,15 @@
 	return errors.Join(ctx.Err(), s.app.ShutdownWithContext(ctx))
 }
 
+// Close ends at once: callers' connections and then those to upstreams are
+// closed, and no cancel is sent. The listener's owner closes the listener first.
+func (s *Server) Close() {
+	s.draining.Store(true)
+	s.callers.Close()
+	s.config.Upstreams.Close()
+	s.stop()
+}
+
 // libraryError turns the HTTP library's errors into the callers' form.
 func (s *Server) libraryError(c *fiber.Ctx, err error) error {
 	var library *fiber.Error
--- a/node.go
+++ b/node.go
@@ -63,6 +63,8 @@
 	workers   conc.WaitGroup
 	stop      context.CancelFunc
 	listeners sync.WaitGroup
+	// open are the listeners for callers and operators.
+	open []net.Listener
 }
 
 // New returns a node that is ready to start.
@@ -162,6 +164,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
+	n.open = []net.Listener{callers, operators}
 	n.dispatcher.OnPause(func() { n.confirm(ctx) })
 	n.workers.Go(func() { n.dispatcher.Run(ctx) })
 	n.workers.Go(func() { n.follower.run(ctx) })
@@ -224,6 +227,25 @@
 	return err
 }
 
+// Close ends the node at once, as if its process had died: the listeners and all
+// connections are closed, no peer is told that it leaves, and no cancel is sent
+// to an engine. It is called after Start, in place of Shutdown. Calls of the
+// platform that are under way end by their own timeouts.
+func (n *Node) Close() error {
+	n.draining.Store(true)
+	var failures []error
+	for _, listener := range n.open {
+		failures = append(failures, listener.Close())
+	}
+	n.entry.Close()
+	n.admin.Close()
+	n.stop()
+	n.workers.Wait()
+	n.listeners.Wait()
+	n.logger.Info().Msg("node closed")
+	return errors.Join(failures...)
+}
+
 // Ready reports whether the node has a site in force and is not leaving.
 func (n *Node) Ready() bool {
 	return n.dispatcher.Tables() != nil && !n.draining.Load()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -14,6 +14,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/wigeontiller/wigeontiller/openconn"
 )
 
 const (
@@ -108,6 +110,7 @@
 type Client struct {
 	mutex sync.Mutex
 	hosts map[string]*fasthttp.HostClient
+	open  openconn.Set
 }
 
 // NewClient returns a client without connections.
@@ -126,7 +129,7 @@
 	if c.hosts[address] == nil {
 		c.hosts[address] = &fasthttp.HostClient{
 			Addr:                      address,
-			Dial:                      dial,
+			Dial:                      c.dial,
 			MaxConns:                  maxConnsPerHost,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                never,
