--- /dev/null
+++ b/cli/soak.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/soak"
+	"github.com/wigeontiller/wigeontiller/soak/report"
+)
+
+const (
+	soakDuration = time.Minute
+	// soakRate is the mean of arrivals a second.
+	soakRate = 25
+)
+
+// soakOptions are the flags of the soak command.
+type soakOptions struct {
+	seed     uint64
+	duration time.Duration
+	rate     float64
+	plot     string
+	log      string
+}
+
+func addSoak(parser *flaggy.Parser) []*command {
+	parsed := subcommand("soak", "Run a whole site in this process under random faults and check what must always hold.")
+	parsed.AdditionalHelpAppend = "The seed gives the plan of faults and arrivals, not the order in which goroutines run. " +
+		"The exit code is 1 when an invariant was broken."
+	options := &soakOptions{seed: 1, duration: soakDuration, rate: soakRate}
+	parsed.UInt64(&options.seed, "s", "seed", "Seed of the faults and arrivals.")
+	parsed.Duration(&options.duration, "t", "duration", "Time over which requests arrive and faults begin.")
+	parsed.Float64(&options.rate, "r", "rate", "Mean of arrivals a second.")
+	parsed.String(&options.plot, "p", "plot", "SVG file to draw first tokens, refusals and faults over time into.")
+	parsed.String(&options.log, "l", "log", "File for the nodes' log; without it they log nothing.")
+	parser.AttachSubcommand(parsed, 1)
+	return []*command{{parsed: parsed, run: options.run}}
+}
+
+func (o *soakOptions) run(env *environment) error {
+	if o.duration <= 0 || o.rate <= 0 {
+		return eris.Wrap(ErrUsage, "--duration and --rate must be above 0")
+	}
+	logger, closeLog, err := o.logger()
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	plan := soak.NewPlan(o.seed, o.duration, o.rate)
+	if err := o.announce(env, plan); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	record, err := soak.Run(ctx, plan, logger)
+	if err != nil {
+		return err
+	}
+	result := soak.NewReport(record)
+	if err := o.draw(result); err != nil {
+		return err
+	}
+	if err := env.print(result, report.Text(result)); err != nil {
+		return err
+	}
+	if result.Breaches() > 0 {
+		return eris.Wrap(ErrBreach, result.Replay)
+	}
+	return nil
+}
+
+// announce prints the plan before the run, beside the JSON and not in it.
+func (o *soakOptions) announce(env *environment, plan *soak.Plan) error {
+	out := env.stdout
+	if env.output == outputJSON {
+		out = env.stderr
+	}
+	_, err := fmt.Fprint(out, report.Plan(plan))
+	return eris.Wrap(err, "print the plan")
+}
+
+// logger returns a logger to the file chosen, if any, and what closes it.
+func (o *soakOptions) logger() (zerolog.Logger, func(), error) {
+	if o.log == "" {
+		return zerolog.New(io.Discard), func() {}, nil
+	}
+	file, err := os.Create(o.log)
+	if err != nil {
+		return zerolog.Nop(), nil, eris.Wrap(err, "create the log")
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(zerolog.SyncWriter(file)).With().Timestamp().Logger(), func() { _ = file.Close() }, nil
+}
+
+func (o *soakOptions) draw(result *soak.Report) error {
+	if o.plot == "" {
+		return nil
+	}
+	file, err := os.Create(o.plot)
+	if err != nil {
+		return eris.Wrap(err, "create the plot")
+	}
+	if err := report.SVG(file, result); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return eris.Wrap(file.Close(), "close the plot")
+}
