--- a/cli/soak.go
+++ b/cli/soak.go
@@ -72,6 +72,11 @@
 	if err := env.print(result, report.Text(result)); err != nil {
 		return err
 	}
+	return soakVerdict(result)
+}
+
+// soakVerdict is ErrBreach, with the command to replay, when an invariant broke.
+func soakVerdict(result *soak.Report) error {
 	if result.Breaches() > 0 {
 		return eris.Wrap(ErrBreach, result.Replay)
 	}
--- a/soak/arrivals.go
+++ b/soak/arrivals.go
@@ -76,7 +76,11 @@
 }
 
 const (
-	longestAnswer = 24
+	// Most answers are short; those of a share of a hundred run for some seconds,
+	// so that faults meet streams.
+	shortAnswer     = 24
+	longAnswer      = 400
+	longAnswerShare = 10
 	// The shares of a hundred of kinds, callers that leave and own timeouts.
 	streamShare  = 60
 	wholeShare   = 12
@@ -117,7 +121,7 @@
 	}
 	if arrival.Kind.IsCompletion() {
 		arrival.PromptTokens = drawLength(random)
-		arrival.AnswerTokens = 1 + random.IntN(longestAnswer)
+		arrival.AnswerTokens = drawAnswer(random)
 	}
 	if random.IntN(100) < leaveShare {
 		arrival.drawLeave(random)
@@ -149,6 +153,13 @@
 	return lengths[0].shortest
 }
 
+func drawAnswer(random *rand.Rand) int {
+	if random.IntN(100) < longAnswerShare {
+		return shortAnswer + random.IntN(longAnswer-shortAnswer)
+	}
+	return 1 + random.IntN(shortAnswer)
+}
+
 func (a *Arrival) drawLeave(random *rand.Rand) {
 	a.Leave, a.LeaveAfter = LeavesQueued, between(random, 0, longestQueuedStay)
 	switch draw := random.IntN(3); {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -39,16 +39,21 @@
 	}
 	reader := &answerReader{sent: sent, clock: clock, leave: func() { leave(errLeft) }}
 	err := reader.call(ctx, "http://"+to.settings.CallerAddress)
-	sent.End = clock.now()
+	sent.ended(clock.now(), err, errors.Is(context.Cause(ctx), errLeft))
+	return sent
+}
+
+// ended keeps how a request ended that has no ending by its answer.
+func (s *Send) ended(now time.Duration, err error, left bool) {
+	s.End = now
 	switch {
-	case errors.Is(context.Cause(ctx), errLeft):
-		sent.Ending = Left
+	case left:
+		s.Ending = Left
 	case errors.Is(err, syscall.ECONNREFUSED):
-		sent.Ending = Unreached
+		s.Ending = Unreached
 	case err != nil:
-		sent.Ending = Cut
+		s.Ending = Cut
 	}
-	return sent
 }
 
 var errLeft = errors.New("the caller left")
@@ -84,8 +89,15 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	return r.read(response)
+}
+
+// read reads the answer's body.
+func (r *answerReader) read(response *http.Response) error {
 	r.sent.Status = response.StatusCode
-	if arrival.Kind == Stream && response.StatusCode == http.StatusOK {
+	if r.sent.Arrival.Kind == Stream && response.StatusCode == http.StatusOK {
+		r.sent.resume.requestID = response.Header.Get(headerRequestID)
+		r.sent.resume.token = response.Header.Get(headerResumeToken)
 		return r.events(response.Body)
 	}
 	text, err := io.ReadAll(response.Body)
--- a/soak/caller_stream.go
+++ b/soak/caller_stream.go
@@ -13,6 +13,7 @@
 
 const (
 	dataPrefix = "data: "
+	idPrefix   = "id: "
 	endMarker  = "[DONE]"
 	// maxLineBytes bounds one line of a stream.
 	maxLineBytes = 1 << 20
@@ -25,24 +26,24 @@
 	return strconv.FormatFloat(length.Seconds(), 'f', -1, 64)
 }
 
-// events reads a stream to its end.
+// events reads a stream to its end. A line that the break cut is no event.
 func (r *answerReader) events(body io.Reader) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLineBytes)
+	id := ""
 	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
-		if !ok {
+		if given, ok := strings.CutPrefix(lines.Text(), idPrefix); ok {
+			id = given
 			continue
 		}
-		if data == endMarker {
-			r.sent.Ending = Answered
-			return drainBody(body)
+		data, ok := strings.CutPrefix(lines.Text(), dataPrefix)
+		if !ok || data != endMarker && !gjson.Valid(data) {
+			continue
 		}
-		if r.error([]byte(data)) {
-			r.sent.Ending = ErrorEvent
+		if r.event(data) {
 			return drainBody(body)
 		}
-		r.tokens(gjson.Get(data, "choices.0.delta.content").String())
+		r.sent.resume.lastEvent = id
 	}
 	if err := lines.Err(); err != nil {
 		return err
@@ -50,6 +51,20 @@
 	return errNoEnd
 }
 
+// event keeps what one event says and reports whether it is the last.
+func (r *answerReader) event(data string) bool {
+	if data == endMarker {
+		r.sent.Ending = Answered
+		return true
+	}
+	if r.error([]byte(data)) {
+		r.sent.Ending = ErrorEvent
+		return true
+	}
+	r.tokens(gjson.Get(data, "choices.0.delta.content").String())
+	return false
+}
+
 // drainBody reads what is left; nothing should be.
 func drainBody(body io.Reader) error {
 	_, err := io.Copy(io.Discard, body)
--- a/soak/load.go
+++ b/soak/load.go
@@ -50,6 +50,9 @@
 		id := fmt.Sprintf("soak-%d-%d-%d-%d", l.plan.Seed, arrival.Serial, twin, try)
 		sent := send(l.site.clock, arrival, id, chosen)
 		l.keep(sent)
+		if sent.mayResume() {
+			l.goOn(sent, chosen)
+		}
 		if !sent.mayRepeat() {
 			return
 		}
@@ -57,6 +60,16 @@
 	}
 }
 
+// goOn asks another process for the rest of a stream.
+func (l *load) goOn(cut *Send, from *process) {
+	for _, other := range l.site.fleet.live() {
+		if other != from {
+			l.keep(goOn(l.site.clock, cut, other))
+			return
+		}
+	}
+}
+
 func (l *load) keep(sent *Send) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/soak/reader_test.go
+++ b/soak/reader_test.go
@@ -24,6 +24,7 @@
 		{"whole", event("aa-1 ") + event("aa-2 ") + event("") + "data: [DONE]\n\n", Answered, 2, "", "", true},
 		{"error event", event("aa-1 ") + `data: {"error":{"code":"upstream_failed","execution":"may_have_run"}}` + "\n\n", ErrorEvent, 1, "", "upstream_failed", true},
 		{"no end", event("aa-1 "), "", 1, "", "", false},
+		{"cut in an event", event("aa-1 ") + event("aa-2 ")[:40], "", 1, "", "", false},
 		{"another's", event("aa-1 ") + event("bb-2 ") + "data: [DONE]\n\n", Answered, 1, "bb-2", "", true},
 		{"a gap", event("aa-1 ") + event("aa-3 ") + "data: [DONE]\n\n", Answered, 1, "aa-3", "", true},
 		{"doubled", event("aa-1 ") + event("aa-1 ") + "data: [DONE]\n\n", Answered, 1, "aa-1", "", true},
--- a/soak/record.go
+++ b/soak/record.go
@@ -46,8 +46,15 @@
 	Foreign string
 	// Malformed is what made a whole answer no whole one.
 	Malformed string
+	// Resumed is true for a stream that goes on at another node after a cut.
+	Resumed bool
+	// resume is what a caller needs to go on with a stream.
+	resume resumption
 }
 
+// resumption is what a caller keeps of a stream that may be cut.
+type resumption struct{ requestID, token, lastEvent string }
+
 // String names the request for a trace.
 func (s *Send) String() string {
 	return fmt.Sprintf("request %s (arrival %d, %s) at %s from %v to %v: %s, status %d, code %q, execution %q, %d tokens",
--- a/soak/report.go
+++ b/soak/report.go
@@ -47,6 +47,9 @@
 	Refused    bool
 }
 
+// resumedStream is the kind under which streams that went on are counted.
+const resumedStream CallKind = "resumed stream"
+
 // classes are the lengths by which times are shown, in tokens.
 var classes = []struct {
 	name    string
@@ -68,7 +71,7 @@
 		report.FirstToken = append(report.FirstToken, classTimes(record, number))
 	}
 	for _, send := range record.Sends {
-		if send.Arrival.Kind.IsCompletion() {
+		if send.Arrival.Kind.IsCompletion() && !send.Resumed {
 			report.Points = append(report.Points, pointOf(send))
 		}
 	}
@@ -91,12 +94,15 @@
 			r.Refusals[send.Code]++
 		}
 		kind := send.Arrival.Kind
+		if send.Resumed {
+			kind = resumedStream
+		}
 		if byKind[kind] == nil {
 			byKind[kind] = map[Ending]int{}
 		}
 		byKind[kind][send.Ending]++
 	}
-	for _, kind := range []CallKind{Stream, Whole, Keyed, Unkeyed, Read} {
+	for _, kind := range []CallKind{Stream, resumedStream, Whole, Keyed, Unkeyed, Read} {
 		counts := CallCounts{Kind: kind, Endings: byKind[kind]}
 		for _, count := range counts.Endings {
 			counts.Sent += count
@@ -114,7 +120,7 @@
 	var taken []time.Duration
 	for _, send := range record.Sends {
 		length := send.Arrival.PromptTokens
-		if send.Arrival.Kind != Stream || length <= shortest || length > classes[number].longest {
+		if send.Arrival.Kind != Stream || send.Resumed || length <= shortest || length > classes[number].longest {
 			continue
 		}
 		times.Sent++
