A node restarted under its name is told of the engines again

Cause: the poller of an engine keeps by a peer's name what the peer acknowledged and last said. A node that died and came back under its name before the others held it for dead was therefore not told that an engine leaves until a minute had passed, unless it is in the engine's data centre; and until then the poller took the old process's answer as its word that it doesn't hold the new one's streams, and would cancel them after 8 s.

The change: acknowledgments and answers belong to one process of a peer, by the start time that membership tells.

TestRestartedPeerIsToldAgain and TestRestartedPeersStreamsAreItsOwn failed before the change (0 letters for 1; gone for held).

--- a/observe/outbox.go
+++ b/observe/outbox.go
@@ -22,6 +22,19 @@
 	Name       string
 	DataCentre string
 	Address    netip.AddrPort
+	// Started tells the processes of one name apart: what the last one
+	// acknowledged, the next one doesn't know.
+	Started uint64
+}
+
+// process is one process of a peer.
+type process struct {
+	name    string
+	started uint64
+}
+
+func (p Peer) process() process {
+	return process{name: p.Name, started: p.Started}
 }
 
 // state is the part of a report that nodes of other data centres need too.
@@ -52,7 +65,7 @@
 // the load each LocalInterval; the others only what changed since they last acknowledged. It
 // is not safe for concurrent use.
 type outbox struct {
-	acknowledged map[string]map[string]acknowledgment
+	acknowledged map[process]map[string]acknowledgment
 }
 
 // letter is what one peer is told in one round.
@@ -71,7 +84,7 @@
 		next := letter{peer: peer}
 		for _, one := range observations {
 			local := dataCentres[one.Address] == peer.DataCentre
-			known := o.acknowledged[peer.Name][one.Address]
+			known := o.acknowledged[peer.process()][one.Address]
 			interval := retellInterval
 			if local {
 				interval = LocalInterval - intervalSlack
@@ -89,10 +102,10 @@
 
 // acknowledge notes that the peer has taken a letter in.
 func (o *outbox) acknowledge(now time.Time, sent letter) {
-	known := o.acknowledged[sent.peer.Name]
+	known := o.acknowledged[sent.peer.process()]
 	if known == nil {
 		known = map[string]acknowledgment{}
-		o.acknowledged[sent.peer.Name] = known
+		o.acknowledged[sent.peer.process()] = known
 	}
 	for _, one := range sent.observations {
 		known[one.Address] = acknowledgment{state: stateOf(one.Load), at: now}
@@ -102,15 +115,15 @@
 // forget drops peers that are gone and engines that this node doesn't poll, as
 // another poller may tell them something else meanwhile.
 func (o *outbox) forget(peers []Peer, dataCentres map[string]string) {
-	next := map[string]map[string]acknowledgment{}
+	next := map[process]map[string]acknowledgment{}
 	for _, peer := range peers {
 		kept := map[string]acknowledgment{}
-		for address, known := range o.acknowledged[peer.Name] {
+		for address, known := range o.acknowledged[peer.process()] {
 			if _, polled := dataCentres[address]; polled {
 				kept[address] = known
 			}
 		}
-		next[peer.Name] = kept
+		next[peer.process()] = kept
 	}
 	o.acknowledged = next
 }
--- a/observe/peerbook.go
+++ b/observe/peerbook.go
@@ -21,13 +21,19 @@
 }
 
 // peerBook keeps the last answer of each live peer, by name.
-type peerBook struct{ answers map[string]Answer }
+type peerBook struct{ answers map[string]noted }
 
-// forget drops the answers of peers that are gone.
+// noted is an answer and which process of the peer was asked.
+type noted struct {
+	Answer
+	from process
+}
+
+// forget drops the answers of processes that are gone.
 func (b *peerBook) forget(live []Peer) {
-	kept := map[string]Answer{}
+	kept := map[string]noted{}
 	for _, one := range live {
-		if answer, ok := b.answers[one.Name]; ok {
+		if answer, ok := b.answers[one.Name]; ok && answer.from == one.process() {
 			kept[one.Name] = answer
 		}
 	}
@@ -37,7 +43,7 @@
 // note keeps an answer; a zero one was none.
 func (b *peerBook) note(from Peer, answer Answer) {
 	if answer.Process != "" {
-		b.answers[from.Name] = answer
+		b.answers[from.Name] = noted{Answer: answer, from: from.process()}
 	}
 }
 
--- a/observe/poller.go
+++ b/observe/poller.go
@@ -207,6 +207,19 @@
 	return latest, ok
 }
 
+// Complete reports whether there is a report on every engine of the tables in force.
+func (p *Poller) Complete() bool {
+	targets := p.known()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address := range targets {
+		if _, reported := p.latest[address]; !reported {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Poller) tell(ctx context.Context, mine map[string]Target, observations []Observation) {
 	dataCentres := map[string]string{}
 	for address, target := range mine {
--- a/observe/poller_test.go
+++ b/observe/poller_test.go
@@ -29,6 +29,8 @@
 	told     []Observation
 	reports  []scheduling.Report
 	cold     []string
+	// started is when the peer's process started.
+	started uint64
 }
 
 func newWorld() *world {
@@ -61,7 +63,9 @@
 
 func (w *world) Owns(role, _ string) bool { return w.owned[role] }
 
-func (w *world) Peers() []Peer { return []Peer{{Name: "peer", DataCentre: "dc"}} }
+func (w *world) Peers() []Peer {
+	return []Peer{{Name: "peer", DataCentre: "dc", Started: w.started}}
+}
 
 func (w *world) Standing(orphan.Owner) orphan.Standing { return w.standing }
 
@@ -179,6 +183,62 @@
 	}
 }
 
+// TestRestartedPeerIsToldAgain restarts a peer under its name, with no time away.
+func TestRestartedPeerIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	box := &outbox{}
+	peer := Peer{Name: "far", DataCentre: "elsewhere", Started: 1}
+	leaving := []Observation{{Address: "e", Load: Load{Incarnation: 1, Leaving: true}}}
+	tell := func() int {
+		letters := box.letters(now, []Peer{peer}, leaving, map[string]string{"e": "dc"})
+		for _, one := range letters {
+			box.acknowledge(now, one)
+		}
+		return len(letters)
+	}
+	is.Equal(tell(), 1)
+	is.Equal(tell(), 0) // it knows
+	peer.Started++
+	is.Equal(tell(), 1) // the new process does not
+	is.Equal(tell(), 0)
+}
+
+// TestRestartedPeersStreamsAreItsOwn has a peer that answered before it restarted
+// under its name: what the last process said is no word on the new one's streams.
+func TestRestartedPeersStreamsAreItsOwn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.standing = orphan.Held
+	w.answer = Answer{Process: "old", Complete: true}
+	p := w.poller()
+	p.Round(t.Context())
+	of := func(process string) orphan.Stream {
+		return orphan.Stream{ID: "s", Owner: orphan.Owner{Node: "peer", Process: process}}
+	}
+	is.Equal(p.standing(of("new")), orphan.Gone) // by the peer's own word
+	w.started++
+	w.answer = Answer{} // the letter to the new process is lost
+	p.Round(t.Context())
+	is.Equal(p.standing(of("new")), orphan.Held)
+	w.answer = Answer{Process: "new", Complete: true}
+	p.Round(t.Context())
+	is.Equal(p.standing(of("new")), orphan.Held)
+	is.Equal(p.standing(of("old")), orphan.Gone)
+}
+
+// TestPollerIsCompleteWithAReportOnEachEngine counts reports of other nodes too.
+func TestPollerIsCompleteWithAReportOnEachEngine(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	p := w.poller()
+	is.True(!p.Complete())
+	p.Round(t.Context()) // reads its own engine
+	is.True(!p.Complete())
+	p.Observe(Observation{Address: "10.0.0.2:1", At: time.Unix(1, 0), Load: Load{Incarnation: 1}})
+	is.True(p.Complete())
+}
+
 func TestStandingOfAnOwner(t *testing.T) {
 	stream := func(node, process string) orphan.Stream {
 		return orphan.Stream{ID: "a", Owner: orphan.Owner{Node: node, Process: process}}
--- a/reports.go
+++ b/reports.go
@@ -70,7 +70,9 @@
 	var peers []observe.Peer
 	for _, member := range r.cluster.agent.Live(membership.SiteScope) {
 		if member.Name != r.owner.Node {
-			peers = append(peers, observe.Peer{Name: member.Name, DataCentre: member.DataCentre, Address: member.Address})
+			peers = append(peers, observe.Peer{
+				Name: member.Name, DataCentre: member.DataCentre, Address: member.Address, Started: member.Started,
+			})
 		}
 	}
 	return peers
--- a/soak/fleet_end.go
+++ b/soak/fleet_end.go
@@ -41,7 +41,7 @@
 	f.count(ctx, f.at(place))
 	ending, ok := f.end(place, func(life *NodeLife, now time.Duration) { life.Closed = now })
 	if !ok {
-		return errNotReady
+		return errAway
 	}
 	ending.gate.shut.Store(true)
 	err := ending.node.Close()
@@ -53,7 +53,7 @@
 func (f *fleet) shutDown(ctx context.Context, place int) error {
 	ending, ok := f.end(place, func(life *NodeLife, now time.Duration) { life.Leaving = now })
 	if !ok {
-		return errNotReady
+		return errAway
 	}
 	f.count(ctx, ending)
 	f.listVMs()
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,7 +24,10 @@
 	readyPoll    = 20 * time.Millisecond
 )
 
-var errNotReady = eris.New("the node was not ready in time")
+var (
+	errNotReady = eris.New("the node was not ready in time")
+	errAway     = eris.New("no node is there that is ready")
+)
 
 // process is one process of an entry node. The fleet's mutex guards life.
 type process struct {
