A node is ready once it has heard of the engines

It was ready as soon as it had the site, but learns what leaves only from the engines' pollers, up to a second or two later.

Ruled out: reading all engines itself at the start (680 reports of up to 5 KB at the size to design for); refusing at entry (the balancer asks readiness).

The change: a node reports ready when it has a report on each engine of the site, at most 5 s after it has the site, so that an engine that is away can't hold it up. Once ready, new engines in a document don't make it unready.

--- a/node.go
+++ b/node.go
@@ -246,9 +246,10 @@
 	return errors.Join(failures...)
 }
 
-// Ready reports whether the node has a site in force and is not leaving.
+// Ready reports whether the node has a site in force, has heard of the engines
+// and is not leaving.
 func (n *Node) Ready() bool {
-	return n.dispatcher.Tables() != nil && !n.draining.Load()
+	return n.dispatcher.Tables() != nil && !n.draining.Load() && n.reports.ready(time.Now())
 }
 
 // Adopt tells the node of a site that it may not have seen yet.
--- a/node_close_test.go
+++ b/node_close_test.go
@@ -37,6 +37,7 @@
 type closeSite struct {
 	platform *memory.Platform
 	engine   *engine.Server
+	control  *fault.Control
 	cancels  atomic.Int64
 	seeds    []string
 }
@@ -53,8 +54,8 @@
 
 func newCloseSite(t *testing.T) *closeSite {
 	t.Helper()
-	s := &closeSite{platform: memory.New(), seeds: []string{freeAddress(t), freeAddress(t), freeAddress(t)}}
-	s.engine = engine.NewServer(engine.Config{Slots: 4, KVTokens: 100_000, PrefillTokensPerSecond: 100_000, TokenInterval: 20 * time.Millisecond}, new(fault.Control))
+	s := &closeSite{platform: memory.New(), control: new(fault.Control), seeds: []string{freeAddress(t), freeAddress(t), freeAddress(t)}}
+	s.engine = engine.NewServer(engine.Config{Slots: 4, KVTokens: 100_000, PrefillTokensPerSecond: 100_000, TokenInterval: 20 * time.Millisecond}, s.control)
 	inner := s.engine.App().Handler()
 	s.engine.App().Server().Handler = func(ctx *fasthttp.RequestCtx) {
 		if ctx.IsDelete() {
@@ -118,6 +119,15 @@
 func stream(t *testing.T, address string) io.ReadCloser {
 	t.Helper()
 	body := `{"model":"adviser","stream":true,"max_tokens":1000,"messages":[{"role":"user","content":"long"}]}`
+	response := complete(t, address, body)
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", response.StatusCode)
+	}
+	return response.Body
+}
+
+func complete(t *testing.T, address, body string) *http.Response {
+	t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
@@ -127,10 +137,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if response.StatusCode != http.StatusOK {
-		t.Fatalf("status %d", response.StatusCode)
-	}
-	return response.Body
+	return response
 }
 
 // TestCloseIsAbrupt closes a node with a stream under way: its caller's
@@ -193,3 +200,26 @@
 		})
 	}
 }
+
+// TestReadyNodeKnowsThatAnEngineLeaves starts a node while an engine leaves: once
+// it is ready it sends nothing there.
+func TestReadyNodeKnowsThatAnEngineLeaves(t *testing.T) {
+	is := is.New(t)
+	s := newCloseSite(t)
+	s.control.Set(fault.Knobs{Leaving: true})
+	made := s.settings(t, 0)
+	node := s.start(t, made)
+	response := complete(t, made.CallerAddress, `{"model":"adviser","max_tokens":1,"messages":[{"role":"user","content":"short"}]}`)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(s.engine.Engine().Load().Runs, 0)
+	is.NoErr(node.Shutdown(t.Context()))
+}
+
+// TestNodeIsReadyWithAnEngineThatIsAway bounds the wait for reports.
+func TestNodeIsReadyWithAnEngineThatIsAway(t *testing.T) {
+	is := is.New(t)
+	s := newCloseSite(t)
+	s.control.Set(fault.Knobs{Down: true})
+	is.NoErr(s.start(t, s.settings(t, 0)).Shutdown(t.Context()))
+}
--- a/reports.go
+++ b/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,10 @@
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
 
+// reportsPatience is how long a new node may stay unready for the reports of
+// engines, from when it has a site in force.
+const reportsPatience = 5 * time.Second
+
 // newOwner names this process to engines.
 func newOwner(node string) orphan.Owner {
 	return orphan.Owner{Node: node, Process: strconv.FormatInt(time.Now().UnixMilli(), 36)}
@@ -32,6 +37,10 @@
 	dispatcher *dispatch.Dispatcher
 	entry      *entry.Server
 	poller     *observe.Poller
+	// waiting is when the node began to wait for reports; informed is set for
+	// good when it has them or time is up.
+	waiting  atomic.Pointer[time.Time]
+	informed atomic.Bool
 }
 
 func newReports(owner orphan.Owner, c *cluster, d *dispatch.Dispatcher, e *entry.Server, metrics *telemetry.Metrics, logger zerolog.Logger) (*reports, error) {
@@ -48,6 +57,21 @@
 	return r, c.server.Register(reportrpc.NewService(r).Register)
 }
 
+// ready reports whether the node has heard of each engine since its start, so
+// that it sends nothing to one that leaves. An engine that is away can't hold it
+// up for longer than reportsPatience. It is asked once a site is in force.
+func (r *reports) ready(now time.Time) bool {
+	if r.informed.Load() {
+		return true
+	}
+	r.waiting.CompareAndSwap(nil, &now)
+	if !r.poller.Complete() && now.Sub(*r.waiting.Load()) < reportsPatience {
+		return false
+	}
+	r.informed.Store(true)
+	return true
+}
+
 // Owns implements observe.Members. The engines of a data centre without a live
 // entry node fall to the nodes of all regions.
 func (r *reports) Owns(role, dataCentre string) bool {
