--- a/soak/site.go
+++ b/soak/site.go
@@ -33,7 +33,7 @@
 	engineTokens  = 400_000
 	serviceSlots  = 32
 	prefillRate   = 150_000
-	tokenInterval = 5 * time.Millisecond
+	tokenInterval = 15 * time.Millisecond
 	// engineGrace is how long an engine runs a stream that nobody reads.
 	engineGrace = 5 * time.Second
 	// stopTimeout bounds the end of the site.
