--- a/node.go
+++ b/node.go
@@ -229,9 +229,13 @@
 
 // Close ends the node at once, as if its process had died: the listeners and all
 // connections are closed, no peer is told that it leaves, and no cancel is sent
-// to an engine. It is called after Start, in place of Shutdown. Calls of the
-// platform that are under way end by their own timeouts.
+// to an engine. It is called in place of Shutdown; before Start it does nothing.
+// Calls of the platform that are under way end by their own timeouts, and spans
+// that were not exported yet are lost.
 func (n *Node) Close() error {
+	if n.stop == nil {
+		return nil
+	}
 	n.draining.Store(true)
 	var failures []error
 	for _, listener := range n.open {
@@ -242,6 +246,9 @@
 	n.stop()
 	n.workers.Wait()
 	n.listeners.Wait()
+	ended, end := context.WithCancel(context.Background())
+	end()
+	_ = n.tracing.Shutdown(ended)
 	n.logger.Info().Msg("node closed")
 	return errors.Join(failures...)
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -60,8 +60,8 @@
 	Kind FaultKind `json:"kind"`
 	// At is when it begins and For how long it lasts, in nanoseconds from the
 	// start of the load.
-	At     time.Duration `json:"at"`
-	For    time.Duration `json:"for"`
+	At     time.Duration `json:"at_ns"`
+	For    time.Duration `json:"for_ns"`
 	Target int           `json:"target"`
 	Detail string        `json:"detail,omitempty"`
 	// Pair is true when it begins together with the fault before it.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,7 +35,7 @@
 // Plan is what a run does, by its seed.
 type Plan struct {
 	Seed     uint64        `json:"seed"`
-	Duration time.Duration `json:"duration"`
+	Duration time.Duration `json:"duration_ns"`
 	// Rate is the mean of arrivals a second.
 	Rate     float64   `json:"rate"`
 	Nodes    int       `json:"nodes"`
--- a/soak/record.go
+++ b/soak/record.go
@@ -169,8 +169,8 @@
 type FaultOutcome struct {
 	Fault
 	// Began and Ended are 0 for a fault that was not shown.
-	Began   time.Duration `json:"began"`
-	Ended   time.Duration `json:"ended"`
+	Began   time.Duration `json:"began_ns"`
+	Ended   time.Duration `json:"ended_ns"`
 	Outcome string        `json:"outcome"`
 }
 
--- a/soak/report.go
+++ b/soak/report.go
@@ -35,8 +35,8 @@
 	Name  string        `json:"name"`
 	Sent  int           `json:"sent"`
 	Count int           `json:"count"`
-	P50   time.Duration `json:"p50"`
-	P95   time.Duration `json:"p95"`
+	P50   time.Duration `json:"p50_ns"`
+	P95   time.Duration `json:"p95_ns"`
 }
 
 // Point is one completion on the plot. FirstToken is 0 when it was refused or
