--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,6 +25,8 @@
 	// of a third of the run at most.
 	outageChance = 3
 	longOutage   = 3
+	// restartMargin is the time that a node may need beyond its fault to start.
+	restartMargin = 3 * time.Second
 	// downNodes is the most nodes that are away at once.
 	downNodes = 1
 
@@ -91,6 +93,9 @@
 		return false
 	}
 	p.busy[held] = at + lasts
+	if shape.on == onNode {
+		p.busy[held] += restartMargin
+	}
 	p.plan.Faults = append(p.plan.Faults, fault)
 	return true
 }
