Long run: no living node may cut any answer

Cause: only completions were looked at, so that a booking whose connection broke at a node that lives would have passed. The check of streams now looks at every request, and a planted breach shows it. Ran: go test -count=1 -run 'Judged|Planted|Sound|Plan|Unchecked' ./soak: passed.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/tidwall/gjson"
 
 	"github.com/wigeontiller/wigeontiller/apierror"
@@ -56,7 +57,7 @@
 	}
 }
 
-var errLeft = errors.New("the caller left")
+var errLeft = eris.New("the caller left")
 
 // answerReader reads the answer to one request into what is kept of it.
 type answerReader struct {
--- a/soak/check_calls.go
+++ b/soak/check_calls.go
@@ -82,16 +82,13 @@
 	}
 }
 
-// checkStreams looks at completions. A closed node can't end its streams.
-func checkStreams(r *Record, i *Invariant) {
+// checkEndings looks at how requests ended. A closed node can't end its own; what
+// a shutdown cuts is for checkShutdown.
+func checkEndings(r *Record, i *Invariant) {
 	for _, send := range r.Sends {
-		if !send.Arrival.Kind.IsCompletion() {
-			continue
-		}
 		switch send.Ending {
 		case Answered:
-			whole := send.Malformed == "" && send.Tokens == send.Arrival.AnswerTokens
-			i.hold(whole, "%s, %d tokens expected: %v", send.Malformed, send.Arrival.AnswerTokens, send)
+			i.hold(send.isWhole(), "%s, %d tokens expected: %v", send.Malformed, send.Arrival.AnswerTokens, send)
 		case Cut:
 			life := r.node(send.Node)
 			ended := life.Closed > 0 && send.End >= life.Closed || life.Leaving > 0
@@ -102,3 +99,12 @@
 		}
 	}
 }
+
+// isWhole reports whether an answer is whole. A service may answer with a status
+// of its own; only its connection tells that the answer is not whole.
+func (s *Send) isWhole() bool {
+	if !s.Arrival.Kind.IsCompletion() {
+		return true
+	}
+	return s.Malformed == "" && s.Tokens == s.Arrival.AnswerTokens
+}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -77,6 +77,9 @@
 		{"a stream without an end", "whole or ends", func(r *Record) {
 			r.Sends[0].Ending, r.Sends[0].Node = Cut, "n#2"
 		}},
+		{"a booking's answer is cut", "whole or ends", func(r *Record) {
+			r.Sends[1].Ending, r.Sends[1].Node = Cut, "n#2"
+		}},
 		{"cut before the node was closed", "whole or ends", func(r *Record) {
 			r.Sends[0].Ending, r.Sends[0].Node, r.Nodes[1].Closed = Cut, "n#2", 60*second
 		}},
--- a/soak/invariant.go
+++ b/soak/invariant.go
@@ -36,7 +36,7 @@
 		{"a call with a side effect ran at most once", false, checkSideEffects},
 		{"the execution told is true", false, checkExecution},
 		{"each caller got its own answer only", false, checkOwnAnswers},
-		{"a stream is whole or ends in an error event", false, checkStreams},
+		{"an answer is whole or ends in an error", false, checkEndings},
 		{"one promotion at most replaces a version", false, checkPromotions},
 		{"a node's version never falls", false, checkVersionFalls},
 		{"nodes' own invariants held", false, checkCounters},
