--- a/node.go
+++ b/node.go
@@ -66,6 +66,8 @@
 	workers   conc.WaitGroup
 	stop      context.CancelFunc
 	listeners sync.WaitGroup
+	// open are the listeners for callers and operators.
+	open []net.Listener
 }
 
 // New returns a node that is ready to start.
@@ -168,6 +170,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
+	n.open = []net.Listener{callers, operators}
 	n.dispatcher.OnUnconfirmed(func() { n.confirm(ctx) })
 	n.workers.Go(func() { n.dispatcher.Run(ctx) })
 	n.workers.Go(func() { n.follower.run(ctx) })
@@ -231,9 +234,36 @@
 	return err
 }
 
-// Ready reports whether the node has a confirmed site in force and is not leaving.
+// Close ends the node at once, as if its process had died: the listeners and all
+// connections are closed, no peer is told that it leaves, and no cancel is sent
+// to an engine. It is called in place of Shutdown; before Start it does nothing.
+// Calls of the platform that are under way end by their own timeouts, and spans
+// that were not exported yet are lost.
+func (n *Node) Close() error {
+	if n.stop == nil {
+		return nil
+	}
+	n.draining.Store(true)
+	var failures []error
+	for _, listener := range n.open {
+		failures = append(failures, listener.Close())
+	}
+	n.entry.Close()
+	n.admin.Close()
+	n.stop()
+	n.workers.Wait()
+	n.listeners.Wait()
+	ended, end := context.WithCancel(context.Background())
+	end()
+	_ = n.tracing.Shutdown(ended)
+	n.logger.Info().Msg("node closed")
+	return errors.Join(failures...)
+}
+
+// Ready reports whether the node has a confirmed site in force, has heard of the
+// engines and is not leaving.
 func (n *Node) Ready() bool {
-	return n.dispatcher.Tables() != nil && n.dispatcher.Confirmed() && !n.draining.Load()
+	return n.dispatcher.Tables() != nil && n.dispatcher.Confirmed() && !n.draining.Load() && n.reports.ready(time.Now())
 }
 
 // Adopt tells the node of a site that it may not have seen yet.
