The first-token estimate learns from the tokens that were read

Cause: engines with a prefix cache answer sooner to a prompt whose start they hold. The estimator took such a sample for a fast reading of the whole prompt, so that a prompt in no cache looked too fast, and a deadline could be promised on a hit that never comes.

Change: an outcome carries the cached tokens that the engine's usage confirmed; the line of first-token times is learned over prompt less cached tokens. What is estimated, and so what is admitted, is still the whole prompt: no promise depends on a hit. Ruled out: estimating with the cached length of an earlier prompt of the same start, because nothing says that it is still held.

go test ./scheduling/estimation: passes; with the subtraction taken out TestCachedPromptsDoNotShortenTheEstimate fails.

--- a/scheduling/estimation/estimator.go
+++ b/scheduling/estimation/estimator.go
@@ -23,6 +23,8 @@
 	// EstimatedPrompt is the length guessed from bytes; PromptTokens and
 	// AnswerTokens are the engine's own figures, or 0.
 	EstimatedPrompt, PromptTokens, AnswerTokens int
+	// CachedTokens is how many of PromptTokens the engine did not have to read.
+	CachedTokens int
 	// MaxTokens bounded the answer.
 	MaxTokens int
 	// FirstToken is the time from dispatch to the first token, or 0.
@@ -150,6 +152,7 @@
 	if length == 0 {
 		length = float64(sample.EstimatedPrompt) * c.correction
 	}
+	length = max(0, length-float64(sample.CachedTokens))
 	actual := sample.FirstToken.Seconds()
 	if c.prefill.samples >= knownSamples {
 		wrong := c.prefill.at(length)/actual - 1
--- a/scheduling/estimation/estimator_test.go
+++ b/scheduling/estimation/estimator_test.go
@@ -75,3 +75,25 @@
 	e.Learn(Sample{At: start, Model: "m", Upstream: "u", EstimatedPrompt: 200_000, FirstToken: 10 * time.Second})
 	is.True(e.Estimate(start, "m", "u", 500_000, 0).Known)
 }
+
+// TestCachedPromptsDoNotShortenTheEstimate learns from prompts that engines had
+// in their caches but for a tenth: a prompt that is in none must not look as fast.
+func TestCachedPromptsDoNotShortenTheEstimate(t *testing.T) {
+	is := is.New(t)
+	e := New()
+	random := rand.New(rand.NewPCG(2, 2))
+	for i := range 400 {
+		prompt := 1000 + random.IntN(15_000)
+		cached := 0
+		if i%4 != 0 {
+			cached = prompt * 9 / 10
+		}
+		e.Learn(Sample{
+			At: start, Model: "m", Upstream: "u", EstimatedPrompt: prompt, PromptTokens: prompt,
+			CachedTokens: cached, FirstToken: seconds(0.1 + float64(prompt-cached)/10_000),
+		})
+	}
+	got := e.Estimate(start, "m", "u", 12_000, 0)
+	is.True(got.Known)
+	is.True(got.FirstToken > 1200*time.Millisecond && got.FirstToken < 1400*time.Millisecond)
+}
--- a/scheduling/request.go
+++ b/scheduling/request.go
@@ -107,6 +107,9 @@
 	Abandoned bool
 	// PromptTokens and AnswerTokens are the usage that the engine reported, or 0.
 	PromptTokens, AnswerTokens int
+	// CachedTokens is how many of PromptTokens the engine reported to have had
+	// in its prefix cache.
+	CachedTokens int
 	// FirstToken is the time from dispatch to the first token, or 0.
 	FirstToken time.Duration
 }
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -234,6 +234,7 @@
 		Upstream:        run.state.upstream.ID,
 		EstimatedPrompt: run.request.PromptTokens,
 		PromptTokens:    outcome.PromptTokens,
+		CachedTokens:    outcome.CachedTokens,
 		AnswerTokens:    outcome.AnswerTokens,
 		MaxTokens:       run.request.MaxTokens,
 		FirstToken:      prefill,
