Bench: prompts that begin alike, and engines with a prefix cache

Cause: the scheduler's affinity had never been measured: no prompt of the bench shared its start and no engine kept one.

Change: a switch in the deployment (Sharing) gives the same arrivals and lengths shared starts: three system prompts an organisation (200 to 2,000 tokens), six in ten short prompts go on with a conversation, four in ten long ones with a folder sent before, 5 s to a minute later, at any node or in one data centre. An engine keeps what it has read in the memory that jobs leave free, least recently used first out, and loses it when it restarts or goes cold. One of the fleet's data centres is a deployment of its own.

Nothing changes without the switch: TestWithoutSharedPrefixesAffinityChangesNothing.

--- a/bench/call.go
+++ b/bench/call.go
@@ -37,6 +37,7 @@
 	upstream   *upstream
 	priority   environment.Priority
 	members    []model.Part
+	job        *model.Job
 	connection *connection
 	sentAt     time.Duration
 	firstToken time.Duration
@@ -109,16 +110,18 @@
 	if a.upstream.service != nil {
 		return a.upstream.service.Submit(a.id, a.end)
 	}
-	return a.upstream.engine.Submit(&model.Job{
+	a.job = &model.Job{
 		ID:           a.id,
 		PromptTokens: a.call.arrival.PromptTokens,
 		AnswerTokens: a.call.arrival.AnswerTokens,
 		MaxTokens:    a.call.arrival.MaxTokens,
 		Priority:     a.priority,
 		Members:      a.members,
+		Segments:     segmentsOf(a.call.arrival),
 		Token:        a.token,
 		End:          a.end,
-	})
+	}
+	return a.upstream.engine.Submit(a.job)
 }
 
 // token runs at the upstream.
@@ -157,8 +160,10 @@
 	if c.current != from {
 		return
 	}
+	c.record.CachedTokens = from.job.Cached()
 	c.finishAttempt(scheduling.Outcome{
 		PromptTokens: c.arrival.PromptTokens,
+		CachedTokens: c.record.CachedTokens,
 		AnswerTokens: c.arrival.AnswerTokens,
 		FirstToken:   from.firstToken,
 	})
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -8,6 +8,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/wigeontiller/wigeontiller/bench/model"
+	"github.com/wigeontiller/wigeontiller/bench/workload"
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/tables"
@@ -21,7 +22,7 @@
 )
 
 // ErrDeployment is returned for a name that stands for no deployment.
-var ErrDeployment = eris.New("deployment must be works, cooperative or fleet")
+var ErrDeployment = eris.New("deployment must be works, cooperative, data-centre or fleet")
 
 // Deployment is the size and shape of a site.
 type Deployment struct {
@@ -41,9 +42,12 @@
 	// Load is the mean arrival of prompt tokens as a share of what all engines
 	// can read.
 	Load float64
+	// Sharing says how far prompts begin alike; nil is not at all.
+	Sharing *workload.Sharing
 }
 
-// Deployments lists the sites that can be measured.
+// Deployments lists the sites that can be measured; data-centre is one of the
+// fleet's seven.
 func Deployments() []Deployment {
 	return []Deployment{
 		{
@@ -59,6 +63,11 @@
 			LinkDelay: 4 * time.Millisecond, RegionDelay: 30 * time.Millisecond, ClientDelay: time.Millisecond,
 			ReportInterval: 2 * time.Second, Duration: 10 * time.Second, Load: 0.5,
 		},
+		{
+			Name: "data-centre", DataCentres: 1, Regions: 1, Nodes: 46, Engines: 97, Services: 4, Organisations: 571,
+			LinkDelay: 4 * time.Millisecond, ClientDelay: time.Millisecond,
+			ReportInterval: 2 * time.Second, Duration: time.Minute, Load: 0.5,
+		},
 	}
 }
 
--- a/bench/model/engine.go
+++ b/bench/model/engine.go
@@ -46,6 +46,8 @@
 	// memory is kept for.
 	AnswerTokens, MaxTokens int
 	Priority                environment.Priority
+	// Segments is the parts of the prompt that other prompts may begin with.
+	Segments []Segment
 	// Token is called for each token with the time since the one before, or 0.
 	Token func(interval time.Duration)
 	// End is called once, unless the job was canceled.
@@ -54,8 +56,13 @@
 	// Members are other engines that hold part of the job's memory.
 	Members []Part
 
-	lead     *Engine
-	unread   int
+	lead   *Engine
+	unread int
+	// pinned counts the segments that the cache holds for the job. matched says
+	// that the job's first turn has come; cached is what it found then.
+	pinned   int
+	matched  bool
+	cached   int
 	produced int
 	lastAt   time.Duration
 }
@@ -84,6 +91,7 @@
 	stepping             bool
 	stalledUntil         time.Duration
 	incarnation          uint64
+	cache                prefixCache
 	// reserved is what jobs at other engines hold.
 	reserved map[string]reservation
 	// life tells the events of an earlier process from those of this one.
@@ -94,7 +102,7 @@
 
 // NewEngine returns a warm, idle engine.
 func NewEngine(loop *virtual.Loop) *Engine {
-	return &Engine{loop: loop, reserved: map[string]reservation{}}
+	return &Engine{loop: loop, cache: newPrefixCache(), reserved: map[string]reservation{}}
 }
 
 // Submit starts a job, or returns ErrFull or ErrDown.
@@ -110,6 +118,8 @@
 	e.prefilling = append(e.prefilling, job)
 	e.kvTokens += job.memory()
 	e.peakKVTokens = max(e.peakKVTokens, e.kvTokens)
+	e.pinCache(job)
+	e.cache.shrink(EngineKVTokens - e.kvTokens)
 	if e.Running() > e.bearable(e.loop.Now(), EngineSlots) {
 		e.FellOver++
 		e.Crash()
@@ -126,6 +136,7 @@
 		if match(job) {
 			e.kvTokens -= job.memory()
 			job.freeMembers()
+			e.leaveCache(job)
 		}
 	}
 	e.prefilling = slices.DeleteFunc(e.prefilling, match)
@@ -137,6 +148,7 @@
 	broken := slices.Concat(e.prefilling, e.decoding)
 	e.prefilling, e.decoding = nil, nil
 	e.kvTokens = 0
+	e.cache = newPrefixCache()
 	e.down = true
 	e.stepping = false
 	e.life++
@@ -208,6 +220,7 @@
 		if job == nil {
 			break
 		}
+		e.matchCache(job)
 		tokens := min(left, job.unread)
 		job.unread -= tokens
 		left -= tokens
@@ -250,6 +263,7 @@
 		if job.unread == 0 {
 			e.prefilling = slices.DeleteFunc(e.prefilling, func(j *Job) bool { return j == job })
 			e.decoding = append(e.decoding, job)
+			e.useCache(job)
 			e.produce(job)
 		}
 	}
--- a/bench/model/group.go
+++ b/bench/model/group.go
@@ -34,6 +34,7 @@
 	for _, part := range j.Members {
 		part.Engine.reserved[j.ID] = reservation{j, part.KVTokens}
 		part.Engine.kvTokens += part.KVTokens
+		part.Engine.cache.shrink(EngineKVTokens - part.Engine.kvTokens)
 		part.Engine.peakKVTokens = max(part.Engine.peakKVTokens, part.Engine.kvTokens)
 	}
 	return nil
--- a/bench/record.go
+++ b/bench/record.go
@@ -35,6 +35,8 @@
 	// FirstToken is from the arrival to the first token at the caller.
 	FirstToken time.Duration
 	End        EndKind
+	// CachedTokens is what the engine of a completed prompt had in its cache.
+	CachedTokens int
 	// Reason is set when the request was refused or failed in the queue.
 	Reason scheduling.RefusalReason
 	Ended  time.Duration
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -34,6 +34,8 @@
 	Deployment Deployment
 	Policy     policy.Name
 	Scenario   Scenario
+	// NoAffinity hides from the policy how prompts begin.
+	NoAffinity bool
 }
 
 // The parts of a run at which a data centre leaves and returns, in percent.
--- a/bench/site.go
+++ b/bench/site.go
@@ -119,6 +119,8 @@
 		PromptTokensPerSecond: deployment.Load * float64(deployment.Engines*model.PrefillTokensPerSecond),
 		Nodes:                 deployment.Nodes,
 		Organisations:         deployment.Organisations,
+		DataCentres:           deployment.DataCentres,
+		Sharing:               deployment.Sharing,
 	}
 	if s.config.Scenario == Random {
 		wanted.LeavingShare = leavingShare
--- a/bench/workload/workload.go
+++ b/bench/workload/workload.go
@@ -51,6 +51,8 @@
 	// AnswerTokens is the length of the answer; MaxTokens is what was asked for.
 	AnswerTokens, MaxTokens int
 	Priority                environment.Priority
+	// Segments is the parts that later prompts may share, if any do.
+	Segments []Segment
 	// Leaves is how long after the arrival the caller gives up; 0 is never.
 	Leaves time.Duration
 }
@@ -68,8 +70,12 @@
 	// PromptTokensPerSecond is the mean rate at which prompts arrive.
 	PromptTokensPerSecond float64
 	Nodes, Organisations  int
+	// DataCentres counts them, for Sharing: node i is in i modulo DataCentres.
+	DataCentres int
 	// LeavingShare is the share of callers that leave early.
 	LeavingShare float64
+	// Sharing says how far prompts begin alike; nil is not at all.
+	Sharing *Sharing
 }
 
 // Generate returns the requests in the order of arrival.
@@ -81,12 +87,16 @@
 	for {
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if at >= config.Duration {
-			return requests
+			break
 		}
 		request := generate(random, config, len(requests))
 		request.At = at
 		requests = append(requests, request)
 	}
+	if config.Sharing != nil {
+		share(requests, config)
+	}
+	return requests
 }
 
 func generate(random *rand.Rand, config Config, number int) *Request {
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -20,6 +20,8 @@
 	deployment string
 	plot       string
 	random     bool
+	prefixes   bool
+	load       float64
 	duration   time.Duration
 }
 
@@ -29,9 +31,11 @@
 		"The exit code is 1 when a run of the product broke an invariant."
 	options := &benchOptions{seed: 1, deployment: "works"}
 	parsed.UInt64(&options.seed, "s", "seed", "Seed of the requests, links and faults; the same seed gives the same figures.")
-	parsed.String(&options.deployment, "d", "deployment", "Site to measure: works, cooperative or fleet.")
+	parsed.String(&options.deployment, "d", "deployment", "Site to measure: works, cooperative, data-centre or fleet.")
 	parsed.String(&options.plot, "p", "plot", "SVG file to draw the first-token time by prompt length into.")
 	parsed.Bool(&options.random, "r", "random", "Instead check the invariants under random faults.")
+	parsed.Bool(&options.prefixes, "x", "shared-prefixes", "Instead compare the product with and without prefix affinity on prompts that begin alike.")
+	parsed.Float64(&options.load, "l", "load", "Prompt tokens that arrive, as a share of what all engines can read; the default is the site's.")
 	parsed.Duration(&options.duration, "t", "duration", "Virtual time over which requests arrive; the default is the site's.")
 	parser.AttachSubcommand(parsed, 1)
 	return []*command{{parsed: parsed, run: options.run}}
@@ -48,6 +52,15 @@
 	if o.duration > 0 {
 		deployment.Duration = o.duration
 	}
+	if o.load < 0 {
+		return eris.Wrap(ErrUsage, "--load must not be negative")
+	}
+	if o.load > 0 {
+		deployment.Load = o.load
+	}
+	if o.prefixes {
+		return o.comparePrefixes(env, deployment)
+	}
 	if o.random {
 		return o.check(env, deployment)
 	}
@@ -68,6 +81,22 @@
 	return nil
 }
 
+func (o *benchOptions) comparePrefixes(env *environment, deployment bench.Deployment) error {
+	compared, err := bench.ComparePrefixes(o.seed, deployment)
+	if err != nil {
+		return err
+	}
+	if err := env.print(compared, report.PrefixText(compared)); err != nil {
+		return err
+	}
+	for _, result := range compared.Results {
+		if len(result.Breaches) > 0 {
+			return ErrBreach
+		}
+	}
+	return nil
+}
+
 func (o *benchOptions) measure(env *environment, deployment bench.Deployment) error {
 	comparison, err := bench.Compare(o.seed, deployment)
 	if err != nil {
