Prefixes go to one of two engines by rendezvous hashing

Cause: one point an engine on the ring gives some engines twice the prefixes of others and hands all of a leaving engine's to one neighbour.

Change: the engine of a prefix is the first by rendezvous hashing among up to 64 from its place on the ring; where that is full, away or more than a quarter of its slots over the best of two, the second, which is the same at every node.

--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -15,9 +15,6 @@
 	// linkCost is the wait in the own data centre that sending a request over
 	// a link is worth.
 	linkCost = 50 * time.Millisecond
-	// affinitySlack is how much more loaded, as a part of its slots, the
-	// upstream that holds a prompt's prefix may be.
-	affinitySlack = 0.25
 	// shortDemand is how long a short prompt keeps the reserve closed.
 	shortDemand = 5 * time.Second
 	whole       = 100
@@ -58,14 +55,7 @@
 		return nil
 	}
 	best, score := s.leastOfSome(now, w, side)
-	if best == nil || w.request.PrefixHash == 0 {
-		return best
-	}
-	near := side.nearest(w.request.PrefixHash)
-	if near.free >= 0 && s.hasRoom(now, near, w) && s.scoreFor(now, near) <= score+affinitySlack {
-		return near
-	}
-	return best
+	return s.withPrefix(now, w, side, best, score)
 }
 
 // leastOfSome compares a few random upstreams with room. Looking at all would
--- a/scheduling/pool.go
+++ b/scheduling/pool.go
@@ -85,11 +85,8 @@
 	m.free = -1
 }
 
-// nearest returns the member at or after a hash on the ring.
-func (g *group) nearest(hash uint64) *member {
-	if len(g.all) == 0 {
-		return nil
-	}
+// after returns the place of the first member at or after a hash on the ring.
+func (g *group) after(hash uint64) int {
 	at, _ := slices.BinarySearchFunc(g.all, hash, func(m *member, h uint64) int { return cmp.Compare(m.state.hash, h) })
-	return g.all[at%len(g.all)]
+	return at
 }
