Entry nodes name the start of each prompt for affinity

Cause: the scheduler placed by Request.PrefixHash, which nothing set.

Change: package scheduling/prefix names a prompt by xxhash of environment, lane, organisation, model, the first message when it is a system or developer message, and 2 KiB after it: the part that stays the same while a conversation grows. It reads the raw JSON in place, at most 66 KiB of it. Two organisations never share a name, and engines get a salt of environment, lane and organisation (X-Cache-Salt), so that none can time what another sent. Usage's cached_tokens, no more than the prompt, reach the estimator and the counters wigeontiller_prompt_tokens_total and wigeontiller_cached_prompt_tokens_total. A sample without usage teaches no first-token time while others have it.

Tests: FuzzParsePrompt also hashes. TestCachedPromptsDoNotShortenTheEstimate fails without the rule on usage.

--- a/entry/accept.go
+++ b/entry/accept.go
@@ -128,8 +128,8 @@
 	model     string
 	stream    bool
 	maxTokens int
-	// textBytes is the size of the prompt's text in bytes.
-	textBytes int
+	// text is the raw JSON of the messages or of the prompt.
+	text string
 }
 
 // parsePrompt reads a completion body without copying it.
@@ -142,7 +142,10 @@
 		model:     strings.Clone(fields[0].String()),
 		stream:    fields[1].Bool(),
 		maxTokens: defaultMaxTokens,
-		textBytes: max(len(fields[4].Raw), len(fields[5].Raw)),
+		text:      fields[4].Raw,
+	}
+	if len(fields[5].Raw) > len(parsed.text) {
+		parsed.text = fields[5].Raw
 	}
 	for _, field := range fields[2:4] {
 		if field.Exists() {
@@ -152,7 +155,7 @@
 	if parsed.model == "" {
 		return prompt{}, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, "model is required")
 	}
-	if parsed.textBytes == 0 {
+	if parsed.text == "" {
 		return prompt{}, apierror.New(fiber.StatusBadRequest, apierror.BadRequest, "messages or prompt is required")
 	}
 	if parsed.maxTokens <= 0 || parsed.maxTokens > maxBodyBytes {
@@ -163,5 +166,5 @@
 
 // promptTokens estimates a prompt's length in tokens.
 func (p prompt) promptTokens() int {
-	return max(1, p.textBytes/bytesPerToken)
+	return max(1, len(p.text)/bytesPerToken)
 }
--- a/entry/accept_test.go
+++ b/entry/accept_test.go
@@ -4,13 +4,15 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/scheduling/prefix"
 )
 
 func TestParsePrompt(t *testing.T) {
 	is := is.New(t)
 	parsed, failure := parsePrompt([]byte(`{"model":"m","stream":true,"max_tokens":7,"prompt":"0123456789"}`), 512)
 	is.True(failure == nil)
-	is.Equal(parsed, prompt{model: "m", stream: true, maxTokens: 7, textBytes: 12})
+	is.Equal(parsed, prompt{model: "m", stream: true, maxTokens: 7, text: `"0123456789"`})
 	parsed, failure = parsePrompt([]byte(`{"model":"m","prompt":"a"}`), 512)
 	is.True(failure == nil)
 	is.Equal(parsed.maxTokens, 512)
@@ -27,5 +29,6 @@
 		if parsed.model == "" || parsed.maxTokens <= 0 || parsed.promptTokens() < 1 {
 			t.Fatalf("accepted %+v", parsed)
 		}
+		prefix.Hash(prefix.Scope{}, parsed.text) // takes whatever was accepted
 	})
 }
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -10,6 +10,7 @@
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/callerwatch"
 	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/scheduling/prefix"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
 
@@ -62,22 +63,36 @@
 	}
 	request.Model = parsed.model
 	request.MaxTokens = parsed.maxTokens
+	scope := scopeOf(request)
+	request.PrefixHash = prefix.Hash(scope, parsed.text)
 	return &call{
 		request:    request,
 		callerID:   requestID(c),
 		method:     fiber.MethodPost,
 		path:       string(c.Request().URI().Path()),
-		header:     engineHeader(request),
+		header:     engineHeader(request, scope),
 		body:       bytes.Clone(c.Body()),
 		stream:     parsed.stream,
 		idempotent: true,
 	}, nil
 }
 
-func engineHeader(request *scheduling.Request) map[string]string {
+// scopeOf bounds who may share the prefix of a prompt: one organisation's
+// callers in one lane, so that no other can tell by timing what was sent.
+func scopeOf(request *scheduling.Request) prefix.Scope {
+	return prefix.Scope{
+		Environment:  request.Plan.Environment,
+		Lane:         string(request.Plan.Lane),
+		Organisation: request.Organisation.Name,
+		Model:        request.Model,
+	}
+}
+
+func engineHeader(request *scheduling.Request, scope prefix.Scope) map[string]string {
 	return map[string]string{
-		fiber.HeaderContentType: fiber.MIMEApplicationJSON,
-		upstream.HeaderPriority: request.Priority.String(),
+		upstream.HeaderCacheSalt: scope.Salt(),
+		fiber.HeaderContentType:  fiber.MIMEApplicationJSON,
+		upstream.HeaderPriority:  request.Priority.String(),
 	}
 }
 
@@ -110,7 +125,9 @@
 		return nil
 	}
 	defer finish()
-	defer answer.close(wholeOutcome(answer))
+	outcome := wholeOutcome(answer)
+	s.countUsage(accepted.request, outcome)
+	defer answer.close(outcome)
 	return s.sendWhole(c, answer)
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -41,6 +41,7 @@
 		return
 	}
 	drain(r.events)
+	s.countUsage(r.call.request, r.outcome)
 	r.got.close(r.outcome)
 }
 
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -17,13 +17,22 @@
 	if !bytes.Contains(data, usageField) {
 		return
 	}
-	fields := gjson.GetManyBytes(data, "usage.prompt_tokens", "usage.completion_tokens")
+	fields := gjson.GetManyBytes(data, "usage.prompt_tokens", "usage.completion_tokens", "usage.prompt_tokens_details.cached_tokens")
 	if prompt := fields[0].Int(); prompt > 0 {
 		outcome.PromptTokens = int(prompt)
 		outcome.AnswerTokens = max(0, int(fields[1].Int()))
+		outcome.CachedTokens = min(max(0, int(fields[2].Int())), outcome.PromptTokens)
 	}
 }
 
+// countUsage adds what an engine reported to its model's counters.
+func (s *Server) countUsage(request *scheduling.Request, outcome scheduling.Outcome) {
+	if outcome.PromptTokens == 0 || request.Model == "" {
+		return
+	}
+	s.config.Metrics.Usage(request.Model, outcome.PromptTokens, outcome.CachedTokens)
+}
+
 // wholeOutcome is the outcome of an answer that has arrived whole.
 func wholeOutcome(got *answer) scheduling.Outcome {
 	var outcome scheduling.Outcome
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -11,8 +11,12 @@
 func TestReadUsage(t *testing.T) {
 	is := is.New(t)
 	for data, want := range map[string]scheduling.Outcome{
-		`{"usage":{"prompt_tokens":7,"completion_tokens":3}}`:  {PromptTokens: 7, AnswerTokens: 3},
-		`{"usage":{"prompt_tokens":7,"completion_tokens":-3}}`: {PromptTokens: 7},
+		`{"usage":{"prompt_tokens":7,"completion_tokens":3}}`:                                              {PromptTokens: 7, AnswerTokens: 3},
+		`{"usage":{"prompt_tokens":7,"completion_tokens":-3}}`:                                             {PromptTokens: 7},
+		`{"usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":5}}}`:  {PromptTokens: 7, AnswerTokens: 3, CachedTokens: 5},
+		`{"usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":9}}}`:  {PromptTokens: 7, AnswerTokens: 3, CachedTokens: 7}, // no more than the prompt
+		`{"usage":{"prompt_tokens":7,"completion_tokens":3,"prompt_tokens_details":{"cached_tokens":-9}}}`: {PromptTokens: 7, AnswerTokens: 3},
+		`{"usage":{"prompt_tokens":7,"prompt_tokens_details":null}}`:                                       {PromptTokens: 7},
 		`{"usage":null}`: {},
 		`{"usage":"text`: {},
 		`{"choices":[]}`: {},
--- a/scheduling/estimation/estimator.go
+++ b/scheduling/estimation/estimator.go
@@ -25,6 +25,9 @@
 	EstimatedPrompt, PromptTokens, AnswerTokens int
 	// CachedTokens is how many of PromptTokens the engine did not have to read.
 	CachedTokens int
+	// MayBeCached says that an engine may have had the prompt's start in its
+	// cache, as it would say in its own figures.
+	MayBeCached bool
 	// MaxTokens bounded the answer.
 	MaxTokens int
 	// FirstToken is the time from dispatch to the first token, or 0.
@@ -57,6 +60,8 @@
 	used       float64
 	failure    float64
 	at         time.Time
+	// reported is when a sample last had the engine's own figures.
+	reported time.Time
 }
 
 // New returns an estimator that knows nothing.
@@ -144,10 +149,17 @@
 	c.learnDecode(sample)
 }
 
+// learnPrefill leaves out a sample that may be fast because of a cache and does
+// not say so, while other samples do say.
 func (c *curve) learnPrefill(sample Sample) {
 	if sample.FirstToken <= 0 {
 		return
 	}
+	if sample.PromptTokens > 0 {
+		c.reported = sample.At
+	} else if sample.MayBeCached && sample.At.Sub(c.reported) < lifetime {
+		return
+	}
 	length := float64(sample.PromptTokens)
 	if length == 0 {
 		length = float64(sample.EstimatedPrompt) * c.correction
--- a/scheduling/estimation/estimator_test.go
+++ b/scheduling/estimation/estimator_test.go
@@ -88,10 +88,14 @@
 		if i%4 != 0 {
 			cached = prompt * 9 / 10
 		}
-		e.Learn(Sample{
+		sample := Sample{
 			At: start, Model: "m", Upstream: "u", EstimatedPrompt: prompt, PromptTokens: prompt,
-			CachedTokens: cached, FirstToken: seconds(0.1 + float64(prompt-cached)/10_000),
-		})
+			CachedTokens: cached, MayBeCached: true, FirstToken: seconds(0.1 + float64(prompt-cached)/10_000),
+		}
+		if i%8 == 7 { // an engine that does not say what it had cached
+			sample.PromptTokens, sample.CachedTokens = 0, 0
+		}
+		e.Learn(sample)
 	}
 	got := e.Estimate(start, "m", "u", 12_000, 0)
 	is.True(got.Known)
--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -235,6 +235,7 @@
 		EstimatedPrompt: run.request.PromptTokens,
 		PromptTokens:    outcome.PromptTokens,
 		CachedTokens:    outcome.CachedTokens,
+		MayBeCached:     run.request.PrefixHash != 0,
 		AnswerTokens:    outcome.AnswerTokens,
 		MaxTokens:       run.request.MaxTokens,
 		FirstToken:      prefill,
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -68,6 +68,13 @@
 	m.Observe("wigeontiller_first_token_seconds", taken)
 }
 
+// Usage counts the prompt tokens that an engine reported, and those of them that
+// it had in its prefix cache.
+func (m *Metrics) Usage(model string, prompt, cached int) {
+	m.Count(fmt.Sprintf("wigeontiller_prompt_tokens_total{model=%q}", model), int64(prompt))
+	m.Count(fmt.Sprintf("wigeontiller_cached_prompt_tokens_total{model=%q}", model), int64(cached))
+}
+
 // InvariantBroken counts a breach of something that must always hold.
 func (m *Metrics) InvariantBroken(name string) {
 	m.Count(fmt.Sprintf("wigeontiller_invariant_broken_total{invariant=%q}", name), 1)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,6 +24,9 @@
 	HeaderAttempt = "X-Attempt-ID"
 	// HeaderPriority carries the priority to an engine.
 	HeaderPriority = "X-Request-Priority"
+	// HeaderCacheSalt names who may share an engine's prefix cache entries: an
+	// engine uses an entry only for the salt that it was read under.
+	HeaderCacheSalt = "X-Cache-Salt"
 	// HeaderOwner names the entry node process that an engine's stream is for.
 	HeaderOwner = "X-Wigeontiller-Owner"
 	// HeaderNotRun is set by an upstream that refused an attempt unrun.
