Stand-in engine has a prefix cache; prefixes proved over HTTP

Change: the stand-in keeps blocks of 256 tokens of prompts that it has read, in limited memory (--prefix-cache, off by default), least recently used first out, by salt and model; it loses them when it restarts. It reports cached_tokens in usage and counts tokens read and spared.

Tests, by counts of tokens and no clock: two entry nodes send a repeated prompt to the engine that has it; nothing is shared between organisations; an engine that restarted, was taken out and came back, or evicted the prompt costs a second reading and no wrong answer. Seen to fail on a scratch copy: without the prefix hash five, without the salt TestOrganisationsShareNoCache.

--- /dev/null
+++ b/entry/prefix_test.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/wigeontiller/wigeontiller/claim/claimstore"
+	"github.com/wigeontiller/wigeontiller/configuration"
+	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/standin/engine"
+	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/tables"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+const (
+	prefixEngines = 4
+	prefixNodes   = 2
+	// prefixBlock is the length of a block of the stand-in's cache, in tokens.
+	prefixBlock = 256
+)
+
+// prefixSite is several entry nodes before several engines with prefix caches.
+type prefixSite struct {
+	is          *is.I
+	document    *environment.Document
+	site        configuration.Site
+	engines     []*engine.Engine
+	dispatchers []*dispatch.Dispatcher
+	metrics     []*telemetry.Metrics
+	urls        []string
+}
+
+func newPrefixSite(t *testing.T, cacheTokens int) *prefixSite {
+	s := &prefixSite{is: is.New(t), site: configuration.NewSite()}
+	config := engine.Config{Slots: 8, KVTokens: 200_000, PrefillTokensPerSecond: 1_000_000, TokenInterval: time.Millisecond, PrefixCacheTokens: cacheTokens}
+	var engines strings.Builder
+	for i := range prefixEngines {
+		server := engine.NewServer(config, new(fault.Control))
+		s.engines = append(s.engines, server.Engine())
+		_, _ = fmt.Fprintf(&engines, "- {name: e%d, data_centre: dc-a, vm: vm%d, address: %q, models: [adviser], slots: 8, kv_tokens: 200000}\n", i, i, listen(t, server.App()))
+	}
+	parsed, err := environment.Parse(fmt.Appendf(nil, `name: works
+models: [{name: adviser, context_tokens: 1048576}]
+organisations: [{name: dock, key_digests: [%q]}, {name: quay, key_digests: [%q]}]
+length_classes: [{name: any, max_prompt_tokens: 1000000, deadline: 20s}]
+ramp: {initial_percent: 50, duration: 1ms}
+engines:
+%s`, environment.KeyDigest(testKey), environment.KeyDigest(otherKey), engines.String()))
+	s.is.NoErr(err)
+	s.document = parsed
+	s.site.Environments["works"] = configuration.Environment{ProductionDigest: "d"}
+	for i := range prefixNodes {
+		s.addNode(t, uint64(i))
+	}
+	s.configure()
+	return s
+}
+
+func (s *prefixSite) addNode(t *testing.T, seed uint64) {
+	dispatcher := dispatch.New(scheduling.NewSeeded("dc-a", rand.New(rand.NewPCG(seed, seed))))
+	metrics := telemetry.NewMetrics()
+	server := NewServer(Config{
+		Tokens: testSigner(t), Dispatcher: dispatcher, Upstreams: upstream.NewClient(), Logger: zerolog.Nop(),
+		Tracer: noop.NewTracerProvider().Tracer("test"), Metrics: metrics,
+		Claims: claimstore.New(claimstore.Config{Platform: memory.New(), Metrics: metrics, Node: fmt.Sprint("n", seed)}),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go dispatcher.Run(ctx)
+	s.dispatchers = append(s.dispatchers, dispatcher)
+	s.metrics = append(s.metrics, metrics)
+	s.urls = append(s.urls, "http://"+listen(t, server.App()))
+}
+
+// configure puts the site in force at all nodes.
+func (s *prefixSite) configure() {
+	s.site.Version++
+	for _, dispatcher := range s.dispatchers {
+		dispatcher.Configure(tables.Build(s.site, map[string]*environment.Document{"d": s.document}))
+	}
+}
+
+// send gives a prompt to a node and returns the engine that ran it and the
+// tokens of it that came from the cache. Prompts are sent one after the other.
+func (s *prefixSite) send(node int, key, content string) (ran, cached int) {
+	before := make([]int, len(s.engines))
+	for i, one := range s.engines {
+		before[i] = one.Load().Runs
+	}
+	request, err := http.NewRequest(http.MethodPost, s.urls[node]+"/v1/chat/completions", strings.NewReader(chat(content, 2, false)))
+	s.is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	s.is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	s.is.NoErr(err)
+	s.is.Equal(response.StatusCode, http.StatusOK)
+	s.is.True(strings.Contains(gjson.GetBytes(body, "choices.0.message.content").String(), "-2 ")) // the whole answer
+	ran = -1
+	for i, one := range s.engines {
+		if one.Load().Runs > before[i] {
+			s.is.Equal(ran, -1) // one engine ran it, once
+			ran = i
+		}
+	}
+	return ran, int(gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens").Int())
+}
+
+func (s *prefixSite) readTokens() int {
+	read := 0
+	for _, one := range s.engines {
+		read += one.Load().ReadTokens
+	}
+	return read
+}
+
+// folder is a long text, another for each mark.
+func folder(mark string) string { return strings.Repeat(mark+" ", 20_000/(len(mark)+1)) }
+
+func TestNodesSendAPrefixToTheEngineThatHasIt(t *testing.T) {
+	s := newPrefixSite(t, 100_000)
+	const rounds = 4
+	used := map[int]bool{}
+	for i := range 8 {
+		content := folder(fmt.Sprint("folder", i))
+		first, cached := s.send(0, testKey, content)
+		s.is.Equal(cached, 0)
+		used[first] = true
+		read := s.readTokens()
+		for round := 1; round < rounds; round++ {
+			again, cached := s.send(round%prefixNodes, testKey, content+fmt.Sprint("question ", round))
+			s.is.Equal(again, first)
+			s.is.True(cached >= len(content)/bytesPerToken-prefixBlock)
+		}
+		s.is.True(s.readTokens()-read <= (rounds-1)*2*prefixBlock) // the questions and a block that was not whole
+	}
+	s.is.True(len(used) > 1) // different folders spread
+	prompt := s.metrics[0].CounterValue(`wigeontiller_prompt_tokens_total{model="adviser"}`)
+	counted := s.metrics[0].CounterValue(`wigeontiller_cached_prompt_tokens_total{model="adviser"}`)
+	s.is.True(counted > 0 && counted < prompt)
+}
+
+func TestOrganisationsShareNoCache(t *testing.T) {
+	s := newPrefixSite(t, 100_000)
+	for i := range 8 { // whatever engines the two come to
+		content := folder(fmt.Sprint("shared", i))
+		s.send(0, testKey, content)
+		_, cached := s.send(0, otherKey, content)
+		s.is.Equal(cached, 0)
+		_, cached = s.send(1, otherKey, content)
+		s.is.True(cached > 0)
+	}
+}
+
+func TestPrefixCacheLostByRestart(t *testing.T) {
+	s := newPrefixSite(t, 100_000)
+	content := folder("brand")
+	home, _ := s.send(0, testKey, content)
+	s.engines[home].Crash(0)
+	again, cached := s.send(1, testKey, content)
+	s.is.Equal(again, home)
+	s.is.Equal(cached, 0) // read again, and right all the same
+	_, cached = s.send(0, testKey, content)
+	s.is.True(cached > 0)
+}
+
+func TestPrefixMovesWhileItsEngineIsOut(t *testing.T) {
+	s := newPrefixSite(t, 100_000)
+	content := folder("brand")
+	home, _ := s.send(0, testKey, content)
+	vm := fmt.Sprint("vm", home)
+	s.site.OutVMs[vm] = true
+	s.configure()
+	second, cached := s.send(0, testKey, content)
+	s.is.True(second != home)
+	s.is.Equal(cached, 0)
+	again, cached := s.send(1, testKey, content)
+	s.is.Equal(again, second) // the second choice is the same at every node
+	s.is.True(cached > 0)
+	delete(s.site.OutVMs, vm)
+	s.configure()
+	back, cached := s.send(1, testKey, content)
+	s.is.Equal(back, home)
+	s.is.True(cached > 0)
+}
+
+func TestPrefixThatWasEvictedIsReadAgain(t *testing.T) {
+	s := newPrefixSite(t, 4_900) // one folder
+	content := folder("brand")
+	home, _ := s.send(0, testKey, content)
+	for i := 0; ; i++ {
+		ran, _ := s.send(1, testKey, folder(fmt.Sprint("other", i)))
+		if ran == home {
+			break
+		}
+	}
+	again, cached := s.send(1, testKey, content)
+	s.is.Equal(again, home)
+	s.is.True(cached < prefixBlock) // evicted
+	_, cached = s.send(0, testKey, content)
+	s.is.True(cached > 0)
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -21,6 +21,8 @@
 	Grace time.Duration
 	// ColdStart is how long after a start it bears one request at a time.
 	ColdStart time.Duration
+	// PrefixCacheTokens is the memory for prompts that were read; 0 is none.
+	PrefixCacheTokens int
 	// Orders says how it takes orders.
 	Orders OrdersConfig
 }
@@ -34,6 +36,9 @@
 	answer   int
 	produced int
 	canceled bool
+	// blocks names the prompt's blocks; cached is the tokens that need no reading.
+	blocks []uint64
+	cached int
 	// kvTokens is the memory held here; lead is set when others hold the rest.
 	kvTokens int
 	lead     *lead
@@ -68,9 +73,12 @@
 	rejected int
 	// unloaded counts the attempts for a model that was not loaded.
 	unloaded int
-	life     life
-	history  history
-	models   models
+	// readTokens and cachedTokens count prompt tokens since the process started.
+	readTokens, cachedTokens int
+	prefixes                 prefixCache
+	life                     life
+	history                  history
+	models                   models
 }
 
 // chunkTokens is how much of a prompt is read before another prompt's turn.
@@ -140,16 +148,18 @@
 // read spends the time that the prompt takes, a chunk at a time in turn with
 // other prompts. It reports false when the attempt was canceled.
 func (e *Engine) read(s *stream) bool {
-	for left := s.prompt; left > 0; left -= chunkTokens {
+	e.matchPrefix(s)
+	for left := s.prompt - s.cached; left > 0; left -= chunkTokens {
 		if e.isCanceled(s) {
 			return false
 		}
 		tokens := min(left, chunkTokens)
 		e.prefill.Lock()
-		e.begin(s)
+		e.begin(s, tokens)
 		time.Sleep(time.Duration(tokens) * time.Second / time.Duration(e.config.PrefillTokensPerSecond))
 		e.prefill.Unlock()
 	}
+	e.keepPrefix(s)
 	return !e.isCanceled(s)
 }
 
@@ -168,10 +178,11 @@
 	return true
 }
 
-func (e *Engine) begin(s *stream) {
+func (e *Engine) begin(s *stream, tokens int) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	s.begun = true
+	e.readTokens += tokens
 }
 
 func (e *Engine) isCanceled(s *stream) bool {
--- a/standin/engine/life.go
+++ b/standin/engine/life.go
@@ -26,6 +26,7 @@
 	clear(e.kept)
 	clear(e.reserved)
 	e.kvTokens = 0
+	e.prefixes = newPrefixCache(e.config.PrefixCacheTokens)
 	e.life = life{
 		incarnation: max(e.life.incarnation+1, now.UnixNano()),
 		started:     now,
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -25,6 +25,9 @@
 	Runs         int `json:"runs"`
 	Rejected     int `json:"rejected"`
 	Unloaded     int `json:"unloaded"`
+	// ReadTokens and CachedTokens count prompt tokens since the process started.
+	ReadTokens   int `json:"read_tokens"`
+	CachedTokens int `json:"cached_tokens"`
 	// Models lists what is loaded; null when the engine takes no orders.
 	Models []string `json:"models"`
 	// Fencing is the highest fencing number of an order taken.
@@ -59,6 +62,8 @@
 		Runs:         e.runs,
 		Rejected:     e.rejected,
 		Unloaded:     e.unloaded,
+		ReadTokens:   e.readTokens,
+		CachedTokens: e.cachedTokens,
 		Models:       e.models.list(now),
 		Fencing:      e.models.fencing,
 		Streams:      make([]StreamLoad, 0, len(e.streams)),
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -81,6 +81,11 @@
 		c.Set(upstream.HeaderNotRun, "true")
 		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
+	text := fields[3].Raw
+	if len(fields[4].Raw) > len(text) {
+		text = fields[4].Raw
+	}
+	admitted.blocks = blocksOf(c.Get(upstream.HeaderCacheSalt), fields[0].String(), text)
 	answer := answerWriter{model: fields[0].String(), mark: Mark(body), id: admitted.id, chat: strings.Contains(c.Path(), "chat")}
 	if fields[1].Bool() {
 		s.stream(c, admitted, answer)
@@ -146,9 +151,14 @@
 }
 
 type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
 }
 
 type completion struct {
@@ -209,5 +219,10 @@
 }
 
 func usageOf(s *stream) *usage {
-	return &usage{PromptTokens: s.prompt, CompletionTokens: s.produced, TotalTokens: s.prompt + s.produced}
+	return &usage{
+		PromptTokens:     s.prompt,
+		CompletionTokens: s.produced,
+		TotalTokens:      s.prompt + s.produced,
+		PromptDetails:    promptDetails{CachedTokens: s.cached},
+	}
 }
--- a/standin/standincli/standincli.go
+++ b/standin/standincli/standincli.go
@@ -59,6 +59,7 @@
 	engines.Duration(&chosen.engine.TokenInterval, "", "token-interval", "Time between tokens.")
 	engines.Duration(&chosen.engine.Grace, "", "grace", "How long a stream without a reader runs on.")
 	engines.Duration(&chosen.engine.ColdStart, "", "cold-start", "Time after a start in which it bears one request at a time.")
+	engines.Int(&chosen.engine.PrefixCacheTokens, "", "prefix-cache", "Memory in tokens for the starts of prompts that were read; 0 is none.")
 	engines.Bool(&chosen.engine.Orders.Managed, "", "orders", "Take orders and serve only what is loaded.")
 	engines.StringSlice(&chosen.engine.Orders.Models, "", "model", "A model loaded at each start; may stand more than once.")
 	engines.Bool(&chosen.engine.Orders.Fencing, "", "fencing", "Refuse orders with an old fencing number.")
