--- a/bench/model/doc.go
+++ b/bench/model/doc.go
@@ -9,7 +9,12 @@
 // little for each sequence and for the memory in use, and a quarter of the
 // chunk's time, because decoding is bound by memory and reading by arithmetic.
 // The prefill rate is the same at every length: the growth of attention with
-// the length is left out, and so is the prefix cache.
+// the length is left out.
+//
+// A prefix cache keeps the prompts that were read in the memory that jobs leave
+// free, and gives up the start that was used longest ago. A job finds what is
+// there when its first chunk is read. It is lost when the engine restarts or goes
+// cold. Answers are not kept, nor prompts that several engines hold.
 //
 // Memory is kept for the prompt and the longest answer asked for, from the
 // start of a job to its end; a job without a slot or memory is refused.
