--- a/scheduling/running.go
+++ b/scheduling/running.go
@@ -234,6 +234,8 @@
 		Upstream:        run.state.upstream.ID,
 		EstimatedPrompt: run.request.PromptTokens,
 		PromptTokens:    outcome.PromptTokens,
+		CachedTokens:    outcome.CachedTokens,
+		MayBeCached:     run.request.PrefixHash != 0,
 		AnswerTokens:    outcome.AnswerTokens,
 		MaxTokens:       run.request.MaxTokens,
 		FirstToken:      prefill,
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -25,6 +25,9 @@
 	Runs         int `json:"runs"`
 	Rejected     int `json:"rejected"`
 	Unloaded     int `json:"unloaded"`
+	// ReadTokens and CachedTokens count prompt tokens since the process started.
+	ReadTokens   int `json:"read_tokens"`
+	CachedTokens int `json:"cached_tokens"`
 	// Models lists what is loaded; null when the engine takes no orders.
 	Models []string `json:"models"`
 	// Role is left out by an engine without roles.
@@ -63,6 +66,8 @@
 		Runs:           e.runs,
 		Rejected:       e.rejected,
 		Unloaded:       e.unloaded,
+		ReadTokens:     e.readTokens,
+		CachedTokens:   e.cachedTokens,
 		Models:         e.models.list(now),
 		Role:           e.models.role,
 		Fencing:        e.models.fencing,
