Short prompts go where their first token is expected first

The change: the score of a short prompt is the time in which it is expected to be read: own unread tokens and its own length, slowed by the memory in use, plus a part for what others may have sent. Slots count as the ramp allows. Long prompts, calls and prefix affinity compare load as before.

--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -57,12 +57,12 @@
 	if len(side.free) == 0 {
 		return nil
 	}
-	best, score := s.leastOfSome(now, w, side)
+	best := s.leastOfSome(now, w, side)
 	if best == nil || w.request.PrefixHash == 0 {
 		return best
 	}
 	near := side.nearest(w.request.PrefixHash)
-	if near.free >= 0 && s.hasRoom(now, near, w) && s.scoreFor(now, near) <= score+affinitySlack {
+	if near.free >= 0 && s.hasRoom(now, near, w) && near.loadScore(now) <= best.loadScore(now)+affinitySlack {
 		return near
 	}
 	return best
@@ -70,7 +70,7 @@
 
 // leastOfSome compares a few random upstreams with room. Looking at all would
 // send every node to the one whose stale report is the lowest.
-func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) (*member, float64) {
+func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) *member {
 	var best *member
 	var bestScore float64
 	found := 0
@@ -82,12 +82,12 @@
 			continue
 		}
 		found++
-		score := s.scoreFor(now, m)
+		score := s.scoreFor(now, m, w)
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
 		}
 	}
-	return best, bestScore
+	return best
 }
 
 // stride is a random step that visits every place: prime to the count.
@@ -109,11 +109,6 @@
 	return a
 }
 
-func (s *Scheduler) scoreFor(now time.Time, m *member) float64 {
-	unread := float64(m.state.reading) / float64(max(1, m.pool.plan.Document.Reserve.ShortPromptTokens))
-	return m.state.score(now) + unread
-}
-
 // suits reports whether the upstream could run the request when idle.
 func (s *Scheduler) suits(m *member, request *Request) bool {
 	upstream := m.state.upstream
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -66,17 +66,6 @@
 	free int
 }
 
-// score compares upstreams by load; 1 is full.
-func (u *upstreamState) score(now time.Time) float64 {
-	others, othersKV := u.elsewhere(now)
-	load := float64(u.requests + others)
-	score := load / float64(max(u.upstream.Slots, 1))
-	if u.upstream.KVTokens > 0 {
-		score = max(score, float64(u.kvTokens+othersKV)/float64(u.upstream.KVTokens))
-	}
-	return score
-}
-
 // elsewhere is what other nodes have running by a report that still counts.
 func (u *upstreamState) elsewhere(now time.Time) (requests, kvTokens int) {
 	if now.Sub(u.reported) >= reportLifetime {
