Each node prefers some engines for short prompts, and knows what they read

Cause: with more choices than two the first token got worse, since a node knows only the unread tokens that it sent itself, a third of its data centre's; reports are 0.25 to 1.25 s old, a short prompt is read in 0.2 s.

The change: an engine of a data centre is the home of one of its live nodes. A short prompt goes to the home engine of the best score (up to 8 compared), or to one of two random others when that is better by 0.3 of the longest short prompt. The position among the live nodes comes from membership, each second; wrong positions only make choices worse.

Tests: the home tests fail without home upstreams (nil in place of leastOfHome) and TestLessToReadWinsOverLessMemory with the load as score.

--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -72,6 +72,12 @@
 	return Deployment{}, ErrDeployment
 }
 
+// nodesIn counts the nodes in the data centre of a node.
+func (d Deployment) nodesIn(node int) int {
+	first := node % d.DataCentres
+	return (d.Nodes - first + d.DataCentres - 1) / d.DataCentres
+}
+
 func dataCentreName(number int) string {
 	return fmt.Sprintf("dc-%d", number)
 }
--- a/bench/policy/baseline.go
+++ b/bench/policy/baseline.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// SetPosition does nothing: a baseline's nodes are all alike.
+func (b *baseline) SetPosition(int, int) {}
+
 // Pending is false: no request waits.
 func (b *baseline) Pending() bool { return false }
 
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -43,6 +43,8 @@
 	Requeue(now time.Time, request *scheduling.Request) (time.Duration, bool)
 	// Check returns an error when the policy's books don't add up.
 	Check() error
+	// SetPosition tells the node's position among those of its data centre.
+	SetPosition(position, nodes int)
 	// Observe takes a report.
 	Observe(now time.Time, report Report)
 	// Pending reports whether Advance has decisions to return already.
--- a/bench/site.go
+++ b/bench/site.go
@@ -106,6 +106,7 @@
 			policy:     policy.New(s.config.Policy, dataCentre, random),
 			calls:      map[string]*call{},
 		}
+		added.policy.SetPosition(i/s.config.Deployment.DataCentres, s.config.Deployment.nodesIn(i))
 		added.configure(built)
 		s.nodes = append(s.nodes, added)
 	}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -23,6 +23,13 @@
 	d.advance()
 }
 
+// SetPosition tells the node's position among the live nodes of its data centre.
+func (d *Dispatcher) SetPosition(position, nodes int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.SetPosition(position, nodes)
+}
+
 // SetOrganisationRates replaces this node's part of the organisations' limits,
 // in tokens a second by scheduling.OrganisationKey.
 func (d *Dispatcher) SetOrganisationRates(rates map[string]float64) {
--- a/node.go
+++ b/node.go
@@ -175,6 +175,7 @@
 	n.workers.Go(func() { n.reports.poller.Run(ctx) })
 	n.workers.Go(func() { newOrdering(n.reports, n.guard.Ordinary(), n).Run(ctx) })
 	n.workers.Go(n.shareStoreBudget(ctx))
+	n.workers.Go(func() { every(ctx, positionInterval, n.takePosition) })
 	n.listen(func() error { return n.entry.App().Listener(callers) })
 	n.listen(func() error { return n.admin.App().Listener(operators) })
 	n.logger.Info().Str("caller_address", n.settings.CallerAddress).Msg("node started")
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -57,7 +57,7 @@
 	if len(side.free) == 0 {
 		return nil
 	}
-	best := s.leastOfSome(now, w, side)
+	best := s.best(now, w, side)
 	if best == nil || w.request.PrefixHash == 0 {
 		return best
 	}
@@ -68,26 +68,28 @@
 	return best
 }
 
+// best returns the upstream with room whose score is the least found.
+func (s *Scheduler) best(now time.Time, w *waiting, side *group) *member {
+	if w.request.Model != "" && !w.long() {
+		return s.leastForShort(now, w, side)
+	}
+	found, _ := s.leastOfSome(now, w, side)
+	return found
+}
+
 // leastOfSome compares a few random upstreams with room. Looking at all would
 // send every node to the one whose stale report is the lowest.
-func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) *member {
-	var best *member
-	var bestScore float64
-	found := 0
+func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) (*member, float64) {
+	var best least
 	count := len(side.free)
 	start, step := s.random.IntN(count), s.stride(count)
-	for i := 0; i < min(count, probeLimit) && found < choices; i++ {
+	for i := 0; i < min(count, probeLimit) && best.found < choices; i++ {
 		m := side.free[(start+i*step)%count]
-		if !s.hasRoom(now, m, w) {
-			continue
-		}
-		found++
-		score := s.scoreFor(now, m, w)
-		if best == nil || score < bestScore {
-			best, bestScore = m, score
+		if s.hasRoom(now, m, w) {
+			best.take(m, s.scoreFor(now, m, w))
 		}
 	}
-	return best
+	return best.member, best.score
 }
 
 // stride is a random step that visits every place: prime to the count.
--- a/scheduling/configure.go
+++ b/scheduling/configure.go
@@ -106,6 +106,8 @@
 	for _, p := range s.orderedPools {
 		p.local.sort()
 		p.remote.sort()
+		p.local.setHome(s.position, s.nodes)
+		p.remote.setHome(s.position, s.nodes)
 	}
 	s.ordered = slices.SortedFunc(maps.Values(s.upstreams), func(a, b *upstreamState) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.upstream.ID, b.upstream.ID))
--- a/scheduling/pool.go
+++ b/scheduling/pool.go
@@ -61,6 +61,8 @@
 	// all is ordered by hash.
 	all  []*member
 	free []*member
+	// home is the part of all that this node prefers for short prompts.
+	home []*member
 }
 
 func (g *group) sort() {
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -20,9 +20,11 @@
 // Scheduler holds the queues and the load of each upstream as this node knows it.
 type Scheduler struct {
 	dataCentre string
-	random     *rand.Rand
-	tables     *tables.Tables
-	estimator  *estimation.Estimator
+	// position is this node's among the live nodes of its data centre.
+	position, nodes int
+	random          *rand.Rand
+	tables          *tables.Tables
+	estimator       *estimation.Estimator
 
 	pools     map[poolKey]*pool
 	upstreams map[string]*upstreamState
