A ramp bounds what all nodes have at a new upstream, as far as reports tell

Cause: each of 8 nodes kept to the ramp's slots by itself, so that their sum was up to eight times what an upstream bears.

The change: while an upstream ramps, a node places nothing there once its own requests and those that the last report tells of others use up the ramp's slots. Also for the parts of groups. Without reports the bound is the node's own, as before.

The new test fails with the bound taken out of hasRoom.

--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	slots, kvTokens := s.limit(now, u)
-	if u.requests >= slots {
+	if u.requests >= slots || u.rampFull(now) {
 		return false
 	}
 	if u.upstream.Kind == tables.ServiceUpstream {
--- a/scheduling/group.go
+++ b/scheduling/group.go
@@ -124,7 +124,7 @@
 	}
 	slots, kvTokens := s.limit(now, u)
 	open := whole - m.pool.plan.Document.Reserve.ShortSlotsPercent
-	if u.requests >= slots || u.long >= max(1, slots*open/whole) {
+	if u.requests >= slots || u.rampFull(now) || u.long >= max(1, slots*open/whole) {
 		return 0
 	}
 	_, others := u.elsewhere(now)
--- a/scheduling/share_ramp_test.go
+++ b/scheduling/share_ramp_test.go
@@ -21,6 +21,23 @@
 	f.is.Equal(slots, 3) // the whole share, not 55 % of it
 }
 
+// TestRampBoundsWhatReportsTellOfAllNodes starts an upstream of 8 slots cold.
+// Half of the ramp allows 4 of them, all nodes together.
+func TestRampBoundsWhatReportsTellOfAllNodes(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	f.configure()
+	u := f.ordered[0]
+	f.startRamp(f.now, u)
+	f.now = f.now.Add(15 * time.Second)
+	f.Observe(f.now, Report{UpstreamID: u.upstream.ID, Running: 3, At: f.now})
+	f.is.Equal(len(f.fill()), 1)
+	// With the ramp over, only the slots bound this node.
+	f.now = f.now.Add(15 * time.Second)
+	f.Observe(f.now, Report{UpstreamID: u.upstream.ID, Running: 4, At: f.now})
+	f.advance()
+	f.is.Equal(1+len(f.fill()), 8)
+}
+
 // TestColdStartIsTakenOnce lets the only upstream fail as after a restart.
 func TestColdStartIsTakenOnce(t *testing.T) {
 	f := newFixture(t, 1, 1)
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -74,6 +74,16 @@
 	return u.others, u.othersKV
 }
 
+// rampFull reports whether all nodes together have as much at an upstream that
+// has just started as its ramp allows, as far as reports tell.
+func (u *upstreamState) rampFull(now time.Time) bool {
+	if !u.ramp.Active(now, u.upstream.Ramp) {
+		return false
+	}
+	others, _ := u.elsewhere(now)
+	return u.requests+others >= u.ramp.Slots(now, u.upstream.Ramp, u.upstream.Slots)
+}
+
 // limit is what this node may have running at the upstream now.
 func (s *Scheduler) limit(now time.Time, u *upstreamState) (slots, kvTokens int) {
 	slots, kvTokens = u.upstream.Slots, u.upstream.KVTokens
