Short prompts leave a data centre whose engines have just started

The change: in a ramp the expected time to read is divided by the ramp's share of the capacity, and a short prompt whose best engine is in a ramp may go over a link if it is better there by the same margin as away from home.

The new test fails with the look over the link taken out.

--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -31,13 +31,24 @@
 
 // choose returns an upstream with room, or nil.
 func (s *Scheduler) choose(now time.Time, w *waiting) *member {
-	if found := s.chooseIn(now, w, &w.pool.local); found != nil {
-		return found
-	}
-	if !s.mayLeave(now, w) {
+	local := s.chooseIn(now, w, &w.pool.local)
+	if local == nil && !s.mayLeave(now, w) {
 		return nil
 	}
-	return s.chooseIn(now, w, &w.pool.remote)
+	if local != nil && !s.maySkip(now, w, local) {
+		return local
+	}
+	remote := s.chooseIn(now, w, &w.pool.remote)
+	if local == nil || remote != nil && s.scoreFor(now, remote, w)+awayCost < s.scoreFor(now, local, w) {
+		return remote
+	}
+	return local
+}
+
+// maySkip reports whether a link may be better than the best upstream of the
+// own data centre: for a short prompt, while that upstream starts.
+func (s *Scheduler) maySkip(now time.Time, w *waiting, local *member) bool {
+	return w.request.Model != "" && !w.long() && local.state.ramp.Active(now, local.state.upstream.Ramp)
 }
 
 // mayLeave reports whether the wait in the own data centre is worth a link.
--- a/scheduling/score.go
+++ b/scheduling/score.go
@@ -27,9 +27,12 @@
 // readingScore stands for the time to a short prompt's first token, in the time
 // that an engine with empty memory takes to read the longest short prompt.
 func (m *member) readingScore(now time.Time, promptTokens int) float64 {
-	slots, memory := m.state.usage(now)
+	u := m.state
+	slots, memory := u.usage(now)
 	own := float64(promptTokens) / m.longestShort()
-	return (m.unread()+own)*(1+memorySlowing*memory) + loadReading*slots
+	// What starts reads slowly too.
+	reading := (m.unread() + own) * (1 + memorySlowing*memory) / u.ramp.Share(now, u.upstream.Ramp)
+	return reading + loadReading*slots
 }
 
 // unread is the short prompts that this node sent and that have no first token
--- a/scheduling/share_ramp_test.go
+++ b/scheduling/share_ramp_test.go
@@ -55,3 +55,26 @@
 	f.is.Equal(f.TakeColdStarts(), []string{f.ordered[0].upstream.ID})
 	f.is.Equal(len(f.TakeColdStarts()), 0)
 }
+
+// TestShortPromptsLeaveADataCentreThatStarts takes the own data centre out and
+// brings it back: its engines are cold, so that a warm one over the link reads a
+// short prompt sooner, until the ramp is far enough. Long prompts don't care.
+func TestShortPromptsLeaveADataCentreThatStarts(t *testing.T) {
+	f := newFixture(t, 4, 1)
+	f.document.Engines[2].DataCentre, f.document.Engines[3].DataCentre = "dc2", "dc2"
+	f.site.OutDataCentres["dc1"] = true
+	f.configure()
+	placedIn := func(prompt int) string {
+		decision := f.submit(f.request(0, prompt))
+		f.is.Equal(decision.Kind, Placed)
+		f.finish(decision.RequestID, Outcome{})
+		return decision.Upstream.DataCentre
+	}
+	f.is.Equal(placedIn(8000), "dc2")
+	f.site.OutDataCentres = map[string]bool{}
+	f.configure()
+	f.is.Equal(placedIn(8000), "dc2")
+	f.is.Equal(placedIn(20_000), "dc1")
+	f.now = f.now.Add(29 * time.Second)
+	f.is.Equal(placedIn(8000), "dc1")
+}
