The expected wait leaves out groups that are passed

The change: a prompt that fits one engine has no more ahead than the backlog without such prompts. Check compares the new sum.

The new test fails with the change taken out.

--- a/scheduling/admission.go
+++ b/scheduling/admission.go
@@ -74,10 +74,14 @@
 }
 
 // ahead is the work in tokens that runs before the request; it leaves out the
-// request itself.
+// request itself. Prompts that wait for the memory of several engines are passed by
+// those that don't.
 func (s *Scheduler) ahead(w *waiting) float64 {
-	ahead := w.pool.queue.Ahead(w.entry.Organisation, w.entry.Weight) - w.entry.Cost
-	return max(0, ahead)
+	ahead := w.pool.queue.Ahead(w.entry.Organisation, w.entry.Weight)
+	if !w.grouped {
+		ahead = min(ahead, w.pool.queue.Backlog()-w.pool.groupBacklog)
+	}
+	return max(0, ahead-w.entry.Cost)
 }
 
 // drainTime is how long the pool takes to make room for one more request.
--- a/scheduling/check.go
+++ b/scheduling/check.go
@@ -84,8 +84,26 @@
 			return eris.Wrap(ErrInvariant, "an empty queue has a backlog")
 		}
 	}
+	if err := s.checkGroupBacklogs(); err != nil {
+		return err
+	}
 	if queued != len(s.waiting) || queued != counted || queued != len(s.timers) {
 		return eris.Wrapf(ErrInvariant, "%d queued, %d counted, %d waiting, %d timers", queued, counted, len(s.waiting), len(s.timers))
 	}
 	return nil
 }
+
+func (s *Scheduler) checkGroupBacklogs() error {
+	costs := map[*pool]float64{}
+	for _, w := range s.waiting {
+		if w.grouped {
+			costs[w.pool] += w.entry.Cost
+		}
+	}
+	for _, p := range s.pools {
+		if p.groupBacklog != costs[p] {
+			return eris.Wrapf(ErrInvariant, "groups wait with %v tokens, booked %v", costs[p], p.groupBacklog)
+		}
+	}
+	return nil
+}
--- a/scheduling/group_test.go
+++ b/scheduling/group_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// TestWaitingGroupsAreNotAheadOfOthers: prompts that fit one engine pass those
+// that wait for several, so that their expected wait leaves these out.
+func TestWaitingGroupsAreNotAheadOfOthers(t *testing.T) {
+	f := newFixture(t, 3, 2)
+	f.configure()
+	f.is.Equal(f.submit(f.request(0, 850_000)).Kind, Placed)
+	grouped, single := f.request(0, 500_000), f.request(1, 390_000)
+	f.is.Equal(f.submit(grouped).Kind, Queued)
+	f.is.Equal(f.submit(single).Kind, Queued)
+	f.is.Equal(f.ahead(f.waiting[single.ID]), 0.0)
+	f.is.True(f.ahead(f.waiting[grouped.ID]) > 0)
+}
+
 // TestGroupIsNotPassedForEver has long prompts enough to keep every engine busy.
 func TestGroupIsNotPassedForEver(t *testing.T) {
 	f := newFixture(t, 3, 2)
--- a/scheduling/pool.go
+++ b/scheduling/pool.go
@@ -47,7 +47,9 @@
 	// groupHeld is the engines kept for the prompt groupFor, which needs several.
 	groupHeld []*upstreamState
 	groupFor  string
-	running   int
+	// groupBacklog is the cost of the waiting prompts that need several engines.
+	groupBacklog float64
+	running      int
 	// lastShort is when a short prompt was last submitted, in nanoseconds.
 	lastShort int64
 }
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -102,6 +102,7 @@
 func (s *Scheduler) newWaiting(now time.Time, p *pool, request *Request) *waiting {
 	model := modelOf(request)
 	w := &waiting{request: request, pool: p, index: -1, since: now}
+	w.grouped = needsGroup(p, request)
 	w.tokens = s.estimator.PromptTokens(model, request.PromptTokens)
 	if estimate := s.estimator.Estimate(now, model, "", w.tokens, request.MaxTokens); estimate.Known {
 		w.run = estimate.Run
--- a/scheduling/waiting.go
+++ b/scheduling/waiting.go
@@ -26,6 +26,8 @@
 	due   time.Time
 	since time.Time
 	index int
+	// grouped says that it needed several engines when it was submitted.
+	grouped bool
 }
 
 func (w *waiting) long() bool { return w.entry.Class == longClass }
@@ -87,6 +89,9 @@
 func (s *Scheduler) add(w *waiting) {
 	s.waiting[w.request.ID] = w
 	s.queued[planOf(w.request)]++
+	if w.grouped {
+		w.pool.groupBacklog += w.entry.Cost
+	}
 	w.due = w.promoteAt()
 	heap.Push(&s.timers, w)
 }
@@ -100,6 +105,9 @@
 
 func (s *Scheduler) forget(w *waiting) {
 	delete(s.waiting, w.request.ID)
+	if w.grouped {
+		w.pool.groupBacklog -= w.entry.Cost
+	}
 	key := planOf(w.request)
 	s.queued[key]--
 	if s.queued[key] == 0 {
