--- a/bench/doc.go
+++ b/bench/doc.go
@@ -2,6 +2,8 @@
 // virtual time against models of the upstreams, with several entry nodes that
 // each know only their own placements and lagging reports.
 //
+// Each node is told its position among those of its data centre.
+//
 // The nodes share one link model: a delay by distance, a little variation, and
 // now and then a lost packet that costs a retransmission. A change of the site
 // reaches each node after up to two seconds. The rest of a node follows package
