--- a/scheduling/affinity.go
+++ b/scheduling/affinity.go
@@ -18,13 +18,13 @@
 
 // withPrefix returns the upstream that all nodes send prompts of this start to,
 // or the one after it, when it is not much more loaded than the best.
-func (s *Scheduler) withPrefix(now time.Time, w *waiting, side *group, best *member, score float64) *member {
+func (s *Scheduler) withPrefix(now time.Time, w *waiting, side *group, best *member) *member {
 	if best == nil || w.request.PrefixHash == 0 {
 		return best
 	}
 	first, second := side.homes(w.request.PrefixHash)
 	for _, home := range []*member{first, second} {
-		if home != nil && s.bears(now, home, w, score+affinitySlack) {
+		if home != nil && s.bears(now, home, w, best.loadScore(now)+affinitySlack) {
 			return home
 		}
 	}
@@ -33,7 +33,7 @@
 
 // bears reports whether an upstream has room and no more load than most.
 func (s *Scheduler) bears(now time.Time, m *member, w *waiting, most float64) bool {
-	return m.free >= 0 && s.hasRoom(now, m, w) && s.scoreFor(now, m) <= most
+	return m.free >= 0 && s.hasRoom(now, m, w) && m.loadScore(now) <= most
 }
 
 // homes returns the two members that all nodes choose for a prefix, by
--- a/scheduling/choose.go
+++ b/scheduling/choose.go
@@ -28,13 +28,24 @@
 
 // choose returns an upstream with room, or nil.
 func (s *Scheduler) choose(now time.Time, w *waiting) *member {
-	if found := s.chooseIn(now, w, &w.pool.local); found != nil {
-		return found
-	}
-	if !s.mayLeave(now, w) {
+	local := s.chooseIn(now, w, &w.pool.local)
+	if local == nil && !s.mayLeave(now, w) {
 		return nil
 	}
-	return s.chooseIn(now, w, &w.pool.remote)
+	if local != nil && !s.maySkip(now, w, local) {
+		return local
+	}
+	remote := s.chooseIn(now, w, &w.pool.remote)
+	if local == nil || remote != nil && s.scoreFor(now, remote, w)+awayCost < s.scoreFor(now, local, w) {
+		return remote
+	}
+	return local
+}
+
+// maySkip reports whether a link may be better than the best upstream of the
+// own data centre: for a short prompt, while that upstream starts.
+func (s *Scheduler) maySkip(now time.Time, w *waiting, local *member) bool {
+	return w.request.Model != "" && !w.long() && local.state.ramp.Active(now, local.state.upstream.Ramp)
 }
 
 // mayLeave reports whether the wait in the own data centre is worth a link.
@@ -54,30 +65,31 @@
 	if len(side.free) == 0 {
 		return nil
 	}
-	best, score := s.leastOfSome(now, w, side)
-	return s.withPrefix(now, w, side, best, score)
+	return s.withPrefix(now, w, side, s.best(now, w, side))
+}
+
+// best returns the upstream with room whose score is the least found.
+func (s *Scheduler) best(now time.Time, w *waiting, side *group) *member {
+	if w.request.Model != "" && !w.long() {
+		return s.leastForShort(now, w, side)
+	}
+	found, _ := s.leastOfSome(now, w, side)
+	return found
 }
 
 // leastOfSome compares a few random upstreams with room. Looking at all would
 // send every node to the one whose stale report is the lowest.
 func (s *Scheduler) leastOfSome(now time.Time, w *waiting, side *group) (*member, float64) {
-	var best *member
-	var bestScore float64
-	found := 0
+	var best least
 	count := len(side.free)
 	start, step := s.random.IntN(count), s.stride(count)
-	for i := 0; i < min(count, probeLimit) && found < choices; i++ {
+	for i := 0; i < min(count, probeLimit) && best.found < choices; i++ {
 		m := side.free[(start+i*step)%count]
-		if !s.hasRoom(now, m, w) {
-			continue
-		}
-		found++
-		score := s.scoreFor(now, m)
-		if best == nil || score < bestScore {
-			best, bestScore = m, score
+		if s.hasRoom(now, m, w) {
+			best.take(m, s.scoreFor(now, m, w))
 		}
 	}
-	return best, bestScore
+	return best.member, best.score
 }
 
 // stride is a random step that visits every place: prime to the count.
@@ -99,11 +111,6 @@
 	return a
 }
 
-func (s *Scheduler) scoreFor(now time.Time, m *member) float64 {
-	unread := float64(m.state.reading) / float64(max(1, m.pool.plan.Document.Reserve.ShortPromptTokens))
-	return m.state.score(now) + unread
-}
-
 // suits reports whether the upstream could run the request when idle.
 func (s *Scheduler) suits(m *member, request *Request) bool {
 	upstream := m.state.upstream
@@ -129,7 +136,7 @@
 		return false
 	}
 	slots, kvTokens := s.limit(now, u)
-	if u.requests >= slots {
+	if u.requests >= slots || u.rampFull(now) {
 		return false
 	}
 	if u.upstream.Kind == tables.ServiceUpstream {
--- a/scheduling/configure.go
+++ b/scheduling/configure.go
@@ -45,7 +45,8 @@
 // updateUpstreams takes over descriptions. An upstream that appears or returns
 // after the first tables starts on a ramp.
 func (s *Scheduler) updateUpstreams(now time.Time, built *tables.Tables, first bool) {
-	for id, upstream := range built.Upstreams {
+	for _, id := range slices.Sorted(maps.Keys(built.Upstreams)) {
+		upstream := built.Upstreams[id]
 		u := s.upstreams[id]
 		starts := !first && (u == nil || !u.wasConfigured || u.upstream.Out && !upstream.Out)
 		if u == nil {
@@ -106,6 +107,8 @@
 	for _, p := range s.orderedPools {
 		p.local.sort()
 		p.remote.sort()
+		p.local.setHome(s.position, s.nodes)
+		p.remote.setHome(s.position, s.nodes)
 	}
 	s.ordered = slices.SortedFunc(maps.Values(s.upstreams), func(a, b *upstreamState) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.upstream.ID, b.upstream.ID))
--- a/scheduling/scheduler.go
+++ b/scheduling/scheduler.go
@@ -20,9 +20,11 @@
 // Scheduler holds the queues and the load of each upstream as this node knows it.
 type Scheduler struct {
 	dataCentre string
-	random     *rand.Rand
-	tables     *tables.Tables
-	estimator  *estimation.Estimator
+	// position is this node's among the live nodes of its data centre.
+	position, nodes int
+	random          *rand.Rand
+	tables          *tables.Tables
+	estimator       *estimation.Estimator
 
 	pools     map[poolKey]*pool
 	upstreams map[string]*upstreamState
@@ -100,6 +102,7 @@
 func (s *Scheduler) newWaiting(now time.Time, p *pool, request *Request) *waiting {
 	model := modelOf(request)
 	w := &waiting{request: request, pool: p, index: -1, since: now}
+	w.grouped = needsGroup(p, request)
 	w.tokens = s.estimator.PromptTokens(model, request.PromptTokens)
 	if estimate := s.estimator.Estimate(now, model, "", w.tokens, request.MaxTokens); estimate.Known {
 		w.run = estimate.Run
