The same tables give the same order of ramps

Cause: Configure walked a map, so that upstreams that return together began their ramps, and came onto the free lists, in an order by chance.

Change: in the order of the IDs.

TestConfigureKeepsOneOrder fails without it, three times of three. go test -race ./scheduling ./dispatch passes.

--- a/scheduling/affinity_test.go
+++ b/scheduling/affinity_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -121,3 +123,14 @@
 		f.is.True(count <= requests/engines+affinitySlack*slots+1)
 	}
 }
+
+// The same tables give the same order of ramps, and so the same choices, each time.
+func TestConfigureKeepsOneOrder(t *testing.T) {
+	f := newAffinityFixture(t, 20)
+	f.site.OutDataCentres["dc1"] = true
+	f.configure()
+	delete(f.site.OutDataCentres, "dc1")
+	f.configure()
+	f.is.Equal(len(f.ramping), 20)
+	f.is.True(slices.IsSortedFunc(f.ramping, func(a, b *upstreamState) int { return strings.Compare(a.upstream.ID, b.upstream.ID) }))
+}
--- a/scheduling/configure.go
+++ b/scheduling/configure.go
@@ -45,7 +45,8 @@
 // updateUpstreams takes over descriptions. An upstream that appears or returns
 // after the first tables starts on a ramp.
 func (s *Scheduler) updateUpstreams(now time.Time, built *tables.Tables, first bool) {
-	for id, upstream := range built.Upstreams {
+	for _, id := range slices.Sorted(maps.Keys(built.Upstreams)) {
+		upstream := built.Upstreams[id]
 		u := s.upstreams[id]
 		starts := !first && (u == nil || !u.wasConfigured || u.upstream.Out && !upstream.Out)
 		if u == nil {
