--- a/scheduling/affinity.go
+++ b/scheduling/affinity.go
@@ -9,8 +9,8 @@
 	// affinitySlack is how much more loaded, as a part of its slots, the
 	// upstream that prompts of one start go to may be.
 	affinitySlack = 0.25
-	// maxHomes bounds the upstreams that one prefix is weighed against.
-	maxHomes = 64
+	// maxHolders bounds the upstreams that one prefix is weighed against.
+	maxHolders = 64
 	// oddNumber and mixNumber spread the bits of a product.
 	oddNumber = 0x9e3779b97f4a7c15
 	mixNumber = 0xbf58476d1ce4e5b9
@@ -22,10 +22,10 @@
 	if best == nil || w.request.PrefixHash == 0 {
 		return best
 	}
-	first, second := side.homes(w.request.PrefixHash)
-	for _, home := range []*member{first, second} {
-		if home != nil && s.bears(now, home, w, score+affinitySlack) {
-			return home
+	first, second := side.holders(w.request.PrefixHash)
+	for _, holder := range []*member{first, second} {
+		if holder != nil && s.bears(now, holder, w, score+affinitySlack) {
+			return holder
 		}
 	}
 	return best
@@ -36,13 +36,13 @@
 	return m.free >= 0 && s.hasRoom(now, m, w) && s.scoreFor(now, m) <= most
 }
 
-// homes returns the two members that all nodes choose for a prefix, by
+// holders returns the two members that all nodes choose for a prefix, by
 // rendezvous hashing over a bounded part of the ring: when one leaves, its
 // prefixes spread over the others, and return with it. Either may be nil.
-func (g *group) homes(prefixHash uint64) (first, second *member) {
+func (g *group) holders(prefixHash uint64) (first, second *member) {
 	count, start := len(g.all), 0
-	if count > maxHomes {
-		count, start = maxHomes, g.after(prefixHash)
+	if count > maxHolders {
+		count, start = maxHolders, g.after(prefixHash)
 	}
 	var highest, next uint64
 	for i := range count {
--- a/scheduling/affinity_test.go
+++ b/scheduling/affinity_test.go
@@ -30,7 +30,7 @@
 	counts := map[*member]int{}
 	const prefixes, engines = 20_000, 100
 	for range prefixes {
-		first, second := f.orderedPools[0].local.homes(random.Uint64())
+		first, second := f.orderedPools[0].local.holders(random.Uint64())
 		f.is.True(first != second)
 		counts[first]++
 	}
