--- a/scheduling/cost_test.go
+++ b/scheduling/cost_test.go
@@ -21,6 +21,7 @@
 func newCycle(t testing.TB, upstreams, organisations int) *cycle {
 	f := newFixture(t, upstreams, organisations)
 	f.configure()
+	f.SetPosition(0, 2) // half of the upstreams are home
 	c := &cycle{fixture: f, placed: make([]string, 2*upstreams)}
 	for range len(c.placed) {
 		c.turn()
