Prefix affinity is for long prompts unless the document says otherwise

Cause: affinity and the engines that each node prefers for short prompts were measured apart. Change: `prefix_affinity` in the document: none, long (default) or all. Tests changed: those of affinity for short prompts set `all`; the checks are the same.

--- a/bench/site.go
+++ b/bench/site.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -60,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	document.PrefixAffinity = cmp.Or(config.Affinity, document.PrefixAffinity)
 	s := &site{
 		config:    config,
 		loop:      new(virtual.Loop),
--- a/entry/prefix_test.go
+++ b/entry/prefix_test.go
@@ -57,6 +57,7 @@
 models: [{name: adviser, context_tokens: 1048576}]
 organisations: [{name: dock, key_digests: [%q]}, {name: quay, key_digests: [%q]}]
 length_classes: [{name: any, max_prompt_tokens: 1000000, deadline: 20s}]
+prefix_affinity: all
 ramp: {initial_percent: 50, duration: 1ms}
 engines:
 %s`, environment.KeyDigest(testKey), environment.KeyDigest(otherKey), engines.String()))
--- a/environment/document.go
+++ b/environment/document.go
@@ -26,6 +26,9 @@
 	Limits Limits `yaml:"limits"`
 	// Reserve keeps capacity free for short requests.
 	Reserve Reserve `yaml:"reserve"`
+	// PrefixAffinity says which prompts go where others of the same start went.
+	// Default long.
+	PrefixAffinity PrefixAffinity `yaml:"prefix_affinity"`
 	// Ramp bounds the load on an upstream that has just started.
 	Ramp Ramp `yaml:"ramp"`
 	// Retry bounds repeated attempts.
@@ -127,6 +130,16 @@
 	DefaultMaxTokens int `yaml:"default_max_tokens"`
 }
 
+// PrefixAffinity names the prompts that go to engines by how they start.
+type PrefixAffinity string
+
+// The prompts with affinity. Long ones are those over short_prompt_tokens.
+const (
+	NoAffinity   PrefixAffinity = "none"
+	LongAffinity PrefixAffinity = "long"
+	AllAffinity  PrefixAffinity = "all"
+)
+
 // Reserve keeps capacity free for short requests.
 type Reserve struct {
 	// ShortPromptTokens is the longest prompt that counts as short. Default 16000.
--- a/environment/parse.go
+++ b/environment/parse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/strictyaml"
@@ -56,6 +57,7 @@
 	setDefault(&d.Reserve.ShortPromptTokens, defaultShortPromptTokens)
 	setDefault(&d.Reserve.LongPrefillPerDataCentre, defaultLongPrefills)
 	setDefault(&d.Reserve.ShortSlotsPercent, defaultShortSlotsPercent)
+	setDefault(&d.PrefixAffinity, LongAffinity)
 	setDefault(&d.Ramp.InitialPercent, defaultRampPercent)
 	setDefault(&d.Ramp.Duration, defaultRampDuration)
 	setDefault(&d.Retry.MaxAttempts, defaultMaxAttempts)
@@ -129,6 +131,8 @@
 	c.organisations(d.Organisations)
 	c.lengthClasses(d.LengthClasses)
 	c.bounds(d)
+	known := slices.Contains([]PrefixAffinity{NoAffinity, LongAffinity, AllAffinity}, d.PrefixAffinity)
+	c.require(known, "prefix_affinity", "must be none, long or all")
 }
 
 func (c *checker) models(models []Model) map[string]bool {
--- a/scheduling/affinity.go
+++ b/scheduling/affinity.go
@@ -3,6 +3,8 @@
 import (
 	"math/bits"
 	"time"
+
+	"github.com/wigeontiller/wigeontiller/environment"
 )
 
 const (
@@ -19,7 +21,7 @@
 // withPrefix returns the upstream that all nodes send prompts of this start to,
 // or the one after it, when it is not much more loaded than the best.
 func (s *Scheduler) withPrefix(now time.Time, w *waiting, side *group, best *member) *member {
-	if best == nil || w.request.PrefixHash == 0 {
+	if best == nil || !w.usesAffinity() {
 		return best
 	}
 	first, second := side.holders(w.request.PrefixHash)
@@ -31,6 +33,17 @@
 	return best
 }
 
+// usesAffinity reports whether the document wants the prompt to go by its start.
+func (w *waiting) usesAffinity() bool {
+	switch w.pool.plan.Document.PrefixAffinity {
+	case environment.AllAffinity:
+		return w.request.PrefixHash != 0
+	case environment.LongAffinity:
+		return w.request.PrefixHash != 0 && w.long()
+	}
+	return false
+}
+
 // bears reports whether an upstream has room and no more load than most.
 func (s *Scheduler) bears(now time.Time, m *member, w *waiting, most float64) bool {
 	return m.free >= 0 && s.hasRoom(now, m, w) && m.loadScore(now) <= most
--- a/scheduling/affinity_test.go
+++ b/scheduling/affinity_test.go
@@ -6,6 +6,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/wigeontiller/wigeontiller/environment"
+	"github.com/wigeontiller/wigeontiller/scheduling/fairqueue"
 )
 
 // prefixed submits a short prompt with a prefix, ends it and returns its engine.
@@ -20,10 +23,34 @@
 
 func newAffinityFixture(t *testing.T, engines int) *fixture {
 	f := newFixture(t, engines, 1)
+	f.document.PrefixAffinity = environment.AllAffinity
 	f.configure()
 	return f
 }
 
+// By default only long prompts go by how they start.
+func TestAffinityIsForTheLengthsOfTheDocument(t *testing.T) {
+	for _, test := range []struct {
+		affinity    environment.PrefixAffinity
+		short, long bool
+	}{
+		{environment.NoAffinity, false, false},
+		{environment.LongAffinity, false, true},
+		{environment.AllAffinity, true, true},
+	} {
+		f := newAffinityFixture(t, 4)
+		f.document.PrefixAffinity = test.affinity
+		f.configure()
+		request := f.request(0, 1000)
+		request.PrefixHash = 1
+		short := waiting{request: request, pool: f.orderedPools[0], entry: &fairqueue.Entry[*waiting]{}}
+		long := short
+		long.entry = &fairqueue.Entry[*waiting]{Class: longClass}
+		f.is.Equal(short.usesAffinity(), test.short)
+		f.is.Equal(long.usesAffinity(), test.long)
+	}
+}
+
 func TestPrefixesSpreadOverEngines(t *testing.T) {
 	f := newAffinityFixture(t, 100) // more than are weighed for one prefix
 	random := rand.New(rand.NewPCG(4, 4))
--- a/scheduling/fixture_test.go
+++ b/scheduling/fixture_test.go
@@ -34,6 +34,8 @@
 		Reserve: environment.Reserve{ShortPromptTokens: 16_000, LongPrefillPerDataCentre: 2, ShortSlotsPercent: 25},
 		Ramp:    environment.Ramp{InitialPercent: 10, Duration: 30 * time.Second},
 		Retry:   environment.Retry{MaxAttempts: 3, BudgetPercent: 10},
+
+		PrefixAffinity: environment.LongAffinity,
 	}
 	for i := range engines {
 		document.Engines = append(document.Engines, environment.Engine{
--- a/scheduling/placement_test.go
+++ b/scheduling/placement_test.go
@@ -133,6 +133,7 @@
 
 func TestPrefixAffinityYieldsToLoad(t *testing.T) {
 	f := newFixture(t, 8, 1)
+	f.document.PrefixAffinity = environment.AllAffinity
 	f.configure()
 	counts := map[string]int{}
 	near := ""
