--- a/soak/report/plot.go
+++ b/soak/report/plot.go
@@ -92,7 +92,7 @@
 	}
 	line.Color = plotutil.Color(0)
 	drawn.Add(line)
-	drawn.Legend.Add("refusals", line)
+	drawn.Legend.Add("completions refused", line)
 	return nil
 }
 
