The summed ramp leaves out upstreams that are new in the tables

Cause: bounded the sum over nodes for every ramp.

The change: the sum counts where an upstream returned, restarted or looks cold.

--- a/scheduling/configure.go
+++ b/scheduling/configure.go
@@ -48,7 +48,8 @@
 	for _, id := range slices.Sorted(maps.Keys(built.Upstreams)) {
 		upstream := built.Upstreams[id]
 		u := s.upstreams[id]
-		starts := !first && (u == nil || !u.wasConfigured || u.upstream.Out && !upstream.Out)
+		appears := u == nil || !u.wasConfigured
+		starts := !first && (appears || u.upstream.Out && !upstream.Out)
 		if u == nil {
 			u = &upstreamState{hash: xxhash.Sum64String(id)}
 			s.upstreams[id] = u
@@ -57,6 +58,7 @@
 		u.configured = true
 		if starts {
 			u.ramp.Start(now)
+			u.appeared = appears
 			s.watchRamp(u)
 		}
 	}
--- a/scheduling/share_ramp_test.go
+++ b/scheduling/share_ramp_test.go
@@ -56,6 +56,20 @@
 	f.is.Equal(len(f.TakeColdStarts()), 0)
 }
 
+// TestOwnRampAloneBoundsWhatIsNewInTheTables: half of the ramp allows 4 slots,
+// whatever reports tell of other nodes.
+func TestOwnRampAloneBoundsWhatIsNewInTheTables(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	engines := f.document.Engines
+	f.document.Engines = nil
+	f.configure()
+	f.document.Engines = engines
+	f.configure()
+	f.now = f.now.Add(15 * time.Second)
+	f.Observe(f.now, Report{UpstreamID: f.ordered[0].upstream.ID, Running: 3, At: f.now})
+	f.is.Equal(len(f.fill()), 4)
+}
+
 // TestShortPromptsLeaveADataCentreThatStarts takes the own data centre out and
 // brings it back: its engines are cold, so that a warm one over the link reads a
 // short prompt sooner, until the ramp is far enough. Long prompts don't care.
--- a/scheduling/upstream.go
+++ b/scheduling/upstream.go
@@ -40,6 +40,9 @@
 	share    Share
 	hasShare bool
 	ramp     ramp.Ramp
+	// appeared says that the ramp began as the tables named the upstream for
+	// the first time, and not as it started.
+	appeared bool
 	failures int
 	// backoff follows the upstream's own refusals for being full.
 	backoff backoff.Backoff
@@ -75,9 +78,10 @@
 }
 
 // rampFull reports whether all nodes together have as much at an upstream that
-// has just started as its ramp allows, as far as reports tell.
+// has just started as its ramp allows, as far as reports tell. One that is new
+// in the tables need not have started: there each node keeps to the ramp alone.
 func (u *upstreamState) rampFull(now time.Time) bool {
-	if !u.ramp.Active(now, u.upstream.Ramp) {
+	if u.appeared || !u.ramp.Active(now, u.upstream.Ramp) {
 		return false
 	}
 	others, _ := u.elsewhere(now)
@@ -113,6 +117,7 @@
 // startRamp bounds the upstream's load from now on, after an inferred cold start.
 func (s *Scheduler) startRamp(now time.Time, u *upstreamState) {
 	u.ramp.Start(now)
+	u.appeared = false
 	u.coldStart = true
 	s.watchRamp(u)
 	s.refresh(now, u)
