--- a/budget/budget.go
+++ b/budget/budget.go
@@ -6,12 +6,12 @@
 // clock, and are not safe for concurrent use. Their clocks need not agree, only
 // run at rates that differ by less than Timing.DriftPercent.
 //
-// Three rules bound the sum of all shares. A keeper grants only while more than
-// half of the resource's voters have pledged themselves to it, and no grant
-// outlives those pledges. A node applies only the answer to its latest report,
-// so that a report tells the keeper all that its sender can hold. A node that
-// the keeper knows of but has not heard from counts as holding the most that
-// one node may.
+// Three rules bound the sum of all shares. A keeper grants only while it holds
+// the lease in the platform's table, no grant outlives that, and it grants only
+// to processes that are registered in the lease's row. A node applies only the
+// answer to its latest report, so that a report tells the keeper all that its
+// sender can hold. A process that a keeper finds registered and has not heard
+// from counts as holding the most that one node may.
 package budget
 
 import "time"
@@ -61,9 +61,12 @@
 	Interval time.Duration
 	// IdleInterval is the time between reports on a resource not in use.
 	IdleInterval time.Duration
-	// Pledge is how long a voter stays with a keeper after a report to it.
-	Pledge time.Duration
-	// Fallback is how long a fallback share lasts without a keeper.
+	// Silence is how long after its latest report a node counts as reporting.
+	Silence time.Duration
+	// Lease is how long a keeper's lease lasts from the start of its write, and
+	// Renewal the time from one write to the next.
+	Lease, Renewal time.Duration
+	// Fallback is how long fallback and standby shares last without a keeper.
 	Fallback time.Duration
 	// Horizon is the longest time that a request may run.
 	Horizon time.Duration
@@ -76,8 +79,10 @@
 	return Timing{
 		Interval:     500 * time.Millisecond,
 		IdleInterval: 5 * time.Second,
-		Pledge:       3 * time.Second,
-		Fallback:     time.Hour,
+		Silence:      3 * time.Second,
+		Lease:        10 * time.Second,
+		Renewal:      4 * time.Second,
+		Fallback:     12 * time.Hour,
 		Horizon:      4 * time.Hour,
 		DriftPercent: 1,
 	}
--- a/budget/budgetrpc/codec.go
+++ b/budget/budgetrpc/codec.go
@@ -23,6 +23,8 @@
 	// maxAge is the largest age on the wire in ageUnits, 27 min. It is longer
 	// than any ramp.
 	maxAge = 1<<14 - 1
+	// lifetimePercent is added to a share's lifetime for its lease's end.
+	lifetimePercent = 3
 )
 
 // ErrMalformed is returned for a message whose columns don't fit each other.
@@ -60,14 +62,11 @@
 		Sequence:  report.Sequence,
 		Keeper:    report.Keeper,
 		Echo:      uint64(report.Echo / time.Millisecond),
-		Departed:  report.Departed,
-		Pledged:   make([]byte, (len(report.Usages)+7)/8),
 		Idle:      make([]byte, (len(report.Usages)+7)/8),
 		Unchanged: make([]byte, (len(report.Usages)+7)/8),
 	}
 	for i, usage := range report.Usages {
 		request.Resources = append(request.Resources, digestOf(usage.Resource))
-		setBit(request.Pledged, i, usage.Pledged)
 		setBit(request.Idle, i, usage.Idle)
 		setBit(request.Unchanged, i, usage.Unchanged)
 		request.appendAmounts(usage)
@@ -88,13 +87,14 @@
 	x.HeldKv = append(x.HeldKv, unitsUp(u.Held.KVTokens))
 	x.FallbackSlots = append(x.FallbackSlots, uint32(u.Fallback.Slots))
 	x.FallbackKv = append(x.FallbackKv, unitsUp(u.Fallback.KVTokens))
+	x.StandbySlots = append(x.StandbySlots, uint32(u.Standby.Slots))
+	x.StandbyKv = append(x.StandbyKv, unitsUp(u.Standby.KVTokens))
 }
 
 func (x *ReportRequest) trim() {
 	for _, column := range x.columns() {
 		*column = trimmed(*column)
 	}
-	x.Pledged = trimmed(x.Pledged)
 	x.Idle = trimmed(x.Idle)
 	x.Unchanged = trimmed(x.Unchanged)
 }
@@ -102,7 +102,7 @@
 func (x *ReportRequest) columns() []*[]uint32 {
 	return []*[]uint32{
 		&x.RunningSlots, &x.RunningKv, &x.WaitingSlots, &x.WaitingKv, &x.NextKv, &x.HeldSlots,
-		&x.HeldKv, &x.FallbackSlots, &x.FallbackKv, &x.StartNumber, &x.StartAge,
+		&x.HeldKv, &x.FallbackSlots, &x.FallbackKv, &x.StandbySlots, &x.StandbyKv, &x.StartNumber, &x.StartAge,
 	}
 }
 
@@ -114,7 +114,6 @@
 		Sequence: request.Sequence,
 		Keeper:   request.Keeper,
 		Echo:     time.Duration(request.Echo) * time.Millisecond,
-		Departed: request.Departed,
 	}
 	for _, column := range request.columns() {
 		if len(*column) > len(request.Resources) {
@@ -136,7 +135,7 @@
 		Next:      amount(nil, x.NextKv, i),
 		Held:      amount(x.HeldSlots, x.HeldKv, i),
 		Fallback:  amount(x.FallbackSlots, x.FallbackKv, i),
-		Pledged:   bit(x.Pledged, i),
+		Standby:   amount(x.StandbySlots, x.StandbyKv, i),
 		Idle:      bit(x.Idle, i),
 		Unchanged: bit(x.Unchanged, i),
 		Start:     startAt(x.StartNumber, x.StartAge, i),
@@ -159,6 +158,9 @@
 		response.Lifetime = append(response.Lifetime, uint32(grant.Lifetime/time.Millisecond))
 		response.FallbackSlots = append(response.FallbackSlots, uint32(grant.Fallback.Slots))
 		response.FallbackKv = append(response.FallbackKv, uint32(grant.Fallback.KVTokens/kvUnit))
+		response.StandbySlots = append(response.StandbySlots, uint32(grant.Standby.Slots))
+		response.StandbyKv = append(response.StandbyKv, uint32(grant.Standby.KVTokens/kvUnit))
+		response.LeaseMore = append(response.LeaseMore, leaseMore(grant))
 		response.StartNumber = append(response.StartNumber, uint32(grant.Start.Number))
 		response.StartAge = append(response.StartAge, ageUnits(grant.Start.Age))
 	}
@@ -170,7 +172,8 @@
 
 func (x *ReportResponse) columns() []*[]uint32 {
 	return []*[]uint32{
-		&x.ShareSlots, &x.ShareKv, &x.Lifetime, &x.FallbackSlots, &x.FallbackKv, &x.StartNumber, &x.StartAge,
+		&x.ShareSlots, &x.ShareKv, &x.Lifetime, &x.FallbackSlots, &x.FallbackKv, &x.StandbySlots, &x.StandbyKv,
+		&x.LeaseMore, &x.StartNumber, &x.StartAge,
 	}
 }
 
@@ -187,12 +190,15 @@
 		}
 	}
 	for i, usage := range report.Usages {
+		lifetime := milliseconds(response.Lifetime, i)
 		answer.Grants = append(answer.Grants, budget.Grant{
-			Resource: usage.Resource,
-			Share:    amount(response.ShareSlots, response.ShareKv, i),
-			Lifetime: time.Duration(at(response.Lifetime, i)) * time.Millisecond,
-			Fallback: amount(response.FallbackSlots, response.FallbackKv, i),
-			Start:    startAt(response.StartNumber, response.StartAge, i),
+			Resource:  usage.Resource,
+			Share:     amount(response.ShareSlots, response.ShareKv, i),
+			Lifetime:  lifetime,
+			Fallback:  amount(response.FallbackSlots, response.FallbackKv, i),
+			Standby:   amount(response.StandbySlots, response.StandbyKv, i),
+			LeaseLeft: shareEnd(lifetime) + milliseconds(response.LeaseMore, i),
+			Start:     startAt(response.StartNumber, response.StartAge, i),
 		})
 	}
 	return answer, nil
@@ -206,6 +212,23 @@
 	return column[i]
 }
 
+func milliseconds(column []uint32, i int) time.Duration {
+	return time.Duration(at(column, i)) * time.Millisecond
+}
+
+// shareEnd is the earliest end of a lease whose share has a lifetime: what
+// clocks may disagree by is left out of lifetimes.
+func shareEnd(lifetime time.Duration) time.Duration {
+	return lifetime + lifetime*lifetimePercent/100
+}
+
+// leaseMore is how much longer than shareEnd the lease lasts, rounded up.
+func leaseMore(grant budget.Grant) uint32 {
+	end := shareEnd(grant.Lifetime.Truncate(time.Millisecond))
+	more := grant.LeaseLeft - end + time.Millisecond - 1
+	return uint32(max(more, 0) / time.Millisecond)
+}
+
 func amount(slots, memory []uint32, i int) budget.Amount {
 	return budget.Amount{Slots: int(at(slots, i)), KVTokens: int(at(memory, i)) * kvUnit}
 }
--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -1,17 +1,18 @@
 package budgetrpc
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 	"storj.io/drpc"
 
 	"github.com/wigeontiller/wigeontiller/budget"
+	"github.com/wigeontiller/wigeontiller/platform"
 )
 
 const (
@@ -25,11 +26,9 @@
 
 // Members tells which nodes live.
 type Members interface {
-	// Live returns the live nodes of a data centre or region, sorted by name.
+	// Live returns the live nodes that the holders of a scope's leases are chosen
+	// from, sorted by name.
 	Live(scope string) []Peer
-	// Processes returns the budget names of all live nodes, the node itself
-	// included. A restarted node has another one.
-	Processes() []string
 }
 
 // Peer is a live node.
@@ -49,25 +48,21 @@
 // Dial returns a connection to a node; it is closed after one call.
 type Dial func(ctx context.Context, address netip.AddrPort) drpc.Conn
 
-// Shared is a resource with the scope that its keeper is chosen from.
+// Shared is a resource with the lease that its keeper holds.
 type Shared struct {
 	budget.Resource
 	budget.Interest
-	// Scope names a data centre or region.
-	Scope string
-}
-
-// shard is that of the resource. A ballot and the resources that use it have
-// the same.
-func (s Shared) shard() int {
-	return ShardOf(cmp.Or(s.Ballot, s.Name))
+	Lease Lease
 }
 
 // Node is the budget part of one entry node: the keeper of the resources that
 // others believe it keeps, and the client for all. It is safe for concurrent use.
 type Node struct {
 	DRPCBudgetUnimplementedServer
+	name    string
 	timing  budget.Timing
+	table   platform.Table
+	calls   conc.WaitGroup
 	members Members
 	work    Work
 	dial    Dial
@@ -76,15 +71,20 @@
 	keeper  *budget.Keeper
 	client  *budget.Client
 	names   Names
-	scopes  map[string]string
-	shards  map[string]int
+	// leases maps the key of a row to its lease, and resources a name to one.
+	leases    map[string]Lease
+	resources map[string]Lease
 }
 
 // Config holds what a node's budgets need.
 type Config struct {
-	// Process is the node's name; it is unique to the process.
+	// Name is the node's name among Members.
+	Name string
+	// Process is unique to the process.
 	Process string
 	Timing  budget.Timing
+	// Table holds the leases' rows.
+	Table   platform.Table
 	Members Members
 	Work    Work
 	Dial    Dial
@@ -95,13 +95,15 @@
 func NewNode(c Config) *Node {
 	now := time.Now()
 	return &Node{
+		name:    c.Name,
 		timing:  c.Timing,
+		table:   c.Table,
 		members: c.Members,
 		work:    c.Work,
 		dial:    c.Dial,
 		logger:  c.Logger,
 		keeper:  budget.NewKeeper(c.Process, c.Timing, now),
-		client:  budget.NewClient(c.Process, c.Timing, now),
+		client:  budget.NewClient(c.Process, c.Timing),
 	}
 }
 
@@ -110,21 +112,23 @@
 	var names []string
 	var resources []budget.Resource
 	var interests []budget.Interest
-	scopes := map[string]string{}
-	shards := map[string]int{}
+	leases := map[string]Lease{}
+	keptBy := map[string]Lease{}
 	for _, s := range shared {
 		names = append(names, s.Name)
+		s.Resource.Lease = s.Lease.Row()
 		resources = append(resources, s.Resource)
 		s.Interest.Resource = s.Name
+		s.Interest.Ramp = s.Resource.Ramp
 		interests = append(interests, s.Interest)
-		scopes[s.Name] = s.Scope
-		shards[s.Name] = s.shard()
+		leases[s.Lease.Row()] = s.Lease
+		keptBy[s.Name] = s.Lease
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.names = NewNames(names)
-	n.scopes = scopes
-	n.shards = shards
+	n.leases = leases
+	n.resources = keptBy
 	n.keeper.Configure(resources)
 	n.client.Configure(interests)
 }
@@ -177,12 +181,14 @@
 func (n *Node) Run(ctx context.Context) {
 	ticker := time.NewTicker(n.timing.Interval / loopsPerInterval)
 	defer ticker.Stop()
+	defer n.calls.Wait()
 	expired := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			n.callTable(ctx)
 			n.round(ctx)
 		}
 		if time.Since(expired) > expireInterval {
@@ -208,8 +214,7 @@
 // round sends the reports that are due and applies their answers.
 func (n *Node) round(ctx context.Context) {
 	demands := n.work.Demands()
-	processes := n.members.Processes()
-	calls := n.due(time.Now(), demands, processes)
+	calls := n.due(time.Now(), demands)
 	ctx, cancel := context.WithTimeout(ctx, n.timing.Interval)
 	defer cancel()
 	workers := pool.New().WithMaxGoroutines(maxCalls)
@@ -227,41 +232,39 @@
 	n.work.SetShares(shares)
 }
 
-func (n *Node) due(now time.Time, demands map[string]budget.Demand, processes []string) []call {
+func (n *Node) due(now time.Time, demands map[string]budget.Demand) []call {
+	owners := ownersOf(n.members)
+	addresses := map[string]netip.AddrPort{}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.keeper.Know(now, processes)
-	departed := n.keeper.Departed(now)
 	n.client.Observe(demands)
-	owners := ownersOf(n.members)
-	addresses := map[string]netip.AddrPort{}
 	due := n.client.Due(now, func(resource string) string {
-		owner := owners(n.scopes[resource], n.shards[resource])
+		owner := owners(n.resources[resource])
 		addresses[owner.Name] = owner.Address
 		return owner.Name
 	})
 	var calls []call
 	for keeper, resources := range due {
-		report := n.client.Report(now, keeper, resources, departed)
+		report := n.client.Report(now, keeper, resources)
 		calls = append(calls, call{keeper: keeper, address: addresses[keeper], report: report})
 	}
 	return calls
 }
 
-// ownersOf returns a function that finds the keeper of a scope's shard, or the
-// zero Peer. It looks each scope up once.
-func ownersOf(members Members) func(scope string, shard int) Peer {
+// ownersOf returns a function that finds the node that is to hold a lease, or
+// the zero Peer. It looks each scope up once.
+func ownersOf(members Members) func(Lease) Peer {
 	scopes := map[string][]Peer{}
-	return func(scope string, shard int) Peer {
-		owners, ok := scopes[scope]
+	return func(lease Lease) Peer {
+		owners, ok := scopes[lease.Scope]
 		if !ok {
-			owners = shardOwners(scope, members.Live(scope))
-			scopes[scope] = owners
+			owners = shardOwners(lease.Scope, members.Live(lease.Scope))
+			scopes[lease.Scope] = owners
 		}
 		if owners == nil {
 			return Peer{}
 		}
-		return owners[shard]
+		return owners[lease.Shard]
 	}
 }
 
--- a/budget/budgetrpc/role.go
+++ b/budget/budgetrpc/role.go
@@ -7,40 +7,38 @@
 )
 
 const (
-	// Shards is the number of keepers that the upstreams of one data centre are
+	// Shards is the number of leases that the upstreams of one data centre are
 	// divided among. More of them cost each node more messages, fewer cost the
 	// keepers more.
 	Shards = 12
-	// BallotShards is the number of keepers that the rates of one region are
-	// divided among. Every node of the region votes on each.
-	BallotShards = 4
+	// RateShards is the number of leases that the rates of one region are divided
+	// among.
+	RateShards = 4
 )
 
-// Ballot names the resource that holds the pledges for a rate of a region, and
-// that its keeper is chosen by.
-func Ballot(region, rate string) string {
-	return ballotName(region, xxhash.Sum64String(rate)%BallotShards)
+// Lease is one row of the platform's table that says who keeps some resources.
+type Lease struct {
+	// Scope names the data centre or region that its holder is chosen from.
+	Scope string
+	Shard int
 }
 
-// Ballots names all ballots of a region.
-func Ballots(region string) []string {
-	var names []string
-	for shard := range uint64(BallotShards) {
-		names = append(names, ballotName(region, shard))
-	}
-	return names
+// Row is the key of the lease's row.
+func (l Lease) Row() string {
+	return "budgets/" + l.Scope + "/" + strconv.Itoa(l.Shard)
 }
 
-func ballotName(region string, shard uint64) string {
-	return "ballot/" + region + "/" + strconv.FormatUint(shard, 10)
+// UpstreamLease returns the lease of an upstream.
+func UpstreamLease(scope, upstream string) Lease {
+	return Lease{Scope: scope, Shard: int(xxhash.Sum64String(upstream) % Shards)}
 }
 
-// ShardOf returns the shard of a resource.
-func ShardOf(resource string) int {
-	return int(xxhash.Sum64String(resource) % Shards)
+// RateLease returns the lease of an organisation's rate.
+func RateLease(scope, rate string) Lease {
+	return Lease{Scope: scope, Shard: int(xxhash.Sum64String(rate) % RateShards)}
 }
 
-// Assign returns the keeper of each shard of a scope among nodes, as an index
+// Assign returns the holder of each shard of a scope among nodes, as an index
 // into them, by rendezvous hashing. No node keeps a second shard before every
 // node keeps one. Without nodes it returns nil.
 func Assign(scope string, nodes []string) []int {
--- a/budget/client.go
+++ b/budget/client.go
@@ -10,7 +10,6 @@
 type Client struct {
 	node     string
 	timing   Timing
-	started  time.Time
 	sequence uint64
 	holdings map[string]*holding
 	sessions map[string]session
@@ -32,13 +31,13 @@
 // Interest says what a node has to do with a resource.
 type Interest struct {
 	Resource string
-	// Voter is true when the node votes on the resource's keeper.
-	Voter bool
 	// Local is true when work is to be expected at any time.
 	Local bool
 	// OnDemand is true when no report is needed while the node has no use for
 	// the resource. That holds for rates, of which nothing outlasts a share.
 	OnDemand bool
+	// Ramp is the resource's; no standby share is used while it lasts.
+	Ramp Ramp
 }
 
 // Demand is what a node uses and wants of a resource.
@@ -51,14 +50,15 @@
 	Amount
 	// Expires is by the node's own clock.
 	Expires time.Time
+	// Standby is true when the share includes the standby share.
+	Standby bool
 }
 
 // NewClient returns a client for a node whose name is unique to the process.
-func NewClient(node string, timing Timing, now time.Time) *Client {
+func NewClient(node string, timing Timing) *Client {
 	return &Client{
 		node:     node,
 		timing:   timing,
-		started:  now,
 		holdings: map[string]*holding{},
 		sessions: map[string]session{},
 		sent:     map[string]sentReport{},
@@ -116,8 +116,8 @@
 }
 
 // Report returns the next report to a keeper on the resources. Earlier reports
-// on them are void. Departed names the dead nodes that this node knows of.
-func (c *Client) Report(now time.Time, keeper string, resources, departed []string) Report {
+// on them are void.
+func (c *Client) Report(now time.Time, keeper string, resources []string) Report {
 	c.sequence++
 	c.sent[keeper] = sentReport{sequence: c.sequence, at: now}
 	known := c.sessions[keeper]
@@ -133,36 +133,12 @@
 		h.keeper, h.reported, h.sequence = keeper, now, c.sequence
 		usage := h.usage(now, name, known.id)
 		h.applied, h.reportedStart, h.shrunk = "", h.start.number, false
-		usage.Pledged = c.pledge(now, h, known.id)
 		h.quiet = h.empty()
-		if usage.Pledged && !h.introduced {
-			report.Departed = departed
-		}
 		report.Usages = append(report.Usages, usage)
 	}
 	return report
 }
 
-// pledge decides whether the node pledges itself to a keeper. A pledge outlasts
-// the process that made it, so a new process makes none at first.
-func (c *Client) pledge(now time.Time, h *holding, keeper string) bool {
-	if !h.interest.Voter || keeper == "" {
-		return false
-	}
-	if now.Sub(c.started) < c.timing.lengthen(c.timing.Pledge) {
-		return false
-	}
-	if h.pledgedTo != keeper && now.Before(h.pledgeEnd) {
-		return false
-	}
-	if h.pledgedTo != keeper {
-		h.introduced = false
-	}
-	h.pledgedTo = keeper
-	h.pledgeEnd = now.Add(c.timing.Pledge)
-	return true
-}
-
 // Apply takes in a keeper's answer; one to a report that is not the latest has
 // no effect.
 func (c *Client) Apply(now time.Time, keeper string, answer Answer) {
@@ -179,7 +155,6 @@
 		if h == nil || h.sequence != answer.Sequence {
 			continue
 		}
-		h.introduced = h.pledgedTo == answer.Keeper
 		if grant.Lifetime <= 0 {
 			continue
 		}
--- a/budget/division.go
+++ b/budget/division.go
@@ -43,7 +43,7 @@
 	live := l.live(now)
 	silent := total
 	for _, name := range live {
-		silent = silent.Sub(l.charge(now, l.entries[name]))
+		silent = silent.Sub(l.entries[name].charged)
 	}
 	limit := l.limit(now)
 	left := limit.Sub(silent).Max(Amount{})
@@ -98,8 +98,7 @@
 	var live []string
 	for _, name := range slices.Sorted(maps.Keys(l.entries)) {
 		e := l.entries[name]
-		silent := now.Sub(e.seen) >= l.timing.Pledge || e.sent.Before(l.since)
-		if !silent && !e.usage.Idle {
+		if l.heard(now, e) && !e.usage.Idle {
 			live = append(live, name)
 		}
 	}
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -15,6 +15,9 @@
 	// fallback may be used when share has expired.
 	fallback    Amount
 	fallbackEnd time.Time
+	// standby may be used besides fallback from standbyFrom until fallbackEnd.
+	standby     Amount
+	standbyFrom time.Time
 	start       start
 	// moved is when keeper became the owner.
 	moved time.Time
@@ -32,17 +35,12 @@
 	// shrunk is true when the latest answer took from the share. Others get what
 	// was taken once a report shows it.
 	shrunk bool
-	// pledgedTo is the keeper that the node is pledged to until pledgeEnd.
-	pledgedTo string
-	pledgeEnd time.Time
-	// introduced is true when that keeper has answered a pledge.
-	introduced bool
 }
 
 // settleTime is how long after a change of keeper every node reports often, so
-// that the new one hears of all once the pledges to the old have ended.
+// that the new one hears of all.
 func settleTime(timing Timing) time.Duration {
-	return 2 * timing.Pledge
+	return 2 * timing.Silence
 }
 
 func (h *holding) idle() bool {
@@ -59,7 +57,7 @@
 func (h *holding) interval(now time.Time, timing Timing) time.Duration {
 	_, holds := h.current(now)
 	settled := now.Sub(h.moved) > settleTime(timing)
-	if settled && h.idle() && h.quiet && !holds && !h.interest.Voter {
+	if settled && h.idle() && h.quiet && !holds {
 		return timing.IdleInterval
 	}
 	if h.shrunk {
@@ -87,12 +85,13 @@
 	}
 	if now.Before(h.fallbackEnd) {
 		usage.Fallback = h.fallback
+		usage.Standby = h.standby
 	}
 	return usage
 }
 
 func (h *holding) empty() bool {
-	return h.demand == Demand{} && h.share == Amount{} && h.fallback == Amount{}
+	return h.demand == Demand{} && h.share == Amount{} && h.fallback == Amount{} && h.standby == Amount{}
 }
 
 // apply takes in the grant that answers a report sent at sentAt.
@@ -102,11 +101,13 @@
 	}
 	h.applied = keeper
 	h.shrunk = !h.share.Within(grant.Share)
-	h.start.learn(now, grant.Start, timing.Pledge)
+	h.start.learn(now, grant.Start, timing.Silence)
 	h.share = grant.Share
 	h.expires = sentAt.Add(grant.Lifetime)
 	h.fallback = grant.Fallback
 	h.fallbackEnd = sentAt.Add(timing.Fallback)
+	h.standby = grant.Standby
+	h.standbyFrom = now.Add(timing.lengthen(grant.LeaseLeft))
 	h.reportedStart = h.start.number
 }
 
@@ -115,8 +116,22 @@
 	if now.Before(h.expires) && h.share != (Amount{}) {
 		return Share{Amount: h.share, Expires: h.expires}, true
 	}
-	if now.Before(h.fallbackEnd) && h.fallback != (Amount{}) {
-		return Share{Amount: h.fallback, Expires: h.fallbackEnd}, true
+	aside := h.fallback
+	standby := h.onStandby(now)
+	if standby {
+		aside = aside.Add(h.standby)
+	}
+	if now.Before(h.fallbackEnd) && aside != (Amount{}) {
+		return Share{Amount: aside, Expires: h.fallbackEnd, Standby: standby}, true
 	}
 	return Share{}, false
 }
+
+// onStandby reports whether the standby share may be used: the lease has ended
+// and the resource is in no start that the node knows of.
+func (h *holding) onStandby(now time.Time) bool {
+	if h.standby == (Amount{}) || now.Before(h.standbyFrom) || now.Before(h.expires) {
+		return false
+	}
+	return now.Sub(h.start.at) >= h.interest.Ramp.Duration
+}
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -14,16 +14,15 @@
 // retired is the sequence number past all those of a live node.
 const retired = ^uint64(0)
 
-// Keeper grants shares of the resources that it is asked for. It needs no word
-// that it is the keeper: without pledges it grants nothing.
+// Keeper grants shares of the resources whose leases its process holds.
 type Keeper struct {
 	id         string
 	timing     Timing
 	started    time.Time
 	resources  map[string]Resource
 	ledgers    map[string]*ledger
+	leases     map[string]*lease
 	sequences  map[string]uint64
-	known      known
 	violations int
 }
 
@@ -35,8 +34,8 @@
 		started:   now,
 		resources: map[string]Resource{},
 		ledgers:   map[string]*ledger{},
+		leases:    map[string]*lease{},
 		sequences: map[string]uint64{},
-		known:     known{last: map[string]time.Time{}},
 	}
 }
 
@@ -45,51 +44,87 @@
 	k.resources = map[string]Resource{}
 	for _, resource := range resources {
 		k.resources[resource.Name] = resource
-		if ledger := k.ledgers[resource.Name]; ledger != nil {
-			ledger.resource = resource
+		if k.leases[resource.Lease] == nil {
+			k.leases[resource.Lease] = newLease(resource.Lease, k.id, k.timing, k.retired)
 		}
+		k.reconfigure(resource)
 	}
 }
 
-// Know names nodes that live, which may hold shares of another keeper.
-func (k *Keeper) Know(now time.Time, nodes []string) {
-	for _, node := range nodes {
-		if k.sequences[node] != retired {
-			k.known.add(now, node)
-		}
+// reconfigure takes in that a resource has changed. One that moved to another
+// lease gets a new account.
+func (k *Keeper) reconfigure(resource Resource) {
+	ledger := k.ledgers[resource.Name]
+	if ledger == nil {
+		return
+	}
+	if ledger.lease.name != resource.Lease {
+		delete(k.ledgers, resource.Name)
+		return
 	}
+	ledger.resource = resource
 }
 
-// learnDeparted adds nodes that a voter tells of and that are new here.
-func (k *Keeper) learnDeparted(now time.Time, nodes []string) {
-	for _, node := range nodes {
-		if _, ok := k.known.last[node]; !ok && k.sequences[node] != retired {
-			k.known.add(now, node)
+func (k *Keeper) retired(process string) bool {
+	return k.sequences[process] == retired
+}
+
+// Calls returns the calls to the table that are due, in the order of the leases'
+// names. Assigned says whether a lease is this process's to hold. Each call ends
+// with ReadDone, ReadFailed or WriteDone.
+func (k *Keeper) Calls(now time.Time, assigned func(lease string) bool) []LeaseCall {
+	var calls []LeaseCall
+	for _, name := range slices.Sorted(maps.Keys(k.leases)) {
+		if call, ok := k.leases[name].call(now, assigned(name)); ok {
+			calls = append(calls, call)
 		}
 	}
+	return calls
 }
 
-// Departed returns nodes that were known and have not been for an interval,
-// sorted.
-func (k *Keeper) Departed(now time.Time) []string {
-	var departed []string
-	for node, last := range k.known.last {
-		if now.Sub(last) > k.timing.Interval {
-			departed = append(departed, node)
+// ReadDone takes in a lease's row; version 0 means that there is none.
+func (k *Keeper) ReadDone(now time.Time, call LeaseCall, version uint64, row LeaseRow) {
+	k.leases[call.Lease].readDone(now, version, row)
+}
+
+// ReadFailed takes in that a read gave no answer.
+func (k *Keeper) ReadFailed(call LeaseCall) {
+	k.leases[call.Lease].readFailed()
+}
+
+// WriteDone takes in how a write ended.
+func (k *Keeper) WriteDone(now time.Time, call LeaseCall, outcome Outcome) {
+	k.leases[call.Lease].writeDone(now, call, outcome)
+}
+
+// Released forgets a process that has died, once no upstream runs its work. A
+// late report of it is ignored.
+func (k *Keeper) Released(process string) {
+	k.sequences[process] = retired
+	for _, lease := range k.leases {
+		lease.drop(process)
+	}
+	for _, ledger := range k.ledgers {
+		if ledger.entries[process] != nil {
+			delete(ledger.entries, process)
+			ledger.sums.at = time.Time{}
 		}
 	}
-	slices.Sort(departed)
-	return departed
 }
 
-// Released forgets a node that has died, once no upstream runs its work. A late
-// report of the node is ignored.
-func (k *Keeper) Released(node string) {
-	delete(k.known.last, node)
-	k.sequences[node] = retired
-	for _, ledger := range k.ledgers {
-		delete(ledger.entries, node)
+// Unheard returns the processes that hold shares as far as the leases' rows
+// tell, and were not heard of for an interval longer than Timing.Silence,
+// sorted.
+func (k *Keeper) Unheard(now time.Time) []string {
+	unheard := map[string]bool{}
+	for _, lease := range k.leases {
+		for process, heard := range lease.members {
+			if now.Sub(heard) > k.timing.Silence {
+				unheard[process] = true
+			}
+		}
 	}
+	return slices.Sorted(maps.Keys(unheard))
 }
 
 // Started begins the ramp of a resource anew.
@@ -106,8 +141,6 @@
 		return Answer{}, false
 	}
 	k.sequences[report.Node] = report.Sequence
-	k.known.add(now, report.Node)
-	k.learnDeparted(now, report.Departed)
 	k.record(now, report)
 	answer := Answer{Sequence: report.Sequence, Keeper: k.id, Clock: now.Sub(k.started)}
 	for _, usage := range report.Usages {
@@ -121,7 +154,7 @@
 	if ledger == nil {
 		return Grant{Resource: resource}
 	}
-	grant, ok := ledger.grant(now, node, k.known)
+	grant, ok := ledger.grant(now, node)
 	if !ok {
 		k.violations++
 	}
@@ -152,30 +185,20 @@
 	if !ok {
 		return nil
 	}
-	created := newLedger(resource, k.timing, now)
-	if resource.Ballot != "" {
-		created.ballot = k.ledger(now, resource.Ballot)
-	}
-	if created.ballot == nil {
-		return nil
-	}
+	created := newLedger(resource, k.leases[resource.Lease], k.timing, now)
 	k.ledgers[name] = created
 	return created
 }
 
 // Expire forgets what can no longer be held. It is called now and then.
 func (k *Keeper) Expire(now time.Time) {
-	longest := k.timing.lengthen(k.timing.Horizon + k.timing.Fallback + k.timing.Pledge)
+	longest := k.timing.lengthen(k.timing.Horizon + k.timing.Fallback + k.timing.Lease)
 	for _, ledger := range k.ledgers {
 		ledger.expire(now, longest)
 	}
-	maps.DeleteFunc(k.known.last, func(node string, last time.Time) bool {
-		if now.Sub(last) <= longest {
-			return false
-		}
-		k.sequences[node] = retired
-		return true
-	})
+	for _, lease := range k.leases {
+		lease.expire(now, longest)
+	}
 }
 
 // Check returns ErrBound when any grant so far broke the bound.
@@ -191,7 +214,7 @@
 	// Limit is the capacity times the ramp's fraction, Charged the most that
 	// nodes can hold.
 	Limit, Charged Amount
-	// Leading is true when more than half of the voters are pledged.
+	// Leading is true when this process holds the lease.
 	Leading bool
 	// Age is the time since the resource's latest start.
 	Age time.Duration
@@ -201,11 +224,10 @@
 func (k *Keeper) Accounts(now time.Time) map[string]Account {
 	accounts := map[string]Account{}
 	for name, l := range k.ledgers {
-		_, leading := l.lease(now)
 		accounts[name] = Account{
 			Limit:   l.limit(now),
-			Charged: l.total(now, k.known),
-			Leading: leading,
+			Charged: l.sums.total,
+			Leading: l.lease.holds(now),
 			Age:     now.Sub(l.start.at),
 		}
 	}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -2,26 +2,16 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
-// seekInterval is the least time between two counts of the pledges while they
-// are too few.
-const seekInterval = 20 * time.Millisecond
-
 // ledger is the account of one resource at its keeper.
 type ledger struct {
 	resource Resource
-	// ballot holds the pledges; it is the ledger itself or another one.
-	ballot  *ledger
-	timing  Timing
-	start   start
-	entries map[string]*entry
-	// leaseEnd is the latest time until which this keeper may have granted.
-	leaseEnd time.Time
-	// leaseFound is when it was worked out, leaseSought when that failed.
-	leaseFound, leaseSought time.Time
+	lease    *lease
+	timing   Timing
+	start    start
+	entries  map[string]*entry
 	// since is when the present term began: what was sent before it may have
 	// changed under another keeper.
 	since    time.Time
@@ -32,57 +22,92 @@
 // entry is what one node holds of a resource, as far as its keeper knows.
 type entry struct {
 	usage Usage
-	// share and fallback are the latest answer.
-	share, fallback Amount
+	// share, fallback and standby are the latest answer.
+	share, fallback, standby Amount
 	// told is the number of the start that the latest answer told or relied on.
 	told uint64
 	// seen is when the latest report came; it was sent at sent or later.
 	seen, sent time.Time
 	// expires is when share has surely expired.
 	expires time.Time
-	// pledged is when the node's pledge may end.
-	pledged time.Time
+	// leaseEnd is the lease's end as told by the latest answer: the earliest use
+	// of standby. That of usage.Standby is standbyFrom.
+	leaseEnd, standbyFrom time.Time
+	// charged is the entry's part of the sums, and due the standby share in it.
+	charged, due Amount
 }
 
 func (e *entry) fallbackCharge() Amount {
 	return e.usage.Fallback.Max(e.fallback)
 }
 
-func newLedger(resource Resource, timing Timing, now time.Time) *ledger {
-	l := &ledger{
+func (e *entry) standbyCharge() Amount {
+	return e.usage.Standby.Max(e.standby)
+}
+
+func newLedger(resource Resource, held *lease, timing Timing, now time.Time) *ledger {
+	return &ledger{
 		resource: resource,
+		lease:    held,
 		timing:   timing,
 		start:    start{at: now},
 		entries:  map[string]*entry{},
-		since:    now,
 	}
-	l.ballot = l
-	return l
 }
 
-// limit is the most that all nodes together may hold.
+// limit is the most that all nodes together may hold. The ramp allows for a
+// clock that runs fast.
 func (l *ledger) limit(now time.Time) Amount {
-	return l.resource.Capacity.Scale(l.resource.Ramp.Fraction(now.Sub(l.start.at)))
+	age := l.timing.shorten(now.Sub(l.start.at))
+	return l.resource.Capacity.Scale(l.resource.Ramp.Fraction(age))
 }
 
-// charge is the most that a node can hold.
-func (l *ledger) charge(now time.Time, e *entry) Amount {
-	if l.resource.Rate {
-		return l.rateCharge(now, e)
+// heard reports whether a node reports and what it told is of this term.
+func (l *ledger) heard(now time.Time, e *entry) bool {
+	return now.Sub(e.seen) < l.timing.Silence && !e.sent.Before(l.since)
+}
+
+// recharge works out the most that a node can hold until the horizon.
+func (l *ledger) recharge(e *entry) {
+	e.due = Amount{}
+	if e.standbyFrom.Before(l.sums.horizon) {
+		e.due = e.usage.Standby
 	}
-	held := e.usage.Held.Max(e.share).Max(e.fallbackCharge())
-	charge := e.usage.Running.Max(held)
-	if e.sent.Before(l.since) {
-		return charge.Max(l.resource.nodeLimit())
+	if e.leaseEnd.Before(l.sums.horizon) {
+		e.due = e.due.Max(e.standby)
 	}
-	return charge
+	aside := e.fallbackCharge().Add(e.due)
+	e.charged = e.usage.Running.Max(e.usage.Held).Max(e.share).Max(aside)
 }
 
-func (l *ledger) rateCharge(now time.Time, e *entry) Amount {
-	if !now.Before(e.expires) {
-		return Amount{}
+// unsure reports whether a node may hold more than it told.
+func (l *ledger) unsure(node string, e *entry) bool {
+	return l.lease.inherited[node] && e.sent.Before(l.since)
+}
+
+// charge brings an entry's part of the sums up to date.
+func (l *ledger) charge(now time.Time, node string, e *entry) {
+	if l.resource.Rate {
+		e.charged = Amount{}
+		if now.Before(e.expires) {
+			e.charged = e.usage.Held.Max(e.share)
+		}
+		return
+	}
+	l.recharge(e)
+	if l.unsure(node, e) {
+		e.charged = e.charged.Max(l.resource.nodeLimit())
 	}
-	return e.usage.Held.Max(e.share)
+}
+
+// change applies a change to an entry and carries the sums on.
+func (l *ledger) change(now time.Time, node string, e *entry, apply func()) {
+	fallback, standby, charged := l.fallbackHeld(node, e), l.standbyHeld(node, e), e.charged
+	apply()
+	l.charge(now, node, e)
+	l.sums.total = l.sums.total.Add(e.charged).Sub(charged)
+	l.sums.fallback = l.sums.fallback.Add(l.fallbackHeld(node, e)).Sub(fallback)
+	l.sums.standby = l.sums.standby.Add(l.standbyHeld(node, e)).Sub(standby)
 }
 
 // record takes in one usage, which was sent at sent or later.
@@ -93,132 +118,122 @@
 		l.entries[node] = e
 		l.sums.at = time.Time{}
 	}
-	was, wasFallback := l.charge(now, e), e.fallbackCharge()
-	if usage.Unchanged {
-		usage.Held, usage.Fallback = e.share, e.fallback
-	}
-	told := e.told
-	if !usage.Unchanged {
-		told = 0
-	}
-	*e = entry{usage: usage, seen: now, sent: sent, expires: e.expires, pledged: e.pledged, told: told}
-	pledged := sent.Add(l.timing.shorten(l.timing.Pledge))
-	if usage.Pledged && pledged.After(e.pledged) {
-		e.pledged = pledged
-	}
-	l.sums.total = l.sums.total.Add(l.charge(now, e)).Sub(was)
-	l.sums.fallback = l.sums.fallback.Add(e.fallbackCharge()).Sub(wasFallback)
-	l.start.learn(now, usage.Start, l.timing.Pledge)
-}
-
-// lead returns until when more than half of the voters are pledged. A term
-// begins when they come to be: until then another keeper may have granted.
-func (l *ledger) lead(now time.Time) (time.Time, bool) {
-	lease, ok := l.lease(now)
-	if !ok {
-		return time.Time{}, false
-	}
-	if l.leaseEnd.Before(now) {
-		l.since = now
-		l.sums.at = time.Time{}
-	}
-	if l.start.number == 0 {
-		l.start.begin(l.start.at)
-	}
-	l.leaseEnd = laterOf(l.leaseEnd, lease)
-	return lease, true
-}
-
-// lease returns until when a majority is pledged; within sumsLifetime it
-// returns the earlier finding, since pledges are never taken back.
-func (l *ledger) lease(now time.Time) (time.Time, bool) {
-	if now.Sub(l.leaseFound) < sumsLifetime && l.leaseEnd.After(now) {
-		return l.leaseEnd, true
-	}
-	if now.Sub(l.leaseSought) < seekInterval {
-		return time.Time{}, false
-	}
-	l.leaseSought = now
-	lease, ok := l.findLease(now)
-	if ok {
-		l.leaseFound, l.leaseSought = now, time.Time{}
-	}
-	return lease, ok
+	l.change(now, node, e, func() { e.record(now, sent, usage) })
+	l.start.learn(now, usage.Start, l.timing.Silence)
 }
 
-func (l *ledger) findLease(now time.Time) (time.Time, bool) {
-	var ends []time.Time
-	for _, e := range l.ballot.entries {
-		if e.pledged.After(now) {
-			ends = append(ends, e.pledged)
-		}
-	}
-	majority := l.ballot.resource.Voters/2 + 1
-	if len(ends) < majority {
-		return time.Time{}, false
+func (e *entry) record(now, sent time.Time, usage Usage) {
+	if usage.Unchanged {
+		usage.Held, usage.Fallback, usage.Standby = e.share, e.fallback, e.standby
+		e.standbyFrom = e.leaseEnd
+	} else {
+		e.told = 0
 	}
-	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
-	return ends[majority-1], true
+	e.usage, e.seen, e.sent = usage, now, sent
+	e.share, e.fallback, e.standby = Amount{}, Amount{}, Amount{}
 }
 
-// total is the most that all nodes together can hold. A node that is known and
-// was never heard counts in full.
-func (l *ledger) total(now time.Time, k known) Amount {
-	var sum Amount
-	for _, e := range l.entries {
-		sum = sum.Add(l.charge(now, e))
+// lead reports whether this process may grant, and begins its term.
+func (l *ledger) lead(now time.Time) bool {
+	if !l.lease.holds(now) {
+		return false
 	}
-	if l.resource.Rate {
-		return sum
-	}
-	for node := range k.last {
-		if l.entries[node] == nil {
-			sum = sum.Add(l.resource.nodeLimit())
+	if l.since != l.lease.since {
+		l.since = l.lease.since
+		l.sums.at = time.Time{}
+		for _, e := range l.entries {
+			e.standbyFrom = time.Time{}
 		}
 	}
-	return sum
+	l.start.assume()
+	return true
 }
 
 // grant decides the share of a node that has just reported, and reports
 // whether the sum kept within its bound.
-func (l *ledger) grant(now time.Time, node string, k known) (Grant, bool) {
+func (l *ledger) grant(now time.Time, node string) (Grant, bool) {
 	grant := Grant{Resource: l.resource.Name}
-	lease, ok := l.lead(now)
-	if !ok {
+	if !l.lead(now) || !l.resource.Rate && !l.lease.admit(now, node) {
 		return grant, true
 	}
-	sound := l.refresh(now, k)
+	sound := l.refresh(now)
 	e := l.entries[node]
-	if e.sent.Before(l.since) {
+	if e.sent.Before(l.since) || !now.Before(l.sums.horizon) {
 		return grant, sound
 	}
 	before := l.sums.total
 	limit := l.limit(now)
-	own := l.charge(now, e)
-	free := limit.Sub(before.Sub(own)).Max(Amount{})
-	l.sums.fallback = l.sums.fallback.Sub(e.fallbackCharge())
-	e.share = l.target(now, node, before).Min(free)
-	e.fallback = l.fallback().Min(e.share)
-	l.sums.fallback = l.sums.fallback.Add(e.fallbackCharge())
-	e.expires = now.Add(l.timing.lengthen(lease.Sub(now)))
-	grant.Share = e.share
-	grant.Fallback = e.fallback
-	grant.Lifetime = l.timing.shorten(lease.Sub(now))
+	free := limit.Sub(before.Sub(e.charged)).Max(Amount{})
+	share := l.target(now, node, before).Min(free)
+	if l.onStandby(now, e) && !e.fallbackCharge().Add(e.due).Within(share) {
+		return grant, sound
+	}
+	left := l.sums.horizon.Sub(now)
+	l.change(now, node, e, func() {
+		e.share = share
+		e.expires = laterOf(e.expires, now.Add(l.timing.lengthen(left)))
+		e.leaseEnd = l.lease.end
+	})
+	l.change(now, node, e, func() { e.fallback = l.fallback(node, e) })
+	l.change(now, node, e, func() { e.standby = l.standby(node, e) })
+	l.lease.grantEnd = laterOf(l.lease.grantEnd, e.expires)
+	grant.Share, grant.Fallback, grant.Standby = e.share, e.fallback, e.standby
+	grant.Lifetime = l.timing.shorten(left)
+	grant.LeaseLeft = l.lease.end.Sub(now)
 	if e.told != l.start.number {
 		grant.Start = l.start.tell(now)
 		e.told = l.start.number
 	}
-	l.sums.total = before.Add(l.charge(now, e)).Sub(own)
 	return grant, sound && l.sums.total.Within(limit.Max(before))
 }
 
-// fallback is what the node may hold without a keeper: an even part of what
-// the others leave. Nodes without a share get none.
-func (l *ledger) fallback() Amount {
+// onStandby reports whether a node may use a standby share now. While a grant
+// would be of less, because of processes that were not heard yet, it goes on with
+// that.
+func (l *ledger) onStandby(now time.Time, e *entry) bool {
+	starting := now.Sub(l.start.at) < l.resource.Ramp.Duration
+	return !starting && e.due != (Amount{}) && l.sums.unsure > 0
+}
+
+// fallback is what the node may hold without a keeper at any time: an even part
+// of what the others leave. A node without a share gets no more than it has.
+func (l *ledger) fallback(node string, e *entry) Amount {
 	limit := l.resource.fallbackLimit()
-	left := limit.Sub(l.sums.fallback).Max(Amount{})
-	nodes := len(l.entries)
-	return Amount{ceilDiv(limit.Slots, nodes), ceilDiv(limit.KVTokens, nodes)}.Min(left)
+	left := limit.Sub(l.sums.fallback.Sub(l.fallbackHeld(node, e))).Max(e.usage.Fallback)
+	unused := e.share.Sub(e.due).Max(e.usage.Fallback)
+	return evenPart(limit, len(l.entries)).Min(left).Min(unused)
+}
+
+// standby is what the node may hold besides when the lease has ended: an even
+// part among the nodes that expect work, of what the others leave.
+func (l *ledger) standby(node string, e *entry) Amount {
+	if l.resource.Rate || e.usage.Idle {
+		return Amount{}
+	}
+	limit := l.resource.standbyLimit()
+	left := limit.Sub(l.sums.standby.Sub(l.standbyHeld(node, e))).Max(e.usage.Standby)
+	most := l.resource.nodeLimit().Sub(e.fallbackCharge()).Max(Amount{})
+	return evenPart(limit, max(l.sums.active, 1)).Min(left).Min(most)
+}
+
+// fallbackHeld is the most that a node can hold as fallback.
+func (l *ledger) fallbackHeld(node string, e *entry) Amount {
+	if l.unsure(node, e) {
+		return l.resource.fallbackLimit().Min(l.resource.nodeLimit())
+	}
+	return e.fallbackCharge()
+}
+
+// standbyHeld is the most that a node can hold as standby.
+func (l *ledger) standbyHeld(node string, e *entry) Amount {
+	if l.unsure(node, e) {
+		return l.resource.nodeLimit()
+	}
+	return e.standbyCharge()
+}
+
+func evenPart(total Amount, nodes int) Amount {
+	return Amount{ceilDiv(total.Slots, nodes), ceilDiv(total.KVTokens, nodes)}
 }
 
 // expire forgets nodes whose work has ended by the longest deadline.
@@ -238,3 +253,10 @@
 	}
 	return b
 }
+
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -9,14 +9,11 @@
 	Node string
 	// Sequence grows with each report of the node, to whatever keeper.
 	Sequence uint64
-	// Keeper is the keeper that the pledges are for; it is empty before its
-	// first answer.
+	// Keeper is the keeper's process, whose answer Echo is of; it is empty before
+	// the first answer.
 	Keeper string
 	// Echo is the Clock of the keeper's latest answer.
 	Echo time.Duration
-	// Departed names nodes that have died and may still have work running. It
-	// comes with pledges that are new to the keeper.
-	Departed []string
 	// Usages holds the resources that this keeper is believed to keep.
 	Usages []Usage
 }
@@ -29,15 +26,15 @@
 	// Waiting is wanted by work that could start at once.
 	Waiting Amount
 	// Unchanged is true when the node applied this keeper's latest grant of the
-	// resource. Held, Fallback and Start are then as in it and left out here.
+	// resource. Held, Fallback, Standby and Start are then as in it and left out
+	// here.
 	Unchanged bool
 	// Held is the unexpired share.
 	Held Amount
 	// Fallback is the unexpired fallback share.
 	Fallback Amount
-	// Pledged is true when the sender is a voter of the resource and pledges
-	// itself to the keeper.
-	Pledged bool
+	// Standby is the unexpired standby share, whether or not its time has come.
+	Standby Amount
 	// Next is what the first piece of waiting work needs; a share of less than
 	// Running plus Next starts nothing.
 	Next Amount
@@ -66,6 +63,11 @@
 	Lifetime time.Duration
 	// Fallback may be used when Share has expired.
 	Fallback Amount
+	// Standby may be used besides Fallback from LeaseLeft after the answer came,
+	// unless the resource is in a start.
+	Standby Amount
+	// LeaseLeft is the time until the keeper's lease ends.
+	LeaseLeft time.Duration
 	// Start is left out when the node has it from this keeper's latest grant.
 	Start Start
 }
--- a/budget/ramp.go
+++ b/budget/ramp.go
@@ -27,6 +27,9 @@
 	return float64(r.InitialPercent) / 100
 }
 
+// assumedStart is the number of a start that nobody saw.
+const assumedStart = 1
+
 // start is one start of a resource by the clock of who keeps it.
 type start struct {
 	number uint64
@@ -44,9 +47,16 @@
 	}
 }
 
-// begin records a start that was seen here.
+// begin records a start that was seen here. Its number is over assumedStart, so
+// that it is never taken for one that was only assumed.
 func (s *start) begin(now time.Time) {
-	*s = start{number: s.number + 1, at: now}
+	*s = start{number: max(s.number, assumedStart) + 1, at: now}
+}
+
+// assume gives a resource of which no start is known one at the time when it was
+// first asked for.
+func (s *start) assume() {
+	s.number = max(s.number, assumedStart)
 }
 
 func (s *start) tell(now time.Time) Start {
--- a/budget/resource.go
+++ b/budget/resource.go
@@ -6,11 +6,8 @@
 	Name     string
 	Capacity Amount
 	Ramp     Ramp
-	// Voters is the most nodes that can vote on the resource's keeper at once.
-	Voters int
-	// Ballot names the resource whose pledges count for this one too, so that
-	// many resources need one vote; it is empty for a resource with its own.
-	Ballot string
+	// Lease names the lease that its keeper must hold. Many resources have one.
+	Lease string
 	// NodeSlotsPercent and NodeKVPercent are the most that one node may hold.
 	NodeSlotsPercent, NodeKVPercent int
 	// FallbackPercent is the share of the capacity given out as fallback.
@@ -32,3 +29,8 @@
 func (r Resource) fallbackLimit() Amount {
 	return r.Capacity.Scale(min(float64(r.FallbackPercent)/100, r.Ramp.Initial()))
 }
+
+// standbyLimit is the most that all nodes together hold as standby.
+func (r Resource) standbyLimit() Amount {
+	return r.Capacity.Sub(r.fallbackLimit())
+}
--- a/budgets.go
+++ b/budgets.go
@@ -14,14 +14,8 @@
 )
 
 const (
-	// nodeSlotsPercent and nodeKVPercent are the most of an upstream that one
-	// node may hold. With few nodes there is no such limit on slots.
-	nodeSlotsPercent = 50
-	nodeKVPercent    = 100
-	fewNodes         = 2
-	// fewVoters is the number of nodes below which a data centre's upstreams are
-	// voted on by the region: a majority of two would need both.
-	fewVoters = 5
+	// nodePercent is the most of an upstream or a rate that one node may hold.
+	nodePercent = 100
 	// unkeptPercent is the part of an organisation's rate that is divided evenly
 	// among the nodes, for those without a share.
 	unkeptPercent = 10
@@ -100,53 +94,19 @@
 
 func regionScope(name string) string { return "region/" + name }
 
-// electorate says who votes on the keeper of an upstream.
-type electorate struct {
-	dataCentre, region string
-	// nodes holds the most entry nodes at once by region and data centre.
-	nodes map[string]map[string]int
-}
-
-// of returns how many nodes vote for a data centre's upstreams and whether this
-// node does. Where a data centre has few, those of its region vote.
-func (e electorate) of(dataCentre string) (voters int, own bool) {
-	for region, centres := range e.nodes {
-		count, ok := centres[dataCentre]
-		if !ok {
-			continue
-		}
-		if count >= fewVoters {
-			return count, dataCentre == e.dataCentre
-		}
-		return e.inRegion(region), region == e.region
-	}
-	return 0, false
-}
-
-func (e electorate) inRegion(region string) int {
-	sum := 0
-	for _, count := range e.nodes[region] {
-		sum += count
-	}
-	return sum
-}
-
-// sharedUpstreams returns the upstreams of the tables as shared resources. One
-// in a data centre without entry nodes is never granted.
-func sharedUpstreams(built *tables.Tables, e electorate) []budgetrpc.Shared {
+// sharedUpstreams returns the upstreams of the tables as shared resources.
+func sharedUpstreams(built *tables.Tables, dataCentre string) []budgetrpc.Shared {
 	var shared []budgetrpc.Shared
 	for id, upstream := range built.Upstreams {
-		voters, own := e.of(upstream.DataCentre)
 		shared = append(shared, budgetrpc.Shared{
-			Scope:    dataCentreScope(upstream.DataCentre),
-			Interest: budget.Interest{Voter: own, Local: upstream.DataCentre == e.dataCentre},
+			Lease:    budgetrpc.UpstreamLease(dataCentreScope(upstream.DataCentre), id),
+			Interest: budget.Interest{Local: upstream.DataCentre == dataCentre},
 			Resource: budget.Resource{
 				Name:             id,
 				Capacity:         budget.Amount{Slots: upstream.Slots, KVTokens: upstream.KVTokens},
 				Ramp:             budget.Ramp{InitialPercent: upstream.Ramp.InitialPercent, Duration: upstream.Ramp.Duration},
-				Voters:           voters,
-				NodeSlotsPercent: slotsPercent(voters),
-				NodeKVPercent:    nodeKVPercent,
+				NodeSlotsPercent: nodePercent,
+				NodeKVPercent:    nodePercent,
 				FallbackPercent:  upstream.Ramp.InitialPercent,
 			},
 		})
@@ -160,13 +120,6 @@
 func sharedRates(built *tables.Tables, region string, nodes int) ([]budgetrpc.Shared, map[string]float64) {
 	var shared []budgetrpc.Shared
 	unkept := map[string]float64{}
-	for _, ballot := range budgetrpc.Ballots(region) {
-		shared = append(shared, budgetrpc.Shared{
-			Scope:    regionScope(region),
-			Interest: budget.Interest{Voter: true, Local: true},
-			Resource: budget.Resource{Name: ballot, Voters: nodes, Rate: true},
-		})
-	}
 	for _, plan := range built.Plans {
 		for _, organisation := range plan.Document.Organisations {
 			if organisation.TokensPerSecond <= 0 {
@@ -175,13 +128,12 @@
 			key := scheduling.OrganisationKey(plan.Environment, plan.Lane, organisation.Name)
 			unkept[key] = float64(organisation.TokensPerSecond) * unkeptPercent / 100 / float64(nodes)
 			shared = append(shared, budgetrpc.Shared{
-				Scope:    regionScope(region),
+				Lease:    budgetrpc.RateLease(regionScope(region), key),
 				Interest: budget.Interest{OnDemand: true},
 				Resource: budget.Resource{
 					Name:             organisationPrefix + key,
 					Capacity:         budget.Amount{Slots: organisation.TokensPerSecond * (100 - unkeptPercent) / 100},
-					Ballot:           budgetrpc.Ballot(region, key),
-					NodeSlotsPercent: 100,
+					NodeSlotsPercent: nodePercent,
 					Rate:             true,
 				},
 			})
@@ -189,10 +141,3 @@
 	}
 	return shared, unkept
 }
-
-func slotsPercent(nodes int) int {
-	if nodes <= fewNodes {
-		return 100
-	}
-	return nodeSlotsPercent
-}
--- a/budgets_node.go
+++ b/budgets_node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/wigeontiller/wigeontiller/budget"
 	"github.com/wigeontiller/wigeontiller/budget/budgetrpc"
 	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/tables"
@@ -20,19 +20,22 @@
 // budgets is the node's part in sharing upstreams and rates with other nodes.
 type budgets struct {
 	dispatcher *dispatch.Dispatcher
-	electorate electorate
+	dataCentre string
+	region     string
 	work       budgetWork
 	node       *budgetrpc.Node
+	nodes      site
 	// built are the tables that the resources are from.
 	built *tables.Tables
+	// most is the most nodes of the region that were ever seen at once: a node
+	// that is cut off must not take the others' part of a rate.
+	most int
 }
 
 // liveNode is an entry node of the site that lives.
 type liveNode struct {
 	name, dataCentre, region string
 	address                  netip.AddrPort
-	// started is when its process started, in Unix milliseconds.
-	started uint64
 }
 
 // site lets budgets see the other nodes and call them.
@@ -40,24 +43,27 @@
 	// live returns the live nodes of all regions, sorted by name, the node itself
 	// included.
 	live() []liveNode
-	// startedAt is when this node's process started, as others see it in live.
-	startedAt() uint64
 	dial(ctx context.Context, address netip.AddrPort) drpc.Conn
 }
 
 // newBudgets returns nil when the settings hold no entry_nodes.
-func newBudgets(s *settings.Settings, d *dispatch.Dispatcher, nodes site, logger zerolog.Logger) *budgets {
+func newBudgets(s *settings.Settings, process string, table platform.Table, d *dispatch.Dispatcher, nodes site, logger zerolog.Logger) *budgets {
 	if s.EntryNodes == nil {
 		return nil
 	}
 	b := &budgets{
 		dispatcher: d,
-		electorate: electorate{dataCentre: s.DataCentre, region: s.Region, nodes: s.EntryNodes},
+		dataCentre: s.DataCentre,
+		region:     s.Region,
 		work:       budgetWork{dispatcher: d, wanted: map[string]float64{}, looked: time.Now()},
+		nodes:      nodes,
+		most:       max(len(s.Seeds), 1),
 	}
 	b.node = budgetrpc.NewNode(budgetrpc.Config{
-		Process: processName(s.Name, nodes.startedAt()),
+		Name:    s.Name,
+		Process: process,
 		Timing:  budget.DefaultTiming(),
+		Table:   table,
 		Members: budgetMembers{nodes},
 		Work:    b,
 		Dial:    nodes.dial,
@@ -79,7 +85,8 @@
 
 // Demands implements budgetrpc.Work.
 func (b *budgets) Demands() map[string]budget.Demand {
-	if built := b.dispatcher.Tables(); built != nil && built != b.built {
+	seen := b.seeNodes()
+	if built := b.dispatcher.Tables(); built != nil && (built != b.built || seen) {
 		b.configure(built)
 	}
 	for _, id := range b.dispatcher.TakeColdStarts() {
@@ -88,6 +95,20 @@
 	return b.work.Demands()
 }
 
+// seeNodes counts the region's nodes and reports whether there are more of them
+// than ever.
+func (b *budgets) seeNodes() bool {
+	nodes := 0
+	for _, node := range b.nodes.live() {
+		if node.region == b.region {
+			nodes++
+		}
+	}
+	grown := nodes > b.most
+	b.most = max(b.most, nodes)
+	return grown
+}
+
 // SetShares implements budgetrpc.Work.
 func (b *budgets) SetShares(shares map[string]budget.Share) {
 	b.work.SetShares(shares)
@@ -95,8 +116,8 @@
 
 // configure takes in new tables. An upstream that came back is ramped.
 func (b *budgets) configure(built *tables.Tables) {
-	shared := sharedUpstreams(built, b.electorate)
-	rates, unkept := sharedRates(built, b.electorate.region, b.electorate.inRegion(b.electorate.region))
+	shared := sharedUpstreams(built, b.dataCentre)
+	rates, unkept := sharedRates(built, b.region, b.most)
 	b.work.unkept = unkept
 	b.node.Configure(append(shared, rates...))
 	for id, upstream := range built.Upstreams {
@@ -112,26 +133,19 @@
 	nodes site
 }
 
-// Live implements budgetrpc.Members.
+// Live implements budgetrpc.Members. The leases of a data centre or region
+// without a live entry node fall to all nodes.
 func (m budgetMembers) Live(scope string) []budgetrpc.Peer {
-	var peers []budgetrpc.Peer
+	var own, all []budgetrpc.Peer
 	for _, member := range m.nodes.live() {
+		peer := budgetrpc.Peer{Name: member.name, Address: member.address}
+		all = append(all, peer)
 		if scope == dataCentreScope(member.dataCentre) || scope == regionScope(member.region) {
-			peers = append(peers, budgetrpc.Peer{Name: member.name, Address: member.address})
+			own = append(own, peer)
 		}
 	}
-	return peers
-}
-
-// Processes implements budgetrpc.Members.
-func (m budgetMembers) Processes() []string {
-	var processes []string
-	for _, member := range m.nodes.live() {
-		processes = append(processes, processName(member.name, member.started))
+	if len(own) == 0 {
+		return all
 	}
-	return processes
-}
-
-func processName(vm string, started uint64) string {
-	return fmt.Sprintf("%s/%x", vm, started)
+	return own
 }
--- a/cluster_site.go
+++ b/cluster_site.go
@@ -18,17 +18,11 @@
 			dataCentre: member.DataCentre,
 			region:     member.Region,
 			address:    member.Address,
-			started:    member.Started,
 		})
 	}
 	return nodes
 }
 
-// startedAt implements site.
-func (c *cluster) startedAt() uint64 {
-	return c.started
-}
-
 // dial implements site.
 func (c *cluster) dial(ctx context.Context, address netip.AddrPort) drpc.Conn {
 	return c.pool.Conn(ctx, address)
--- a/node.go
+++ b/node.go
@@ -23,6 +23,7 @@
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/entry"
+	"github.com/wigeontiller/wigeontiller/orphan"
 	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/platform/guard"
 	"github.com/wigeontiller/wigeontiller/resume"
@@ -110,8 +111,8 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
-	owner := newOwner(s.Name)
-	if err := node.shareLimits(); err != nil {
+	owner := newOwner(s.Name, node.cluster.started)
+	if err := node.shareLimits(owner); err != nil {
 		return nil, err
 	}
 	node.entry = entry.NewServer(entry.Config{
@@ -133,8 +134,8 @@
 }
 
 // shareLimits makes the node's part in shared limits, if the settings ask for it.
-func (n *Node) shareLimits() error {
-	n.budgets = newBudgets(n.settings, n.dispatcher, n.cluster, n.logger)
+func (n *Node) shareLimits(owner orphan.Owner) error {
+	n.budgets = newBudgets(n.settings, owner.String(), n.guard.Urgent(), n.dispatcher, n.cluster, n.logger)
 	if n.budgets == nil {
 		return nil
 	}
--- a/reports.go
+++ b/reports.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"strconv"
-	"time"
 
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
@@ -20,9 +19,10 @@
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
 
-// newOwner names this process to engines.
-func newOwner(node string) orphan.Owner {
-	return orphan.Owner{Node: node, Process: strconv.FormatInt(time.Now().UnixMilli(), 36)}
+// newOwner names a process to engines and keepers by when it started, in Unix
+// milliseconds.
+func newOwner(node string, started uint64) orphan.Owner {
+	return orphan.Owner{Node: node, Process: strconv.FormatUint(started, 36)}
 }
 
 // reports is the node's part in reading the engines' load reports.
