Ended processes are released; readiness waits for shares; one boolean setting

Cause: nobody called Released, so a process that died counted against its upstreams for the longest deadline and the fallback's time. A node was ready before it had a share. entry_nodes held counts that nothing needs any more.

Change: shared_limits (off by default) takes the place of entry_nodes. A live node under a later process ends the earlier one. A process that was released by mistake is a new one with the first report that it sent after the keeper told it. A node with a site is ready when it has had a share of an upstream, or after 5 s; status says how many upstreams have a keeper's share, a standby share or none. The leases of a data centre without entry nodes fall to all nodes, so its upstreams are granted too.

Not done: on by default.

Tests: TestEndedProcessesAreReleasedAfterTheSweep, TestReleaseWaitsWithoutABreak, TestReadinessWaitsForTheFirstShares, TestReleasedProcessMayReturn. TestNodesTogetherKeepToTheSlots sets shared_limits where it set entry_nodes; TestElectorate went with the electorate, in its place stands TestLeaseHoldersAreOfTheDataCentre.

--- a/admin/server.go
+++ b/admin/server.go
@@ -54,6 +54,9 @@
 	Running int `json:"running"`
 	// LimitedUpstreams are those that the node doesn't use in full for now.
 	LimitedUpstreams []scheduling.Limited `json:"limited_upstreams"`
+	// Shares tells what the node may use of the upstreams shared with others; it is
+	// zero where limits are not shared.
+	Shares Shares `json:"shares"`
 	// EstimateErrors is the relative error of the first-token estimate by model.
 	EstimateErrors map[string]float64 `json:"estimate_errors"`
 	// OutDataCentres and OutVMs were taken out by operators.
@@ -67,6 +70,15 @@
 	Peers []Peer `json:"peers"`
 }
 
+// Shares counts the upstreams of the site by what the node may use of them.
+type Shares struct {
+	// Kept have a share that a keeper granted, Standby one for the time without a
+	// keeper; Without have none.
+	Kept    int `json:"kept"`
+	Standby int `json:"standby"`
+	Without int `json:"without"`
+}
+
 // PeerUnreachable is the state of a peer whose data centre can't be heard.
 const PeerUnreachable = "unreachable"
 
--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -144,7 +144,15 @@
 func (n *Node) Released(process string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.keeper.Released(process)
+	n.keeper.Released(time.Now(), process)
+}
+
+// Unheard returns the processes that may hold shares of this node's leases and
+// were not heard of for a while, sorted.
+func (n *Node) Unheard() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.keeper.Unheard(time.Now())
 }
 
 // Accounts returns the accounts of the resources that this node has kept.
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -11,18 +11,17 @@
 // ErrBound is returned by Check when a grant broke the bound on a sum.
 var ErrBound = eris.New("budget: sum of shares over its limit")
 
-// retired is the sequence number past all those of a live node.
-const retired = ^uint64(0)
-
 // Keeper grants shares of the resources whose leases its process holds.
 type Keeper struct {
-	id         string
-	timing     Timing
-	started    time.Time
-	resources  map[string]Resource
-	ledgers    map[string]*ledger
-	leases     map[string]*lease
-	sequences  map[string]uint64
+	id        string
+	timing    Timing
+	started   time.Time
+	resources map[string]Resource
+	ledgers   map[string]*ledger
+	leases    map[string]*lease
+	sequences map[string]uint64
+	// released maps processes to when they were taken for ended.
+	released   map[string]time.Time
 	violations int
 }
 
@@ -36,6 +35,7 @@
 		ledgers:   map[string]*ledger{},
 		leases:    map[string]*lease{},
 		sequences: map[string]uint64{},
+		released:  map[string]time.Time{},
 	}
 }
 
@@ -45,7 +45,7 @@
 	for _, resource := range resources {
 		k.resources[resource.Name] = resource
 		if k.leases[resource.Lease] == nil {
-			k.leases[resource.Lease] = newLease(resource.Lease, k.id, k.timing, k.retired)
+			k.leases[resource.Lease] = newLease(resource.Lease, k.id, k.timing, k.isReleased)
 		}
 		k.reconfigure(resource)
 	}
@@ -65,8 +65,9 @@
 	ledger.resource = resource
 }
 
-func (k *Keeper) retired(process string) bool {
-	return k.sequences[process] == retired
+func (k *Keeper) isReleased(process string) bool {
+	_, ok := k.released[process]
+	return ok
 }
 
 // Calls returns the calls to the table that are due, in the order of the leases'
@@ -98,9 +99,9 @@
 }
 
 // Released forgets a process that has died, once no upstream runs its work. A
-// late report of it is ignored.
-func (k *Keeper) Released(process string) {
-	k.sequences[process] = retired
+// report that it sent before now is ignored; with a later one it is a new process.
+func (k *Keeper) Released(now time.Time, process string) {
+	k.released[process] = now
 	for _, lease := range k.leases {
 		lease.drop(process)
 	}
@@ -141,8 +142,11 @@
 		return Answer{}, false
 	}
 	k.sequences[report.Node] = report.Sequence
-	k.record(now, report)
 	answer := Answer{Sequence: report.Sequence, Keeper: k.id, Clock: now.Sub(k.started)}
+	if !k.revive(report) {
+		return answer, true
+	}
+	k.record(now, report)
 	for _, usage := range report.Usages {
 		answer.Grants = append(answer.Grants, k.grant(now, report.Node, usage.Resource))
 	}
@@ -161,14 +165,30 @@
 	return grant
 }
 
-// record takes in all usages before any grant. A report was sent after the
-// answer that it echoes; one that echoes none may be of any age, and says
-// nothing of what its sender holds by now.
-func (k *Keeper) record(now time.Time, report Report) {
-	sent := time.Time{}
-	if report.Keeper == k.id {
-		sent = k.started.Add(report.Echo)
+// revive reports whether a report is of a process that lives. One that was
+// released lives if it sent the report after that.
+func (k *Keeper) revive(report Report) bool {
+	released, ok := k.released[report.Node]
+	if ok && k.sent(report).Before(released) {
+		return false
 	}
+	delete(k.released, report.Node)
+	return true
+}
+
+// sent is the earliest time that a report may have been sent at: after the
+// answer that it echoes. One that echoes none may be of any age, and says nothing
+// of what its sender holds by now.
+func (k *Keeper) sent(report Report) time.Time {
+	if report.Keeper != k.id {
+		return time.Time{}
+	}
+	return k.started.Add(report.Echo)
+}
+
+// record takes in all usages before any grant.
+func (k *Keeper) record(now time.Time, report Report) {
+	sent := k.sent(report)
 	for _, usage := range report.Usages {
 		if ledger := k.ledger(now, usage.Resource); ledger != nil {
 			ledger.record(now, sent, report.Node, usage)
--- a/budget/lease.go
+++ b/budget/lease.go
@@ -84,8 +84,8 @@
 	generation uint64
 	// wanted are processes to register.
 	wanted map[string]bool
-	// retired reports whether a process has ended with all its work.
-	retired func(process string) bool
+	// released reports whether a process has ended with all its work.
+	released func(process string) bool
 	// starts maps writes whose outcome is unknown to when they began.
 	starts map[uint64]time.Time
 	writes uint64
@@ -103,12 +103,12 @@
 	grantEnd time.Time
 }
 
-func newLease(name, process string, timing Timing, retired func(process string) bool) *lease {
+func newLease(name, process string, timing Timing, released func(process string) bool) *lease {
 	return &lease{
 		name:      name,
 		process:   process,
 		timing:    timing,
-		retired:   retired,
+		released:  released,
 		members:   map[string]time.Time{},
 		inherited: map[string]bool{},
 		wanted:    map[string]bool{},
@@ -292,7 +292,7 @@
 func (l *lease) win(now time.Time, registered []string) {
 	l.since = now
 	for _, process := range registered {
-		if !l.retired(process) {
+		if !l.released(process) {
 			l.inherited[process] = true
 		}
 	}
@@ -306,7 +306,7 @@
 	l.end = laterOf(l.end, start.Add(l.timing.shorten(l.row.Length)))
 	for _, process := range l.row.Registered {
 		delete(l.wanted, process)
-		if _, ok := l.members[process]; !ok && !l.retired(process) {
+		if _, ok := l.members[process]; !ok && !l.released(process) {
 			l.members[process] = now
 		}
 	}
--- a/budgets_node.go
+++ b/budgets_node.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"github.com/wigeontiller/wigeontiller/admin"
 	"github.com/wigeontiller/wigeontiller/budget"
 	"github.com/wigeontiller/wigeontiller/budget/budgetrpc"
 	"github.com/wigeontiller/wigeontiller/dispatch"
@@ -27,6 +28,8 @@
 	nodes      site
 	// built are the tables that the resources are from.
 	built *tables.Tables
+	// ready has the node's readiness, as far as it depends on shares.
+	ready firstShares
 	// most is the most nodes of the region that were ever seen at once: a node
 	// that is cut off must not take the others' part of a rate.
 	most int
@@ -46,11 +49,7 @@
 	dial(ctx context.Context, address netip.AddrPort) drpc.Conn
 }
 
-// newBudgets returns nil when the settings hold no entry_nodes.
 func newBudgets(s *settings.Settings, process string, table platform.Table, d *dispatch.Dispatcher, nodes site, logger zerolog.Logger) *budgets {
-	if s.EntryNodes == nil {
-		return nil
-	}
 	b := &budgets{
 		dispatcher: d,
 		dataCentre: s.DataCentre,
@@ -112,6 +111,7 @@
 // SetShares implements budgetrpc.Work.
 func (b *budgets) SetShares(shares map[string]budget.Share) {
 	b.work.SetShares(shares)
+	b.ready.set(shares)
 }
 
 // configure takes in new tables. An upstream that came back is ramped.
@@ -126,6 +126,18 @@
 		}
 	}
 	b.built = built
+	b.ready.configure(time.Now(), built)
+}
+
+// settled reports whether the node has had its first shares, or has waited for
+// them long enough.
+func (b *budgets) settled(now time.Time) bool {
+	return b.ready.settled(now)
+}
+
+// status counts the upstreams by the node's share.
+func (b *budgets) status() admin.Shares {
+	return b.ready.status()
 }
 
 // budgetMembers lets budgets see the other nodes.
--- a/node.go
+++ b/node.go
@@ -135,10 +135,10 @@
 
 // shareLimits makes the node's part in shared limits, if the settings ask for it.
 func (n *Node) shareLimits(owner orphan.Owner) error {
-	n.budgets = newBudgets(n.settings, owner.String(), n.guard.Urgent(), n.dispatcher, n.cluster, n.logger)
-	if n.budgets == nil {
+	if !n.settings.SharedLimits {
 		return nil
 	}
+	n.budgets = newBudgets(n.settings, owner.String(), n.guard.Urgent(), n.dispatcher, n.cluster, n.logger)
 	if err := n.cluster.server.Register(n.budgets.register); err != nil {
 		return eris.Wrap(ErrSettings, err.Error())
 	}
@@ -171,6 +171,7 @@
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	if n.budgets != nil {
 		n.workers.Go(func() { n.budgets.run(ctx) })
+		n.workers.Go(func() { newReleaser(n.reports, n.budgets.node).run(ctx) })
 	}
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
 	n.workers.Go(func() { n.reports.poller.Run(ctx) })
@@ -225,9 +226,13 @@
 	return err
 }
 
-// Ready reports whether the node has a site in force and is not leaving.
+// Ready reports whether the node has a site in force, has had its first shares or
+// waited for them, and is not leaving.
 func (n *Node) Ready() bool {
-	return n.dispatcher.Tables() != nil && !n.draining.Load()
+	if n.dispatcher.Tables() == nil || n.draining.Load() {
+		return false
+	}
+	return n.budgets == nil || n.budgets.settled(time.Now())
 }
 
 // Adopt tells the node of a site that it may not have seen yet.
@@ -250,6 +255,9 @@
 	status.Waiting, status.Running = n.dispatcher.Load()
 	status.LimitedUpstreams = n.dispatcher.Limited()
 	status.EstimateErrors = n.dispatcher.EstimateErrors()
+	if n.budgets != nil {
+		status.Shares = n.budgets.status()
+	}
 	built := n.dispatcher.Tables()
 	if built == nil {
 		status.Peers = n.cluster.peers(ctx, 0)
--- a/reports.go
+++ b/reports.go
@@ -95,6 +95,30 @@
 	return orphan.Silent
 }
 
+// processStanding implements processes. A node that lives under a later process
+// has ended the earlier one.
+func (r *reports) processStanding(owner orphan.Owner) orphan.Standing {
+	if r.cluster.agent.Isolated() {
+		return orphan.Unknown
+	}
+	if owner.Node == r.owner.Node {
+		return endedUnless(owner == r.owner)
+	}
+	for _, live := range r.cluster.agent.Live(membership.SiteScope) {
+		if live.Name == owner.Node {
+			return endedUnless(newOwner(live.Name, live.Started) == owner)
+		}
+	}
+	return r.Standing(owner)
+}
+
+func endedUnless(same bool) orphan.Standing {
+	if same {
+		return orphan.Held
+	}
+	return orphan.Gone
+}
+
 // Holds implements observe.Members.
 func (r *reports) Holds(streamID string) bool { return r.entry.Holds(streamID) }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,10 +39,10 @@
 	InProcessDemo bool `yaml:"-"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
-	// EntryNodes holds by region and data centre the most entry nodes that can run
-	// at once. It must be the same at all nodes. Without it each node keeps to its
-	// own limits and none are shared.
-	EntryNodes map[string]map[string]int `yaml:"entry_nodes"`
+	// SharedLimits lets the node share upstreams' limits and organisations' rates
+	// with the others. It must be the same at all nodes. Without it each node keeps
+	// to its own limits.
+	SharedLimits bool `yaml:"shared_limits"`
 	// OTLPEndpoint is the URL that traces go to; empty turns traces off.
 	OTLPEndpoint string `yaml:"otlp_endpoint"`
 	// ShutdownLag is how long a leaving node still accepts, for the balancer. Default 5s.
@@ -143,9 +143,6 @@
 			add(address.field, "must be an IP address and port")
 		}
 	}
-	if s.EntryNodes != nil && s.EntryNodes[s.Region][s.DataCentre] < 1 {
-		add("entry_nodes", "must hold the node's own region and data centre, at least 1")
-	}
 	if len(s.OperatorTokens) == 0 {
 		add("operator_tokens", "must name a token")
 	}
