Budgets' messages within their part at 320 nodes; standby told with each answer

Change: an answer leaves out a share, and fallback and standby, that the node holds already, and sends durations once where all are equal. A node keeps a share that is enough and over its fair part by a slot or an eighth at most (memory also under it by a sixteenth), so that not each change of one demand changes all shares. A node without use reports each 20 s instead of 5, but often after a change of keeper until that has granted. One that comes to be short reports ten times a second for a second.

Also: the time from which a standby share may be used was the lease's end, which jumps by 4 s.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -66,6 +66,9 @@
 	// Lease is how long a keeper's lease lasts from the start of its write, and
 	// Renewal the time from one write to the next.
 	Lease, Renewal time.Duration
+	// Standby is how long after an answer a node may use its standby share, if no
+	// other answer comes; earlier when the lease ends before.
+	Standby time.Duration
 	// Fallback is how long fallback and standby shares last without a keeper.
 	Fallback time.Duration
 	// Horizon is the longest time that a request may run.
@@ -78,10 +81,11 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Interval:     500 * time.Millisecond,
-		IdleInterval: 5 * time.Second,
+		IdleInterval: 20 * time.Second,
 		Silence:      3 * time.Second,
 		Lease:        10 * time.Second,
 		Renewal:      4 * time.Second,
+		Standby:      5500 * time.Millisecond,
 		Fallback:     12 * time.Hour,
 		Horizon:      4 * time.Hour,
 		DriftPercent: 1,
--- a/budget/budgetrpc/codec.go
+++ b/budget/budgetrpc/codec.go
@@ -23,8 +23,6 @@
 	// maxAge is the largest age on the wire in ageUnits, 27 min. It is longer
 	// than any ramp.
 	maxAge = 1<<14 - 1
-	// lifetimePercent is added to a share's lifetime for its lease's end.
-	lifetimePercent = 3
 )
 
 // ErrMalformed is returned for a message whose columns don't fit each other.
@@ -152,28 +150,70 @@
 	if answer.Keeper != keeper {
 		response.Keeper = answer.Keeper
 	}
-	for _, grant := range answer.Grants {
-		response.ShareSlots = append(response.ShareSlots, uint32(grant.Share.Slots))
-		response.ShareKv = append(response.ShareKv, uint32(grant.Share.KVTokens/kvUnit))
+	response.SameShare = make([]byte, (len(answer.Grants)+7)/8)
+	response.SameAside = make([]byte, (len(answer.Grants)+7)/8)
+	for i, grant := range answer.Grants {
+		setBit(response.SameShare, i, grant.SameShare)
+		setBit(response.SameAside, i, grant.SameAside)
+		response.appendAmounts(grant)
 		response.Lifetime = append(response.Lifetime, uint32(grant.Lifetime/time.Millisecond))
-		response.FallbackSlots = append(response.FallbackSlots, uint32(grant.Fallback.Slots))
-		response.FallbackKv = append(response.FallbackKv, uint32(grant.Fallback.KVTokens/kvUnit))
-		response.StandbySlots = append(response.StandbySlots, uint32(grant.Standby.Slots))
-		response.StandbyKv = append(response.StandbyKv, uint32(grant.Standby.KVTokens/kvUnit))
-		response.LeaseMore = append(response.LeaseMore, leaseMore(grant))
+		response.StandbyIn = append(response.StandbyIn, millisecondsUp(grant.StandbyIn))
 		response.StartNumber = append(response.StartNumber, uint32(grant.Start.Number))
 		response.StartAge = append(response.StartAge, ageUnits(grant.Start.Age))
 	}
+	response.joinDurations()
 	for _, column := range response.columns() {
 		*column = trimmed(*column)
 	}
+	response.SameShare = trimmed(response.SameShare)
+	response.SameAside = trimmed(response.SameAside)
 	return response
 }
 
+// appendAmounts adds what the node doesn't hold already.
+func (x *ReportResponse) appendAmounts(grant budget.Grant) {
+	if !grant.SameShare {
+		x.ShareSlots = append(x.ShareSlots, uint32(grant.Share.Slots))
+		x.ShareKv = append(x.ShareKv, uint32(grant.Share.KVTokens/kvUnit))
+	}
+	if !grant.SameAside {
+		x.FallbackSlots = append(x.FallbackSlots, uint32(grant.Fallback.Slots))
+		x.FallbackKv = append(x.FallbackKv, uint32(grant.Fallback.KVTokens/kvUnit))
+		x.StandbySlots = append(x.StandbySlots, uint32(grant.Standby.Slots))
+		x.StandbyKv = append(x.StandbyKv, uint32(grant.Standby.KVTokens/kvUnit))
+	}
+}
+
+// joinDurations sends one duration where all are equal, as they mostly are within
+// a lease.
+func (x *ReportResponse) joinDurations() {
+	x.LifetimeOfAll, x.Lifetime = joined(x.Lifetime)
+	x.StandbyInOfAll, x.StandbyIn = joined(x.StandbyIn)
+}
+
+func joined(column []uint32) (ofAll uint32, rest []uint32) {
+	if len(column) == 0 || slices.Min(column) != slices.Max(column) {
+		return 0, column
+	}
+	return column[0], nil
+}
+
+// durationOf is one duration of a column or that of all.
+func durationOf(column []uint32, ofAll uint32, i int) time.Duration {
+	if len(column) == 0 {
+		return time.Duration(ofAll) * time.Millisecond
+	}
+	return milliseconds(column, i)
+}
+
+func milliseconds(column []uint32, i int) time.Duration {
+	return time.Duration(at(column, i)) * time.Millisecond
+}
+
 func (x *ReportResponse) columns() []*[]uint32 {
 	return []*[]uint32{
 		&x.ShareSlots, &x.ShareKv, &x.Lifetime, &x.FallbackSlots, &x.FallbackKv, &x.StandbySlots, &x.StandbyKv,
-		&x.LeaseMore, &x.StartNumber, &x.StartAge,
+		&x.StandbyIn, &x.StartNumber, &x.StartAge,
 	}
 }
 
@@ -189,21 +229,35 @@
 			return budget.Answer{}, ErrMalformed
 		}
 	}
+	shares, asides := 0, 0
 	for i, usage := range report.Usages {
-		lifetime := milliseconds(response.Lifetime, i)
-		answer.Grants = append(answer.Grants, budget.Grant{
-			Resource:  usage.Resource,
-			Share:     amount(response.ShareSlots, response.ShareKv, i),
-			Lifetime:  lifetime,
-			Fallback:  amount(response.FallbackSlots, response.FallbackKv, i),
-			Standby:   amount(response.StandbySlots, response.StandbyKv, i),
-			LeaseLeft: shareEnd(lifetime) + milliseconds(response.LeaseMore, i),
-			Start:     startAt(response.StartNumber, response.StartAge, i),
-		})
+		grant := response.grant(i, usage.Resource)
+		if !grant.SameShare {
+			grant.Share = amount(response.ShareSlots, response.ShareKv, shares)
+			shares++
+		}
+		if !grant.SameAside {
+			grant.Fallback = amount(response.FallbackSlots, response.FallbackKv, asides)
+			grant.Standby = amount(response.StandbySlots, response.StandbyKv, asides)
+			asides++
+		}
+		answer.Grants = append(answer.Grants, grant)
 	}
 	return answer, nil
 }
 
+// grant returns one grant without its amounts.
+func (x *ReportResponse) grant(i int, resource string) budget.Grant {
+	return budget.Grant{
+		Resource:  resource,
+		SameShare: bit(x.SameShare, i),
+		SameAside: bit(x.SameAside, i),
+		Lifetime:  durationOf(x.Lifetime, x.LifetimeOfAll, i),
+		StandbyIn: durationOf(x.StandbyIn, x.StandbyInOfAll, i),
+		Start:     startAt(x.StartNumber, x.StartAge, i),
+	}
+}
+
 // at returns a value of a column whose zeros at the end are not sent.
 func at(column []uint32, i int) uint32 {
 	if i >= len(column) {
@@ -212,21 +266,9 @@
 	return column[i]
 }
 
-func milliseconds(column []uint32, i int) time.Duration {
-	return time.Duration(at(column, i)) * time.Millisecond
-}
-
-// shareEnd is the earliest end of a lease whose share has a lifetime: what
-// clocks may disagree by is left out of lifetimes.
-func shareEnd(lifetime time.Duration) time.Duration {
-	return lifetime + lifetime*lifetimePercent/100
-}
-
-// leaseMore is how much longer than shareEnd the lease lasts, rounded up.
-func leaseMore(grant budget.Grant) uint32 {
-	end := shareEnd(grant.Lifetime.Truncate(time.Millisecond))
-	more := grant.LeaseLeft - end + time.Millisecond - 1
-	return uint32(max(more, 0) / time.Millisecond)
+// millisecondsUp returns a duration rounded up.
+func millisecondsUp(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
 
 func amount(slots, memory []uint32, i int) budget.Amount {
--- a/budget/client.go
+++ b/budget/client.go
@@ -105,6 +105,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.holdings)) {
 		h := c.holdings[name]
 		keeper := owner(name)
+		h.see(now, c.timing)
 		if keeper == "" || h.dormant(now) {
 			continue
 		}
@@ -128,7 +129,7 @@
 			continue
 		}
 		if h.keeper != keeper {
-			h.moved = now
+			h.moved, h.accepted = now, false
 		}
 		h.keeper, h.reported, h.sequence = keeper, now, c.sequence
 		usage := h.usage(now, name, known.id)
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// confirmDivisor sets how soon a smaller share is confirmed, in parts of an
-// interval.
+// confirmDivisor sets how soon a smaller share is confirmed, and a first or larger
+// one asked for again, in parts of an interval.
 const confirmDivisor = 5
 
 // holding is what one node holds of a resource.
@@ -19,8 +19,12 @@
 	standby     Amount
 	standbyFrom time.Time
 	start       start
+	// shortSince is since when the node wants more than it may use, or zero.
+	shortSince time.Time
 	// moved is when keeper became the owner.
 	moved time.Time
+	// accepted is true when a grant of that owner was applied.
+	accepted bool
 	// keeper, reported and sequence are of the latest report.
 	keeper   string
 	reported time.Time
@@ -37,10 +41,10 @@
 	shrunk bool
 }
 
-// settleTime is how long after a change of keeper every node reports often, so
-// that the new one hears of all.
+// settleTime is how long after a change of keeper every node reports often at the
+// most, so that the new one hears of all once it has taken the lease over.
 func settleTime(timing Timing) time.Duration {
-	return 2 * timing.Silence
+	return timing.Lease + 2*timing.Silence
 }
 
 func (h *holding) idle() bool {
@@ -56,16 +60,39 @@
 // interval is the time from the latest report to the next.
 func (h *holding) interval(now time.Time, timing Timing) time.Duration {
 	_, holds := h.current(now)
-	settled := now.Sub(h.moved) > settleTime(timing)
+	settled := h.accepted || now.Sub(h.moved) > settleTime(timing)
 	if settled && h.idle() && h.quiet && !holds {
 		return timing.IdleInterval
 	}
-	if h.shrunk {
+	if h.shrunk || h.asks(now, timing) {
 		return timing.Interval / confirmDivisor
 	}
 	return timing.Interval
 }
 
+// asks reports whether the node waits for a first grant of a keeper that is new to
+// it, or has come to be short a moment ago.
+func (h *holding) asks(now time.Time, timing Timing) bool {
+	if !h.shortSince.IsZero() && now.Sub(h.shortSince) < 2*timing.Interval {
+		return true
+	}
+	_, holds := h.current(now)
+	return !holds && h.applied == "" && !h.idle() && now.Sub(h.moved) < timing.Silence
+}
+
+// see notes since when the node wants more than it may use. It counts as one time
+// of want when that comes and goes.
+func (h *holding) see(now time.Time, timing Timing) {
+	share, _ := h.current(now)
+	short := !h.demand.Running.Add(h.demand.Waiting).Within(share.Amount)
+	switch {
+	case short && h.shortSince.IsZero():
+		h.shortSince = now
+	case !short && now.Sub(h.shortSince) > timing.Silence:
+		h.shortSince = time.Time{}
+	}
+}
+
 // usage is what the node reports to a keeper's process.
 func (h *holding) usage(now time.Time, name, keeper string) Usage {
 	usage := Usage{
@@ -99,16 +126,19 @@
 	if max(grant.Start.Number, h.reportedStart) < h.start.number {
 		return
 	}
-	h.applied = keeper
-	h.shrunk = !h.share.Within(grant.Share)
+	h.applied, h.accepted = keeper, true
 	h.start.learn(now, grant.Start, timing.Silence)
-	h.share = grant.Share
 	h.expires = sentAt.Add(grant.Lifetime)
-	h.fallback = grant.Fallback
 	h.fallbackEnd = sentAt.Add(timing.Fallback)
-	h.standby = grant.Standby
-	h.standbyFrom = now.Add(timing.lengthen(grant.LeaseLeft))
+	h.standbyFrom = now.Add(timing.lengthen(grant.StandbyIn))
 	h.reportedStart = h.start.number
+	if !grant.SameShare {
+		h.shrunk = !h.share.Within(grant.Share)
+		h.share = grant.Share
+	}
+	if !grant.SameAside {
+		h.fallback, h.standby = grant.Fallback, grant.Standby
+	}
 }
 
 // current returns the share in force, or false when there is none.
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// standbyStep is the time between two starts of standby shares.
+const standbyStep = 100 * time.Millisecond
+
+// nearDivisor is the part of a share by which a node's may differ from its fair
+// part, so that not each change of one node's demand changes all shares.
+const nearDivisor = 8
+
 // ledger is the account of one resource at its keeper.
 type ledger struct {
 	resource Resource
@@ -30,9 +37,9 @@
 	seen, sent time.Time
 	// expires is when share has surely expired.
 	expires time.Time
-	// leaseEnd is the lease's end as told by the latest answer: the earliest use
-	// of standby. That of usage.Standby is standbyFrom.
-	leaseEnd, standbyFrom time.Time
+	// standbyTold is the earliest use of standby, as the latest answer tells it, and
+	// standbyFrom that of usage.Standby.
+	standbyTold, standbyFrom time.Time
 	// charged is the entry's part of the sums, and due the standby share in it.
 	charged, due Amount
 }
@@ -45,6 +52,33 @@
 	return e.usage.Standby.Max(e.standby)
 }
 
+// content reports whether a node may as well keep what it holds: it is enough for
+// its work and near its part.
+func (e *entry) content(part Amount) bool {
+	enough := e.usage.Running.Add(e.usage.Waiting).Within(e.usage.Held)
+	return e.usage.Unchanged && enough && near(e.usage.Held, part)
+}
+
+// near reports whether a held amount is as a part, or over it by a slot or an
+// eighth. Less memory by a sixteenth is as good.
+func near(held, part Amount) bool {
+	more := part.Scale(1.0 / nearDivisor).Max(Amount{Slots: 1})
+	less := Amount{KVTokens: part.KVTokens / (2 * nearDivisor)}
+	return held.Within(part.Add(more)) && part.Within(held.Add(less))
+}
+
+// tell puts the latest answer into a grant, but for what the node holds already.
+func (e *entry) tell(grant *Grant) {
+	grant.SameShare = e.usage.Unchanged && e.usage.Held == e.share
+	grant.SameAside = e.usage.Unchanged && e.usage.Fallback == e.fallback && e.usage.Standby == e.standby
+	if !grant.SameShare {
+		grant.Share = e.share
+	}
+	if !grant.SameAside {
+		grant.Fallback, grant.Standby = e.fallback, e.standby
+	}
+}
+
 func newLedger(resource Resource, held *lease, timing Timing, now time.Time) *ledger {
 	return &ledger{
 		resource: resource,
@@ -73,7 +107,7 @@
 	if e.standbyFrom.Before(l.sums.horizon) {
 		e.due = e.usage.Standby
 	}
-	if e.leaseEnd.Before(l.sums.horizon) {
+	if e.standbyTold.Before(l.sums.horizon) {
 		e.due = e.due.Max(e.standby)
 	}
 	aside := e.fallbackCharge().Add(e.due)
@@ -125,7 +159,7 @@
 func (e *entry) record(now, sent time.Time, usage Usage) {
 	if usage.Unchanged {
 		usage.Held, usage.Fallback, usage.Standby = e.share, e.fallback, e.standby
-		e.standbyFrom = e.leaseEnd
+		e.standbyFrom = e.standbyTold
 	} else {
 		e.told = 0
 	}
@@ -165,6 +199,9 @@
 	limit := l.limit(now)
 	free := limit.Sub(before.Sub(e.charged)).Max(Amount{})
 	share := l.target(now, node, before).Min(free)
+	if e.content(share) && e.usage.Held.Within(free) {
+		share = e.usage.Held
+	}
 	if l.onStandby(now, e) && !e.fallbackCharge().Add(e.due).Within(share) {
 		return grant, sound
 	}
@@ -172,14 +209,14 @@
 	l.change(now, node, e, func() {
 		e.share = share
 		e.expires = laterOf(e.expires, now.Add(l.timing.lengthen(left)))
-		e.leaseEnd = l.lease.end
+		e.standbyTold = l.standbyStart(now)
 	})
 	l.change(now, node, e, func() { e.fallback = l.fallback(node, e) })
 	l.change(now, node, e, func() { e.standby = l.standby(node, e) })
 	l.lease.grantEnd = laterOf(l.lease.grantEnd, e.expires)
-	grant.Share, grant.Fallback, grant.Standby = e.share, e.fallback, e.standby
+	e.tell(&grant)
 	grant.Lifetime = l.timing.shorten(left)
-	grant.LeaseLeft = l.lease.end.Sub(now)
+	grant.StandbyIn = e.standbyTold.Sub(now)
 	if e.told != l.start.number {
 		grant.Start = l.start.tell(now)
 		e.told = l.start.number
@@ -204,6 +241,14 @@
 	return evenPart(limit, len(l.entries)).Min(left).Min(unused)
 }
 
+// standbyStart is when a node that has an answer now may use its standby share:
+// no later than the lease's end. It is the same for answers that are near in
+// time, so that their grants end together.
+func (l *ledger) standbyStart(now time.Time) time.Time {
+	age := now.Add(l.timing.Standby).Sub(l.since)
+	return earlierOf(l.since.Add(age.Truncate(standbyStep)), l.lease.end)
+}
+
 // standby is what the node may hold besides when the lease has ended: an even
 // part among the nodes that expect work, of what the others leave.
 func (l *ledger) standby(node string, e *entry) Amount {
--- a/budget/messages.go
+++ b/budget/messages.go
@@ -58,16 +58,18 @@
 // Grant is a node's share of one resource.
 type Grant struct {
 	Resource string
+	// SameShare is true when Share, and SameAside when Fallback and Standby are those
+	// of the grant that the node's usage said to be applied. They are then left out.
+	SameShare, SameAside bool
 	// Share may be used until Lifetime after the report was sent.
 	Share    Amount
 	Lifetime time.Duration
 	// Fallback may be used when Share has expired.
 	Fallback Amount
-	// Standby may be used besides Fallback from LeaseLeft after the answer came,
+	// Standby may be used besides Fallback from StandbyIn after the answer came,
 	// unless the resource is in a start.
-	Standby Amount
-	// LeaseLeft is the time until the keeper's lease ends.
-	LeaseLeft time.Duration
+	Standby   Amount
+	StandbyIn time.Duration
 	// Start is left out when the node has it from this keeper's latest grant.
 	Start Start
 }
--- a/budget/sums.go
+++ b/budget/sums.go
@@ -56,10 +56,11 @@
 	return !whole || l.sums.total.Within(most)
 }
 
-// horizon is when the first standby share may be used of a node that reports.
-// That of others, or one whose time is near, is charged.
+// horizon is when the first standby share may be used of a node that reports, or
+// that has its answer from now on. That of others, or one whose time is near, is
+// charged.
 func (l *ledger) horizon(now time.Time) time.Time {
-	horizon := l.lease.end
+	horizon := l.standbyStart(now)
 	near := now.Add(leastGrant)
 	for _, e := range l.entries {
 		if !l.heard(now, e) {
@@ -68,8 +69,8 @@
 		if e.usage.Standby != (Amount{}) && e.standbyFrom.After(near) {
 			horizon = earlierOf(horizon, e.standbyFrom)
 		}
-		if e.standby != (Amount{}) && e.leaseEnd.After(near) {
-			horizon = earlierOf(horizon, e.leaseEnd)
+		if e.standby != (Amount{}) && e.standbyTold.After(near) {
+			horizon = earlierOf(horizon, e.standbyTold)
 		}
 	}
 	return horizon
