--- a/budget/budgetrpc/codec.go
+++ b/budget/budgetrpc/codec.go
@@ -60,14 +60,11 @@
 		Sequence:  report.Sequence,
 		Keeper:    report.Keeper,
 		Echo:      uint64(report.Echo / time.Millisecond),
-		Departed:  report.Departed,
-		Pledged:   make([]byte, (len(report.Usages)+7)/8),
 		Idle:      make([]byte, (len(report.Usages)+7)/8),
 		Unchanged: make([]byte, (len(report.Usages)+7)/8),
 	}
 	for i, usage := range report.Usages {
 		request.Resources = append(request.Resources, digestOf(usage.Resource))
-		setBit(request.Pledged, i, usage.Pledged)
 		setBit(request.Idle, i, usage.Idle)
 		setBit(request.Unchanged, i, usage.Unchanged)
 		request.appendAmounts(usage)
@@ -88,13 +85,14 @@
 	x.HeldKv = append(x.HeldKv, unitsUp(u.Held.KVTokens))
 	x.FallbackSlots = append(x.FallbackSlots, uint32(u.Fallback.Slots))
 	x.FallbackKv = append(x.FallbackKv, unitsUp(u.Fallback.KVTokens))
+	x.StandbySlots = append(x.StandbySlots, uint32(u.Standby.Slots))
+	x.StandbyKv = append(x.StandbyKv, unitsUp(u.Standby.KVTokens))
 }
 
 func (x *ReportRequest) trim() {
 	for _, column := range x.columns() {
 		*column = trimmed(*column)
 	}
-	x.Pledged = trimmed(x.Pledged)
 	x.Idle = trimmed(x.Idle)
 	x.Unchanged = trimmed(x.Unchanged)
 }
@@ -102,7 +100,7 @@
 func (x *ReportRequest) columns() []*[]uint32 {
 	return []*[]uint32{
 		&x.RunningSlots, &x.RunningKv, &x.WaitingSlots, &x.WaitingKv, &x.NextKv, &x.HeldSlots,
-		&x.HeldKv, &x.FallbackSlots, &x.FallbackKv, &x.StartNumber, &x.StartAge,
+		&x.HeldKv, &x.FallbackSlots, &x.FallbackKv, &x.StandbySlots, &x.StandbyKv, &x.StartNumber, &x.StartAge,
 	}
 }
 
@@ -114,7 +112,6 @@
 		Sequence: request.Sequence,
 		Keeper:   request.Keeper,
 		Echo:     time.Duration(request.Echo) * time.Millisecond,
-		Departed: request.Departed,
 	}
 	for _, column := range request.columns() {
 		if len(*column) > len(request.Resources) {
@@ -136,7 +133,7 @@
 		Next:      amount(nil, x.NextKv, i),
 		Held:      amount(x.HeldSlots, x.HeldKv, i),
 		Fallback:  amount(x.FallbackSlots, x.FallbackKv, i),
-		Pledged:   bit(x.Pledged, i),
+		Standby:   amount(x.StandbySlots, x.StandbyKv, i),
 		Idle:      bit(x.Idle, i),
 		Unchanged: bit(x.Unchanged, i),
 		Start:     startAt(x.StartNumber, x.StartAge, i),
@@ -153,24 +150,70 @@
 	if answer.Keeper != keeper {
 		response.Keeper = answer.Keeper
 	}
-	for _, grant := range answer.Grants {
-		response.ShareSlots = append(response.ShareSlots, uint32(grant.Share.Slots))
-		response.ShareKv = append(response.ShareKv, uint32(grant.Share.KVTokens/kvUnit))
+	response.SameShare = make([]byte, (len(answer.Grants)+7)/8)
+	response.SameAside = make([]byte, (len(answer.Grants)+7)/8)
+	for i, grant := range answer.Grants {
+		setBit(response.SameShare, i, grant.SameShare)
+		setBit(response.SameAside, i, grant.SameAside)
+		response.appendAmounts(grant)
 		response.Lifetime = append(response.Lifetime, uint32(grant.Lifetime/time.Millisecond))
-		response.FallbackSlots = append(response.FallbackSlots, uint32(grant.Fallback.Slots))
-		response.FallbackKv = append(response.FallbackKv, uint32(grant.Fallback.KVTokens/kvUnit))
+		response.StandbyIn = append(response.StandbyIn, millisecondsUp(grant.StandbyIn))
 		response.StartNumber = append(response.StartNumber, uint32(grant.Start.Number))
 		response.StartAge = append(response.StartAge, ageUnits(grant.Start.Age))
 	}
+	response.joinDurations()
 	for _, column := range response.columns() {
 		*column = trimmed(*column)
 	}
+	response.SameShare = trimmed(response.SameShare)
+	response.SameAside = trimmed(response.SameAside)
 	return response
 }
 
+// appendAmounts adds what the node doesn't hold already.
+func (x *ReportResponse) appendAmounts(grant budget.Grant) {
+	if !grant.SameShare {
+		x.ShareSlots = append(x.ShareSlots, uint32(grant.Share.Slots))
+		x.ShareKv = append(x.ShareKv, uint32(grant.Share.KVTokens/kvUnit))
+	}
+	if !grant.SameAside {
+		x.FallbackSlots = append(x.FallbackSlots, uint32(grant.Fallback.Slots))
+		x.FallbackKv = append(x.FallbackKv, uint32(grant.Fallback.KVTokens/kvUnit))
+		x.StandbySlots = append(x.StandbySlots, uint32(grant.Standby.Slots))
+		x.StandbyKv = append(x.StandbyKv, uint32(grant.Standby.KVTokens/kvUnit))
+	}
+}
+
+// joinDurations sends one duration where all are equal, as they mostly are within
+// a lease.
+func (x *ReportResponse) joinDurations() {
+	x.LifetimeOfAll, x.Lifetime = joined(x.Lifetime)
+	x.StandbyInOfAll, x.StandbyIn = joined(x.StandbyIn)
+}
+
+func joined(column []uint32) (ofAll uint32, rest []uint32) {
+	if len(column) == 0 || slices.Min(column) != slices.Max(column) {
+		return 0, column
+	}
+	return column[0], nil
+}
+
+// durationOf is one duration of a column or that of all.
+func durationOf(column []uint32, ofAll uint32, i int) time.Duration {
+	if len(column) == 0 {
+		return time.Duration(ofAll) * time.Millisecond
+	}
+	return milliseconds(column, i)
+}
+
+func milliseconds(column []uint32, i int) time.Duration {
+	return time.Duration(at(column, i)) * time.Millisecond
+}
+
 func (x *ReportResponse) columns() []*[]uint32 {
 	return []*[]uint32{
-		&x.ShareSlots, &x.ShareKv, &x.Lifetime, &x.FallbackSlots, &x.FallbackKv, &x.StartNumber, &x.StartAge,
+		&x.ShareSlots, &x.ShareKv, &x.Lifetime, &x.FallbackSlots, &x.FallbackKv, &x.StandbySlots, &x.StandbyKv,
+		&x.StandbyIn, &x.StartNumber, &x.StartAge,
 	}
 }
 
@@ -186,18 +229,35 @@
 			return budget.Answer{}, ErrMalformed
 		}
 	}
+	shares, asides := 0, 0
 	for i, usage := range report.Usages {
-		answer.Grants = append(answer.Grants, budget.Grant{
-			Resource: usage.Resource,
-			Share:    amount(response.ShareSlots, response.ShareKv, i),
-			Lifetime: time.Duration(at(response.Lifetime, i)) * time.Millisecond,
-			Fallback: amount(response.FallbackSlots, response.FallbackKv, i),
-			Start:    startAt(response.StartNumber, response.StartAge, i),
-		})
+		grant := response.grant(i, usage.Resource)
+		if !grant.SameShare {
+			grant.Share = amount(response.ShareSlots, response.ShareKv, shares)
+			shares++
+		}
+		if !grant.SameAside {
+			grant.Fallback = amount(response.FallbackSlots, response.FallbackKv, asides)
+			grant.Standby = amount(response.StandbySlots, response.StandbyKv, asides)
+			asides++
+		}
+		answer.Grants = append(answer.Grants, grant)
 	}
 	return answer, nil
 }
 
+// grant returns one grant without its amounts.
+func (x *ReportResponse) grant(i int, resource string) budget.Grant {
+	return budget.Grant{
+		Resource:  resource,
+		SameShare: bit(x.SameShare, i),
+		SameAside: bit(x.SameAside, i),
+		Lifetime:  durationOf(x.Lifetime, x.LifetimeOfAll, i),
+		StandbyIn: durationOf(x.StandbyIn, x.StandbyInOfAll, i),
+		Start:     startAt(x.StartNumber, x.StartAge, i),
+	}
+}
+
 // at returns a value of a column whose zeros at the end are not sent.
 func at(column []uint32, i int) uint32 {
 	if i >= len(column) {
@@ -206,6 +266,11 @@
 	return column[i]
 }
 
+// millisecondsUp returns a duration rounded up.
+func millisecondsUp(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 func amount(slots, memory []uint32, i int) budget.Amount {
 	return budget.Amount{Slots: int(at(slots, i)), KVTokens: int(at(memory, i)) * kvUnit}
 }
--- a/budgets.go
+++ b/budgets.go
@@ -14,14 +14,8 @@
 )
 
 const (
-	// nodeSlotsPercent and nodeKVPercent are the most of an upstream that one
-	// node may hold. With few nodes there is no such limit on slots.
-	nodeSlotsPercent = 50
-	nodeKVPercent    = 100
-	fewNodes         = 2
-	// fewVoters is the number of nodes below which a data centre's upstreams are
-	// voted on by the region: a majority of two would need both.
-	fewVoters = 5
+	// nodePercent is the most of an upstream or a rate that one node may hold.
+	nodePercent = 100
 	// unkeptPercent is the part of an organisation's rate that is divided evenly
 	// among the nodes, for those without a share.
 	unkeptPercent = 10
@@ -30,6 +24,12 @@
 // rateSmoothing is the time over which an organisation's demand is averaged.
 const rateSmoothing = 2 * time.Second
 
+// ratePart is a node's part of an organisation's rate in tokens a second.
+type ratePart struct {
+	// always may be used at any time, standby while no keeper divides the rate.
+	always, standby float64
+}
+
 // organisationPrefix tells the resources that are organisations' rates.
 const organisationPrefix = "organisation/"
 
@@ -37,11 +37,22 @@
 // methods are called from one goroutine.
 type budgetWork struct {
 	dispatcher *dispatch.Dispatcher
-	// unkept is the part of an organisation's rate without a share, by key.
-	unkept map[string]float64
-	wanted map[string]float64
-	looked time.Time
-	rates  map[string]float64
+	// parts are the node's parts of the organisations' rates without a share, by
+	// key.
+	parts   map[string]ratePart
+	standby rateStandby
+	wanted  map[string]float64
+	looked  time.Time
+	rates   map[string]float64
+}
+
+func newBudgetWork(d *dispatch.Dispatcher) budgetWork {
+	return budgetWork{
+		dispatcher: d,
+		standby:    newRateStandby(),
+		wanted:     map[string]float64{},
+		looked:     time.Now(),
+	}
 }
 
 // Demands implements budgetrpc.Work.
@@ -79,8 +90,7 @@
 // SetShares implements budgetrpc.Work.
 func (w *budgetWork) SetShares(shares map[string]budget.Share) {
 	set := map[string]scheduling.Share{}
-	rates := map[string]float64{}
-	maps.Copy(rates, w.unkept)
+	rates := w.unshared(time.Now(), shares)
 	for name, share := range shares {
 		key, isRate := strings.CutPrefix(name, organisationPrefix)
 		if isRate {
@@ -96,57 +106,38 @@
 	}
 }
 
-func dataCentreScope(name string) string { return "data-centre/" + name }
-
-func regionScope(name string) string { return "region/" + name }
-
-// electorate says who votes on the keeper of an upstream.
-type electorate struct {
-	dataCentre, region string
-	// nodes holds the most entry nodes at once by region and data centre.
-	nodes map[string]map[string]int
-}
-
-// of returns how many nodes vote for a data centre's upstreams and whether this
-// node does. Where a data centre has few, those of its region vote.
-func (e electorate) of(dataCentre string) (voters int, own bool) {
-	for region, centres := range e.nodes {
-		count, ok := centres[dataCentre]
-		if !ok {
-			continue
-		}
-		if count >= fewVoters {
-			return count, dataCentre == e.dataCentre
+// unshared returns the node's parts of the rates without a share.
+func (w *budgetWork) unshared(now time.Time, shares map[string]budget.Share) map[string]float64 {
+	rates := map[string]float64{}
+	for key, part := range w.parts {
+		_, shared := shares[organisationPrefix+key]
+		_, wanted := w.wanted[key]
+		w.standby.see(now, key, wanted, shared)
+		rates[key] = part.always
+		if w.standby.unkept[key] {
+			rates[key] = part.standby
 		}
-		return e.inRegion(region), region == e.region
 	}
-	return 0, false
+	return rates
 }
 
-func (e electorate) inRegion(region string) int {
-	sum := 0
-	for _, count := range e.nodes[region] {
-		sum += count
-	}
-	return sum
-}
+func dataCentreScope(name string) string { return "data-centre/" + name }
+
+func regionScope(name string) string { return "region/" + name }
 
-// sharedUpstreams returns the upstreams of the tables as shared resources. One
-// in a data centre without entry nodes is never granted.
-func sharedUpstreams(built *tables.Tables, e electorate) []budgetrpc.Shared {
+// sharedUpstreams returns the upstreams of the tables as shared resources.
+func sharedUpstreams(built *tables.Tables, dataCentre string) []budgetrpc.Shared {
 	var shared []budgetrpc.Shared
 	for id, upstream := range built.Upstreams {
-		voters, own := e.of(upstream.DataCentre)
 		shared = append(shared, budgetrpc.Shared{
-			Scope:    dataCentreScope(upstream.DataCentre),
-			Interest: budget.Interest{Voter: own, Local: upstream.DataCentre == e.dataCentre},
+			Lease:    budgetrpc.UpstreamLease(dataCentreScope(upstream.DataCentre), id),
+			Interest: budget.Interest{Local: upstream.DataCentre == dataCentre},
 			Resource: budget.Resource{
 				Name:             id,
 				Capacity:         budget.Amount{Slots: upstream.Slots, KVTokens: upstream.KVTokens},
 				Ramp:             budget.Ramp{InitialPercent: upstream.Ramp.InitialPercent, Duration: upstream.Ramp.Duration},
-				Voters:           voters,
-				NodeSlotsPercent: slotsPercent(voters),
-				NodeKVPercent:    nodeKVPercent,
+				NodeSlotsPercent: nodePercent,
+				NodeKVPercent:    nodePercent,
 				FallbackPercent:  upstream.Ramp.InitialPercent,
 			},
 		})
@@ -155,44 +146,30 @@
 }
 
 // sharedRates returns the limited organisations of the tables as shared
-// resources of a region with so many nodes, and the part of each rate that a
+// resources of a region with so many nodes, and the parts of each rate that a
 // node without a share may use.
-func sharedRates(built *tables.Tables, region string, nodes int) ([]budgetrpc.Shared, map[string]float64) {
+func sharedRates(built *tables.Tables, region string, nodes int) ([]budgetrpc.Shared, map[string]ratePart) {
 	var shared []budgetrpc.Shared
-	unkept := map[string]float64{}
-	for _, ballot := range budgetrpc.Ballots(region) {
-		shared = append(shared, budgetrpc.Shared{
-			Scope:    regionScope(region),
-			Interest: budget.Interest{Voter: true, Local: true},
-			Resource: budget.Resource{Name: ballot, Voters: nodes, Rate: true},
-		})
-	}
+	parts := map[string]ratePart{}
 	for _, plan := range built.Plans {
 		for _, organisation := range plan.Document.Organisations {
 			if organisation.TokensPerSecond <= 0 {
 				continue
 			}
 			key := scheduling.OrganisationKey(plan.Environment, plan.Lane, organisation.Name)
-			unkept[key] = float64(organisation.TokensPerSecond) * unkeptPercent / 100 / float64(nodes)
+			even := float64(organisation.TokensPerSecond) / float64(nodes)
+			parts[key] = ratePart{always: even * unkeptPercent / 100, standby: even}
 			shared = append(shared, budgetrpc.Shared{
-				Scope:    regionScope(region),
+				Lease:    budgetrpc.RateLease(regionScope(region), key),
 				Interest: budget.Interest{OnDemand: true},
 				Resource: budget.Resource{
 					Name:             organisationPrefix + key,
 					Capacity:         budget.Amount{Slots: organisation.TokensPerSecond * (100 - unkeptPercent) / 100},
-					Ballot:           budgetrpc.Ballot(region, key),
-					NodeSlotsPercent: 100,
+					NodeSlotsPercent: nodePercent,
 					Rate:             true,
 				},
 			})
 		}
 	}
-	return shared, unkept
-}
-
-func slotsPercent(nodes int) int {
-	if nodes <= fewNodes {
-		return 100
-	}
-	return nodeSlotsPercent
+	return shared, parts
 }
--- a/node.go
+++ b/node.go
@@ -24,6 +24,7 @@
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/entry"
+	"github.com/wigeontiller/wigeontiller/orphan"
 	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/platform/guard"
 	"github.com/wigeontiller/wigeontiller/resume"
@@ -118,8 +119,8 @@
 	if node.ordersKey, err = readOrdersKey(s.OrdersKey); err != nil {
 		return nil, err
 	}
-	owner := newOwner(s.Name)
-	if err := node.shareLimits(); err != nil {
+	owner := newOwner(s.Name, node.cluster.started)
+	if err := node.shareLimits(owner); err != nil {
 		return nil, err
 	}
 	node.entry = entry.NewServer(entry.Config{
@@ -141,11 +142,11 @@
 }
 
 // shareLimits makes the node's part in shared limits, if the settings ask for it.
-func (n *Node) shareLimits() error {
-	n.budgets = newBudgets(n.settings, n.dispatcher, n.cluster, n.logger)
-	if n.budgets == nil {
+func (n *Node) shareLimits(owner orphan.Owner) error {
+	if !n.settings.SharedLimits {
 		return nil
 	}
+	n.budgets = newBudgets(n.settings, owner.String(), n.guard.Urgent(), n.dispatcher, n.cluster, n.logger)
 	if err := n.cluster.server.Register(n.budgets.register); err != nil {
 		return eris.Wrap(ErrSettings, err.Error())
 	}
@@ -180,6 +181,7 @@
 	n.workers.Go(func() { n.cluster.serve(ctx) })
 	if n.budgets != nil {
 		n.workers.Go(func() { n.budgets.run(ctx) })
+		n.workers.Go(func() { newReleaser(n.reports, n.budgets.node).run(ctx) })
 	}
 	n.workers.Go(func() { every(ctx, seedInterval, n.cluster.readVMs) })
 	n.workers.Go(func() { n.reports.poller.Run(ctx) })
@@ -262,9 +264,13 @@
 }
 
 // Ready reports whether the node has a confirmed site in force, has heard of the
-// engines and is not leaving.
+// engines, has had its first shares or waited for them, and is not leaving.
 func (n *Node) Ready() bool {
-	return n.dispatcher.Tables() != nil && n.dispatcher.Confirmed() && !n.draining.Load() && n.reports.ready(time.Now())
+	if n.dispatcher.Tables() == nil || !n.dispatcher.Confirmed() || n.draining.Load() {
+		return false
+	}
+	now := time.Now()
+	return n.reports.ready(now) && (n.budgets == nil || n.budgets.settled(now))
 }
 
 // Adopt tells the node of a site that it may not have seen yet.
@@ -287,6 +293,9 @@
 	status.Waiting, status.Running = n.dispatcher.Load()
 	status.LimitedUpstreams = n.dispatcher.Limited()
 	status.EstimateErrors = n.dispatcher.EstimateErrors()
+	if n.budgets != nil {
+		status.Shares = n.budgets.status()
+	}
 	built := n.dispatcher.Tables()
 	if built == nil {
 		status.Peers = n.cluster.peers(ctx, 0)
