Table: limits of one transaction, and counted calls

Grouped claims put many rows in one transaction. The stand-in refuses what is over them (413, ErrTooLarge, without effect) and counts transactions and reads (GET /calls).

--- a/standin/platformserver/server.go
+++ b/standin/platformserver/server.go
@@ -17,6 +17,15 @@
 
 const maxBodyBytes = 64 << 20
 
+// PathCalls is where the calls so far are read (GET).
+const PathCalls = "/calls"
+
+// Calls counts the calls for the table.
+type Calls struct {
+	Transactions int `json:"transactions"`
+	Reads        int `json:"reads"`
+}
+
 // Server serves one platform.
 type Server struct {
 	platform *memory.Platform
@@ -29,6 +38,7 @@
 	server := &Server{platform: p, control: control}
 	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
 	control.Routes(server.app)
+	server.app.Get(PathCalls, server.calls)
 	server.app.Post(httpplatform.PathGet, server.get)
 	server.app.Post(httpplatform.PathTransact, server.transact)
 	server.app.Get(httpplatform.PathVMs, server.vms)
@@ -44,6 +54,11 @@
 	return s.app
 }
 
+func (s *Server) calls(c *fiber.Ctx) error {
+	transactions, reads := s.platform.Calls()
+	return c.JSON(Calls{Transactions: transactions, Reads: reads})
+}
+
 func (s *Server) get(c *fiber.Ctx) error {
 	var request httpplatform.GetRequest
 	if err := json.Unmarshal(c.Body(), &request); err != nil {
@@ -109,6 +124,8 @@
 		return fiber.NewError(fiber.StatusNotFound, err.Error())
 	case errors.Is(err, platform.ErrConflict):
 		return fiber.NewError(fiber.StatusConflict, err.Error())
+	case errors.Is(err, platform.ErrTooLarge):
+		return fiber.NewError(fiber.StatusRequestEntityTooLarge, err.Error())
 	}
 	return fiber.NewError(fiber.StatusInternalServerError, err.Error())
 }
