Model: a write may wait at another node after its sender gave up

The model of two calls gets a writer between node and store: a write waits there when its sender has given up, is sent later or dropped, is a copy made by the transport, or is on its way when it was sent.

--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -68,6 +68,20 @@
 	version uint64
 }
 
+// modelForwarded is a write that waits at the node that writes for others. Its
+// sender may have given up, or it may be the transport's copy of one that was
+// sent.
+type modelForwarded struct {
+	write  modelWrite
+	before time.Time
+}
+
+// late reports whether the writer drops the write. Its clock may be behind the
+// sender's by the margin; see grouped.LocalBefore.
+func (f modelForwarded) late(now time.Time) bool {
+	return !now.Before(f.before.Add(ClockMargin))
+}
+
 // world is one state of everything. It is a value.
 type world struct {
 	phase   int
@@ -78,6 +92,9 @@
 	// late holds the first lateCount writes that may still take effect.
 	late      [mostFaults]modelWrite
 	lateCount int
+	// forwarded holds the first forwardedCount writes that wait at the writer.
+	forwarded      [mostFaults]modelForwarded
+	forwardedCount int
 	// runs counts executions before and after the record's expiry: after it
 	// the key may be used anew, once.
 	runs [2]int
@@ -107,6 +124,18 @@
 	w.lateCount++
 }
 
+func (w *world) forward(write modelWrite, before time.Time) {
+	w.forwarded[w.forwardedCount] = modelForwarded{write: write, before: before}
+	w.forwardedCount++
+}
+
+// takeForwarded removes the write at i from the writer.
+func (w *world) takeForwarded(i int) {
+	w.forwardedCount--
+	w.forwarded[i] = w.forwarded[w.forwardedCount]
+	w.forwarded[w.forwardedCount] = modelForwarded{}
+}
+
 // state identifies a world; two hashes make a collision unlikely.
 type state [2]uint64
 
@@ -193,6 +222,9 @@
 		next.apply(w.late[i])
 		e.add(next)
 	}
+	for i := range w.forwardedCount {
+		e.sendForwarded(w, i)
+	}
 	if w.present && w.row.Removable(w.now()) {
 		next := w
 		next.present, next.row = false, Row{}
@@ -209,6 +241,22 @@
 	}
 }
 
+// sendForwarded lets the writer send a write that waits there, or drop it. What
+// is sent takes effect at once or is on its way.
+func (e *explorer) sendForwarded(w world, i int) {
+	forwarded := w.forwarded[i]
+	w.takeForwarded(i)
+	if forwarded.late(w.now()) {
+		e.add(w)
+		return
+	}
+	delayed := w
+	delayed.delay(forwarded.write)
+	e.add(delayed)
+	w.apply(forwarded.write)
+	e.add(w)
+}
+
 // apply makes a conditional write and reports whether its condition held.
 func (w *world) apply(write modelWrite) bool {
 	version := uint64(0)
@@ -286,6 +334,16 @@
 	}
 	twice.delay(write)
 	e.event(twice, i, Event{Kind: kind})
+	waits := w
+	waits.forward(write, action.Before)
+	e.event(waits, i, Event{Kind: WriteUnknown})
+	copied := w
+	kind = WriteConflict
+	if copied.apply(write) {
+		kind = WriteApplied
+	}
+	copied.forward(write, action.Before)
+	e.event(copied, i, Event{Kind: kind})
 }
 
 func (e *explorer) read(w world, i int) {
