--- a/claim/claimstore/index.go
+++ b/claim/claimstore/index.go
@@ -130,5 +130,5 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	before := s.config.Now().Add(upkeepPeriod)
-	return s.config.Writer.Write(ctx, grouped.Upkeep, platform.Write{Key: key, Value: value}, before)
+	return s.config.Rows.Write(ctx, grouped.Upkeep, platform.Write{Key: key, Value: value}, before)
 }
--- a/claim/claimstore/store.go
+++ b/claim/claimstore/store.go
@@ -38,11 +38,10 @@
 type Config struct {
 	// Platform is required.
 	Platform platform.Platform
-	// Upkeep is used for the reads of sweeping and for removing objects, which can
-	// wait; nil is Platform.
+	// Upkeep is used for removing objects, which can wait; nil is Platform.
 	Upkeep platform.Platform
-	// Writer makes the writes of rows; nil makes each at Platform.
-	Writer Writer
+	// Rows reads and writes rows; nil makes each call at Platform.
+	Rows   Rows
 	Logger zerolog.Logger
 	// Metrics is required.
 	Metrics *telemetry.Metrics
@@ -53,20 +52,27 @@
 	Sleep func(ctx context.Context, period time.Duration)
 }
 
-// Writer makes conditional writes of single rows. A write is sent before the
-// time given or not at all. Errors: platform.ErrConflict;
-// platform.ErrUnavailable when it had no effect; any other when the outcome is
-// unknown.
-type Writer interface {
+// Rows reads and writes single rows.
+type Rows interface {
+	// Get returns a row or platform.ErrNotFound.
+	Get(ctx context.Context, class grouped.Class, key string) (platform.Row, error)
+	// Write makes a conditional write. It is sent before the time given or not at
+	// all. Errors: platform.ErrConflict; platform.ErrUnavailable when it had no
+	// effect; any other when the outcome is unknown.
 	Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time) error
 }
 
-// direct writes each row in a transaction of its own.
+// direct makes a call of its own for each row.
 type direct struct {
 	table platform.Table
 }
 
-// Write implements Writer.
+// Get implements Rows.
+func (d direct) Get(ctx context.Context, _ grouped.Class, key string) (platform.Row, error) {
+	return d.table.Get(ctx, key)
+}
+
+// Write implements Rows.
 func (d direct) Write(ctx context.Context, _ grouped.Class, write platform.Write, _ time.Time) error {
 	return d.table.Transact(ctx, []platform.Write{write})
 }
@@ -107,8 +113,8 @@
 	if config.Upkeep == nil {
 		config.Upkeep = config.Platform
 	}
-	if config.Writer == nil {
-		config.Writer = direct{table: config.Platform}
+	if config.Rows == nil {
+		config.Rows = direct{table: config.Platform}
 	}
 	return &Store{config: config, index: newIndex(config.Node)}
 }
@@ -200,7 +206,7 @@
 }
 
 func (s *Store) read(ctx context.Context, key string) claim.Event {
-	row, err := s.config.Platform.Get(ctx, key)
+	row, err := s.config.Rows.Get(ctx, grouped.Claim, key)
 	if errors.Is(err, platform.ErrNotFound) {
 		return claim.Event{Kind: claim.ReadMissing}
 	}
@@ -225,7 +231,7 @@
 		return claim.Event{Kind: claim.WriteRefused}
 	}
 	write := platform.Write{Key: key, Value: value, IfVersion: action.IfVersion}
-	err = s.config.Writer.Write(ctx, classOf(action.Record), write, action.Before)
+	err = s.config.Rows.Write(ctx, classOf(action.Record), write, action.Before)
 	switch {
 	case err == nil:
 		return claim.Event{Kind: claim.WriteApplied}
--- a/claim/claimstore/sweep.go
+++ b/claim/claimstore/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -26,13 +27,22 @@
 	}
 }
 
+// sweepShard looks at the first row of all lists together and works through the
+// lists that exist.
 func (s *Store) sweepShard(ctx context.Context, shard uint32) {
 	latest := bucketOf(s.config.Now()) - 1
+	var heads []string
 	for back := range int64(sweepBuckets) {
-		if ctx.Err() != nil {
-			return
+		heads = append(heads, indexKey(latest-back, shard, 0))
+	}
+	lists, err := s.getAll(ctx, heads)
+	if err != nil {
+		return
+	}
+	for back := range int64(sweepBuckets) {
+		if _, ok := lists[heads[back]]; ok && ctx.Err() == nil {
+			s.sweepList(ctx, latest-back, shard)
 		}
-		s.sweepList(ctx, latest-back, shard)
 	}
 }
 
@@ -138,27 +148,49 @@
 // readClaims reads the rows of a chunk; the rows that don't exist are missing
 // from the result, which then reads as removed.
 func (s *Store) readClaims(ctx context.Context, chunk []entry) (map[string]claim.Event, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	keys := make([]string, 0, len(chunk))
 	for _, listed := range chunk {
 		keys = append(keys, listed.Row)
 	}
-	rows, err := s.config.Upkeep.BatchGet(ctx, keys)
+	rows, err := s.getAll(ctx, keys)
 	if err != nil {
 		return nil, err
 	}
 	events := map[string]claim.Event{}
-	for _, row := range rows {
-		events[row.Key] = s.decode(row)
+	for key, row := range rows {
+		events[key] = s.decode(row)
 	}
 	return events, nil
 }
 
+// getAll asks for rows together, so that their reads are grouped. It returns
+// those that exist, or the error of one that could not be read.
+func (s *Store) getAll(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+	var mutex sync.Mutex
+	rows := map[string]platform.Row{}
+	var failed error
+	var reads conc.WaitGroup
+	for _, key := range keys {
+		reads.Go(func() {
+			row, err := s.get(ctx, key)
+			mutex.Lock()
+			defer mutex.Unlock()
+			switch {
+			case err == nil:
+				rows[key] = row
+			case !errors.Is(err, platform.ErrNotFound):
+				failed = err
+			}
+		})
+	}
+	reads.Wait()
+	return rows, failed
+}
+
 func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.config.Upkeep.Get(ctx, key)
+	return s.config.Rows.Get(ctx, grouped.Upkeep, key)
 }
 
 // delete removes a row at the version that was read. A removal that is sent
@@ -170,5 +202,5 @@
 		return false
 	}
 	write := platform.Write{Key: key, IfVersion: version, Delete: true}
-	return s.config.Writer.Write(ctx, grouped.Upkeep, write, before) == nil
+	return s.config.Rows.Write(ctx, grouped.Upkeep, write, before) == nil
 }
--- a/entry/claim_random_test.go
+++ b/entry/claim_random_test.go
@@ -64,6 +64,13 @@
 	return f.Platform.Get(ctx, key)
 }
 
+func (f *faultyTable) BatchGet(ctx context.Context, keys []string) ([]platform.Row, error) {
+	if f.draw() < 4 {
+		return nil, platform.ErrUnknown
+	}
+	return f.Platform.BatchGet(ctx, keys)
+}
+
 func (f *faultyTable) Transact(ctx context.Context, writes []platform.Write) error {
 	draw := f.draw()
 	switch {
@@ -171,11 +178,11 @@
 	})
 }
 
-// newClaims returns the claims of a node; without a writer each write is a
-// transaction of its own.
-func newClaims(store platform.Platform, metrics *telemetry.Metrics, writer claimstore.Writer) *claimstore.Store {
+// newClaims returns the claims of a node; without rows each call is
+// one of its own.
+func newClaims(store platform.Platform, metrics *telemetry.Metrics, rows claimstore.Rows) *claimstore.Store {
 	return claimstore.New(claimstore.Config{
-		Platform: store, Writer: writer, Logger: zerolog.Nop(), Metrics: metrics, Node: "test",
+		Platform: store, Rows: rows, Logger: zerolog.Nop(), Metrics: metrics, Node: "test",
 		Sleep: func(context.Context, time.Duration) { time.Sleep(time.Millisecond) },
 	})
 }
--- a/node.go
+++ b/node.go
@@ -112,7 +112,7 @@
 		return nil, eris.Wrap(ErrSettings, err.Error())
 	}
 	node.claims = claimstore.New(claimstore.Config{
-		Platform: node.guard.Urgent(), Upkeep: node.guard.Ordinary(), Writer: node.writer,
+		Platform: node.guard.Urgent(), Upkeep: node.guard.Ordinary(), Rows: node.writer,
 		Logger: node.logger, Metrics: node.metrics, Node: s.Name,
 	})
 	node.follower = newFollower(store, node.cluster.client, node.dispatcher, node.logger)
