Claims: a removal writes its list too, so that a late one can't hit a new claim

Cause: a row that is made anew starts at version 1 again. A sweeper that was paused between its read and its removal could remove a claim made after another sweeper's removal, when the versions were the same; a repeat would then run. This stood before grouping (the model took a removal for one step); the wait for a token made the time longer.

A removal is now one transaction of up to 31 rows and their list, on the version read. A list whose hour is over is never made anew: entries that were kept back while the store was down go to an hour that is to come. A member of a group may write several rows, which stay together. Removals cost 1/31 transaction a key.

Ruled out: removing by a tombstone first (the same version problem one step later); a lease for each shard (a paused holder has the same problem).

Seen to fail on a scratch copy without the list ('held record replaced', also TestLateRemovalSparesARowMadeAnew: the second claim is gone) and, again, without the writer's check of the time. The bound on the model's states is raised to 10 million, so that three faults are still explored to the end.

--- a/claim/claimstore/index.go
+++ b/claim/claimstore/index.go
@@ -70,8 +70,10 @@
 	i.pending[hour] = append(i.pending[hour], listed)
 }
 
-// take removes up to indexEntries entries of one bucket.
-func (i *index) take() (hour int64, entries []entry, number int) {
+// take removes up to indexEntries entries of one bucket. Those that were kept
+// back too long, as the store was down, go to one that is yet to come: a list
+// whose hour is over is never made anew.
+func (i *index) take(now time.Time) (hour int64, entries []entry, number int) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	for hour, entries := range i.pending {
@@ -80,6 +82,7 @@
 		if len(i.pending[hour]) == 0 {
 			delete(i.pending, hour)
 		}
+		hour = max(hour, bucketOf(now)+1)
 		return hour, entries[:count], i.next[hour]
 	}
 	return 0, nil, 0
@@ -106,7 +109,7 @@
 // is repeated in a further row: an entry that stands twice does no harm.
 func (s *Store) Flush(ctx context.Context) {
 	for {
-		hour, entries, number := s.index.take()
+		hour, entries, number := s.index.take(s.config.Now())
 		if len(entries) == 0 {
 			return
 		}
--- a/claim/claimstore/store.go
+++ b/claim/claimstore/store.go
@@ -56,10 +56,10 @@
 type Rows interface {
 	// Get returns a row or platform.ErrNotFound.
 	Get(ctx context.Context, class grouped.Class, key string) (platform.Row, error)
-	// Write makes a conditional write. It is sent before the time given or not at
-	// all. Errors: platform.ErrConflict; platform.ErrUnavailable when it had no
+	// Write makes a conditional write, and the further ones with it or not at all.
+	// It is sent before the time given or not at all. Errors: platform.ErrConflict; platform.ErrUnavailable when it had no
 	// effect; any other when the outcome is unknown.
-	Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time) error
+	Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time, also ...platform.Write) error
 }
 
 // direct makes a call of its own for each row.
@@ -73,8 +73,8 @@
 }
 
 // Write implements Rows.
-func (d direct) Write(ctx context.Context, _ grouped.Class, write platform.Write, _ time.Time) error {
-	return d.table.Transact(ctx, []platform.Write{write})
+func (d direct) Write(ctx context.Context, _ grouped.Class, write platform.Write, _ time.Time, also ...platform.Write) error {
+	return d.table.Transact(ctx, append([]platform.Write{write}, also...))
 }
 
 // Store makes claims at one node. It is safe for concurrent use.
--- a/claim/claimstore/store_test.go
+++ b/claim/claimstore/store_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeontiller/wigeontiller/claim"
 	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/grouped"
 	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -154,3 +155,55 @@
 	is.Equal(err, platform.ErrNotFound)
 	is.Equal(sweeper.config.Metrics.CounterValue("wigeontiller_claims_swept_total") >= keys, true)
 }
+
+// pausedRows keeps writes of several rows back.
+type pausedRows struct {
+	direct
+	kept []platform.Write
+}
+
+func (r *pausedRows) Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time, also ...platform.Write) error {
+	if len(also) > 0 {
+		r.kept = append([]platform.Write{write}, also...)
+		return platform.ErrUnknown
+	}
+	return r.direct.Write(ctx, class, write, before)
+}
+
+// TestLateRemovalSparesARowMadeAnew delays a sweeper's removal until another has
+// removed the row and the key was claimed anew, with the same version.
+func TestLateRemovalSparesARowMadeAnew(t *testing.T) {
+	is := is.New(t)
+	c, p := newClock(), memory.New()
+	ctx := context.Background()
+	maker, late := newStore(p, c, "a"), newStore(p, c, "b")
+	rows := &pausedRows{direct: direct{table: p}}
+	late.config.Rows = rows
+	held, _ := maker.Claim(ctx, callOf(c, "key"))
+	is.True(held != nil) // its holder dies
+	maker.Flush(ctx)
+	c.advance(4 * time.Hour)
+	late.Sweep(ctx)
+	is.True(len(rows.kept) > 1)
+	maker.Sweep(ctx)
+	_, err := p.Get(ctx, callOf(c, "key").Scope.RowKey())
+	is.Equal(err, platform.ErrNotFound)
+	held, _ = maker.Claim(ctx, callOf(c, "key"))
+	is.True(held != nil)
+	_ = p.Transact(ctx, rows.kept)
+	row, err := p.Get(ctx, callOf(c, "key").Scope.RowKey())
+	is.NoErr(err) // the second claim is still held
+	is.Equal(row.Version, uint64(1))
+}
+
+func TestEntriesKeptBackGoToAListThatIsToCome(t *testing.T) {
+	is := is.New(t)
+	c, p := newClock(), memory.New()
+	store := newStore(p, c, "a")
+	_, answered := store.Claim(context.Background(), callOf(c, "key"))
+	is.True(answered == nil)
+	c.advance(10 * time.Hour) // the store was down
+	hour, entries, _ := store.index.take(c.Now())
+	is.Equal(len(entries), 1)
+	is.True(hour > bucketOf(c.Now()))
+}
--- a/claim/claimstore/sweep.go
+++ b/claim/claimstore/sweep.go
@@ -15,6 +15,10 @@
 	"github.com/wigeontiller/wigeontiller/platform/grouped"
 )
 
+// removedTogether is how many entries of a list are removed in one transaction;
+// the list's own row goes with them.
+const removedTogether = grouped.GroupRows - 1
+
 // upkeepPeriod is how long after its read or its decision a removal or an index
 // row may be sent.
 const upkeepPeriod = 10 * time.Second
@@ -71,22 +75,21 @@
 		return false
 	}
 	whole := true
-	for chunk := range slices.Chunk(entries, grouped.GroupRows) {
-		whole = s.removeAll(ctx, chunk) && whole
+	for chunk := range slices.Chunk(entries, removedTogether) {
+		whole = s.removeAll(ctx, chunk, &list) && whole
 	}
-	return whole && s.delete(ctx, list.Key, list.Version, s.config.Now().Add(upkeepPeriod))
+	return whole && s.delete(ctx, list)
 }
 
-// removeAll removes the claims of a chunk that have expired. It reads them in
-// one call and hands their removals over together, so that they are grouped. It
-// reports whether all entries have served their purpose.
-func (s *Store) removeAll(ctx context.Context, chunk []entry) bool {
+// removeAll removes the claims of a chunk that have expired. It reports whether
+// all entries have served their purpose.
+func (s *Store) removeAll(ctx context.Context, chunk []entry, list *platform.Row) bool {
 	before := s.config.Now().Add(upkeepPeriod)
 	events, err := s.readClaims(ctx, chunk)
 	if err != nil {
 		return false
 	}
-	removed := s.removeRows(ctx, events, before)
+	removed := s.removeRows(ctx, events, list, before)
 	whole := true
 	for _, listed := range chunk {
 		whole = s.settleEntry(ctx, listed, events[listed.Row], removed) && whole
@@ -94,30 +97,32 @@
 	return whole
 }
 
-// removeRows removes the rows that have expired and returns which are gone.
-func (s *Store) removeRows(ctx context.Context, events map[string]claim.Event, before time.Time) map[string]bool {
-	var mutex sync.Mutex
-	removed := map[string]bool{}
-	var removals conc.WaitGroup
+// removeRows removes the rows that have expired, and reports whether they are
+// gone. It writes their list as well, on the version read: a removal that comes
+// late, after another node's, could otherwise meet a row that was made anew and
+// has the same version. A list is never made anew, as its hour is over.
+func (s *Store) removeRows(ctx context.Context, events map[string]claim.Event, list *platform.Row, before time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var removals []platform.Write
 	for key, event := range events {
-		if event.Kind != claim.ReadRow || !event.Row.Removable(s.config.Now()) {
-			continue
+		if event.Kind == claim.ReadRow && event.Row.Removable(s.config.Now()) {
+			removals = append(removals, platform.Write{Key: key, IfVersion: event.Row.Version, Delete: true})
 		}
-		removals.Go(func() {
-			if !s.delete(ctx, key, event.Row.Version, before) {
-				return
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			removed[key] = true
-		})
 	}
-	removals.Wait()
-	return removed
+	if len(removals) == 0 {
+		return true
+	}
+	guard := platform.Write{Key: list.Key, Value: list.Value, IfVersion: list.Version}
+	if s.config.Rows.Write(ctx, grouped.Upkeep, guard, before, removals...) != nil {
+		return false
+	}
+	list.Version++
+	return true
 }
 
 // settleEntry ends one entry. It reports whether it has served its purpose.
-func (s *Store) settleEntry(ctx context.Context, listed entry, event claim.Event, removed map[string]bool) bool {
+func (s *Store) settleEntry(ctx context.Context, listed entry, event claim.Event, removed bool) bool {
 	if event.Kind == claim.ReadFailed {
 		return false
 	}
@@ -126,7 +131,7 @@
 		// object of the earlier use is gone with it.
 		return s.removeObject(ctx, listed, event.Row.Result)
 	}
-	if event.Kind == claim.ReadRow && !removed[listed.Row] {
+	if event.Kind == claim.ReadRow && !removed {
 		return false
 	}
 	s.config.Metrics.Count("wigeontiller_claims_swept_total", 1)
@@ -193,14 +198,10 @@
 	return s.config.Rows.Get(ctx, grouped.Upkeep, key)
 }
 
-// delete removes a row at the version that was read. A removal that is sent
-// late could meet the same version of a row that was made anew.
-func (s *Store) delete(ctx context.Context, key string, version uint64, before time.Time) bool {
+// delete removes a list whose entries have all served their purpose.
+func (s *Store) delete(ctx context.Context, list platform.Row) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !s.config.Now().Before(before) {
-		return false
-	}
-	write := platform.Write{Key: key, IfVersion: version, Delete: true}
-	return s.config.Rows.Write(ctx, grouped.Upkeep, write, before) == nil
+	write := platform.Write{Key: list.Key, IfVersion: list.Version, Delete: true}
+	return s.config.Rows.Write(ctx, grouped.Upkeep, write, s.config.Now().Add(upkeepPeriod)) == nil
 }
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -17,7 +17,7 @@
 	// mostFaults bounds the faults of one history; CI explores two.
 	mostFaults = 3
 	// modelStates bounds the exploration; reaching it fails the test.
-	modelStates = 5_000_000
+	modelStates = 10_000_000
 )
 
 // modelFaults is the number of faults of one history; the environment variable
@@ -76,6 +76,15 @@
 	before time.Time
 }
 
+// modelRemoval is a sweeper's removal of the row, between its read and its write.
+type modelRemoval struct {
+	read    bool
+	version uint64
+	// outdated is set when the list that names the row was written since: each
+	// removal writes it as well.
+	outdated bool
+}
+
 // late reports whether the writer drops the write. Its clock may be behind the
 // sender's by the margin; see grouped.LocalBefore.
 func (f modelForwarded) late(now time.Time) bool {
@@ -95,10 +104,13 @@
 	// forwarded holds the first forwardedCount writes that wait at the writer.
 	forwarded      [mostFaults]modelForwarded
 	forwardedCount int
+	// removal is that of a sweeper that may be paused; another one isn't.
+	removal modelRemoval
 	// runs counts executions before and after the record's expiry: after it
 	// the key may be used anew, once.
 	runs [2]int
-	// stolen is set when a held record is replaced by another than its holder.
+	// stolen is set when a held record is replaced by another than its holder, or
+	// a record is removed before it may be.
 	stolen bool
 }
 
@@ -225,11 +237,7 @@
 	for i := range w.forwardedCount {
 		e.sendForwarded(w, i)
 	}
-	if w.present && w.row.Removable(w.now()) {
-		next := w
-		next.present, next.row = false, Row{}
-		e.add(next)
-	}
+	e.sweep(w)
 	for i := range w.nodes {
 		e.step(w, i)
 		if w.faults < modelFaults && w.nodes[i].place > waiting && w.nodes[i].place < ended {
@@ -241,6 +249,32 @@
 	}
 }
 
+// sweep lets one sweeper remove the row, and the other read it or remove what it
+// has read.
+func (e *explorer) sweep(w world) {
+	if w.present && w.row.Removable(w.now()) {
+		next := w
+		next.present, next.row = false, Row{}
+		next.removal.outdated = next.removal.read
+		e.add(next)
+		if !w.removal.read {
+			next = w
+			next.removal = modelRemoval{read: true, version: w.row.Version}
+			e.add(next)
+		}
+	}
+	if !w.removal.read {
+		return
+	}
+	removal := w.removal
+	w.removal = modelRemoval{}
+	if w.present && w.row.Version == removal.version && !removal.outdated {
+		w.stolen = w.stolen || !w.row.Removable(w.now())
+		w.present, w.row = false, Row{}
+	}
+	e.add(w)
+}
+
 // sendForwarded lets the writer send a write that waits there, or drop it. What
 // is sent takes effect at once or is on its way.
 func (e *explorer) sendForwarded(w world, i int) {
