Claims: entry_nodes bounds the fleet for the store's parts

Where the settings name how many entry nodes can run, a node that can't read the platform's list and hears too few peers keeps its true part. go test -race .: ok

--- a/node.go
+++ b/node.go
@@ -198,13 +198,13 @@
 // shareStoreBudget divides the store's budget by the most nodes ever known: a
 // node that is cut off must not take the others' part.
 func (n *Node) shareStoreBudget(ctx context.Context) func() {
-	fleet := fleetSize{nodes: len(n.settings.Seeds)}
+	fleet, known := configuredFleet(n.settings)
 	started := time.Now()
 	return func() {
 		every(ctx, fleetInterval, func(context.Context) {
 			fleet.grow(n.cluster)
 			n.guard.SetNodes(fleet.nodes)
-			if n.cluster.listed.Load() != nil || time.Since(started) >= joinPeriod {
+			if known || n.cluster.listed.Load() != nil || time.Since(started) >= joinPeriod {
 				n.writer.SetFleet(fleet.nodes, fleet.dataCentres)
 			}
 		})
--- a/writers.go
+++ b/writers.go
@@ -10,6 +10,7 @@
 	"github.com/wigeontiller/wigeontiller/membership"
 	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/platform/writerpc"
+	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -58,6 +59,22 @@
 	nodes, dataCentres int
 }
 
+// configuredFleet is what the settings say. It reports false when they don't bound
+// the number of nodes.
+func configuredFleet(s *settings.Settings) (fleetSize, bool) {
+	if s.EntryNodes == nil {
+		return fleetSize{nodes: len(s.Seeds)}, false
+	}
+	fleet := fleetSize{}
+	for _, region := range s.EntryNodes {
+		fleet.dataCentres += len(region)
+		for _, nodes := range region {
+			fleet.nodes += nodes
+		}
+	}
+	return fleet, true
+}
+
 // grow takes in what membership knows and the platform's list of VMs says.
 func (f *fleetSize) grow(c *cluster) {
 	dataCentres := map[string]bool{c.settings.DataCentre: true}
