--- a/claim/claimstore/store.go
+++ b/claim/claimstore/store.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeontiller/wigeontiller/claim"
 	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/grouped"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -37,9 +38,10 @@
 type Config struct {
 	// Platform is required.
 	Platform platform.Platform
-	// Upkeep is used for the index and for sweeping, which can wait; nil is
-	// Platform.
+	// Upkeep is used for removing objects, which can wait; nil is Platform.
 	Upkeep platform.Platform
+	// Rows reads and writes rows; nil makes each call at Platform.
+	Rows   Rows
 	Logger zerolog.Logger
 	// Metrics is required.
 	Metrics *telemetry.Metrics
@@ -50,6 +52,31 @@
 	Sleep func(ctx context.Context, period time.Duration)
 }
 
+// Rows reads and writes single rows.
+type Rows interface {
+	// Get returns a row or platform.ErrNotFound.
+	Get(ctx context.Context, class grouped.Class, key string) (platform.Row, error)
+	// Write makes a conditional write, and the further ones with it or not at all.
+	// It is sent before the time given or not at all. Errors: platform.ErrConflict; platform.ErrUnavailable when it had no
+	// effect; any other when the outcome is unknown.
+	Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time, also ...platform.Write) error
+}
+
+// direct makes a call of its own for each row.
+type direct struct {
+	table platform.Table
+}
+
+// Get implements Rows.
+func (d direct) Get(ctx context.Context, _ grouped.Class, key string) (platform.Row, error) {
+	return d.table.Get(ctx, key)
+}
+
+// Write implements Rows.
+func (d direct) Write(ctx context.Context, _ grouped.Class, write platform.Write, _ time.Time, also ...platform.Write) error {
+	return d.table.Transact(ctx, append([]platform.Write{write}, also...))
+}
+
 // Store makes claims at one node. It is safe for concurrent use.
 type Store struct {
 	config  Config
@@ -86,6 +113,9 @@
 	if config.Upkeep == nil {
 		config.Upkeep = config.Platform
 	}
+	if config.Rows == nil {
+		config.Rows = direct{table: config.Platform}
+	}
 	return &Store{config: config, index: newIndex(config.Node)}
 }
 
@@ -170,22 +200,26 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if action.Kind == claim.Read {
-		return s.read(ctx, s.config.Platform, row)
+		return s.read(ctx, row)
 	}
 	return s.write(ctx, row, action)
 }
 
-func (s *Store) read(ctx context.Context, table platform.Table, key string) claim.Event {
-	row, err := table.Get(ctx, key)
+func (s *Store) read(ctx context.Context, key string) claim.Event {
+	row, err := s.config.Rows.Get(ctx, grouped.Claim, key)
 	if errors.Is(err, platform.ErrNotFound) {
 		return claim.Event{Kind: claim.ReadMissing}
 	}
 	if err != nil {
 		return claim.Event{Kind: claim.ReadFailed}
 	}
+	return s.decode(row)
+}
+
+func (s *Store) decode(row platform.Row) claim.Event {
 	var record claim.Record
 	if err := json.Unmarshal(row.Value, &record); err != nil {
-		s.config.Logger.Error().Err(err).Str("row", key).Msg("claim not readable")
+		s.config.Logger.Error().Err(err).Str("row", row.Key).Msg("claim not readable")
 		return claim.Event{Kind: claim.ReadFailed}
 	}
 	return claim.Event{Kind: claim.ReadRow, Row: claim.Row{Record: record, Version: row.Version}}
@@ -196,14 +230,22 @@
 	if err != nil || !s.config.Now().Before(action.Before) {
 		return claim.Event{Kind: claim.WriteRefused}
 	}
-	err = s.config.Platform.Transact(ctx, []platform.Write{{Key: key, Value: value, IfVersion: action.IfVersion}})
+	write := platform.Write{Key: key, Value: value, IfVersion: action.IfVersion}
+	err = s.config.Rows.Write(ctx, classOf(action.Record), write, action.Before)
 	switch {
 	case err == nil:
 		return claim.Event{Kind: claim.WriteApplied}
 	case errors.Is(err, platform.ErrConflict):
 		return claim.Event{Kind: claim.WriteConflict}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrTooLarge):
 		return claim.Event{Kind: claim.WriteRefused}
 	}
 	return claim.Event{Kind: claim.WriteUnknown}
 }
+
+func classOf(record claim.Record) grouped.Class {
+	if record.State == claim.Held {
+		return grouped.Claim
+	}
+	return grouped.Outcome
+}
--- a/claim/claimstore/sweep.go
+++ b/claim/claimstore/sweep.go
@@ -3,11 +3,26 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
 
 	"github.com/wigeontiller/wigeontiller/claim"
 	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/platform/grouped"
 )
 
+// removedTogether is how many entries of a list are removed in one transaction;
+// the list's own row goes with them.
+const removedTogether = grouped.GroupRows - 1
+
+// upkeepPeriod is how long after its read or its decision a removal or an index
+// row may be sent.
+const upkeepPeriod = 10 * time.Second
+
 // Sweep removes expired claims. Any number of nodes may sweep at once: each
 // removal is conditional on the version read.
 func (s *Store) Sweep(ctx context.Context) {
@@ -16,13 +31,22 @@
 	}
 }
 
+// sweepShard looks at the first row of all lists together and works through the
+// lists that exist.
 func (s *Store) sweepShard(ctx context.Context, shard uint32) {
 	latest := bucketOf(s.config.Now()) - 1
+	var heads []string
 	for back := range int64(sweepBuckets) {
-		if ctx.Err() != nil {
-			return
+		heads = append(heads, indexKey(latest-back, shard, 0))
+	}
+	lists, err := s.getAll(ctx, heads)
+	if err != nil {
+		return
+	}
+	for back := range int64(sweepBuckets) {
+		if _, ok := lists[heads[back]]; ok && ctx.Err() == nil {
+			s.sweepList(ctx, latest-back, shard)
 		}
-		s.sweepList(ctx, latest-back, shard)
 	}
 }
 
@@ -51,16 +75,54 @@
 		return false
 	}
 	whole := true
-	for _, listed := range entries {
-		whole = s.remove(ctx, listed) && whole
+	for chunk := range slices.Chunk(entries, removedTogether) {
+		whole = s.removeAll(ctx, chunk, &list) && whole
+	}
+	return whole && s.delete(ctx, list)
+}
+
+// removeAll removes the claims of a chunk that have expired. It reports whether
+// all entries have served their purpose.
+func (s *Store) removeAll(ctx context.Context, chunk []entry, list *platform.Row) bool {
+	before := s.config.Now().Add(upkeepPeriod)
+	events, err := s.readClaims(ctx, chunk)
+	if err != nil {
+		return false
+	}
+	removed := s.removeRows(ctx, events, list, before)
+	whole := true
+	for _, listed := range chunk {
+		whole = s.settleEntry(ctx, listed, events[listed.Row], removed) && whole
 	}
-	return whole && s.delete(ctx, list.Key, list.Version)
+	return whole
 }
 
-// remove deletes one claim that has expired. It reports whether the entry has
-// served its purpose.
-func (s *Store) remove(ctx context.Context, listed entry) bool {
-	event := s.readClaim(ctx, listed.Row)
+// removeRows removes the rows that have expired, and reports whether they are
+// gone. It writes their list as well, on the version read: a removal that comes
+// late, after another node's, could otherwise meet a row that was made anew and
+// has the same version. A list is never made anew, as its hour is over.
+func (s *Store) removeRows(ctx context.Context, events map[string]claim.Event, list *platform.Row, before time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var removals []platform.Write
+	for key, event := range events {
+		if event.Kind == claim.ReadRow && event.Row.Removable(s.config.Now()) {
+			removals = append(removals, platform.Write{Key: key, IfVersion: event.Row.Version, Delete: true})
+		}
+	}
+	if len(removals) == 0 {
+		return true
+	}
+	guard := platform.Write{Key: list.Key, Value: list.Value, IfVersion: list.Version}
+	if s.config.Rows.Write(ctx, grouped.Upkeep, guard, before, removals...) != nil {
+		return false
+	}
+	list.Version++
+	return true
+}
+
+// settleEntry ends one entry. It reports whether it has served its purpose.
+func (s *Store) settleEntry(ctx context.Context, listed entry, event claim.Event, removed bool) bool {
 	if event.Kind == claim.ReadFailed {
 		return false
 	}
@@ -69,7 +131,7 @@
 		// object of the earlier use is gone with it.
 		return s.removeObject(ctx, listed, event.Row.Result)
 	}
-	if event.Kind == claim.ReadRow && !s.delete(ctx, listed.Row, event.Row.Version) {
+	if event.Kind == claim.ReadRow && !removed {
 		return false
 	}
 	s.config.Metrics.Count("wigeontiller_claims_swept_total", 1)
@@ -88,21 +150,58 @@
 	return s.config.Upkeep.DeleteObject(ctx, listed.Object) == nil
 }
 
-func (s *Store) readClaim(ctx context.Context, key string) claim.Event {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return s.read(ctx, s.config.Upkeep, key)
+// readClaims reads the rows of a chunk; the rows that don't exist are missing
+// from the result, which then reads as removed.
+func (s *Store) readClaims(ctx context.Context, chunk []entry) (map[string]claim.Event, error) {
+	keys := make([]string, 0, len(chunk))
+	for _, listed := range chunk {
+		keys = append(keys, listed.Row)
+	}
+	rows, err := s.getAll(ctx, keys)
+	if err != nil {
+		return nil, err
+	}
+	events := map[string]claim.Event{}
+	for key, row := range rows {
+		events[key] = s.decode(row)
+	}
+	return events, nil
+}
+
+// getAll asks for rows together, so that their reads are grouped. It returns
+// those that exist, or the error of one that could not be read.
+func (s *Store) getAll(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+	var mutex sync.Mutex
+	rows := map[string]platform.Row{}
+	var failed error
+	var reads conc.WaitGroup
+	for _, key := range keys {
+		reads.Go(func() {
+			row, err := s.get(ctx, key)
+			mutex.Lock()
+			defer mutex.Unlock()
+			switch {
+			case err == nil:
+				rows[key] = row
+			case !errors.Is(err, platform.ErrNotFound):
+				failed = err
+			}
+		})
+	}
+	reads.Wait()
+	return rows, failed
 }
 
 func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return s.config.Upkeep.Get(ctx, key)
+	return s.config.Rows.Get(ctx, grouped.Upkeep, key)
 }
 
-func (s *Store) delete(ctx context.Context, key string, version uint64) bool {
+// delete removes a list whose entries have all served their purpose.
+func (s *Store) delete(ctx context.Context, list platform.Row) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.config.Upkeep.Transact(ctx, []platform.Write{{Key: key, IfVersion: version, Delete: true}})
-	return err == nil
+	write := platform.Write{Key: list.Key, IfVersion: list.Version, Delete: true}
+	return s.config.Rows.Write(ctx, grouped.Upkeep, write, s.config.Now().Add(upkeepPeriod)) == nil
 }
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -17,7 +17,7 @@
 	// mostFaults bounds the faults of one history; CI explores two.
 	mostFaults = 3
 	// modelStates bounds the exploration; reaching it fails the test.
-	modelStates = 5_000_000
+	modelStates = 10_000_000
 )
 
 // modelFaults is the number of faults of one history; the environment variable
@@ -68,6 +68,29 @@
 	version uint64
 }
 
+// modelForwarded is a write that waits at the node that writes for others. Its
+// sender may have given up, or it may be the transport's copy of one that was
+// sent.
+type modelForwarded struct {
+	write  modelWrite
+	before time.Time
+}
+
+// modelRemoval is a sweeper's removal of the row, between its read and its write.
+type modelRemoval struct {
+	read    bool
+	version uint64
+	// outdated is set when the list that names the row was written since: each
+	// removal writes it as well.
+	outdated bool
+}
+
+// late reports whether the writer drops the write. Its clock may be behind the
+// sender's by the margin; see grouped.LocalBefore.
+func (f modelForwarded) late(now time.Time) bool {
+	return !now.Before(f.before.Add(ClockMargin))
+}
+
 // world is one state of everything. It is a value.
 type world struct {
 	phase   int
@@ -78,10 +101,16 @@
 	// late holds the first lateCount writes that may still take effect.
 	late      [mostFaults]modelWrite
 	lateCount int
+	// forwarded holds the first forwardedCount writes that wait at the writer.
+	forwarded      [mostFaults]modelForwarded
+	forwardedCount int
+	// removal is that of a sweeper that may be paused; another one isn't.
+	removal modelRemoval
 	// runs counts executions before and after the record's expiry: after it
 	// the key may be used anew, once.
 	runs [2]int
-	// stolen is set when a held record is replaced by another than its holder.
+	// stolen is set when a held record is replaced by another than its holder, or
+	// a record is removed before it may be.
 	stolen bool
 }
 
@@ -107,6 +136,18 @@
 	w.lateCount++
 }
 
+func (w *world) forward(write modelWrite, before time.Time) {
+	w.forwarded[w.forwardedCount] = modelForwarded{write: write, before: before}
+	w.forwardedCount++
+}
+
+// takeForwarded removes the write at i from the writer.
+func (w *world) takeForwarded(i int) {
+	w.forwardedCount--
+	w.forwarded[i] = w.forwarded[w.forwardedCount]
+	w.forwarded[w.forwardedCount] = modelForwarded{}
+}
+
 // state identifies a world; two hashes make a collision unlikely.
 type state [2]uint64
 
@@ -193,11 +234,10 @@
 		next.apply(w.late[i])
 		e.add(next)
 	}
-	if w.present && w.row.Removable(w.now()) {
-		next := w
-		next.present, next.row = false, Row{}
-		e.add(next)
+	for i := range w.forwardedCount {
+		e.sendForwarded(w, i)
 	}
+	e.sweep(w)
 	for i := range w.nodes {
 		e.step(w, i)
 		if w.faults < modelFaults && w.nodes[i].place > waiting && w.nodes[i].place < ended {
@@ -209,6 +249,48 @@
 	}
 }
 
+// sweep lets one sweeper remove the row, and the other read it or remove what it
+// has read.
+func (e *explorer) sweep(w world) {
+	if w.present && w.row.Removable(w.now()) {
+		next := w
+		next.present, next.row = false, Row{}
+		next.removal.outdated = next.removal.read
+		e.add(next)
+		if !w.removal.read {
+			next = w
+			next.removal = modelRemoval{read: true, version: w.row.Version}
+			e.add(next)
+		}
+	}
+	if !w.removal.read {
+		return
+	}
+	removal := w.removal
+	w.removal = modelRemoval{}
+	if w.present && w.row.Version == removal.version && !removal.outdated {
+		w.stolen = w.stolen || !w.row.Removable(w.now())
+		w.present, w.row = false, Row{}
+	}
+	e.add(w)
+}
+
+// sendForwarded lets the writer send a write that waits there, or drop it. What
+// is sent takes effect at once or is on its way.
+func (e *explorer) sendForwarded(w world, i int) {
+	forwarded := w.forwarded[i]
+	w.takeForwarded(i)
+	if forwarded.late(w.now()) {
+		e.add(w)
+		return
+	}
+	delayed := w
+	delayed.delay(forwarded.write)
+	e.add(delayed)
+	w.apply(forwarded.write)
+	e.add(w)
+}
+
 // apply makes a conditional write and reports whether its condition held.
 func (w *world) apply(write modelWrite) bool {
 	version := uint64(0)
@@ -286,6 +368,16 @@
 	}
 	twice.delay(write)
 	e.event(twice, i, Event{Kind: kind})
+	waits := w
+	waits.forward(write, action.Before)
+	e.event(waits, i, Event{Kind: WriteUnknown})
+	copied := w
+	kind = WriteConflict
+	if copied.apply(write) {
+		kind = WriteApplied
+	}
+	copied.forward(write, action.Before)
+	e.event(copied, i, Event{Kind: kind})
 }
 
 func (e *explorer) read(w world, i int) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,10 @@
 	// InProcessDemo allows nodes of one process to talk without certificates. It
 	// is no setting of a file.
 	InProcessDemo bool `yaml:"-"`
+	// EntryNodes holds by region and data centre the most entry nodes that can run
+	// at once. It bounds a node's part of the store's rate where the platform's
+	// list can't be read. Default none.
+	EntryNodes map[string]map[string]int `yaml:"entry_nodes"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
 	// SharedLimits lets the node share upstreams' limits and organisations' rates
@@ -147,6 +151,9 @@
 			add(address.field, "must be an IP address and port")
 		}
 	}
+	if s.EntryNodes != nil && s.EntryNodes[s.Region][s.DataCentre] < 1 {
+		add("entry_nodes", "must hold the node's own region and data centre, at least 1")
+	}
 	if len(s.OperatorTokens) == 0 {
 		add("operator_tokens", "must name a token")
 	}
