Tables of text, stand-ins and settings' problems are written once

Change: package texttable; soak's newStandIn; problemLines, which also makes the newer test ask for the lines. Measured: go test ./settings ./bench/report ./soak/report passes.

--- a/bench/report/prefix.go
+++ b/bench/report/prefix.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/wigeontiller/wigeontiller/bench"
+	"github.com/wigeontiller/wigeontiller/texttable"
 )
 
 // PrefixText returns a comparison with and without prefix affinity for people.
@@ -12,7 +13,7 @@
 	text := new(strings.Builder)
 	_, _ = fmt.Fprintf(text, "deployment %s, seed %d, load %.2f; prompts that begin alike; first-token times in ms\n\n",
 		compared.Deployment, compared.Seed, compared.Load)
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("affinity", "conversation stays", "prompts/s", "reusable", "cached", "cached of short",
 			"short p50", "short p95", "long p50", "long p95", "slowdown", "spread", "refused", "failed")
 		for _, r := range compared.Results {
--- a/bench/report/text.go
+++ b/bench/report/text.go
@@ -4,13 +4,11 @@
 import (
 	"fmt"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/wigeontiller/wigeontiller/bench"
+	"github.com/wigeontiller/wigeontiller/texttable"
 )
 
-const columnGap = 2
-
 // Text returns a comparison as tables for people.
 func Text(comparison *bench.Comparison) string {
 	text := new(strings.Builder)
@@ -24,20 +22,9 @@
 	return text.String()
 }
 
-func table(text *strings.Builder, write func(row func(columns ...any))) {
-	writer := tabwriter.NewWriter(text, 0, 0, columnGap, ' ', 0)
-	write(func(columns ...any) {
-		for _, column := range columns {
-			_, _ = fmt.Fprintf(writer, "%v\t", column)
-		}
-		_, _ = fmt.Fprintln(writer)
-	})
-	_ = writer.Flush()
-}
-
 func writeFirstTokens(text *strings.Builder, comparison *bench.Comparison) {
 	_, _ = fmt.Fprintln(text, "time to the first token in seconds: p50 p95 p99 (refused, failed)")
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("scenario", "policy", "<4k", "<16k", "<100k", "to 1M")
 		for _, scenario := range bench.Scenarios() {
 			for _, measured := range comparison.Policies {
@@ -60,7 +47,7 @@
 }
 
 func writeService(text *strings.Builder, comparison *bench.Comparison) {
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("scenario", "policy", "short p95 s", "interval p95 ms", "ended in time", "cut off",
 			"calls done", "upstream refusals", "fell over", "overruns", "breaches")
 		for _, scenario := range bench.Scenarios() {
@@ -79,7 +66,7 @@
 }
 
 func writeReturn(text *strings.Builder, comparison *bench.Comparison) {
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("policy", "short slowdown p95", "last new work after out s", "worst short first token in return s")
 		for _, measured := range comparison.Policies {
 			r := measured.Result(bench.DataCentreOut)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -20,32 +20,33 @@
 	return string(data)
 }
 
-func TestParseListsEveryProblem(t *testing.T) {
-	is := is.New(t)
-	text := strings.Replace(sample(t), "caller_address: 10", "caller_address: host.10", 1)
-	text = strings.Replace(text, "region: wales", "region: ''", 1)
+// problemLines returns the line of each field that has a problem.
+func problemLines(t *testing.T, text string) map[string]int {
+	t.Helper()
 	_, err := Parse([]byte(text))
 	var problems strictyaml.Errors
-	is.True(errors.As(err, &problems))
-	fields := map[string]int{}
+	if !errors.As(err, &problems) {
+		t.Fatal(err)
+	}
+	lines := map[string]int{}
 	for _, problem := range problems {
-		fields[problem.Field] = problem.Line
+		lines[problem.Field] = problem.Line
 	}
-	is.Equal(fields, map[string]int{"region": 3, "caller_address": 4})
+	return lines
+}
+
+func TestParseListsEveryProblem(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(sample(t), "caller_address: 10", "caller_address: host.10", 1)
+	text = strings.Replace(text, "region: wales", "region: ''", 1)
+	is.Equal(problemLines(t, text), map[string]int{"region": 3, "caller_address": 4})
 }
 
 func TestSecretsNeedOnePlace(t *testing.T) {
 	is := is.New(t)
 	text := strings.Replace(sample(t), "  key: {file:", "  key: {environment: KEY, file:", 1)
 	text = strings.Replace(text, "- environment: WIGEONTILLER_TOKEN", "- environment: ''", 1)
-	_, err := Parse([]byte(text))
-	var problems strictyaml.Errors
-	is.True(errors.As(err, &problems))
-	fields := map[string]bool{}
-	for _, problem := range problems {
-		fields[problem.Field] = true
-	}
-	is.Equal(fields, map[string]bool{"peer_tls.key": true, "operator_tokens[0]": true})
+	is.Equal(problemLines(t, text), map[string]int{"operator_tokens[0]": 10, "peer_tls.key": 15})
 }
 
 func TestSecretIsReadWithoutLineEnd(t *testing.T) {
--- a/soak/report/text.go
+++ b/soak/report/text.go
@@ -6,20 +6,18 @@
 	"maps"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/soak"
+	"github.com/wigeontiller/wigeontiller/texttable"
 )
 
-const columnGap = 2
-
 // Plan returns a plan as a table.
 func Plan(plan *soak.Plan) string {
 	text := new(strings.Builder)
 	_, _ = fmt.Fprintf(text, "seed %d, %v, %d entry nodes, %d data centres, %d arrivals, %d faults\n\n",
 		plan.Seed, plan.Duration, plan.Nodes, soak.DataCentres, len(plan.Arrivals), len(plan.Faults))
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("at s", "for s", "fault", "on", "")
 		for _, fault := range plan.Faults {
 			row(seconds(fault.At), seconds(fault.For), pairMark(fault)+string(fault.Kind), fault.Target, fault.Detail)
@@ -39,17 +37,6 @@
 	return text.String()
 }
 
-func table(text *strings.Builder, write func(row func(columns ...any))) {
-	writer := tabwriter.NewWriter(text, 0, 0, columnGap, ' ', 0)
-	write(func(columns ...any) {
-		for _, column := range columns {
-			_, _ = fmt.Fprintf(writer, "%v\t", column)
-		}
-		_, _ = fmt.Fprintln(writer)
-	})
-	_ = writer.Flush()
-}
-
 func seconds(length time.Duration) string {
 	return fmt.Sprintf("%.2f", length.Seconds())
 }
@@ -63,7 +50,7 @@
 
 func writeFaults(text *strings.Builder, report *soak.Report) {
 	_, _ = fmt.Fprintln(text, "\nfaults; + begins together with the one above")
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("from s", "to s", "fault", "on", "", "outcome")
 		for _, shown := range report.Faults {
 			row(seconds(shown.Began), seconds(shown.Ended), pairMark(shown.Fault)+string(shown.Kind), shown.Target, shown.Detail, shown.Outcome)
@@ -74,7 +61,7 @@
 func writeCalls(text *strings.Builder, report *soak.Report) {
 	endings := []soak.Ending{soak.Answered, soak.Refused, soak.ErrorEvent, soak.Left, soak.Cut, soak.Unreached}
 	_, _ = fmt.Fprintln(text, "\nrequests")
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		columns := []any{"kind", "sent"}
 		for _, ending := range endings {
 			columns = append(columns, ending)
@@ -92,7 +79,7 @@
 
 func writeRefusals(text *strings.Builder, report *soak.Report) {
 	_, _ = fmt.Fprintln(text, "\nerrors by code")
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		for _, code := range slices.Sorted(maps.Keys(report.Refusals)) {
 			row(code, report.Refusals[code])
 		}
@@ -101,7 +88,7 @@
 
 func writeFirstTokens(text *strings.Builder, report *soak.Report) {
 	_, _ = fmt.Fprintln(text, "\ntime to the first token of streams that got one, in seconds")
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("prompt", "sent", "with a token", "p50", "p95")
 		for _, class := range report.FirstToken {
 			row(class.Name, class.Sent, class.Count, seconds(class.P50), seconds(class.P95))
@@ -111,7 +98,7 @@
 
 func writeInvariants(text *strings.Builder, report *soak.Report) {
 	_, _ = fmt.Fprintln(text, "\nwhat must always hold")
-	table(text, func(row func(...any)) {
+	texttable.Write(text, func(row func(...any)) {
 		row("invariant", "checked", "breaches")
 		for _, invariant := range report.Invariants {
 			checked := fmt.Sprint(invariant.Checked)
--- a/soak/site.go
+++ b/soak/site.go
@@ -120,16 +120,21 @@
 	return nil
 }
 
+// newStandIn returns an upstream's stand-in on a VM of its own.
+func (s *site) newStandIn(name, vm string, number int) *standIn {
+	return &standIn{
+		name:       fmt.Sprintf("%s-%d", name, number),
+		vm:         fmt.Sprintf("%s-%d", vm, number),
+		dataCentre: dataCentre(number),
+		clock:      s.clock,
+	}
+}
+
 func (s *site) startEngine(number int) error {
 	control := newKnobs()
 	config := engine.Config{Slots: engineSlots, KVTokens: engineTokens, PrefillTokensPerSecond: prefillRate, TokenInterval: tokenInterval, Grace: engineGrace}
 	started := &engineStandIn{
-		standIn: &standIn{
-			name:       fmt.Sprintf("engine-%d", number),
-			vm:         fmt.Sprintf("engine-vm-%d", number),
-			dataCentre: dataCentre(number),
-			clock:      s.clock,
-		},
+		standIn: s.newStandIn("engine", "engine-vm", number),
 		server:  engine.NewServer(config, control.control),
 		control: control,
 	}
@@ -143,12 +148,7 @@
 func (s *site) startService(number int) error {
 	control := newKnobs()
 	started := &serviceStandIn{
-		standIn: &standIn{
-			name:       fmt.Sprintf("bookings-%d", number),
-			vm:         fmt.Sprintf("service-vm-%d", number),
-			dataCentre: dataCentre(number),
-			clock:      s.clock,
-		},
+		standIn: s.newStandIn("bookings", "service-vm", number),
 		server:  service.NewServer(serviceName, control.control),
 		control: control,
 	}
