Process test: the node that is killed has calls of its own

All its keys are raced for by both nodes. Since claims go in groups, one node may win every race, and nothing runs at the node to be killed. Ruled out: a fault of the claims; each key had one holder, and runs once. Change: each node gets four keys that only it is asked for, beside the 16 that are raced for. All checks stay, over more keys.

--- a/test/processes/claims_test.go
+++ b/test/processes/claims_test.go
@@ -43,20 +43,40 @@
 	}
 }
 
+// keyedCall is one call at a node.
+type keyedCall struct {
+	key  string
+	node int
+}
+
+// keyedCalls are repeats of keys that both nodes race for, and keys of each node's
+// own: a node's claims are written together, so that one node may win all races.
+func keyedCalls() []keyedCall {
+	const keys, repeats, own = 16, 6, 4
+	var calls []keyedCall
+	for i := range keys * repeats {
+		calls = append(calls, keyedCall{fmt.Sprintf("key-%d", i/repeats), i % 2})
+	}
+	for i := range 2 * own {
+		calls = append(calls, keyedCall{fmt.Sprintf("own-%d", i), i % 2})
+	}
+	return calls
+}
+
 func TestKeyedCallsRunAtMostOnceWhenANodeIsKilled(t *testing.T) {
 	is := is.New(t)
 	s := startSite(t)
 	s.promote(t, s.document(1))
-	const keys, repeats = 16, 6
+	calls := keyedCalls()
 	for _, address := range s.services {
 		control(t, address, `{"delay_ms":1000}`)
 	}
 	// Fewer than open a node's breaker, so that calls do run.
 	control(t, s.platform, `{"lose_answers":4}`)
-	replies := make([]reply, keys*repeats)
+	replies := make([]reply, len(calls))
 	var group sync.WaitGroup
-	for i := range replies {
-		group.Go(func() { replies[i] = s.nodes[i%2].confirm(fmt.Sprintf("key-%d", i/repeats), "seat") })
+	for i, one := range calls {
+		group.Go(func() { replies[i] = s.nodes[one.node].confirm(one.key, "seat") })
 	}
 	eventually(t, "a call runs at the node", func() bool {
 		status, err := s.cli(t, s.nodes[1], "status")
@@ -66,9 +86,9 @@
 	s.nodes[1].signal(t, syscall.SIGKILL)
 	group.Wait()
 	control(t, s.platform, `{}`)
-	later := make([]reply, keys)
-	for i := range later {
-		group.Go(func() { later[i] = s.nodes[0].confirm(fmt.Sprintf("key-%d", i), "seat") })
+	later := make([]reply, len(calls))
+	for i, one := range calls {
+		group.Go(func() { later[i] = s.nodes[0].confirm(one.key, "seat") })
 	}
 	group.Wait()
 	counts := s.runs(t)
@@ -87,11 +107,9 @@
 		}
 		is.Equal(got.body, answers[key]) // the whole first answer
 	}
-	for i, got := range replies {
-		check(fmt.Sprintf("key-%d", i/repeats), got)
-	}
-	for i, got := range later {
-		check(fmt.Sprintf("key-%d", i), got)
+	for i, one := range calls {
+		check(one.key, replies[i])
+		check(one.key, later[i])
 	}
 	is.True(len(answers) > 0) // the survivor answered
 }
