--- a/orders/order.go
+++ b/orders/order.go
@@ -43,7 +43,7 @@
 	// Fencing is from the table and grows with each change of giver.
 	Fencing uint64 `json:"fencing"`
 	// Sequence grows with each order under one fencing number, so that an engine
-	// can tell a repeated datagram or recording from a new order.
+	// can tell a replayed order from a new one.
 	Sequence uint64 `json:"sequence"`
 	Kind     Kind   `json:"kind"`
 	// Model is what to load or unload, or the role.
