--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -12,7 +12,7 @@
 	"storj.io/drpc"
 
 	"github.com/wigeontiller/wigeontiller/budget"
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 const (
@@ -61,7 +61,7 @@
 	DRPCBudgetUnimplementedServer
 	name    string
 	timing  budget.Timing
-	table   platform.Table
+	table   storage.Table
 	calls   conc.WaitGroup
 	members Members
 	work    Work
@@ -84,7 +84,7 @@
 	Process string
 	Timing  budget.Timing
 	// Table holds the leases' rows.
-	Table   platform.Table
+	Table   storage.Table
 	Members Members
 	Work    Work
 	Dial    Dial
--- a/budget/budgetrpc/node_test.go
+++ b/budget/budgetrpc/node_test.go
@@ -17,8 +17,8 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/wigeontiller/wigeontiller/budget"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 // hangGuard ends a test that makes no progress.
@@ -83,7 +83,7 @@
 	awaitShares(t, works)
 }
 
-func newTestNode(name string, members Members, table platform.Table, work Work) *Node {
+func newTestNode(name string, members Members, table storage.Table, work Work) *Node {
 	timing := budget.DefaultTiming()
 	timing.Interval = 50 * time.Millisecond
 	node := NewNode(Config{
--- a/budget/budgetrpc/table.go
+++ b/budget/budgetrpc/table.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeontiller/wigeontiller/budget"
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 // tableTimeout bounds one call to the table.
@@ -42,8 +42,8 @@
 
 func (n *Node) readLease(ctx context.Context, call budget.LeaseCall) {
 	row, err := n.table.Get(ctx, call.Lease)
-	if errors.Is(err, platform.ErrNotFound) {
-		row, err = platform.Row{}, nil
+	if errors.Is(err, storage.ErrNotFound) {
+		row, err = storage.Row{}, nil
 	}
 	lease, decodeErr := decodeLease(row.Value)
 	if err = errors.Join(err, decodeErr); err != nil {
@@ -61,9 +61,9 @@
 func (n *Node) writeLease(ctx context.Context, call budget.LeaseCall) {
 	value, err := encodeLease(call.Row)
 	if err == nil {
-		err = n.table.Transact(ctx, []platform.Write{{Key: call.Lease, Value: value, IfVersion: call.IfVersion}})
+		err = n.table.Transact(ctx, []storage.Write{{Key: call.Lease, Value: value, IfVersion: call.IfVersion}})
 	} else {
-		err = errors.Join(platform.ErrUnavailable, err)
+		err = errors.Join(storage.ErrUnavailable, err)
 	}
 	if err != nil {
 		n.logger.Debug().Err(err).Str("lease", call.Lease).Msg("lease not written")
@@ -77,9 +77,9 @@
 	switch {
 	case err == nil:
 		return budget.Written
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return budget.Conflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return budget.Refused
 	}
 	return budget.Unknown
--- a/budgets_node.go
+++ b/budgets_node.go
@@ -12,9 +12,9 @@
 	"github.com/wigeontiller/wigeontiller/budget"
 	"github.com/wigeontiller/wigeontiller/budget/budgetrpc"
 	"github.com/wigeontiller/wigeontiller/dispatch"
-	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
@@ -49,7 +49,7 @@
 	dial(ctx context.Context, address netip.AddrPort) drpc.Conn
 }
 
-func newBudgets(s *settings.Settings, process string, table platform.Table, d *dispatch.Dispatcher, nodes site, logger zerolog.Logger) *budgets {
+func newBudgets(s *settings.Settings, process string, table storage.Table, d *dispatch.Dispatcher, nodes site, logger zerolog.Logger) *budgets {
 	b := &budgets{
 		dispatcher: d,
 		dataCentre: s.DataCentre,
--- a/budgets_test.go
+++ b/budgets_test.go
@@ -18,9 +18,9 @@
 	"github.com/wigeontiller/wigeontiller/budget/budgetrpc"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/environment"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
--- a/claim/claimstore/index.go
+++ b/claim/claimstore/index.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 const (
@@ -117,7 +117,7 @@
 		if err != nil {
 			s.index.putBack(hour, entries)
 		}
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, storage.ErrConflict) {
 			s.index.advance(hour, number)
 			continue
 		}
@@ -133,5 +133,5 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	before := s.config.Now().Add(upkeepPeriod)
-	return s.config.Rows.Write(ctx, grouped.Upkeep, platform.Write{Key: key, Value: value}, before)
+	return s.config.Rows.Write(ctx, grouped.Upkeep, storage.Write{Key: key, Value: value}, before)
 }
--- a/claim/claimstore/store.go
+++ b/claim/claimstore/store.go
@@ -16,8 +16,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/claim"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -37,9 +37,9 @@
 // Config holds what the store works with.
 type Config struct {
 	// Platform is required.
-	Platform platform.Platform
+	Platform storage.Platform
 	// Upkeep is used for removing objects, which can wait; nil is Platform.
-	Upkeep platform.Platform
+	Upkeep storage.Platform
 	// Rows reads and writes rows; nil makes each call at Platform.
 	Rows   Rows
 	Logger zerolog.Logger
@@ -54,27 +54,27 @@
 
 // Rows reads and writes single rows.
 type Rows interface {
-	// Get returns a row or platform.ErrNotFound.
-	Get(ctx context.Context, class grouped.Class, key string) (platform.Row, error)
+	// Get returns a row or storage.ErrNotFound.
+	Get(ctx context.Context, class grouped.Class, key string) (storage.Row, error)
 	// Write makes a conditional write, and the further ones with it or not at all.
-	// It is sent before the time given or not at all. Errors: platform.ErrConflict; platform.ErrUnavailable when it had no
+	// It is sent before the time given or not at all. Errors: storage.ErrConflict; storage.ErrUnavailable when it had no
 	// effect; any other when the outcome is unknown.
-	Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time, also ...platform.Write) error
+	Write(ctx context.Context, class grouped.Class, write storage.Write, before time.Time, also ...storage.Write) error
 }
 
 // direct makes a call of its own for each row.
 type direct struct {
-	table platform.Table
+	table storage.Table
 }
 
 // Get implements Rows.
-func (d direct) Get(ctx context.Context, _ grouped.Class, key string) (platform.Row, error) {
+func (d direct) Get(ctx context.Context, _ grouped.Class, key string) (storage.Row, error) {
 	return d.table.Get(ctx, key)
 }
 
 // Write implements Rows.
-func (d direct) Write(ctx context.Context, _ grouped.Class, write platform.Write, _ time.Time, also ...platform.Write) error {
-	return d.table.Transact(ctx, append([]platform.Write{write}, also...))
+func (d direct) Write(ctx context.Context, _ grouped.Class, write storage.Write, _ time.Time, also ...storage.Write) error {
+	return d.table.Transact(ctx, append([]storage.Write{write}, also...))
 }
 
 // Store makes claims at one node. It is safe for concurrent use.
@@ -207,7 +207,7 @@
 
 func (s *Store) read(ctx context.Context, key string) claim.Event {
 	row, err := s.config.Rows.Get(ctx, grouped.Claim, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return claim.Event{Kind: claim.ReadMissing}
 	}
 	if err != nil {
@@ -216,7 +216,7 @@
 	return s.decode(row)
 }
 
-func (s *Store) decode(row platform.Row) claim.Event {
+func (s *Store) decode(row storage.Row) claim.Event {
 	var record claim.Record
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		s.config.Logger.Error().Err(err).Str("row", row.Key).Msg("claim not readable")
@@ -230,14 +230,14 @@
 	if err != nil || !s.config.Now().Before(action.Before) {
 		return claim.Event{Kind: claim.WriteRefused}
 	}
-	write := platform.Write{Key: key, Value: value, IfVersion: action.IfVersion}
+	write := storage.Write{Key: key, Value: value, IfVersion: action.IfVersion}
 	err = s.config.Rows.Write(ctx, classOf(action.Record), write, action.Before)
 	switch {
 	case err == nil:
 		return claim.Event{Kind: claim.WriteApplied}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return claim.Event{Kind: claim.WriteConflict}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, storage.ErrUnavailable), errors.Is(err, storage.ErrTooLarge):
 		return claim.Event{Kind: claim.WriteRefused}
 	}
 	return claim.Event{Kind: claim.WriteUnknown}
--- a/claim/claimstore/store_test.go
+++ b/claim/claimstore/store_test.go
@@ -12,9 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/claim"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -40,7 +40,7 @@
 	c.advance(period)
 }
 
-func newStore(p platform.Platform, c *clock, node string) *Store {
+func newStore(p storage.Platform, c *clock, node string) *Store {
 	return New(Config{Platform: p, Logger: zerolog.Nop(), Metrics: telemetry.NewMetrics(), Node: node, Now: c.Now, Sleep: c.Sleep})
 }
 
@@ -149,23 +149,23 @@
 	sweeper.Sweep(ctx)
 	for i := range keys {
 		_, err := p.Get(ctx, callOf(c, fmt.Sprintf("key-%d", i)).Scope.RowKey())
-		is.Equal(err, platform.ErrNotFound)
+		is.Equal(err, storage.ErrNotFound)
 	}
 	_, err = p.GetObject(ctx, object)
-	is.Equal(err, platform.ErrNotFound)
+	is.Equal(err, storage.ErrNotFound)
 	is.Equal(sweeper.config.Metrics.CounterValue("wigeontiller_claims_swept_total") >= keys, true)
 }
 
 // pausedRows keeps writes of several rows back.
 type pausedRows struct {
 	direct
-	kept []platform.Write
+	kept []storage.Write
 }
 
-func (r *pausedRows) Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time, also ...platform.Write) error {
+func (r *pausedRows) Write(ctx context.Context, class grouped.Class, write storage.Write, before time.Time, also ...storage.Write) error {
 	if len(also) > 0 {
-		r.kept = append([]platform.Write{write}, also...)
-		return platform.ErrUnknown
+		r.kept = append([]storage.Write{write}, also...)
+		return storage.ErrUnknown
 	}
 	return r.direct.Write(ctx, class, write, before)
 }
@@ -187,7 +187,7 @@
 	is.True(len(rows.kept) > 1)
 	maker.Sweep(ctx)
 	_, err := p.Get(ctx, callOf(c, "key").Scope.RowKey())
-	is.Equal(err, platform.ErrNotFound)
+	is.Equal(err, storage.ErrNotFound)
 	held, _ = maker.Claim(ctx, callOf(c, "key"))
 	is.True(held != nil)
 	_ = p.Transact(ctx, rows.kept)
--- a/claim/claimstore/sweep.go
+++ b/claim/claimstore/sweep.go
@@ -11,8 +11,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wigeontiller/wigeontiller/claim"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // removedTogether is how many entries of a list are removed in one transaction;
@@ -53,7 +53,7 @@
 // sweepList works through one list. The rows of a list are removed from its
 // end, so that a list has no gap that hides its later rows.
 func (s *Store) sweepList(ctx context.Context, hour int64, shard uint32) {
-	var lists []platform.Row
+	var lists []storage.Row
 	for {
 		row, err := s.get(ctx, indexKey(hour, shard, len(lists)))
 		if err != nil {
@@ -68,7 +68,7 @@
 	}
 }
 
-func (s *Store) sweepRow(ctx context.Context, list platform.Row) bool {
+func (s *Store) sweepRow(ctx context.Context, list storage.Row) bool {
 	var entries []entry
 	if err := json.Unmarshal(list.Value, &entries); err != nil {
 		s.config.Logger.Error().Err(err).Str("row", list.Key).Msg("index not readable")
@@ -83,7 +83,7 @@
 
 // removeAll removes the claims of a chunk that have expired. It reports whether
 // all entries have served their purpose.
-func (s *Store) removeAll(ctx context.Context, chunk []entry, list *platform.Row) bool {
+func (s *Store) removeAll(ctx context.Context, chunk []entry, list *storage.Row) bool {
 	before := s.config.Now().Add(upkeepPeriod)
 	events, err := s.readClaims(ctx, chunk)
 	if err != nil {
@@ -101,19 +101,19 @@
 // gone. It writes their list as well, on the version read: a removal that comes
 // late, after another node's, could otherwise meet a row that was made anew and
 // has the same version. A list is never made anew, as its hour is over.
-func (s *Store) removeRows(ctx context.Context, events map[string]claim.Event, list *platform.Row, before time.Time) bool {
+func (s *Store) removeRows(ctx context.Context, events map[string]claim.Event, list *storage.Row, before time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var removals []platform.Write
+	var removals []storage.Write
 	for key, event := range events {
 		if event.Kind == claim.ReadRow && event.Row.Removable(s.config.Now()) {
-			removals = append(removals, platform.Write{Key: key, IfVersion: event.Row.Version, Delete: true})
+			removals = append(removals, storage.Write{Key: key, IfVersion: event.Row.Version, Delete: true})
 		}
 	}
 	if len(removals) == 0 {
 		return true
 	}
-	guard := platform.Write{Key: list.Key, Value: list.Value, IfVersion: list.Version}
+	guard := storage.Write{Key: list.Key, Value: list.Value, IfVersion: list.Version}
 	if s.config.Rows.Write(ctx, grouped.Upkeep, guard, before, removals...) != nil {
 		return false
 	}
@@ -170,9 +170,9 @@
 
 // getAll asks for rows together, so that their reads are grouped. It returns
 // those that exist, or the error of one that could not be read.
-func (s *Store) getAll(ctx context.Context, keys []string) (map[string]platform.Row, error) {
+func (s *Store) getAll(ctx context.Context, keys []string) (map[string]storage.Row, error) {
 	var mutex sync.Mutex
-	rows := map[string]platform.Row{}
+	rows := map[string]storage.Row{}
 	var failed error
 	var reads conc.WaitGroup
 	for _, key := range keys {
@@ -183,7 +183,7 @@
 			switch {
 			case err == nil:
 				rows[key] = row
-			case !errors.Is(err, platform.ErrNotFound):
+			case !errors.Is(err, storage.ErrNotFound):
 				failed = err
 			}
 		})
@@ -192,16 +192,16 @@
 	return rows, failed
 }
 
-func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
+func (s *Store) get(ctx context.Context, key string) (storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return s.config.Rows.Get(ctx, grouped.Upkeep, key)
 }
 
 // delete removes a list whose entries have all served their purpose.
-func (s *Store) delete(ctx context.Context, list platform.Row) bool {
+func (s *Store) delete(ctx context.Context, list storage.Row) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	write := platform.Write{Key: list.Key, IfVersion: list.Version, Delete: true}
+	write := storage.Write{Key: list.Key, IfVersion: list.Version, Delete: true}
 	return s.config.Rows.Write(ctx, grouped.Upkeep, write, s.config.Now().Add(upkeepPeriod)) == nil
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller"
-	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage/httpstorage"
 )
 
 // shutdownTimeout bounds a graceful shutdown; it is longer than any deadline
@@ -41,7 +41,7 @@
 	if err != nil {
 		return eris.Wrap(ErrUsage, "log_level: "+err.Error())
 	}
-	client, err := httpplatform.NewClient(parsed.PlatformURL)
+	client, err := httpstorage.NewClient(parsed.PlatformURL)
 	if err != nil {
 		return err
 	}
@@ -49,7 +49,7 @@
 	return runNode(parsed, client, logger)
 }
 
-func runNode(parsed *settings.Settings, client *httpplatform.Client, logger zerolog.Logger) error {
+func runNode(parsed *settings.Settings, client *httpstorage.Client, logger zerolog.Logger) error {
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	node, err := wigeontiller.New(stopped, parsed, client, logger)
--- a/cluster.go
+++ b/cluster.go
@@ -20,8 +20,8 @@
 	"github.com/wigeontiller/wigeontiller/membership"
 	"github.com/wigeontiller/wigeontiller/membership/udp"
 	"github.com/wigeontiller/wigeontiller/peer"
-	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -41,7 +41,7 @@
 	settings *settings.Settings
 	metrics  *telemetry.Metrics
 	logger   zerolog.Logger
-	platform platform.VMList
+	platform storage.VMList
 	peerKey  string
 	server   *peer.Server
 	pool     *peer.Pool
@@ -57,7 +57,7 @@
 	started uint64
 }
 
-func newCluster(s *settings.Settings, p platform.VMList, metrics *telemetry.Metrics, tracer trace.Tracer, logger zerolog.Logger) (*cluster, error) {
+func newCluster(s *settings.Settings, p storage.VMList, metrics *telemetry.Metrics, tracer trace.Tracer, logger zerolog.Logger) (*cluster, error) {
 	config, err := peerTLS(s)
 	if err != nil {
 		return nil, err
@@ -173,7 +173,7 @@
 	seeds := slices.Clone(c.seeds)
 	for _, vm := range vms {
 		address, err := netip.ParseAddrPort(vm.PeerAddress)
-		if err == nil && vm.State == platform.Live {
+		if err == nil && vm.State == storage.Live {
 			seeds = append(seeds, address)
 		}
 	}
--- a/configuration/execute_test.go
+++ b/configuration/execute_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 // faulty is a platform whose writes fail before or after their effect.
@@ -29,20 +29,20 @@
 	return f.rand.Float64()
 }
 
-func (f *faulty) Transact(ctx context.Context, writes []platform.Write) error {
+func (f *faulty) Transact(ctx context.Context, writes []storage.Write) error {
 	if f.draw() < f.refused {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	err := f.Platform.Transact(ctx, writes)
 	if f.draw() < f.lost {
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	}
 	return err
 }
 
-func (f *faulty) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *faulty) Get(ctx context.Context, key string) (storage.Row, error) {
 	if f.draw() < f.refused {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	return f.Platform.Get(ctx, key)
 }
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeontiller/wigeontiller/environment"
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 const (
@@ -33,8 +33,8 @@
 
 // Platform is what the store asks of the platform.
 type Platform interface {
-	platform.Table
-	platform.Objects
+	storage.Table
+	storage.Objects
 }
 
 // Store reads and writes the site row and the documents.
@@ -50,7 +50,7 @@
 // Site returns the site in the table; before any command it is empty.
 func (s *Store) Site(ctx context.Context) (Site, error) {
 	row, err := s.platform.Get(ctx, siteKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return NewSite(), nil
 	}
 	if err != nil {
@@ -120,9 +120,9 @@
 		switch {
 		case err == nil:
 			return next, outcome, nil
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, storage.ErrUnavailable):
 			return Site{}, Outcome{}, lost(unknown, ErrStoreUnavailable)
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, storage.ErrConflict):
 			unknown = true
 		}
 	}
@@ -146,7 +146,7 @@
 		return eris.Wrap(err, "encode outcome")
 	}
 	history := fmt.Sprintf("%s%d", historyKeyPrefix, next.Version)
-	return s.platform.Transact(ctx, []platform.Write{
+	return s.platform.Transact(ctx, []storage.Write{
 		{Key: siteKey, Value: value, IfVersion: site.Version},
 		{Key: history, Value: entry},
 	})
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -17,14 +17,14 @@
 
 	"github.com/wigeontiller/wigeontiller"
 	"github.com/wigeontiller/wigeontiller/configuration"
-	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
 	"github.com/wigeontiller/wigeontiller/standin/local"
 	"github.com/wigeontiller/wigeontiller/standin/platformserver"
 	"github.com/wigeontiller/wigeontiller/standin/service"
+	"github.com/wigeontiller/wigeontiller/storage/httpstorage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 const (
@@ -84,7 +84,7 @@
 	if err := d.startStandIns(); err != nil {
 		return err
 	}
-	client, err := httpplatform.NewClient("http://" + d.loopback(platformPort))
+	client, err := httpstorage.NewClient("http://" + d.loopback(platformPort))
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
--- a/entry/claim_random_test.go
+++ b/entry/claim_random_test.go
@@ -24,10 +24,10 @@
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/peer"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
-	"github.com/wigeontiller/wigeontiller/platform/writerpc"
 	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
+	"github.com/wigeontiller/wigeontiller/storage/writerpc"
 	"github.com/wigeontiller/wigeontiller/tables"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
@@ -57,40 +57,40 @@
 	return f.random.IntN(100)
 }
 
-func (f *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *faultyTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	if f.draw() < 4 {
-		return platform.Row{}, platform.ErrUnknown
+		return storage.Row{}, storage.ErrUnknown
 	}
 	return f.Platform.Get(ctx, key)
 }
 
-func (f *faultyTable) BatchGet(ctx context.Context, keys []string) ([]platform.Row, error) {
+func (f *faultyTable) BatchGet(ctx context.Context, keys []string) ([]storage.Row, error) {
 	if f.draw() < 4 {
-		return nil, platform.ErrUnknown
+		return nil, storage.ErrUnknown
 	}
 	return f.Platform.BatchGet(ctx, keys)
 }
 
-func (f *faultyTable) Transact(ctx context.Context, writes []platform.Write) error {
+func (f *faultyTable) Transact(ctx context.Context, writes []storage.Write) error {
 	draw := f.draw()
 	switch {
 	case draw < 3:
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	case draw < 5:
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	case draw < 7:
 		f.later(ctx, writes)
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	case draw < 10:
 		_ = f.Platform.Transact(ctx, writes)
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	case draw < 12:
 		defer f.later(ctx, writes)
 	}
 	return f.Platform.Transact(ctx, writes)
 }
 
-func (f *faultyTable) later(ctx context.Context, writes []platform.Write) {
+func (f *faultyTable) later(ctx context.Context, writes []storage.Write) {
 	f.late.Go(func() {
 		time.Sleep(time.Millisecond)
 		_ = f.Platform.Transact(ctx, writes)
@@ -148,7 +148,7 @@
 func (quiet) Printf(string, ...any) {}
 
 // newTestServer returns a node over a platform, with one service at address.
-func newTestServer(t *testing.T, store platform.Platform, address string) *Server {
+func newTestServer(t *testing.T, store storage.Platform, address string) *Server {
 	t.Helper()
 	text := fmt.Sprintf(`name: works
 organisations: [{name: dock, key_digests: ["%s"]}]
@@ -180,7 +180,7 @@
 
 // newClaims returns the claims of a node; without rows each call is
 // one of its own.
-func newClaims(store platform.Platform, metrics *telemetry.Metrics, rows claimstore.Rows) *claimstore.Store {
+func newClaims(store storage.Platform, metrics *telemetry.Metrics, rows claimstore.Rows) *claimstore.Store {
 	return claimstore.New(claimstore.Config{
 		Platform: store, Rows: rows, Logger: zerolog.Nop(), Metrics: metrics, Node: "test",
 		Sleep: func(context.Context, time.Duration) { time.Sleep(time.Millisecond) },
@@ -198,7 +198,7 @@
 }
 
 // newWriters returns nodes that hand their writes to the first over drpc.
-func newWriters(t *testing.T, table platform.Table, count int) []*writerpc.Node {
+func newWriters(t *testing.T, table storage.Table, count int) []*writerpc.Node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 // echo records the last request and answers with a telling header.
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 // largeAnswerBytes is more than the sockets' buffers take.
--- a/example_test.go
+++ b/example_test.go
@@ -8,8 +8,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 // A program embeds an entry node with its own platform adapter.
--- a/follower_test.go
+++ b/follower_test.go
@@ -16,8 +16,8 @@
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/peer"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/scheduling"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 // documentKey is where the store keeps documents.
--- a/node.go
+++ b/node.go
@@ -25,12 +25,12 @@
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/entry"
 	"github.com/wigeontiller/wigeontiller/orphan"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/guard"
-	"github.com/wigeontiller/wigeontiller/platform/writerpc"
 	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/guard"
+	"github.com/wigeontiller/wigeontiller/storage/writerpc"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
@@ -81,7 +81,7 @@
 }
 
 // New returns a node that is ready to start.
-func New(ctx context.Context, s *settings.Settings, p platform.Platform, logger zerolog.Logger) (*Node, error) {
+func New(ctx context.Context, s *settings.Settings, p storage.Platform, logger zerolog.Logger) (*Node, error) {
 	var tokens []string
 	for _, secret := range s.OperatorTokens {
 		token, err := secret.Read()
--- a/node_close_test.go
+++ b/node_close_test.go
@@ -18,11 +18,11 @@
 	"github.com/wigeontiller/wigeontiller"
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/environment"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
 	"github.com/wigeontiller/wigeontiller/standin/local"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 const (
--- a/orders/ordering/shell.go
+++ b/orders/ordering/shell.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/orders"
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -60,7 +60,7 @@
 
 // Config is what a shell works with.
 type Config struct {
-	Table   platform.Table
+	Table   storage.Table
 	Site    Site
 	Sender  Sender
 	Now     func() time.Time
@@ -205,7 +205,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	row, err := s.config.Table.Get(ctx, keyPrefix+address)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		g.SeenRow(s.config.Now(), orders.Versioned{})
 		return
 	}
@@ -221,7 +221,7 @@
 	defer cancel()
 	value, err := json.Marshal(action.Row)
 	if err == nil {
-		err = s.config.Table.Transact(ctx, []platform.Write{{Key: keyPrefix + address, Value: value, IfVersion: action.IfVersion}})
+		err = s.config.Table.Transact(ctx, []storage.Write{{Key: keyPrefix + address, Value: value, IfVersion: action.IfVersion}})
 	}
 	if err != nil {
 		g.Failed()
--- a/orders/ordering/shell_test.go
+++ b/orders/ordering/shell_test.go
@@ -17,8 +17,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/orders"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -82,16 +82,16 @@
 
 // countedTable counts writes.
 type countedTable struct {
-	platform.Table
+	storage.Table
 	writes int
 }
 
-func (c *countedTable) Transact(ctx context.Context, writes []platform.Write) error {
+func (c *countedTable) Transact(ctx context.Context, writes []storage.Write) error {
 	c.writes++
 	return c.Table.Transact(ctx, writes)
 }
 
-func newShell(f *farm, node int, table platform.Table) *Shell {
+func newShell(f *farm, node int, table storage.Table) *Shell {
 	v := view{f, node}
 	return New(Config{Table: table, Site: v, Sender: f, Now: func() time.Time { return f.now }, Metrics: telemetry.NewMetrics(), Logger: zerolog.Nop()})
 }
--- a/orders/ordering/slots.go
+++ b/orders/ordering/slots.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/orders"
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 const (
@@ -18,7 +18,7 @@
 
 // slots takes and releases load slots in the table.
 type slots struct {
-	table platform.Table
+	table storage.Table
 	next  time.Time
 }
 
@@ -48,7 +48,7 @@
 // change writes the row only when it differs.
 func (s *slots) change(ctx context.Context, change func(orders.Slots) orders.Slots) error {
 	row, err := s.table.Get(ctx, slotsKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, storage.ErrNotFound) {
 		return err
 	}
 	var held orders.Slots
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	return s.table.Transact(ctx, []platform.Write{{Key: slotsKey, Value: value, IfVersion: row.Version}})
+	return s.table.Transact(ctx, []storage.Write{{Key: slotsKey, Value: value, IfVersion: row.Version}})
 }
 
 func contains(next, held orders.Slots) bool {
--- a/orders_node.go
+++ b/orders_node.go
@@ -9,8 +9,8 @@
 	"github.com/wigeontiller/wigeontiller/observe"
 	"github.com/wigeontiller/wigeontiller/orders"
 	"github.com/wigeontiller/wigeontiller/orders/ordering"
-	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
@@ -33,7 +33,7 @@
 // ordersSite lets orders see the tables and the reports.
 type ordersSite struct{ *reports }
 
-func newOrdering(r *reports, table platform.Table, n *Node) *ordering.Shell {
+func newOrdering(r *reports, table storage.Table, n *Node) *ordering.Shell {
 	return ordering.New(ordering.Config{
 		Table:   table,
 		Site:    ordersSite{r},
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,7 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wigeontiller/wigeontiller"
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 // nodeAddresses are where a node listens.
@@ -121,14 +121,14 @@
 func (f *fleet) listVMs() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	var vms []platform.VM
+	var vms []storage.VM
 	for _, one := range f.places {
 		if one == nil {
 			continue
 		}
-		vm := platform.VM{Name: one.name, DataCentre: one.settings.DataCentre, Region: region, State: platform.Live, PeerAddress: one.settings.PeerAddress}
+		vm := storage.VM{Name: one.name, DataCentre: one.settings.DataCentre, Region: region, State: storage.Live, PeerAddress: one.settings.PeerAddress}
 		if one.life.Leaving > 0 {
-			vm.State = platform.Leaving
+			vm.State = storage.Leaving
 		}
 		vms = append(vms, vm)
 	}
--- a/soak/gate.go
+++ b/soak/gate.go
@@ -4,35 +4,35 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 // gate is a node's way to the platform. It is shut when the node is closed, as
 // the calls of a process that died do not go on.
 type gate struct {
-	platform platform.Platform
+	platform storage.Platform
 	shut     atomic.Bool
 }
 
-var _ platform.Platform = (*gate)(nil)
+var _ storage.Platform = (*gate)(nil)
 
 func (g *gate) check() error {
 	if g.shut.Load() {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
 
-// Get returns one row, or platform.ErrUnavailable when the gate is shut.
-func (g *gate) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get returns one row, or storage.ErrUnavailable when the gate is shut.
+func (g *gate) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := g.check(); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return g.platform.Get(ctx, key)
 }
 
 // BatchGet returns the rows that exist.
-func (g *gate) BatchGet(ctx context.Context, keys []string) ([]platform.Row, error) {
+func (g *gate) BatchGet(ctx context.Context, keys []string) ([]storage.Row, error) {
 	if err := g.check(); err != nil {
 		return nil, err
 	}
@@ -40,7 +40,7 @@
 }
 
 // Transact applies all writes or none.
-func (g *gate) Transact(ctx context.Context, writes []platform.Write) error {
+func (g *gate) Transact(ctx context.Context, writes []storage.Write) error {
 	if err := g.check(); err != nil {
 		return err
 	}
@@ -72,7 +72,7 @@
 }
 
 // ListVMs returns the platform's list.
-func (g *gate) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (g *gate) ListVMs(ctx context.Context) ([]storage.VM, error) {
 	if err := g.check(); err != nil {
 		return nil, err
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeontiller/wigeontiller"
-	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage/httpstorage"
 )
 
 const (
@@ -41,7 +41,7 @@
 
 // newProcess makes a node that has not started.
 func (f *fleet) newProcess(ctx context.Context, place int, name string, addresses nodeAddresses) (*process, error) {
-	client, err := httpplatform.NewClient(f.site.platformURL)
+	client, err := httpstorage.NewClient(f.site.platformURL)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -11,13 +11,13 @@
 
 	"github.com/wigeontiller/wigeontiller/configuration"
 	"github.com/wigeontiller/wigeontiller/environment"
-	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
 	"github.com/wigeontiller/wigeontiller/standin/local"
 	"github.com/wigeontiller/wigeontiller/standin/platformserver"
 	"github.com/wigeontiller/wigeontiller/standin/service"
+	"github.com/wigeontiller/wigeontiller/storage/httpstorage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 const (
@@ -75,7 +75,7 @@
 	if err := s.startStandIns(); err != nil {
 		return s, err
 	}
-	client, err := httpplatform.NewClient(s.platformURL)
+	client, err := httpstorage.NewClient(s.platformURL)
 	if err != nil {
 		return s, err
 	}
--- a/standin/platformserver/server.go
+++ b/standin/platformserver/server.go
@@ -9,10 +9,10 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/httpplatform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/httpstorage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 const maxBodyBytes = 64 << 20
@@ -39,13 +39,13 @@
 	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
 	control.Routes(server.app)
 	server.app.Get(PathCalls, server.calls)
-	server.app.Post(httpplatform.PathGet, server.get)
-	server.app.Post(httpplatform.PathTransact, server.transact)
-	server.app.Get(httpplatform.PathVMs, server.vms)
-	server.app.Put(httpplatform.PathVMs, server.setVMs)
-	server.app.Get(httpplatform.PathObjects+"*", server.getObject)
-	server.app.Put(httpplatform.PathObjects+"*", server.putObject)
-	server.app.Delete(httpplatform.PathObjects+"*", server.deleteObject)
+	server.app.Post(httpstorage.PathGet, server.get)
+	server.app.Post(httpstorage.PathTransact, server.transact)
+	server.app.Get(httpstorage.PathVMs, server.vms)
+	server.app.Put(httpstorage.PathVMs, server.setVMs)
+	server.app.Get(httpstorage.PathObjects+"*", server.getObject)
+	server.app.Put(httpstorage.PathObjects+"*", server.putObject)
+	server.app.Delete(httpstorage.PathObjects+"*", server.deleteObject)
 	return server
 }
 
@@ -60,7 +60,7 @@
 }
 
 func (s *Server) get(c *fiber.Ctx) error {
-	var request httpplatform.GetRequest
+	var request httpstorage.GetRequest
 	if err := json.Unmarshal(c.Body(), &request); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
 	}
@@ -68,11 +68,11 @@
 	if err != nil {
 		return turn(err)
 	}
-	return c.JSON(httpplatform.GetReply{Rows: rows})
+	return c.JSON(httpstorage.GetReply{Rows: rows})
 }
 
 func (s *Server) transact(c *fiber.Ctx) error {
-	var request httpplatform.TransactRequest
+	var request httpstorage.TransactRequest
 	if err := json.Unmarshal(c.Body(), &request); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
 	}
@@ -88,11 +88,11 @@
 	if err != nil {
 		return turn(err)
 	}
-	return c.JSON(httpplatform.VMsReply{VMs: vms})
+	return c.JSON(httpstorage.VMsReply{VMs: vms})
 }
 
 func (s *Server) setVMs(c *fiber.Ctx) error {
-	var reply httpplatform.VMsReply
+	var reply httpstorage.VMsReply
 	if err := json.Unmarshal(c.Body(), &reply); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
 	}
@@ -120,11 +120,11 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		return fiber.NewError(fiber.StatusNotFound, err.Error())
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return fiber.NewError(fiber.StatusConflict, err.Error())
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, storage.ErrTooLarge):
 		return fiber.NewError(fiber.StatusRequestEntityTooLarge, err.Error())
 	}
 	return fiber.NewError(fiber.StatusInternalServerError, err.Error())
--- a/standin/standincli/standincli.go
+++ b/standin/standincli/standincli.go
@@ -17,11 +17,11 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
-	"github.com/wigeontiller/wigeontiller/platform/memory"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
 	"github.com/wigeontiller/wigeontiller/standin/platformserver"
 	"github.com/wigeontiller/wigeontiller/standin/service"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 const (
--- a/platform/grouped/fleet_test.go
+++ b/storage/grouped/fleet_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 // The fleet in virtual time. It drives Queue and Bucket as package writerpc
@@ -96,7 +96,7 @@
 	f.done[f.lastID] = done
 	p := Pending{
 		ID: f.lastID, Class: class, Added: f.now, Before: f.now.Add(time.Hour), Until: f.now.Add(simWaits[class]), alone: f.alone,
-		Write: platform.Write{Key: fmt.Sprint(f.lastID), Value: make([]byte, 500)},
+		Write: storage.Write{Key: fmt.Sprint(f.lastID), Value: make([]byte, 500)},
 	}
 	queue := n.outbox
 	if f.alone || f.writer(n) == n {
--- a/platform/grouped/pending.go
+++ b/storage/grouped/pending.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 // Class orders the writes that wait.
@@ -33,9 +33,9 @@
 	// ID tells the writes of one node apart.
 	ID    uint64
 	Class Class
-	Write platform.Write
+	Write storage.Write
 	// Also holds further writes that take effect with Write or not at all.
-	Also []platform.Write
+	Also []storage.Write
 	// Before is when the write must have been sent; it is never sent later.
 	Before time.Time
 	// Until is when a write that still waits is refused.
@@ -52,8 +52,8 @@
 }
 
 // writes returns all writes of the member.
-func (p Pending) writes() []platform.Write {
-	return append([]platform.Write{p.Write}, p.Also...)
+func (p Pending) writes() []storage.Write {
+	return append([]storage.Write{p.Write}, p.Also...)
 }
 
 // rows is how many rows the member writes.
@@ -71,7 +71,7 @@
 }
 
 // versionAfter is that of the row once the write has taken effect; 0 means no row.
-func versionAfter(write platform.Write) uint64 {
+func versionAfter(write storage.Write) uint64 {
 	if write.Delete {
 		return 0
 	}
--- a/platform/grouped/queue.go
+++ b/storage/grouped/queue.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 const (
@@ -119,7 +119,7 @@
 
 // add reports whether the member joined the group. The first may be of any size.
 func (g *group) add(p Pending) bool {
-	if !g.shared && slices.ContainsFunc(p.writes(), func(w platform.Write) bool { return g.taken[w.Key] }) {
+	if !g.shared && slices.ContainsFunc(p.writes(), func(w storage.Write) bool { return g.taken[w.Key] }) {
 		return false
 	}
 	over := g.rows+p.rows() > GroupRows || g.bytes+p.size() > groupBytes
@@ -159,7 +159,7 @@
 		versions[write.Key] = versionAfter(write)
 	}
 	return q.remove(func(p Pending) bool {
-		return slices.ContainsFunc(p.writes(), func(w platform.Write) bool {
+		return slices.ContainsFunc(p.writes(), func(w storage.Write) bool {
 			version, ok := versions[w.Key]
 			return ok && w.IfVersion != version
 		})
@@ -199,13 +199,13 @@
 // Resolve splits a group whose transaction met a conflict by its rows as they
 // were read afterwards. The transaction had no effect, so that the second list
 // may be sent again. Where no row shows the conflict, each member goes alone.
-func Resolve(group []Pending, rows []platform.Row) (conflicting, again []Pending) {
+func Resolve(group []Pending, rows []storage.Row) (conflicting, again []Pending) {
 	versions := map[string]uint64{}
 	for _, row := range rows {
 		versions[row.Key] = row.Version
 	}
 	for _, p := range group {
-		failed := func(w platform.Write) bool { return versions[w.Key] != w.IfVersion }
+		failed := func(w storage.Write) bool { return versions[w.Key] != w.IfVersion }
 		if !slices.ContainsFunc(p.writes(), failed) {
 			again = append(again, p)
 			continue
@@ -221,8 +221,8 @@
 }
 
 // Writes returns the members' writes as one transaction.
-func Writes(group []Pending) []platform.Write {
-	var writes []platform.Write
+func Writes(group []Pending) []storage.Write {
+	var writes []storage.Write
 	for _, p := range group {
 		writes = append(writes, p.writes()...)
 	}
--- a/platform/grouped/queue_test.go
+++ b/storage/grouped/queue_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 )
 
 var start = time.Unix(1000, 0)
@@ -19,7 +19,7 @@
 func pending(id int, class Class, key string, version uint64) Pending {
 	return Pending{
 		ID: uint64(id), Class: class, Before: start.Add(time.Hour), Until: start.Add(time.Hour),
-		Write: platform.Write{Key: key, IfVersion: version, Value: []byte(key)},
+		Write: storage.Write{Key: key, IfVersion: version, Value: []byte(key)},
 	}
 }
 
@@ -63,7 +63,7 @@
 		q.Add(pending(100+i, Claim, fmt.Sprint(i), 0))
 	}
 	is.True(!q.Add(pending(1, Claim, "over", 0)))
-	is.True(GroupRows <= platform.MaxTransactRows && groupBytes <= platform.MaxTransactBytes)
+	is.True(GroupRows <= storage.MaxTransactRows && groupBytes <= storage.MaxTransactBytes)
 }
 
 func TestNothingIsSentLate(t *testing.T) {
@@ -93,15 +93,15 @@
 	random *rand.Rand
 }
 
-func (f faults) transact(writes []platform.Write) error {
+func (f faults) transact(writes []storage.Write) error {
 	switch f.random.IntN(12) {
 	case 0:
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	case 1:
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	case 2:
 		_ = f.Transact(context.Background(), writes)
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	}
 	return f.Transact(context.Background(), writes)
 }
@@ -170,10 +170,10 @@
 			applied = row.Version == 0
 		}
 		wrong := err == nil && !applied
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, storage.ErrUnavailable) {
 			wrong = applied && !p.Write.Delete
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, storage.ErrConflict) {
 			wrong = applied && !p.Write.Delete || row.Version == p.Write.IfVersion
 		}
 		if wrong {
@@ -182,13 +182,13 @@
 	}
 	defer q.Done(group)
 	err := table.transact(Writes(group))
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, storage.ErrConflict) {
 		for _, p := range group {
 			answer(p, err)
 		}
 		if err == nil {
 			for _, p := range q.Overtaken(group) {
-				answer(p, platform.ErrConflict)
+				answer(p, storage.ErrConflict)
 			}
 		}
 		return
@@ -197,7 +197,7 @@
 	conflicting, again := Resolve(group, rows)
 	q.Again(again)
 	for _, p := range conflicting {
-		answer(p, platform.ErrConflict)
+		answer(p, storage.ErrConflict)
 	}
 }
 
--- a/platform/guard/client.go
+++ b/storage/guard/client.go
@@ -1,5 +1,5 @@
 // Package guard is the store client: it puts a deadline, a rate budget, a
-// circuit breaker and, for reads, retries around any platform.Platform. Writes
+// circuit breaker and, for reads, retries around any storage.Platform. Writes
 // are never repeated: an unknown outcome goes up, so that callers read back.
 //
 // Lock order: Client.mutex is a leaf; no call is made under it.
@@ -16,8 +16,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sony/gobreaker/v2"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -48,7 +48,7 @@
 
 // Client guards a platform. It is safe for concurrent use.
 type Client struct {
-	inner   platform.Platform
+	inner   storage.Platform
 	metrics *telemetry.Metrics
 	breaker *gobreaker.TwoStepCircuitBreaker[struct{}]
 	mutex   sync.Mutex
@@ -58,7 +58,7 @@
 }
 
 // New returns a client with the whole budget; see SetNodes.
-func New(inner platform.Platform, metrics *telemetry.Metrics) *Client {
+func New(inner storage.Platform, metrics *telemetry.Metrics) *Client {
 	now := time.Now()
 	return &Client{
 		inner:   inner,
@@ -72,7 +72,7 @@
 			Timeout:     breakerPause,
 			ReadyToTrip: func(counts gobreaker.Counts) bool { return counts.ConsecutiveFailures >= breakerFailures },
 			IsSuccessful: func(err error) bool {
-				return !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown)
+				return !errors.Is(err, storage.ErrUnavailable) && !errors.Is(err, storage.ErrUnknown)
 			},
 		}),
 	}
@@ -127,7 +127,7 @@
 
 // retryable reports whether a further read may succeed.
 func retryable(err error) bool {
-	return err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict)
+	return err != nil && !errors.Is(err, storage.ErrNotFound) && !errors.Is(err, storage.ErrConflict)
 }
 
 // once makes one attempt. Errors that arise here mean that nothing was sent.
@@ -139,7 +139,7 @@
 	}
 	done, err := c.breaker.Allow()
 	if err != nil {
-		err = eris.Wrap(platform.ErrUnavailable, err.Error())
+		err = eris.Wrap(storage.ErrUnavailable, err.Error())
 		c.count(k, err)
 		return none, err
 	}
@@ -165,7 +165,7 @@
 			return nil
 		}
 		if time.Now().Add(wait).After(end) || !pause(ctx, wait) {
-			return eris.Wrap(platform.ErrUnavailable, "over the node's share of the store's rate")
+			return eris.Wrap(storage.ErrUnavailable, "over the node's share of the store's rate")
 		}
 	}
 }
@@ -194,13 +194,13 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		return "not_found"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return "conflict"
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, storage.ErrTooLarge):
 		return "too_large"
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return "unavailable"
 	}
 	return "unknown"
--- a/platform/guard/client_test.go
+++ b/storage/guard/client_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -29,14 +29,14 @@
 	return err
 }
 
-func (f *failing) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *failing) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := f.next(); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return f.Platform.Get(ctx, key)
 }
 
-func (f *failing) Transact(ctx context.Context, writes []platform.Write) error {
+func (f *failing) Transact(ctx context.Context, writes []storage.Write) error {
 	if err := f.next(); err != nil {
 		return err
 	}
@@ -58,20 +58,20 @@
 func TestReadsAreRepeatedAndWritesAreNot(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	inner := newFailing(platform.ErrUnknown, 2)
+	inner := newFailing(storage.ErrUnknown, 2)
 	_, err := New(inner, telemetry.NewMetrics()).Ordinary().Get(ctx, "row")
-	is.True(errors.Is(err, platform.ErrNotFound)) // the third attempt's answer
+	is.True(errors.Is(err, storage.ErrNotFound)) // the third attempt's answer
 	is.Equal(inner.calls, 3)
-	inner = newFailing(platform.ErrUnknown, 1)
-	err = New(inner, telemetry.NewMetrics()).Urgent().Transact(ctx, []platform.Write{{Key: "row"}})
-	is.True(errors.Is(err, platform.ErrUnknown)) // goes up, so that callers read back
+	inner = newFailing(storage.ErrUnknown, 1)
+	err = New(inner, telemetry.NewMetrics()).Urgent().Transact(ctx, []storage.Write{{Key: "row"}})
+	is.True(errors.Is(err, storage.ErrUnknown)) // goes up, so that callers read back
 	is.Equal(inner.calls, 1)
 }
 
 func TestBreakerRefusesAtOnceWithoutACall(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	inner := newFailing(platform.ErrUnknown, 100)
+	inner := newFailing(storage.ErrUnknown, 100)
 	metrics := telemetry.NewMetrics()
 	client := New(inner, metrics)
 	for range breakerFailures {
@@ -80,7 +80,7 @@
 	is.True(!client.Available())
 	calls := inner.calls
 	err := client.Urgent().Transact(ctx, nil)
-	is.True(errors.Is(err, platform.ErrUnavailable)) // known to have had no effect
+	is.True(errors.Is(err, storage.ErrUnavailable)) // known to have had no effect
 	is.Equal(inner.calls, calls)
 	is.Equal(metrics.CounterValue(`wigeontiller_platform_calls_total{kind="write",outcome="unavailable"}`), int64(1))
 	is.Equal(metrics.CounterValue(`wigeontiller_platform_calls_total{kind="write",outcome="unknown"}`), int64(breakerFailures))
@@ -88,9 +88,9 @@
 
 func TestConflictsDoNotOpenTheBreaker(t *testing.T) {
 	is := is.New(t)
-	client := New(newFailing(platform.ErrConflict, 100), telemetry.NewMetrics())
+	client := New(newFailing(storage.ErrConflict, 100), telemetry.NewMetrics())
 	for range 3 * breakerFailures {
-		is.True(errors.Is(client.Ordinary().Transact(context.Background(), nil), platform.ErrConflict))
+		is.True(errors.Is(client.Ordinary().Transact(context.Background(), nil), storage.ErrConflict))
 	}
 	is.True(client.Available())
 }
@@ -104,6 +104,6 @@
 	cancel()
 	is.NoErr(client.Urgent().Transact(ctx, nil)) // the burst of one
 	err := client.Urgent().Transact(ctx, nil)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, storage.ErrUnavailable))
 	is.Equal(inner.calls, 1)
 }
--- a/platform/httpplatform/client.go
+++ b/storage/httpstorage/client.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpstorage
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 const (
@@ -25,7 +25,7 @@
 	http *fasthttp.Client
 }
 
-var _ platform.Platform = (*Client)(nil)
+var _ storage.Platform = (*Client)(nil)
 
 // errDial marks a failure before any byte was sent.
 var errDial = eris.New("dial")
@@ -54,20 +54,20 @@
 	return conn, nil
 }
 
-// Get returns one row or platform.ErrNotFound.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get returns one row or storage.ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (storage.Row, error) {
 	rows, err := c.BatchGet(ctx, []string{key})
 	if err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	if len(rows) == 0 {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return rows[0], nil
 }
 
 // BatchGet returns the rows that exist.
-func (c *Client) BatchGet(ctx context.Context, keys []string) ([]platform.Row, error) {
+func (c *Client) BatchGet(ctx context.Context, keys []string) ([]storage.Row, error) {
 	var reply GetReply
 	if err := c.call(ctx, fasthttp.MethodPost, PathGet, GetRequest{Keys: keys}, &reply); err != nil {
 		return nil, err
@@ -76,7 +76,7 @@
 }
 
 // Transact applies all writes or none.
-func (c *Client) Transact(ctx context.Context, writes []platform.Write) error {
+func (c *Client) Transact(ctx context.Context, writes []storage.Write) error {
 	return c.call(ctx, fasthttp.MethodPost, PathTransact, TransactRequest{Writes: writes}, nil)
 }
 
@@ -86,7 +86,7 @@
 	return err
 }
 
-// GetObject returns the data or platform.ErrNotFound.
+// GetObject returns the data or storage.ErrNotFound.
 func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
 	return c.do(ctx, fasthttp.MethodGet, PathObjects+key, nil)
 }
@@ -98,7 +98,7 @@
 }
 
 // ListVMs returns the platform's list.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) ListVMs(ctx context.Context) ([]storage.VM, error) {
 	var reply VMsReply
 	if err := c.call(ctx, fasthttp.MethodGet, PathVMs, nil, &reply); err != nil {
 		return nil, err
@@ -149,9 +149,9 @@
 
 func classify(err error) error {
 	if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return eris.Wrap(platform.ErrUnavailable, err.Error())
+		return eris.Wrap(storage.ErrUnavailable, err.Error())
 	}
-	return eris.Wrap(platform.ErrUnknown, err.Error())
+	return eris.Wrap(storage.ErrUnknown, err.Error())
 }
 
 func statusError(status int) error {
@@ -159,13 +159,13 @@
 	case fasthttp.StatusOK, fasthttp.StatusNoContent:
 		return nil
 	case fasthttp.StatusNotFound:
-		return platform.ErrNotFound
+		return storage.ErrNotFound
 	case fasthttp.StatusConflict:
-		return platform.ErrConflict
+		return storage.ErrConflict
 	case fasthttp.StatusRequestEntityTooLarge:
-		return platform.ErrTooLarge
+		return storage.ErrTooLarge
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
-	return eris.Wrapf(platform.ErrUnknown, "status %d", status)
+	return eris.Wrapf(storage.ErrUnknown, "status %d", status)
 }
--- a/platform/httpplatform/messages.go
+++ b/storage/httpstorage/messages.go
@@ -1,7 +1,7 @@
-// Package httpplatform is the platform adapter over plain HTTP and JSON.
-package httpplatform
+// Package httpstorage is the platform adapter over plain HTTP and JSON.
+package httpstorage
 
-import "github.com/wigeontiller/wigeontiller/platform"
+import "github.com/wigeontiller/wigeontiller/storage"
 
 // The paths of the platform's HTTP protocol.
 const (
@@ -18,15 +18,15 @@
 
 // GetReply holds the rows that exist.
 type GetReply struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []storage.Row `json:"rows"`
 }
 
 // TransactRequest holds writes that apply together.
 type TransactRequest struct {
-	Writes []platform.Write `json:"writes"`
+	Writes []storage.Write `json:"writes"`
 }
 
 // VMsReply holds the list of VMs.
 type VMsReply struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []storage.VM `json:"vms"`
 }
--- a/platform/memory/memory.go
+++ b/storage/memory/memory.go
@@ -6,45 +6,45 @@
 	"slices"
 	"sync"
 
-	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
-// Platform is a platform.Platform in memory. One mutex guards all fields.
+// Platform is a storage.Platform in memory. One mutex guards all fields.
 type Platform struct {
 	mutex   sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []storage.VM
 	// transactions counts those that were tried, reads the calls for rows.
 	transactions int
 	reads        int
 }
 
-var _ platform.Platform = (*Platform)(nil)
+var _ storage.Platform = (*Platform)(nil)
 
 // New returns an empty platform.
 func New() *Platform {
-	return &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Platform{rows: map[string]storage.Row{}, objects: map[string][]byte{}}
 }
 
-// Get returns one row or platform.ErrNotFound.
-func (p *Platform) Get(_ context.Context, key string) (platform.Row, error) {
+// Get returns one row or storage.ErrNotFound.
+func (p *Platform) Get(_ context.Context, key string) (storage.Row, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.reads++
 	row, ok := p.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	return row, nil
 }
 
 // BatchGet returns the rows that exist.
-func (p *Platform) BatchGet(_ context.Context, keys []string) ([]platform.Row, error) {
+func (p *Platform) BatchGet(_ context.Context, keys []string) ([]storage.Row, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.reads++
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range keys {
 		if row, ok := p.rows[key]; ok {
 			rows = append(rows, row)
@@ -54,16 +54,16 @@
 }
 
 // Transact applies all writes or none.
-func (p *Platform) Transact(_ context.Context, writes []platform.Write) error {
+func (p *Platform) Transact(_ context.Context, writes []storage.Write) error {
 	if tooLarge(writes) {
-		return platform.ErrTooLarge
+		return storage.ErrTooLarge
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.transactions++
 	for _, write := range writes {
 		if p.rows[write.Key].Version != write.IfVersion {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 	}
 	for _, write := range writes {
@@ -71,17 +71,17 @@
 			delete(p.rows, write.Key)
 			continue
 		}
-		p.rows[write.Key] = platform.Row{Key: write.Key, Version: write.IfVersion + 1, Value: slices.Clone(write.Value)}
+		p.rows[write.Key] = storage.Row{Key: write.Key, Version: write.IfVersion + 1, Value: slices.Clone(write.Value)}
 	}
 	return nil
 }
 
-func tooLarge(writes []platform.Write) bool {
+func tooLarge(writes []storage.Write) bool {
 	size := 0
 	for _, write := range writes {
 		size += len(write.Key) + len(write.Value)
 	}
-	return len(writes) > platform.MaxTransactRows || size > platform.MaxTransactBytes
+	return len(writes) > storage.MaxTransactRows || size > storage.MaxTransactBytes
 }
 
 // Calls returns how many transactions were tried and how often rows were read.
@@ -99,13 +99,13 @@
 	return nil
 }
 
-// GetObject returns the data or platform.ErrNotFound.
+// GetObject returns the data or storage.ErrNotFound.
 func (p *Platform) GetObject(_ context.Context, key string) ([]byte, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	data, ok := p.objects[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return data, nil
 }
@@ -119,14 +119,14 @@
 }
 
 // ListVMs returns the list last set.
-func (p *Platform) ListVMs(context.Context) ([]platform.VM, error) {
+func (p *Platform) ListVMs(context.Context) ([]storage.VM, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return slices.Clone(p.vms), nil
 }
 
 // SetVMs replaces the list.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []storage.VM) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.vms = slices.Clone(vms)
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system asks of the platform: a table with
+// Package storage defines what the system asks of the platform: a table with
 // conditional and transactional writes, an object store and a list of VMs.
 // Adapters live in the folders below; nothing else knows their protocol.
-package platform
+package storage
 
 import (
 	"context"
--- a/platform/writerpc/cost_test.go
+++ b/storage/writerpc/cost_test.go
@@ -12,7 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // counted counts the bytes in both directions.
--- a/platform/writerpc/forward.go
+++ b/storage/writerpc/forward.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/peer"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // milli is how many of a message's units are one token.
@@ -27,7 +27,7 @@
 		return
 	}
 	if err != nil || len(response.Outcomes) != len(members) {
-		n.handed(n.writes, group, outcomes(members, platform.ErrUnknown), late)
+		n.handed(n.writes, group, outcomes(members, storage.ErrUnknown), late)
 		return
 	}
 	var ended []outcome
@@ -50,7 +50,7 @@
 		return
 	}
 	if err != nil || len(response.Rows) != len(group) {
-		n.handed(n.reads, group, outcomes(group, platform.ErrUnknown), nil)
+		n.handed(n.reads, group, outcomes(group, storage.ErrUnknown), nil)
 		return
 	}
 	var ended []outcome
@@ -128,12 +128,12 @@
 	return made
 }
 
-func rowOf(write platform.Write) *Row {
+func rowOf(write storage.Write) *Row {
 	return &Row{Key: write.Key, Value: write.Value, IfVersion: write.IfVersion, Delete: write.Delete}
 }
 
-func (r *Row) write() platform.Write {
-	return platform.Write{Key: r.Key, Value: r.Value, IfVersion: r.IfVersion, Delete: r.Delete}
+func (r *Row) write() storage.Write {
+	return storage.Write{Key: r.Key, Value: r.Value, IfVersion: r.IfVersion, Delete: r.Delete}
 }
 
 func readRequest(members []grouped.Pending) *ReadRequest {
@@ -159,19 +159,19 @@
 	case Outcome_APPLIED:
 		return nil
 	case Outcome_CONFLICT:
-		return platform.ErrConflict
+		return storage.ErrConflict
 	case Outcome_REFUSED:
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
-	return platform.ErrUnknown
+	return storage.ErrUnknown
 }
 
 // result returns what a peer read.
 func (f *Found) result(key string) result {
 	if !f.Known {
-		return result{err: platform.ErrUnavailable}
+		return result{err: storage.ErrUnavailable}
 	}
-	return result{row: platform.Row{Key: key, Version: f.Version, Value: f.Value}}
+	return result{row: storage.Row{Key: key, Version: f.Version, Value: f.Value}}
 }
 
 // outcomeOf turns the error of a write into an outcome.
@@ -179,9 +179,9 @@
 	switch {
 	case err == nil:
 		return Outcome_APPLIED
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return Outcome_CONFLICT
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return Outcome_REFUSED
 	}
 	return Outcome_UNKNOWN
--- a/platform/writerpc/fuzz_test.go
+++ b/storage/writerpc/fuzz_test.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // FuzzRows feeds the service's decoding what a peer could send.
--- a/platform/writerpc/lane.go
+++ b/storage/writerpc/lane.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // lane is the writes or the reads of a node. The node's mutex guards it.
@@ -47,7 +47,7 @@
 
 // result is what became of a write or read.
 type result struct {
-	row platform.Row
+	row storage.Row
 	err error
 }
 
--- a/platform/writerpc/node.go
+++ b/storage/writerpc/node.go
@@ -18,8 +18,8 @@
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -65,7 +65,7 @@
 // Config holds what a node works with.
 type Config struct {
 	// Table takes the groups. The node's tokens pay for them.
-	Table platform.Table
+	Table storage.Table
 	// Members is nil for a node that writes everything itself.
 	Members Members
 	// Dial returns a connection to a node; it is closed after one call.
@@ -132,24 +132,24 @@
 }
 
 // Write makes a conditional write, and the further ones with it or not at all. It
-// is sent before the time given or not at all. Errors: platform.ErrConflict; platform.ErrUnavailable when it had no
+// is sent before the time given or not at all. Errors: storage.ErrConflict; storage.ErrUnavailable when it had no
 // effect; any other when the outcome is unknown.
-func (n *Node) Write(ctx context.Context, class grouped.Class, write platform.Write, before time.Time, also ...platform.Write) error {
+func (n *Node) Write(ctx context.Context, class grouped.Class, write storage.Write, before time.Time, also ...storage.Write) error {
 	now := time.Now()
 	pending := grouped.Pending{Class: class, Write: write, Also: also, Before: before, Until: now.Add(waits[class]), Added: now}
 	return n.await(ctx, n.writes, n.queue(n.writes, now), pending).err
 }
 
 // Get reads one row. It is tried again when it failed. Errors:
-// platform.ErrNotFound; any other when the row could not be read.
-func (n *Node) Get(ctx context.Context, class grouped.Class, key string) (platform.Row, error) {
+// storage.ErrNotFound; any other when the row could not be read.
+func (n *Node) Get(ctx context.Context, class grouped.Class, key string) (storage.Row, error) {
 	for attempt := 1; ; attempt++ {
 		now := time.Now()
 		until := now.Add(waits[class])
-		pending := grouped.Pending{Class: class, Write: platform.Write{Key: key}, Before: until, Until: until, Added: now}
+		pending := grouped.Pending{Class: class, Write: storage.Write{Key: key}, Before: until, Until: until, Added: now}
 		got := n.await(ctx, n.reads, n.queue(n.reads, now), pending)
 		if got.err == nil && got.row.Version == 0 {
-			return platform.Row{}, platform.ErrNotFound
+			return storage.Row{}, storage.ErrNotFound
 		}
 		if got.err == nil || attempt == readAttempts || ctx.Err() != nil {
 			return got.row, got.err
@@ -178,7 +178,7 @@
 	n.mutex.Unlock()
 	if !added {
 		n.countRefused(l, "full", 1)
-		return result{err: platform.ErrUnavailable}
+		return result{err: storage.ErrUnavailable}
 	}
 	n.stir()
 	select {
@@ -195,9 +195,9 @@
 	defer n.mutex.Unlock()
 	delete(n.results, id)
 	if l.store.Withdraw(id) || l.outbox.Withdraw(id) {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
-	return platform.ErrUnknown
+	return storage.ErrUnknown
 }
 
 // stir lets Run look at the queues.
@@ -331,7 +331,7 @@
 	}
 	n.countRefused(l, reason, len(members))
 	for _, p := range members {
-		n.answer(p, result{err: platform.ErrUnavailable})
+		n.answer(p, result{err: storage.ErrUnavailable})
 	}
 }
 
--- a/platform/writerpc/node_test.go
+++ b/storage/writerpc/node_test.go
@@ -16,9 +16,9 @@
 	"storj.io/drpc"
 
 	"github.com/wigeontiller/wigeontiller/peer"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
-	"github.com/wigeontiller/wigeontiller/platform/memory"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
+	"github.com/wigeontiller/wigeontiller/storage/memory"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -35,7 +35,7 @@
 	lose int
 }
 
-func (t *table) Transact(ctx context.Context, writes []platform.Write) error {
+func (t *table) Transact(ctx context.Context, writes []storage.Write) error {
 	t.mutex.Lock()
 	gate, lost := t.gate, t.lose > 0
 	t.lose--
@@ -45,7 +45,7 @@
 	}
 	err := t.Platform.Transact(ctx, writes)
 	if lost {
-		return platform.ErrUnknown
+		return storage.ErrUnknown
 	}
 	return err
 }
@@ -126,7 +126,7 @@
 func write(node *Node, key string, before time.Time) error {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return node.Write(ctx, grouped.Outcome, platform.Write{Key: key, Value: []byte("v")}, before)
+	return node.Write(ctx, grouped.Outcome, storage.Write{Key: key, Value: []byte("v")}, before)
 }
 
 func inTime() time.Time { return time.Now().Add(time.Hour) }
@@ -158,7 +158,7 @@
 	close(gate)
 	writes.Wait()
 	for i, err := range errs {
-		is.Equal(errors.Is(err, platform.ErrConflict), i == 50)
+		is.Equal(errors.Is(err, storage.ErrConflict), i == 50)
 		is.True(err == nil || i == 50)
 	}
 	transactions, reads := f.table.Calls()
@@ -180,7 +180,7 @@
 	for _, err := range errs {
 		is.NoErr(err)
 	}
-	is.True(errors.Is(write(f.nodes[2], "taken", inTime()), platform.ErrConflict))
+	is.True(errors.Is(write(f.nodes[2], "taken", inTime()), storage.ErrConflict))
 	is.Equal(f.nodes[1].config.Metrics.CounterValue(`wigeontiller_claim_groups_total{kind="write"}`), int64(0))
 	is.Equal(f.nodes[2].config.Metrics.CounterValue(`wigeontiller_claim_groups_total{kind="write"}`), int64(0))
 }
@@ -201,7 +201,7 @@
 	for i := range 10 {
 		// A connection that was open may fail after the send: unknown, then read back.
 		err := write(f.nodes[2], fmt.Sprint("row", i), inTime())
-		is.True(err == nil || errors.Is(err, platform.ErrUnknown))
+		is.True(err == nil || errors.Is(err, storage.ErrUnknown))
 	}
 	is.NoErr(write(f.nodes[2], "after", inTime()))
 	is.True(f.nodes[1].config.Metrics.CounterValue(`wigeontiller_claim_groups_total{kind="write"}`) > 0)
@@ -217,7 +217,7 @@
 	_, before := f.table.Calls()
 	n := f.nodes[1]
 	var reads sync.WaitGroup
-	rows, errs := make([]platform.Row, 100), make([]error, 100)
+	rows, errs := make([]storage.Row, 100), make([]error, 100)
 	for i := range rows {
 		key := "row"
 		if i%2 == 1 {
@@ -227,7 +227,7 @@
 	}
 	reads.Wait()
 	for i := range rows {
-		is.Equal(errors.Is(errs[i], platform.ErrNotFound), i%2 == 1)
+		is.Equal(errors.Is(errs[i], storage.ErrNotFound), i%2 == 1)
 		is.Equal(rows[i].Version, uint64(1-i%2))
 		is.Equal(len(rows[i].Value), 1-i%2)
 	}
@@ -241,10 +241,10 @@
 	is.NoErr(write(f.nodes[0], "taken", inTime()))
 	ctx := context.Background()
 	both := func(first, second string) error {
-		return f.nodes[1].Write(ctx, grouped.Upkeep, platform.Write{Key: first}, inTime(), platform.Write{Key: second})
+		return f.nodes[1].Write(ctx, grouped.Upkeep, storage.Write{Key: first}, inTime(), storage.Write{Key: second})
 	}
 	is.NoErr(both("a", "b"))
-	is.True(errors.Is(both("c", "taken"), platform.ErrConflict))
+	is.True(errors.Is(both("c", "taken"), storage.ErrConflict))
 	rows, err := f.table.BatchGet(ctx, []string{"a", "b", "c"})
 	is.NoErr(err)
 	is.Equal(len(rows), 2)
@@ -254,7 +254,7 @@
 	is := is.New(t)
 	f := newFleet(t, 2)
 	f.table.lose = 1
-	is.True(errors.Is(write(f.nodes[1], "row", inTime()), platform.ErrUnknown))
+	is.True(errors.Is(write(f.nodes[1], "row", inTime()), storage.ErrUnknown))
 	row, err := f.table.Get(context.Background(), "row")
 	is.NoErr(err) // it had an effect
 	is.Equal(row.Version, uint64(1))
@@ -263,7 +263,7 @@
 func TestForwardedWriteIsNotSentLate(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 2)
-	is.True(errors.Is(write(f.nodes[1], "late", time.Now()), platform.ErrUnavailable))
+	is.True(errors.Is(write(f.nodes[1], "late", time.Now()), storage.ErrUnavailable))
 	// The message itself is late: it left its sender an hour ago.
 	sent := time.Now().Add(-time.Hour)
 	row := &Row{Key: "delayed", BeforeMs: sent.Add(time.Minute).UnixMilli(), RemainingMs: 60_000, WaitMs: 1000}
@@ -281,18 +281,18 @@
 	f.table.gate = gate
 	ctx, giveUp := context.WithCancel(context.Background())
 	result := make(chan error, 1)
-	go func() { result <- f.nodes[0].Write(ctx, grouped.Claim, platform.Write{Key: "sent"}, inTime()) }()
+	go func() { result <- f.nodes[0].Write(ctx, grouped.Claim, storage.Write{Key: "sent"}, inTime()) }()
 	eventually(t, "it is on its way", func() bool {
 		f.nodes[0].mutex.Lock()
 		defer f.nodes[0].mutex.Unlock()
 		return f.nodes[0].writes.storing == 1
 	})
 	second := make(chan error, 1)
-	go func() { second <- f.nodes[0].Write(ctx, grouped.Claim, platform.Write{Key: "sent"}, inTime()) }()
+	go func() { second <- f.nodes[0].Write(ctx, grouped.Claim, storage.Write{Key: "sent"}, inTime()) }()
 	eventually(t, "the other waits for it", func() bool { return f.waiting(0) == 2 })
 	giveUp()
-	is.True(errors.Is(<-result, platform.ErrUnknown))
-	is.True(errors.Is(<-second, platform.ErrUnavailable)) // the same key is not sent twice at once
+	is.True(errors.Is(<-result, storage.ErrUnknown))
+	is.True(errors.Is(<-second, storage.ErrUnavailable)) // the same key is not sent twice at once
 	close(gate)
 }
 
--- a/platform/writerpc/send.go
+++ b/storage/writerpc/send.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // sendWrites makes one transaction of a group and answers its members.
@@ -22,18 +22,18 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	err := n.config.Table.Transact(ctx, grouped.Writes(members))
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, storage.ErrConflict) {
 		n.sent(n.writes, group, outcomes(members, err), late)
 		return
 	}
 	conflicting, again, err := n.resolve(ctx, members)
 	if err != nil {
 		// The transaction had no effect.
-		n.sent(n.writes, group, outcomes(members, platform.ErrUnavailable), late)
+		n.sent(n.writes, group, outcomes(members, storage.ErrUnavailable), late)
 		return
 	}
 	n.sendAgain(again)
-	n.sent(n.writes, group, outcomes(conflicting, platform.ErrConflict), late)
+	n.sent(n.writes, group, outcomes(conflicting, storage.ErrConflict), late)
 }
 
 // sendReads reads the rows of a group in one call and answers its members.
@@ -47,7 +47,7 @@
 		n.sent(n.reads, group, outcomes(group, err), nil)
 		return
 	}
-	found := map[string]platform.Row{}
+	found := map[string]storage.Row{}
 	for _, row := range rows {
 		found[row.Key] = row
 	}
@@ -116,7 +116,7 @@
 		}
 	}
 	for _, p := range l.store.Overtaken(applied) {
-		n.answer(p, result{err: platform.ErrConflict})
+		n.answer(p, result{err: storage.ErrConflict})
 	}
 }
 
--- a/platform/writerpc/service.go
+++ b/storage/writerpc/service.go
@@ -7,8 +7,8 @@
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/grouped"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/grouped"
 )
 
 // Register adds the service that takes other nodes' writes to a server.
@@ -61,7 +61,7 @@
 	until := now.Add(waitOf(key.WaitMs))
 	pending := grouped.Pending{
 		Class:  classOf(key.Class),
-		Write:  platform.Write{Key: key.Key},
+		Write:  storage.Write{Key: key.Key},
 		Before: until,
 		Until:  until,
 		Added:  now,
--- a/writers.go
+++ b/writers.go
@@ -8,9 +8,9 @@
 	"storj.io/drpc"
 
 	"github.com/wigeontiller/wigeontiller/membership"
-	"github.com/wigeontiller/wigeontiller/platform"
-	"github.com/wigeontiller/wigeontiller/platform/writerpc"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/storage/writerpc"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -18,7 +18,7 @@
 const writerRole = "claim-writer"
 
 // newWriter returns the node's part in writing claims and registers its service.
-func newWriter(c *cluster, table platform.Table, metrics *telemetry.Metrics, logger zerolog.Logger) (*writerpc.Node, error) {
+func newWriter(c *cluster, table storage.Table, metrics *telemetry.Metrics, logger zerolog.Logger) (*writerpc.Node, error) {
 	writer := writerpc.New(writerpc.Config{
 		Table:   table,
 		Members: writerMembers{c},
@@ -91,7 +91,7 @@
 }
 
 // listedFleet counts the entry nodes of the platform's list.
-func listedFleet(vms []platform.VM) *fleetSize {
+func listedFleet(vms []storage.VM) *fleetSize {
 	listed := &fleetSize{}
 	dataCentres := map[string]bool{}
 	for _, vm := range vms {
--- a/writers_test.go
+++ b/writers_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/settings"
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 func TestFleetSizeIsWhatIsKnown(t *testing.T) {
@@ -16,6 +16,6 @@
 	fleet, known := configuredFleet(&settings.Settings{EntryNodes: map[string]map[string]int{"r": {"a": 3, "b": 3}, "s": {"c": 2}}})
 	is.True(known)
 	is.Equal(fleet, fleetSize{nodes: 8, dataCentres: 3})
-	listed := listedFleet([]platform.VM{{DataCentre: "a", PeerAddress: "10.0.0.1:1"}, {DataCentre: "b"}})
+	listed := listedFleet([]storage.VM{{DataCentre: "a", PeerAddress: "10.0.0.1:1"}, {DataCentre: "b"}})
 	is.Equal(*listed, fleetSize{nodes: 1, dataCentres: 1}) // upstreams' VMs don't count
 }
