--- /dev/null
+++ b/edge/node.go
@@ -0,0 +1,247 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/exchange"
+	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/loadshare"
+	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+	"github.com/wigeontiller/wigeontiller/upstream/directhttp"
+)
+
+// The errors of a node.
+var (
+	// ErrSettings is returned when the settings can't be used.
+	ErrSettings = eris.New("settings can't be used")
+	// ErrListen is returned when an address can't be listened on.
+	ErrListen = eris.New("can't listen")
+)
+
+const (
+	// dialTimeout bounds a new connection to an upstream: some round trips between
+	// data centres, and one lost packet.
+	dialTimeout = 400 * time.Millisecond
+	// maxIdle bounds the age of connections to upstreams that are used again; a
+	// longer idle one may have gone silent or be about to be closed.
+	maxIdle = 4 * time.Second
+	// onceIdle is the same for requests that may not be sent twice.
+	onceIdle = 300 * time.Millisecond
+	// sweepInterval is how often old idle connections are closed.
+	sweepInterval = 2 * time.Second
+	// headerTimeout and callerIdle bound a caller's connection; both are longer
+	// than the limits that operators set for callers.
+	headerTimeout = 10 * time.Second
+	callerIdle    = 60 * time.Second
+	// maxHeaderBytes bounds a caller's header.
+	maxHeaderBytes = 64 << 10
+	// maxAnswerBytes bounds an answer that is not a stream; it is held in memory.
+	maxAnswerBytes = 8 << 20
+	// comeBack is when a caller should try again at another node.
+	comeBack = 300 * time.Millisecond
+	// revokeMargin is how long before the time at which a key must have stopped a
+	// node without news stops sending: a request's way to its upstream.
+	revokeMargin = 500 * time.Millisecond
+	// balancerLag is how long a leaving node still accepts: the balancer asks each
+	// second and takes a node out after two misses.
+	balancerLag = 2500 * time.Millisecond
+	// exitMargin is the part of the grace that is kept for the exit itself.
+	exitMargin = 500 * time.Millisecond
+	// unreadyAge is the age of beliefs from which a node sends callers elsewhere if
+	// another node knows better: a missed call and a new one.
+	unreadyAge = 2500 * time.Millisecond
+	// partMs is the reading time that prompts are split down to: a pass without
+	// reading takes about as long.
+	partMs = 50
+	// maxParts is the most engines that one prompt may be read by: the lead and 16.
+	maxParts = 17
+	// backlogMs holds long prompts back over this unread time an engine.
+	backlogMs = 150
+	// warmShare is the part of the allowed rate of cold upstreams that is used.
+	warmShare = 0.85
+)
+
+// Node is one node.
+type Node struct {
+	settings  *Settings
+	logger    zerolog.Logger
+	metrics   *telemetry.Metrics
+	follower  *follow.Follower
+	gate      *exchange.Gate
+	retries   *exchange.RetryBudget
+	agent     *loadshare.Agent
+	pool      *directhttp.Pool
+	exchange  *exchange.Exchange
+	callers   *http.Server
+	checks    *http.Server
+	listeners []net.Listener
+	draining  atomic.Bool
+	active    atomic.Int64
+}
+
+// New returns a node that is bound to its addresses. Errors: ErrSettings, ErrListen.
+func New(settings *Settings, logger zerolog.Logger) (*Node, error) {
+	n := &Node{settings: settings, logger: logger.With().Str("node", settings.Name).Logger(), metrics: telemetry.NewMetrics()}
+	store := platform.NewStore(settings.StoreAddress, n.logger)
+	n.follower = follow.New(store, bootClock, n.logger, n.metrics)
+	scheduler := placement.New(placement.Config{
+		Zone: settings.Zone, Regions: settings.Regions, PartMs: partMs, MaxParts: maxParts, BacklogMs: backlogMs,
+		WarmMargin: settings.WarmOvershoot * warmShare, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	n.gate = exchange.NewGate(scheduler, func() { n.agent.Changed() })
+	n.retries = &exchange.RetryBudget{Ratio: settings.RetryRatio, Extra: settings.RetryExtra, Window: seconds(settings.RetryWindowSeconds)}
+	address, err := settings.peerAddress()
+	if err != nil {
+		return nil, err
+	}
+	n.agent, err = loadshare.Listen(loadshare.Node{Name: settings.Name, Address: address}, store, n.gate, n.logger, n.metrics)
+	if err != nil {
+		return nil, eris.Wrap(ErrListen, err.Error())
+	}
+	n.agent.OnNodes = n.shareLimits
+	n.agent.BeliefsAge = n.beliefsAge
+	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
+	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
+	n.exchange = exchange.New(exchange.Config{
+		Gate: n.gate, Retries: n.retries, Upstreams: platform.NewEgress(n.pool, maxIdle, onceIdle),
+		Follower: n.follower, Logger: n.logger, Metrics: n.metrics, Now: bootClock,
+		Freshness: fleet.Freshness{
+			RunUntil:  milliseconds(settings.RevokeMs) - revokeMargin,
+			DenyUntil: milliseconds(settings.ApplyMs),
+		},
+		MaxAnswerBytes: maxAnswerBytes, Backoff: comeBack,
+	})
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	for _, address := range []string{n.settings.CallerAddress, n.settings.ReadyAddress} {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return eris.Wrap(ErrListen, err.Error())
+		}
+		n.listeners = append(n.listeners, listener)
+	}
+	n.callers = &http.Server{
+		Handler: n.counted(platform.NewIngress(n.exchange)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: quietLog(n.logger), DisableGeneralOptionsHandler: true,
+	}
+	n.checks = &http.Server{
+		Handler:           platform.ReadyHandler(n.ready, http.HandlerFunc(n.showMetrics)),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: quietLog(n.logger),
+	}
+	return nil
+}
+
+func (n *Node) showMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if err := n.metrics.WritePrometheus(w); err != nil {
+		n.logger.Debug().Err(err).Msg("metrics not written")
+	}
+}
+
+// counted counts the requests that are being served.
+func (n *Node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.active.Add(1)
+		defer n.active.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) shareLimits(nodes int) {
+	n.retries.SetNodes(nodes)
+	n.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.SetNodes(nodes) })
+	n.logger.Info().Int("nodes", nodes).Msg("nodes that share limits")
+}
+
+func (n *Node) beliefsAge() time.Duration { return bootClock() - n.follower.Current().FreshAt }
+
+// ready reports whether the balancer may send new callers.
+func (n *Node) ready() bool {
+	if n.draining.Load() || !n.follower.Current().Known {
+		return false
+	}
+	age := n.beliefsAge()
+	return age < unreadyAge || !n.agent.FresherPeer(unreadyAge)
+}
+
+// Run serves until the context ends, and then until nothing is left to serve or
+// the grace is over.
+func (n *Node) Run(ctx context.Context) error {
+	n.logger.Info().Str("zone", n.settings.Zone).Str("callers", n.settings.CallerAddress).
+		Str("store", n.settings.StoreAddress).Msg("node starts")
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { n.follower.Run(work) })
+	group.Go(func() { n.agent.Run(work) })
+	group.Go(func() { n.sweep(work) })
+	failed := make(chan error, len(n.listeners))
+	for i, server := range []*http.Server{n.callers, n.checks} {
+		group.Go(func() {
+			if err := server.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- eris.Wrap(ErrListen, err.Error())
+			}
+		})
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+	}
+	_ = n.callers.Close()
+	_ = n.checks.Close()
+	stop()
+	group.Wait()
+	n.logger.Info().Err(err).Msg("node ends")
+	return err
+}
+
+// drain serves what is there while the balancer takes the node out, and ends when
+// all is answered.
+func (n *Node) drain() {
+	started := time.Now()
+	end := started.Add(seconds(n.settings.GraceSeconds) - exitMargin)
+	n.draining.Store(true)
+	n.agent.Leave()
+	n.logger.Info().Int64("active", n.active.Load()).Msg("node drains")
+	time.Sleep(min(balancerLag, time.Until(end)))
+	n.callers.SetKeepAlivesEnabled(false)
+	const look = 20 * time.Millisecond
+	for quiet := 0; quiet < 5 && time.Now().Before(end); time.Sleep(look) {
+		if n.active.Load() == 0 {
+			quiet++
+		} else {
+			quiet = 0
+		}
+	}
+	n.logger.Info().Int64("active", n.active.Load()).Dur("taken_ms", time.Since(started)).Msg("node drained")
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.pool.Sweep(maxIdle)
+		}
+	}
+}
--- /dev/null
+++ b/exchange/admit.go
@@ -0,0 +1,63 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+// The codes of requests that are not admitted; none of them has run.
+const (
+	NoRoute      Code = "no_route"
+	NoKey        Code = "no_key"
+	BodyTooLarge Code = "body_too_large"
+	BadRequest   Code = "bad_request"
+)
+
+// Admission is what the site's document says of a request.
+type Admission struct {
+	Site         *fleet.Site
+	Route        *fleet.Route
+	Organisation *fleet.Organisation
+}
+
+// Admit finds the route and the organisation of a request. A refusal by a view
+// that may be out of date says to come back instead of denying.
+func (e *Exchange) Admit(host, path, key string) (Admission, *Failure) {
+	snapshot := e.config.Follower.Current()
+	if !snapshot.Known {
+		return Admission{}, &Failure{Code: Unavailable, Reason: "no_beliefs", RetryAfter: e.config.Backoff}
+	}
+	age := e.config.Now() - snapshot.FreshAt
+	route := snapshot.Site.Route(host, path)
+	if route == nil {
+		return Admission{}, e.deny(NoRoute, age)
+	}
+	admitted := Admission{Site: snapshot.Site, Route: route}
+	if !snapshot.Site.Keyed || route.Open {
+		return admitted, nil
+	}
+	admitted.Organisation = snapshot.Site.ByKey[key]
+	if admitted.Organisation == nil {
+		return Admission{}, e.deny(NoKey, age)
+	}
+	if age > e.config.Freshness.RunUntil {
+		return Admission{}, &Failure{Code: Unavailable, Reason: "beliefs_too_old", RetryAfter: e.config.Backoff}
+	}
+	return admitted, nil
+}
+
+func (e *Exchange) deny(code Code, age time.Duration) *Failure {
+	if age > e.config.Freshness.DenyUntil {
+		return &Failure{Code: Unavailable, Reason: string(code) + "_unsure", RetryAfter: e.config.Backoff}
+	}
+	return &Failure{Code: code}
+}
+
+// Refused logs and counts a request that was not admitted.
+func (e *Exchange) Refused(id, host, path string, failure *Failure) {
+	e.config.Metrics.Refusal(string(failure.Code))
+	e.config.Logger.Info().Str("request_id", id).Str("host", host).Str("path", path).
+		Str("outcome", string(failure.Code)).Str("reason", failure.Reason).
+		Dur("beliefs_age_ms", e.config.Now()-e.config.Follower.Current().FreshAt).Msg("request not admitted")
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,204 @@
+// Package exchange carries one caller's request to an upstream and the answer
+// back. It knows no protocol: the front end gives it a Request and a Caller, the
+// upstream port encodes attempts and reads replies. What may be repeated, what a
+// refusal promises and when an answer is whole are decided here.
+//
+// Lock order: Gate.mutex is a leaf.
+package exchange
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// The errors of an attempt. Any other error counts as ErrBroken.
+var (
+	// ErrNotSent means that no byte reached the upstream.
+	ErrNotSent = eris.New("attempt not sent")
+	// ErrBroken means that the attempt may have run and has no whole answer.
+	ErrBroken = eris.New("attempt broken off")
+)
+
+// Request is one attempt of a caller.
+type Request struct {
+	ID           string
+	Route        *fleet.Route
+	Organisation *fleet.Organisation
+	// SiteVersion is the version of the document that admitted the request.
+	SiteVersion int64
+	// Arrived is when the request had been read.
+	Arrived time.Time
+	// Deadline is the earlier of the caller's and the route's.
+	Deadline time.Time
+	// PromptTokens is the length of the prompt, AnswerTokens the most that is
+	// generated; both are 0 for a plain service.
+	PromptTokens, AnswerTokens int
+	// After is the number of the last event that the caller has; 0 is none.
+	After int64
+	// Encoded is the front end's own form of the request, for the upstream port.
+	Encoded any
+}
+
+// Priority is the rank of the request; 0 comes first.
+func (r *Request) Priority() int {
+	if r.Organisation != nil && r.Organisation.Priority != nil {
+		return *r.Organisation.Priority
+	}
+	return r.Route.Priority
+}
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	Request  *Request
+	Upstream *fleet.Upstream
+	Helpers  []*fleet.Upstream
+	// Deadline is when the upstream may stop.
+	Deadline time.Time
+	// After is the number of the event to go on after; 0 is from the start.
+	After int64
+	// Urgency ranks the request at an engine: 0 to 9, 0 first.
+	Urgency int
+	// Once is true when the attempt may not be sent on a connection that the
+	// upstream may be closing.
+	Once bool
+}
+
+// Verdict says what an upstream's answer means.
+type Verdict int
+
+// The verdicts.
+const (
+	// Ran is an answer of the request's own.
+	Ran Verdict = iota
+	// NotRun means that the upstream said it did not run the request.
+	NotRun
+	// WrongUpstream means the same, because another process has the address.
+	WrongUpstream
+)
+
+// Reply is an upstream's answer whose header has come.
+type Reply interface {
+	Status() int
+	Verdict() Verdict
+	// Guilty is the ID of another upstream that the failure is put down to, or empty.
+	Guilty() string
+	// Sound reports whether a success carries what shows that it is the upstream's.
+	Sound() bool
+	// Unframed answers end with their connection.
+	Unframed() bool
+	Body() io.Reader
+	// Finish is called after the whole body was read, Abort instead of it.
+	Finish()
+	Abort()
+}
+
+// Upstreams sends attempts. Errors: ErrNotSent, ErrBroken.
+type Upstreams interface {
+	Send(ctx context.Context, attempt *Attempt) (Reply, error)
+}
+
+// Caller receives the answer. Exactly one of Whole, Fail, Begin and Break is
+// called; End or Break follows Begin.
+type Caller interface {
+	// Whole sends an upstream's whole answer.
+	Whole(reply Reply, body []byte)
+	// Begin starts a stream with an upstream's header.
+	Begin(reply Reply)
+	// Events sends whole events.
+	Events(data []byte) error
+	// End completes a stream.
+	End()
+	// Break ends an answer so that it does not look complete.
+	Break()
+	// Fail sends an answer of the system's own.
+	Fail(failure Failure)
+}
+
+// Code names an answer of the system's own.
+type Code string
+
+// The codes.
+const (
+	// Unavailable and Overloaded promise that the request has not run.
+	Unavailable Code = "unavailable"
+	Overloaded  Code = "overloaded"
+	// UpstreamFailed and Expired promise nothing.
+	UpstreamFailed Code = "upstream_failed"
+	Expired        Code = "deadline_exceeded"
+	// ExpiredUnrun promises that the request has not run.
+	ExpiredUnrun Code = "deadline_exceeded_unrun"
+)
+
+// Failure is an answer of the system's own.
+type Failure struct {
+	Code       Code
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Config is what an exchange uses.
+type Config struct {
+	Gate      *Gate
+	Retries   *RetryBudget
+	Upstreams Upstreams
+	Follower  *follow.Follower
+	Logger    zerolog.Logger
+	Metrics   *telemetry.Metrics
+	// Freshness bounds the age of what requests are sent by.
+	Freshness fleet.Freshness
+	// Now counts also the time in which the machine was suspended.
+	Now func() time.Duration
+	// MaxAnswerBytes bounds an answer that is not a stream.
+	MaxAnswerBytes int64
+	// Backoff is the pause before a request that was refused everywhere is placed again.
+	Backoff time.Duration
+}
+
+// Exchange serves requests. It is safe for concurrent use.
+type Exchange struct {
+	config Config
+}
+
+// New returns an exchange.
+func New(config Config) *Exchange { return &Exchange{config: config} }
+
+// Serve carries the request to its end. The context ends when the caller leaves.
+func (e *Exchange) Serve(ctx context.Context, request *Request, caller Caller) {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	run := &run{exchange: e, request: request, caller: caller, sent: request.After}
+	run.serve(ctx)
+	e.log(run)
+}
+
+// Stale reports whether the view is too old to send a request that needs a key.
+func (e *Exchange) stale() bool {
+	return e.config.Now()-e.config.Follower.Current().FreshAt > e.config.Freshness.RunUntil
+}
+
+func (e *Exchange) log(r *run) {
+	taken := time.Since(r.request.Arrived)
+	e.config.Metrics.Count("wigeontiller_requests_total{outcome=\""+r.outcome+"\"}", 1)
+	e.config.Metrics.Observe("wigeontiller_request_seconds", taken)
+	event := e.config.Logger.Info()
+	if r.outcome != outcomeAnswered && r.outcome != outcomeLeft {
+		event = e.config.Logger.Warn()
+	}
+	event = event.Str("request_id", r.request.ID).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
+		Dur("taken_ms", taken).Int("attempts", r.attempts).Int64("site_version", r.request.SiteVersion)
+	if r.firstEvent > 0 {
+		event = event.Dur("first_event_ms", r.firstEvent).Dur("longest_pause_ms", r.longestPause)
+	}
+	if r.reason != "" {
+		event = event.Str("reason", r.reason)
+	}
+	event.Msg("request ended")
+}
--- /dev/null
+++ b/exchange/gate.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/placement"
+)
+
+// advanceInterval is how often waiting requests are looked at again: an eighth of
+// a pass of an engine without load.
+const advanceInterval = 5 * time.Millisecond
+
+// Gate runs the scheduler for concurrent requests.
+type Gate struct {
+	mutex     sync.Mutex
+	scheduler *placement.Scheduler
+	started   time.Time
+	waiting   map[string]chan placement.Decision
+	timer     *time.Timer
+	// changed is called, under no lock, when there is something to tell other nodes.
+	changed func()
+}
+
+// NewGate returns a gate over a scheduler that nothing else uses. changed is
+// called after each change of this node's own requests.
+func NewGate(scheduler *placement.Scheduler, changed func()) *Gate {
+	g := &Gate{scheduler: scheduler, started: time.Now(), waiting: map[string]chan placement.Decision{}, changed: changed}
+	g.timer = time.AfterFunc(time.Hour, g.tick)
+	return g
+}
+
+// now is the scheduler's clock: the time since the gate was made.
+func (g *Gate) now() time.Duration { return time.Since(g.started) }
+
+// At converts a time to the scheduler's clock.
+func (g *Gate) At(t time.Time) time.Duration { return t.Sub(g.started) }
+
+// Do runs f with the scheduler and its clock, under the lock.
+func (g *Gate) Do(f func(s *placement.Scheduler, now time.Duration)) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	f(g.scheduler, g.now())
+}
+
+// Configure takes the view in force. It is read under the lock, so that an older
+// one can't replace a newer one.
+func (g *Gate) Configure(current func() *follow.Snapshot) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.scheduler.Configure(current().View)
+	g.advance()
+}
+
+func (g *Gate) tick() {
+	g.mutex.Lock()
+	placed := g.advance()
+	g.mutex.Unlock()
+	if placed {
+		g.changed()
+	}
+}
+
+// advance delivers decisions and sets the timer while requests wait; the mutex is held.
+func (g *Gate) advance() bool {
+	decisions := g.scheduler.Advance(g.now())
+	for _, decision := range decisions {
+		if wait, ok := g.waiting[decision.ID]; ok {
+			delete(g.waiting, decision.ID)
+			wait <- decision
+		}
+	}
+	if g.scheduler.Waiting() > 0 {
+		g.timer.Reset(advanceInterval)
+	}
+	return len(decisions) > 0
+}
+
+// Place waits until the request is placed or refused. It returns false when the
+// context ended first.
+func (g *Gate) Place(ctx context.Context, request *placement.Request) (placement.Decision, bool) {
+	g.mutex.Lock()
+	decision := g.scheduler.Submit(g.now(), request)
+	if decision.Lead != nil || decision.Reason != "" {
+		g.mutex.Unlock()
+		g.changed()
+		return decision, true
+	}
+	wait := make(chan placement.Decision, 1)
+	g.waiting[request.ID] = wait
+	g.timer.Reset(advanceInterval)
+	g.mutex.Unlock()
+	select {
+	case decision = <-wait:
+		return decision, true
+	case <-ctx.Done():
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.waiting, request.ID)
+	g.scheduler.Cancel(request.ID)
+	select {
+	case decision = <-wait:
+		if decision.Lead != nil {
+			g.scheduler.End(g.now(), request.ID, placement.Neutral, "")
+		}
+	default:
+	}
+	return placement.Decision{}, false
+}
+
+// InService reports whether a placed request may still be sent.
+func (g *Gate) InService(decision *placement.Decision) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.scheduler.InService(decision)
+}
+
+// FirstEvent notes that a placed request's prompt was read.
+func (g *Gate) FirstEvent(id string) {
+	g.mutex.Lock()
+	g.scheduler.FirstEvent(id)
+	g.mutex.Unlock()
+	g.changed()
+}
+
+// Pause notes the time between two events of a stream.
+func (g *Gate) Pause(id string, pause time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.scheduler.Pause(g.now(), id, pause)
+}
+
+// End frees what a placed request held.
+func (g *Gate) End(id string, outcome placement.Outcome, guilty string) {
+	g.mutex.Lock()
+	g.scheduler.End(g.now(), id, outcome, guilty)
+	g.advance()
+	g.mutex.Unlock()
+	g.changed()
+}
+
+// Expected is the time to the next event of a placed request by what is known now.
+func (g *Gate) Expected(decision *placement.Decision) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.scheduler.Expected(g.now(), decision)
+}
--- /dev/null
+++ b/exchange/run.go
@@ -0,0 +1,266 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/placement"
+)
+
+// The outcomes of a request, in logs and counters.
+const (
+	outcomeAnswered = "answered"
+	outcomeLeft     = "caller_left"
+	outcomeBroken   = "broken_off"
+)
+
+// run is one request on its way.
+type run struct {
+	exchange *Exchange
+	request  *Request
+	caller   Caller
+	service  string
+	// attempts counts the sendings, ran the upstreams that may have run it.
+	attempts, ran int
+	placements    int
+	avoid         []string
+	// sent is the number of the last event that the caller has.
+	sent  int64
+	begun bool
+
+	outcome, reason          string
+	firstEvent, longestPause time.Duration
+	lastEvent                time.Time
+}
+
+// next says how a run goes on after an attempt.
+type next int
+
+const (
+	// done means that the caller has its final answer.
+	done next = iota
+	// again means that the request is to be placed again; the retry budget has paid.
+	again
+	// failed means that it may not be placed again.
+	failed
+)
+
+func (r *run) serve(ctx context.Context) {
+	config := &r.exchange.config
+	r.service = r.request.Route.Choose(rand.Float64())
+	config.Retries.First(config.Gate.now(), r.service)
+	for {
+		if r.exchange.stale() {
+			r.fail(ctx, Failure{Code: Unavailable, Reason: "beliefs_too_old", RetryAfter: config.Backoff})
+			return
+		}
+		decision, ok := r.place(ctx)
+		if !ok {
+			r.fail(ctx, Failure{Code: ExpiredUnrun, Reason: "expired_waiting"})
+			return
+		}
+		if decision.Reason != "" {
+			r.fail(ctx, Failure{Code: Overloaded, Reason: string(decision.Reason), RetryAfter: decision.RetryAfter})
+			return
+		}
+		if !config.Gate.InService(&decision) {
+			config.Gate.End(decision.ID, placement.Neutral, "")
+			continue
+		}
+		switch r.attempt(ctx, &decision) {
+		case done:
+			return
+		case failed:
+			r.fail(ctx, Failure{Code: UpstreamFailed, Reason: r.reason, RetryAfter: config.Backoff})
+			return
+		case again:
+		}
+	}
+}
+
+// repeat says whether the request goes to another upstream.
+func (r *run) repeat(ctx context.Context) next {
+	if r.mayRepeat(ctx) {
+		return again
+	}
+	return failed
+}
+
+// mayRepeat reports whether the request may be sent to another upstream, and
+// spends a part of the retry budget if so.
+func (r *run) mayRepeat(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if r.ran >= max(1, r.request.Route.MaxAttempts) {
+		return false
+	}
+	if r.ran > 0 && !r.request.Route.Repeatable() {
+		return false
+	}
+	config := &r.exchange.config
+	if !config.Retries.Spend(config.Gate.now(), r.service) {
+		r.reason = "retry_budget_spent"
+		return false
+	}
+	return true
+}
+
+func (r *run) place(ctx context.Context) (placement.Decision, bool) {
+	gate := r.exchange.config.Gate
+	r.placements++
+	request := &placement.Request{
+		ID:           r.request.ID + "/" + strconv.Itoa(r.placements),
+		Service:      r.service,
+		Kind:         r.request.Route.Kind,
+		PromptTokens: r.request.PromptTokens,
+		AnswerTokens: r.request.AnswerTokens,
+		Priority:     r.request.Priority(),
+		Arrived:      gate.At(r.request.Arrived),
+		Due:          gate.At(r.request.Arrived.Add(r.request.Route.LatencyTarget)),
+		Deadline:     gate.At(r.request.Deadline),
+		Avoid:        r.avoid,
+		Regions:      r.request.Route.Regions,
+		Again:        r.placements > 1,
+	}
+	return gate.Place(ctx, request)
+}
+
+// attempt sends the request once to where it was placed.
+func (r *run) attempt(ctx context.Context, decision *placement.Decision) next {
+	config := &r.exchange.config
+	r.attempts++
+	attempt := &Attempt{
+		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
+		Deadline: r.request.Deadline, After: r.sent, Once: !r.request.Route.Repeatable(),
+		Urgency: decision.Urgency,
+	}
+	watch := r.watch(ctx, decision)
+	defer watch.stop()
+	config.Metrics.Attempt()
+	reply, err := config.Upstreams.Send(watch.ctx, attempt)
+	if err != nil {
+		return r.lost(ctx, decision, err)
+	}
+	switch reply.Verdict() {
+	case NotRun:
+		return r.refused(ctx, decision, reply, placement.Refused)
+	case WrongUpstream:
+		return r.refused(ctx, decision, reply, placement.Foreign)
+	case Ran:
+	}
+	r.ran++
+	if r.request.Route.Kind == fleet.Stream && reply.Status() == http.StatusOK {
+		return r.stream(ctx, decision, reply, watch)
+	}
+	return r.whole(ctx, decision, reply)
+}
+
+// lost judges an attempt without an answer.
+func (r *run) lost(ctx context.Context, decision *placement.Decision, err error) next {
+	outcome := placement.Silent
+	if ctx.Err() != nil {
+		outcome = placement.Neutral
+	}
+	r.exchange.config.Gate.End(decision.ID, outcome, "")
+	r.avoid = append(r.avoid, decision.Lead.ID)
+	r.note(decision, err.Error(), 0)
+	if errors.Is(err, ErrNotSent) {
+		r.reason = "upstream_unreachable"
+		return r.repeat(ctx)
+	}
+	r.ran++
+	r.reason = "upstream_broke_off"
+	return r.repeat(ctx)
+}
+
+// refused judges an answer that says the attempt did not run.
+func (r *run) refused(ctx context.Context, decision *placement.Decision, reply Reply, outcome placement.Outcome) next {
+	guilty := reply.Guilty()
+	r.note(decision, "not run", reply.Status())
+	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body(), r.exchange.config.MaxAnswerBytes)); err != nil {
+		reply.Abort()
+	} else {
+		reply.Finish()
+	}
+	if guilty != "" && guilty != decision.Lead.ID {
+		outcome = placement.Silent
+	} else {
+		r.avoid = append(r.avoid, decision.Lead.ID)
+	}
+	r.exchange.config.Gate.End(decision.ID, outcome, guilty)
+	r.reason = "upstream_refused"
+	return r.repeat(ctx)
+}
+
+// whole passes an answer on that is not a stream.
+func (r *run) whole(ctx context.Context, decision *placement.Decision, reply Reply) next {
+	gate := r.exchange.config.Gate
+	body, err := io.ReadAll(io.LimitReader(reply.Body(), r.exchange.config.MaxAnswerBytes))
+	if err != nil || !reply.Sound() {
+		reply.Abort()
+		outcome := placement.Silent
+		if ctx.Err() != nil {
+			outcome = placement.Neutral
+		}
+		gate.End(decision.ID, outcome, "")
+		r.avoid = append(r.avoid, decision.Lead.ID)
+		r.reason = "answer_not_whole"
+		r.note(decision, r.reason, reply.Status())
+		return r.repeat(ctx)
+	}
+	reply.Finish()
+	if reply.Status() >= http.StatusInternalServerError {
+		gate.End(decision.ID, placement.Failed, "")
+		r.note(decision, "upstream failed", reply.Status())
+		r.avoid = append(r.avoid, decision.Lead.ID)
+		if r.mayRepeat(ctx) {
+			return again
+		}
+	} else {
+		gate.End(decision.ID, placement.Answered, "")
+	}
+	r.caller.Whole(reply, body)
+	r.outcome = outcomeAnswered
+	return done
+}
+
+// note logs an attempt that gave no answer to pass on.
+func (r *run) note(decision *placement.Decision, what string, status int) {
+	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).
+		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
+		Int64("last_event", r.sent).Str("error", what).Msg("attempt failed")
+}
+
+// fail gives the caller the system's own answer.
+func (r *run) fail(ctx context.Context, failure Failure) {
+	r.outcome, r.reason = string(failure.Code), failure.Reason
+	if errors.Is(ctx.Err(), context.Canceled) {
+		r.outcome = outcomeLeft
+		r.caller.Break()
+		return
+	}
+	if r.begun {
+		r.outcome = outcomeBroken
+		r.caller.Break()
+		return
+	}
+	if ctx.Err() != nil {
+		failure.Code = Expired
+		if r.ran == 0 {
+			failure.Code = ExpiredUnrun
+		}
+	}
+	if failure.Code == UpstreamFailed && (r.ran == 0 || r.request.Route.Repeatable()) {
+		failure.Code = Overloaded
+	}
+	r.outcome = string(failure.Code)
+	r.exchange.config.Metrics.Refusal(r.outcome)
+	r.caller.Fail(failure)
+}
--- /dev/null
+++ b/fleet/book.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// outageGap is the age of a table, after failed calls, from which its entries
+	// may have lapsed while their upstreams live.
+	outageGap = 2 * time.Second
+	// lapseGrace is how long after an outage an entry that lapsed may take to come
+	// back. The store's page says about 2 s.
+	lapseGrace = 2 * time.Second
+)
+
+// Kind names one table of the store that a node follows.
+type Kind int
+
+// The tables.
+const (
+	// Operator holds the site's document and the zones taken out.
+	Operator Kind = iota
+	// Upstreams holds the entries of engines and services.
+	Upstreams
+	kinds
+)
+
+// Change is one changed row. Exactly one field group is set.
+type Change struct {
+	// Site is a new document.
+	Site *Site
+	// Zone was taken out, or back when Returned.
+	Zone     string
+	Returned bool
+	// Upstream is a new or changed entry.
+	Upstream *Upstream
+	// Gone is the ID of an entry that was removed or names nothing to use.
+	Gone string
+}
+
+// View is what a node believes at one moment. It is read-only.
+type View struct {
+	// Site is nil before the first document.
+	Site *Site
+	// ZonesOut are the zones that get nothing.
+	ZonesOut  map[string]bool
+	Upstreams map[string]*Upstream
+}
+
+// Book merges what the store says. It is not safe for concurrent use.
+type Book struct {
+	view     View
+	revision [kinds]int64
+	freshAt  [kinds]time.Duration
+	known    [kinds]bool
+	// failed is true when the last call for a table failed.
+	failed [kinds]bool
+	// settlesAt is the end of the time in which lapsed entries may come back.
+	settlesAt time.Duration
+}
+
+// NewBook returns a book that knows nothing.
+func NewBook() *Book {
+	return &Book{view: View{ZonesOut: map[string]bool{}, Upstreams: map[string]*Upstream{}}}
+}
+
+// View returns what is believed now. Later changes make new views.
+func (b *Book) View() View { return b.view }
+
+// Revision returns the store's version up to which a table is known.
+func (b *Book) Revision(kind Kind) int64 { return b.revision[kind] }
+
+// Known reports whether both tables were read and a document is in force.
+func (b *Book) Known() bool {
+	return b.known[Operator] && b.known[Upstreams] && b.view.Site != nil
+}
+
+// FreshAt returns the time up to which both tables are known.
+func (b *Book) FreshAt() time.Duration {
+	return min(b.freshAt[Operator], b.freshAt[Upstreams])
+}
+
+// TableFreshAt returns the time up to which one table is known.
+func (b *Book) TableFreshAt(kind Kind) time.Duration { return b.freshAt[kind] }
+
+// Replace takes all rows of a table, read by a call that began at asked and
+// ended at now. It reports false, and changes nothing, when the rows are older
+// than what is known.
+func (b *Book) Replace(kind Kind, changes []Change, revision int64, asked, now time.Duration) bool {
+	if revision < b.revision[kind] {
+		return false
+	}
+	b.noteContact(kind, now)
+	if kind == Operator {
+		b.view.ZonesOut = map[string]bool{}
+	} else {
+		b.replaceUpstreams(changes, now)
+	}
+	b.apply(changes, now)
+	b.confirm(kind, revision, asked)
+	return true
+}
+
+// replaceUpstreams drops the entries that are no longer there.
+func (b *Book) replaceUpstreams(changes []Change, now time.Duration) {
+	present := map[string]bool{}
+	for _, change := range changes {
+		if change.Upstream != nil {
+			present[change.Upstream.ID] = true
+		}
+	}
+	b.view.Upstreams = maps.Clone(b.view.Upstreams)
+	for id := range b.view.Upstreams {
+		if !present[id] {
+			b.drop(id, now)
+		}
+	}
+}
+
+// Apply takes the changes since the known revision, answered to a call that
+// began at asked. It reports false when the answer is older than what is known.
+func (b *Book) Apply(kind Kind, changes []Change, revision int64, asked, now time.Duration) bool {
+	if revision < b.revision[kind] {
+		return false
+	}
+	b.noteContact(kind, now)
+	if len(changes) > 0 {
+		b.view.ZonesOut = maps.Clone(b.view.ZonesOut)
+		b.view.Upstreams = maps.Clone(b.view.Upstreams)
+		b.apply(changes, now)
+	}
+	b.confirm(kind, revision, asked)
+	return true
+}
+
+// noteContact opens the time in which lapsed entries may return when the store
+// was silent before.
+func (b *Book) noteContact(kind Kind, now time.Duration) {
+	if kind == Upstreams && b.failed[kind] && b.known[kind] && now-b.freshAt[kind] > outageGap {
+		b.settlesAt = now + lapseGrace
+	}
+	b.failed[kind] = false
+}
+
+// Failed notes that a call for a table got no usable answer.
+func (b *Book) Failed(kind Kind) { b.failed[kind] = true }
+
+func (b *Book) confirm(kind Kind, revision int64, asked time.Duration) {
+	b.revision[kind] = revision
+	b.freshAt[kind] = max(b.freshAt[kind], asked)
+	b.known[kind] = true
+}
+
+func (b *Book) apply(changes []Change, now time.Duration) {
+	for _, change := range changes {
+		switch {
+		case change.Site != nil:
+			if b.view.Site == nil || change.Site.Version > b.view.Site.Version {
+				b.view.Site = change.Site
+			}
+		case change.Zone != "":
+			if change.Returned {
+				delete(b.view.ZonesOut, change.Zone)
+			} else {
+				b.view.ZonesOut[change.Zone] = true
+			}
+		case change.Upstream != nil:
+			entry := *change.Upstream
+			entry.SeenAt = now
+			b.view.Upstreams[entry.ID] = &entry
+		case change.Gone != "":
+			b.drop(change.Gone, now)
+		}
+	}
+}
+
+// drop removes an entry, or keeps it for the time in which it may come back.
+func (b *Book) drop(id string, now time.Duration) {
+	entry, ok := b.view.Upstreams[id]
+	if !ok {
+		return
+	}
+	if now >= b.settlesAt || entry.Draining {
+		delete(b.view.Upstreams, id)
+		return
+	}
+	kept := *entry
+	kept.lapseAt = b.settlesAt
+	b.view.Upstreams[id] = &kept
+}
+
+// Expire removes the entries that did not come back. It reports whether one was
+// removed.
+func (b *Book) Expire(now time.Duration) bool {
+	var gone []string
+	for id, entry := range b.view.Upstreams {
+		if entry.lapseAt != 0 && now >= entry.lapseAt {
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) == 0 {
+		return false
+	}
+	b.view.Upstreams = maps.Clone(b.view.Upstreams)
+	for _, id := range gone {
+		delete(b.view.Upstreams, id)
+	}
+	return true
+}
--- /dev/null
+++ b/fleet/freshness.go
@@ -0,0 +1,24 @@
+package fleet
+
+import "time"
+
+const (
+	// FollowWait is how long one call for changes may wait at the store. It bounds
+	// the age of what is known on a quiet site.
+	FollowWait = time.Second
+)
+
+// Freshness bounds what may be done with beliefs of an age.
+type Freshness struct {
+	// RunUntil is the age up to which keyed requests are sent. It stands under the
+	// time in which a key that was taken away must have stopped.
+	RunUntil time.Duration
+	// DenyUntil is the age up to which an unknown key or route is denied; after it
+	// the answer is to come back, since it may have been added meanwhile.
+	DenyUntil time.Duration
+}
+
+// Age is how long ago both tables were known to be complete.
+func (b *Book) Age(now time.Duration) time.Duration {
+	return now - b.FreshAt()
+}
--- /dev/null
+++ b/loadshare/agent.go
@@ -0,0 +1,311 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+const (
+	// flushDelay gathers changes into one datagram; it is a part of the round trip
+	// between data centres.
+	flushDelay = 3 * time.Millisecond
+	// beatInterval is how often all of a node's totals are told again.
+	beatInterval = 500 * time.Millisecond
+	// silentAfter is the silence after which a node's totals no longer count: four
+	// beats, so that a lossy link alone does not do it.
+	silentAfter = 4 * beatInterval
+	// forgetAfter is how long a silent node still counts among those that share
+	// limits: longer than a retry window.
+	forgetAfter = 15 * time.Second
+	// listInterval is how often the list of nodes is read again.
+	listInterval = 15 * time.Second
+	// registerPause is the pause after a failed call to the list.
+	registerPause = 500 * time.Millisecond
+	// callTimeout bounds a call to the list.
+	callTimeout = time.Second
+	// maxDatagram is what one datagram may hold.
+	maxDatagram = 60 << 10
+)
+
+// Node is an entry of the list of nodes.
+type Node struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Directory lists the nodes of the fleet.
+type Directory interface {
+	Register(ctx context.Context, node Node) error
+	Nodes(ctx context.Context) ([]Node, error)
+}
+
+// Gate is where placements are known.
+type Gate interface {
+	Do(f func(s *placement.Scheduler, now time.Duration))
+}
+
+// peer is another node.
+type peer struct {
+	address     netip.AddrPort
+	incarnation uint64
+	sequence    uint64
+	heardAt     time.Time
+	beliefsAge  time.Duration
+	silent      bool
+}
+
+// Agent tells and hears.
+type Agent struct {
+	self      Node
+	directory Directory
+	gate      Gate
+	logger    zerolog.Logger
+	metrics   *telemetry.Metrics
+	conn      *net.UDPConn
+	started   uint64
+	// OnNodes is called with the number of nodes that share limits, at each change.
+	OnNodes func(nodes int)
+	// BeliefsAge tells how old the node's beliefs are.
+	BeliefsAge func() time.Duration
+
+	mutex    sync.Mutex
+	peers    map[string]*peer
+	sequence uint64
+	pending  bool
+	nodes    int
+	leaving  bool
+}
+
+// Listen returns an agent that is bound to its address.
+func Listen(self Node, directory Directory, gate Gate, logger zerolog.Logger, metrics *telemetry.Metrics) (*Agent, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Address))
+	if err != nil {
+		return nil, eris.Wrap(err, "datagram address")
+	}
+	return &Agent{
+		self: self, directory: directory, gate: gate, logger: logger, metrics: metrics, conn: conn,
+		started: uint64(time.Now().UnixNano()), peers: map[string]*peer{},
+	}, nil
+}
+
+// Run tells and hears until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(a.hear)
+	group.Go(func() { a.enlist(ctx) })
+	group.Go(func() { a.beat(ctx) })
+	group.Wait()
+}
+
+// Changed tells the others soon. It never blocks.
+func (a *Agent) Changed() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.pending {
+		return
+	}
+	a.pending = true
+	time.AfterFunc(flushDelay, a.flush)
+}
+
+func (a *Agent) flush() {
+	a.mutex.Lock()
+	a.pending = false
+	a.mutex.Unlock()
+	var shares []placement.Share
+	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.Shares(now, false) })
+	if len(shares) > 0 {
+		a.tell(shares, false)
+	}
+}
+
+// tell sends one datagram to each node.
+func (a *Agent) tell(shares []placement.Share, whole bool) {
+	a.mutex.Lock()
+	a.sequence++
+	m := message{
+		Node: a.self.Name, Incarnation: a.started, Sequence: a.sequence, Whole: whole,
+		BeliefsAge: a.BeliefsAge(), Leaving: a.leaving, Shares: shares,
+	}
+	addresses := make([]netip.AddrPort, 0, len(a.peers))
+	for _, p := range a.peers {
+		addresses = append(addresses, p.address)
+	}
+	a.mutex.Unlock()
+	data := m.encode()
+	for _, address := range addresses {
+		if _, err := a.conn.WriteToUDPAddrPort(data, address); err != nil {
+			a.metrics.Count("wigeontiller_datagrams_unsent_total", 1)
+		}
+	}
+	a.metrics.Count("wigeontiller_datagrams_sent_total", int64(len(addresses)))
+}
+
+func (a *Agent) beat(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var shares []placement.Share
+		a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.Shares(now, true) })
+		a.tell(shares, true)
+		a.lookAround()
+	}
+}
+
+// lookAround drops what silent nodes had told and counts those that share limits.
+func (a *Agent) lookAround() {
+	a.mutex.Lock()
+	var silent []string
+	for name, p := range a.peers {
+		age := time.Since(p.heardAt)
+		if age > forgetAfter {
+			delete(a.peers, name)
+		}
+		if age > silentAfter && !p.silent {
+			p.silent = true
+			silent = append(silent, name)
+		}
+	}
+	a.mutex.Unlock()
+	for _, name := range silent {
+		a.logger.Warn().Str("peer", name).Msg("node is silent")
+		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.Forget(name) })
+	}
+	a.countNodes()
+}
+
+func (a *Agent) countNodes() {
+	a.mutex.Lock()
+	nodes := 1 + len(a.peers)
+	changed := nodes != a.nodes
+	a.nodes = nodes
+	a.mutex.Unlock()
+	if changed {
+		a.OnNodes(nodes)
+	}
+}
+
+func (a *Agent) hear() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := a.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			a.metrics.Count("wigeontiller_datagrams_unreadable_total", 1)
+			continue
+		}
+		if m.Node != a.self.Name {
+			a.take(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		}
+	}
+}
+
+// take merges a datagram. Totals of an older one are passed over; what it adds is
+// not.
+func (a *Agent) take(m *message, from netip.AddrPort) {
+	a.mutex.Lock()
+	p := a.peers[m.Node]
+	if p == nil {
+		p = &peer{}
+		a.peers[m.Node] = p
+		a.logger.Info().Str("peer", m.Node).Stringer("address", from).Msg("node met")
+	}
+	if m.Incarnation < p.incarnation {
+		a.mutex.Unlock()
+		return
+	}
+	reborn := m.Incarnation > p.incarnation
+	older := !reborn && m.Sequence <= p.sequence
+	p.address, p.incarnation, p.heardAt, p.silent = from, m.Incarnation, time.Now(), false
+	if !older {
+		p.sequence, p.beliefsAge = m.Sequence, m.BeliefsAge
+	}
+	a.mutex.Unlock()
+	a.gate.Do(func(s *placement.Scheduler, now time.Duration) {
+		if reborn {
+			s.Forget(m.Node)
+		}
+		if !older {
+			s.Told(now, m.Node, m.Shares, m.Whole)
+		}
+	})
+}
+
+// FresherPeer reports whether a node in touch has beliefs younger than age.
+func (a *Agent) FresherPeer(age time.Duration) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, p := range a.peers {
+		if heard := time.Since(p.heardAt); heard < silentAfter && p.beliefsAge+heard < age {
+			return true
+		}
+	}
+	return false
+}
+
+// enlist writes this node to the list and reads the others, again now and then.
+func (a *Agent) enlist(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		pause := listInterval
+		if err := a.meet(ctx, &registered); err != nil {
+			a.logger.Warn().Err(err).Msg("list of nodes not reached")
+			pause = registerPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (a *Agent) meet(ctx context.Context, registered *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !*registered {
+		if err := a.directory.Register(ctx, a.self); err != nil {
+			return err
+		}
+		*registered = true
+	}
+	nodes, err := a.directory.Nodes(ctx)
+	if err != nil {
+		return err
+	}
+	a.mutex.Lock()
+	for _, node := range nodes {
+		if node.Name != a.self.Name && a.peers[node.Name] == nil {
+			a.peers[node.Name] = &peer{address: node.Address, heardAt: time.Now()}
+		}
+	}
+	a.mutex.Unlock()
+	a.countNodes()
+	a.tell(nil, false)
+	return nil
+}
+
+// Leave tells the others that this node shuts down.
+func (a *Agent) Leave() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.leaving = true
+}
--- /dev/null
+++ b/loadshare/message.go
@@ -0,0 +1,128 @@
+// Package loadshare tells the nodes of a fleet what each has placed where, by
+// datagrams. A lost one costs little: totals are told whole again, and unread
+// time drains by itself.
+//
+// Lock order: Agent.mutex is a leaf.
+package loadshare
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeontiller/wigeontiller/placement"
+)
+
+// errMessage is returned for a datagram that is not one of ours.
+var errMessage = eris.New("datagram can't be read")
+
+// formatVersion is the first byte of each datagram.
+const formatVersion = 1
+
+// message is one datagram.
+type message struct {
+	Node string
+	// Incarnation grows with each start of the node.
+	Incarnation uint64
+	Sequence    uint64
+	// Whole is true when Shares are all that the node has.
+	Whole bool
+	// BeliefsAge is how old the node's beliefs are.
+	BeliefsAge time.Duration
+	// Leaving is true when the node shuts down.
+	Leaving bool
+	Shares  []placement.Share
+}
+
+const (
+	flagWhole   = 1
+	flagLeaving = 2
+	// tenths keeps a tenth of a ms of reading time.
+	tenths = 10
+)
+
+func (m *message) encode() []byte {
+	b := []byte{formatVersion, 0}
+	if m.Whole {
+		b[1] |= flagWhole
+	}
+	if m.Leaving {
+		b[1] |= flagLeaving
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.Node)))
+	b = append(b, m.Node...)
+	b = binary.AppendUvarint(b, m.Incarnation)
+	b = binary.AppendUvarint(b, m.Sequence)
+	b = binary.AppendUvarint(b, uint64(max(0, m.BeliefsAge.Milliseconds())))
+	b = binary.AppendUvarint(b, uint64(len(m.Shares)))
+	for i := range m.Shares {
+		share := &m.Shares[i]
+		b = binary.BigEndian.AppendUint32(b, share.Hash)
+		b = binary.AppendUvarint(b, uint64(share.Totals.Running))
+		b = binary.AppendUvarint(b, uint64(share.Totals.Memory))
+		b = binary.AppendUvarint(b, uint64(share.Totals.Helping))
+		b = binary.AppendUvarint(b, uint64(share.AddedMs*tenths))
+		b = binary.AppendUvarint(b, uint64(share.AvoidFor.Milliseconds()))
+	}
+	return b
+}
+
+// reader takes the fields of a datagram; it remembers the first failure.
+type reader struct {
+	data   []byte
+	failed bool
+}
+
+func (r *reader) number() uint64 {
+	value, n := binary.Uvarint(r.data)
+	if n <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.data = r.data[n:]
+	return value
+}
+
+func (r *reader) bytes(n uint64) []byte {
+	if n > uint64(len(r.data)) {
+		r.failed = true
+		return nil
+	}
+	taken := r.data[:n]
+	r.data = r.data[n:]
+	return taken
+}
+
+// maxCount bounds what a datagram may claim to be at an upstream.
+const maxCount = 1 << 32
+
+func (r *reader) count() int { return int(min(r.number(), maxCount)) }
+
+func decode(data []byte) (*message, error) {
+	const fixed = 2
+	if len(data) < fixed || data[0] != formatVersion {
+		return nil, errMessage
+	}
+	m := &message{Whole: data[1]&flagWhole != 0, Leaving: data[1]&flagLeaving != 0}
+	r := &reader{data: data[fixed:]}
+	m.Node = string(r.bytes(r.number()))
+	m.Incarnation = r.number()
+	m.Sequence = r.number()
+	m.BeliefsAge = time.Duration(r.count()) * time.Millisecond
+	for n := r.number(); n > 0 && !r.failed; n-- {
+		hash := r.bytes(4)
+		if r.failed {
+			break
+		}
+		share := placement.Share{Hash: binary.BigEndian.Uint32(hash)}
+		share.Totals = placement.Totals{Running: r.count(), Memory: r.count(), Helping: r.count()}
+		share.AddedMs = float64(r.count()) / tenths
+		share.AvoidFor = time.Duration(r.count()) * time.Millisecond
+		m.Shares = append(m.Shares, share)
+	}
+	if r.failed || m.Node == "" {
+		return nil, errMessage
+	}
+	return m, nil
+}
--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+const (
+	// failCostMs is what a certain failure counts as in the score of an upstream:
+	// the time to notice it and to try another one.
+	failCostMs = 500
+	// zoneCostMs is the score of another zone: its round trip, and its price.
+	zoneCostMs = 10
+	// plainRunningMs is the score of each request that runs at a plain service.
+	plainRunningMs = 5
+	// plainQueue is how many requests more than its slots a plain service is sent.
+	plainQueue = 4
+	// jitterMs spreads the choice between equals.
+	jitterMs = 2
+)
+
+// placePlain chooses the upstream of a plain service that has least to do.
+func (s *Scheduler) placePlain(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
+	best, bestScore := (*load)(nil), 0.0
+	for _, l := range eligible {
+		if l.entry.Slots > 0 && l.totalRunning() >= l.entry.Slots+plainQueue || !s.warm(now, l, service) {
+			continue
+		}
+		score := float64(l.totalRunning())*plainRunningMs + l.failures(now)*failCostMs + s.config.Random.Float64()*jitterMs
+		if l.entry.Zone != s.config.Zone {
+			score += zoneCostMs
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = l, score
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	return s.place(now, request, service, best, nil), true
+}
+
+// warm reports whether this node's part of the rate that a cold upstream bears
+// leaves room. The part binds at all times, since an upstream may turn cold
+// without notice.
+func (s *Scheduler) warm(now time.Duration, l *load, service *fleet.Service) bool {
+	if service.WarmRate <= 0 {
+		return true
+	}
+	l.refillWarm(now, s.warmRate(service))
+	return l.warmTokens >= 1
+}
+
+func (s *Scheduler) warmRate(service *fleet.Service) float64 {
+	return service.WarmRate * s.config.WarmMargin / float64(s.nodes)
+}
+
+// placeEngine chooses the lead and, for a long prompt, the engines that read with it.
+func (s *Scheduler) placeEngine(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
+	engine := service.Engine
+	need := request.PromptTokens + request.AnswerTokens
+	if need > engine.MemoryTokens {
+		return refuse(request, TooLarge, defaultRetryAfter), true
+	}
+	scores := s.scores(now, engine, eligible)
+	slices.SortFunc(scores, func(a, b scored) int { return compare(a.score, b.score) })
+	lead := s.lead(now, service, scores, need)
+	if lead == nil {
+		return Decision{}, false
+	}
+	wanted := parts(engine, request.PromptTokens, s.config.PartMs, min(s.config.MaxParts, len(scores)))
+	var helpers []*load
+	for _, candidate := range scores {
+		if len(helpers) == wanted-1 {
+			break
+		}
+		l := candidate.load
+		if l != lead && l.totalHelping() < engine.Slots-1 && now >= l.avoidUntil && !l.entry.Cold(now) {
+			helpers = append(helpers, l)
+		}
+	}
+	if wanted > 1 && s.mustPace(now, request, lead, helpers) {
+		return Decision{}, false
+	}
+	return s.place(now, request, service, lead, helpers), true
+}
+
+type scored struct {
+	load  *load
+	score float64
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// scores are the expected ms until an engine would read the request.
+func (s *Scheduler) scores(now time.Duration, engine *fleet.Engine, eligible []*load) []scored {
+	list := make([]scored, 0, len(eligible))
+	for _, l := range eligible {
+		pass := passMs(engine, l.totalRunning(), l.totalMemory())
+		score := (l.backlog(now)+pass)*l.paceNow(now) + l.failures(now)*failCostMs + s.config.Random.Float64()*jitterMs
+		list = append(list, scored{load: l, score: score})
+	}
+	return list
+}
+
+// lead is the best engine with a free slot and enough memory.
+func (s *Scheduler) lead(now time.Duration, service *fleet.Service, scores []scored, need int) *load {
+	for _, candidate := range scores {
+		l := candidate.load
+		if l.totalRunning() < service.Engine.Slots && l.totalMemory()+need <= service.Engine.MemoryTokens && s.warm(now, l, service) {
+			return l
+		}
+	}
+	return nil
+}
+
+// mustPace holds a long prompt back while its engines have much unread, as long
+// as it can still be on time.
+func (s *Scheduler) mustPace(now time.Duration, request *Request, lead *load, helpers []*load) bool {
+	if s.config.BacklogMs <= 0 {
+		return false
+	}
+	total := lead.backlog(now)
+	for _, l := range helpers {
+		total += l.backlog(now)
+	}
+	mean := total / float64(1+len(helpers))
+	return mean > s.config.BacklogMs && now+time.Duration(mean*2*float64(time.Millisecond)) < request.Due
+}
+
+func (s *Scheduler) place(now time.Duration, request *Request, service *fleet.Service, lead *load, helpers []*load) Decision {
+	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.backlog(now)}
+	held := &placed{lead: lead, helpers: helpers}
+	lead.warm(now, s.warmRate(service))
+	if service.Engine != nil && request.PromptTokens > 0 {
+		held.memory = request.PromptTokens + request.AnswerTokens
+		held.partMs = readMs(service.Engine, request.PromptTokens) / float64(1+len(helpers))
+		slowest := s.read(now, lead, held.partMs)
+		for _, l := range helpers {
+			slowest = max(slowest, s.read(now, l, held.partMs))
+			l.helping++
+			s.changed[l] = struct{}{}
+			decision.Helpers = append(decision.Helpers, l.entry)
+		}
+		slowest += passMs(service.Engine, lead.totalRunning(), lead.totalMemory())
+		decision.Urgency = urgency(service.Engine, request.PromptTokens)
+		decision.ExpectedFirst = time.Duration(slowest * float64(time.Millisecond))
+	}
+	lead.running++
+	lead.memory += held.memory
+	s.changed[lead] = struct{}{}
+	s.running[request.ID] = held
+	return decision
+}
+
+// read books the reading of a part and returns when it will be read, in ms.
+func (s *Scheduler) read(now time.Duration, l *load, ms float64) float64 {
+	l.addBacklog(now, ms)
+	l.toldMs += ms
+	return l.backlogMs * l.paceNow(now) / readShare
+}
+
+// urgency ranks a prompt by the time that reading it takes.
+func urgency(engine *fleet.Engine, tokens int) int {
+	rank := urgencyFirst
+	for ms := readMs(engine, tokens); ms > urgencyStepMs && rank < urgencyLast; ms /= urgencyGrowth {
+		rank++
+	}
+	return rank
+}
+
+const (
+	// urgencyFirst is the rank of the shortest prompts, urgencyLast of the longest.
+	urgencyFirst, urgencyLast = 1, 9
+	// urgencyStepMs is the reading time of the first rank; each further rank's is
+	// urgencyGrowth times as long.
+	urgencyStepMs, urgencyGrowth = 50, 2
+)
--- /dev/null
+++ b/placement/load.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+const (
+	// readShare is the part of a pass that reads while a backlog is there: an
+	// engine of the users' platform reads 10 ms and writes 1 ms in each step.
+	readShare = 0.85
+	// paceWeight is the weight of one new observation of an engine's pace.
+	paceWeight = 0.3
+	// paceLife is how long an observed pace counts without a new one.
+	paceLife = 3 * time.Second
+	// failWeight is the weight of one new outcome in the share of failures.
+	failWeight = 0.2
+	// failLife halves the share of failures without new outcomes.
+	failLife = 2 * time.Second
+	// firstAvoid is how long an upstream that did not answer is avoided; the time
+	// doubles with each further failure up to lastAvoid.
+	firstAvoid = 500 * time.Millisecond
+	lastAvoid  = 4 * time.Second
+)
+
+// load is what a node knows of one upstream beside its entry.
+type load struct {
+	entry *fleet.Upstream
+	hash  uint32
+	// running, memory and helping are this node's own requests there.
+	running, memory, helping int
+	// others holds the same of the other nodes, by node.
+	others map[string]Totals
+	// sums are the totals of others.
+	sums Totals
+	// backlogMs is the unread time of all nodes' prompts at backlogAt.
+	backlogMs float64
+	backlogAt time.Duration
+	// pace is how many times longer than its model the engine takes.
+	pace   float64
+	paceAt time.Duration
+	// failShare is the decaying share of failed attempts at failAt.
+	failShare  float64
+	failAt     time.Duration
+	avoidUntil time.Duration
+	avoidFor   time.Duration
+	// ownAvoid is true when this node saw the failure itself.
+	ownAvoid bool
+	// toldMs is the reading placed since the others were last told.
+	toldMs float64
+	// warmTokens is this node's part of the rate that a cold upstream bears.
+	warmTokens float64
+	warmAt     time.Duration
+}
+
+// Totals are one node's requests at one upstream.
+type Totals struct {
+	Running int
+	// Memory is the engine memory that they may come to need, in tokens.
+	Memory int
+	// Helping counts the other engines' prompts that the upstream reads a part of.
+	Helping int
+}
+
+func (l *load) totalRunning() int { return l.running + l.sums.Running }
+func (l *load) totalMemory() int  { return l.memory + l.sums.Memory }
+func (l *load) totalHelping() int { return l.helping + l.sums.Helping }
+
+// backlog is the unread time now, in ms.
+func (l *load) backlog(now time.Duration) float64 {
+	done := float64((now - l.backlogAt).Microseconds()) / 1000 * readShare / l.paceNow(now)
+	return max(0, l.backlogMs-done)
+}
+
+func (l *load) addBacklog(now time.Duration, ms float64) {
+	l.backlogMs = l.backlog(now) + ms
+	l.backlogAt = now
+}
+
+func (l *load) paceNow(now time.Duration) float64 {
+	if l.pace < 1 || now-l.paceAt > paceLife {
+		return 1
+	}
+	return l.pace
+}
+
+func (l *load) observePace(now time.Duration, pace float64) {
+	l.pace = l.paceNow(now)*(1-paceWeight) + max(1, pace)*paceWeight
+	l.paceAt = now
+}
+
+// failures is the decaying share of failed attempts.
+func (l *load) failures(now time.Duration) float64 {
+	halves := float64(now-l.failAt) / float64(failLife)
+	share := l.failShare
+	for ; halves > 1 && share > 0.01; halves-- {
+		share /= 2
+	}
+	return share * (1 - halves/2*boolTo(share > 0))
+}
+
+func boolTo(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (l *load) outcome(now time.Duration, failed bool) {
+	l.failShare = l.failures(now)*(1-failWeight) + boolTo(failed)*failWeight
+	l.failAt = now
+	if !failed {
+		l.avoidFor, l.avoidUntil = 0, 0
+	}
+}
+
+// avoid keeps new requests away from an upstream that did not answer.
+func (l *load) avoid(now time.Duration) {
+	if now < l.avoidUntil {
+		return
+	}
+	l.avoidFor = min(lastAvoid, max(firstAvoid, 2*l.avoidFor))
+	l.avoidUntil = now + l.avoidFor
+	l.ownAvoid = true
+}
+
+func (l *load) tell(node string, totals Totals) {
+	before := l.others[node]
+	l.sums.Running += totals.Running - before.Running
+	l.sums.Memory += totals.Memory - before.Memory
+	l.sums.Helping += totals.Helping - before.Helping
+	if totals == (Totals{}) {
+		delete(l.others, node)
+		return
+	}
+	l.others[node] = totals
+}
+
+// warm takes one request of this node's part of the rate, if it is there.
+func (l *load) warm(now time.Duration, rate float64) bool {
+	if rate <= 0 {
+		return true
+	}
+	if l.refillWarm(now, rate); l.warmTokens < 1 {
+		return false
+	}
+	l.warmTokens--
+	return true
+}
+
+func (l *load) refillWarm(now time.Duration, rate float64) {
+	burst := max(1, rate/2)
+	l.warmTokens = min(burst, l.warmTokens+rate*(now-l.warmAt).Seconds())
+	l.warmAt = now
+}
--- /dev/null
+++ b/placement/outcome.go
@@ -0,0 +1,112 @@
+package placement
+
+import "time"
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered means that the upstream gave a whole answer.
+	Answered Outcome = iota
+	// Failed means that it failed while it was reachable.
+	Failed
+	// Silent means that it could not be reached, broke off or did not go on.
+	Silent
+	// Refused means that it was full and did not run the attempt.
+	Refused
+	// Foreign means that another process has its address.
+	Foreign
+	// Neutral outcomes say nothing of the upstream: the caller left.
+	Neutral
+)
+
+// FirstEvent notes that the prompt was read. The time since the send tells the
+// pace of the engine.
+func (s *Scheduler) FirstEvent(id string) {
+	held := s.running[id]
+	if held == nil || held.read {
+		return
+	}
+	s.endRead(held)
+}
+
+func (s *Scheduler) endRead(held *placed) {
+	held.read = true
+	for _, l := range held.helpers {
+		l.helping--
+		s.changed[l] = struct{}{}
+	}
+}
+
+// Pause notes the time between two events of a stream, for the pace of its engine.
+func (s *Scheduler) Pause(now time.Duration, id string, pause time.Duration) {
+	held := s.running[id]
+	if held == nil || s.site == nil || s.site.Services[held.lead.entry.Service] == nil {
+		return
+	}
+	engine := s.site.Services[held.lead.entry.Service].Engine
+	if engine == nil || held.lead.backlog(now) > 0 {
+		return
+	}
+	expected := passMs(engine, held.lead.totalRunning(), held.lead.totalMemory())
+	held.lead.observePace(now, milliseconds(pause)/expected)
+}
+
+func milliseconds(pause time.Duration) float64 { return float64(pause.Microseconds()) / 1000 }
+
+// End frees what an attempt held. Guilty is the upstream that the failure is put
+// down to; empty is the lead.
+func (s *Scheduler) End(now time.Duration, id string, outcome Outcome, guilty string) {
+	held := s.running[id]
+	if held == nil {
+		return
+	}
+	delete(s.running, id)
+	if !held.read {
+		s.endRead(held)
+	}
+	held.lead.running--
+	held.lead.memory -= held.memory
+	s.changed[held.lead] = struct{}{}
+	s.judge(now, held, outcome, guilty)
+}
+
+func (s *Scheduler) judge(now time.Duration, held *placed, outcome Outcome, guilty string) {
+	blamed := held.lead
+	if named := s.loads[guilty]; named != nil {
+		blamed = named
+	}
+	switch outcome {
+	case Answered:
+		held.lead.outcome(now, false)
+	case Failed:
+		blamed.outcome(now, true)
+	case Silent, Foreign:
+		blamed.outcome(now, true)
+		blamed.avoid(now)
+		s.changed[blamed] = struct{}{}
+	case Refused:
+		blamed.avoid(now)
+	case Neutral:
+	}
+}
+
+// Expected is the time to the next event of a request by what is known now: what
+// its engines have not read, and a pass.
+func (s *Scheduler) Expected(now time.Duration, decision *Decision) time.Duration {
+	if s.site == nil {
+		return 0
+	}
+	service := s.site.Services[decision.Lead.Service]
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	most := 0.0
+	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
+		if l := s.loads[entry.ID]; l != nil {
+			most = max(most, l.backlog(now)*l.paceNow(now)/readShare+passMs(service.Engine, l.totalRunning(), l.totalMemory()))
+		}
+	}
+	return time.Duration(most * float64(time.Millisecond))
+}
--- /dev/null
+++ b/placement/scheduler.go
@@ -0,0 +1,275 @@
+// Package placement decides where and when each request runs on a fleet whose
+// engines publish their pass model: which engine leads, which others read a part
+// of its prompt, who waits and who is refused. It does no I/O and reads no clock.
+// A Scheduler is not safe for concurrent use; package exchange holds the lock.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+// Config holds the limits of a scheduler.
+type Config struct {
+	Zone string
+	// Regions gives the region of each zone.
+	Regions map[string]string
+	// PartMs is the reading time that a prompt is split down to.
+	PartMs float64
+	// MaxParts bounds the engines that read one prompt.
+	MaxParts int
+	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
+	// before long ones, so that they aren't read after them.
+	Urgency int
+	// BacklogMs is the unread time per engine above which long prompts wait, so
+	// that streams beside them keep their pause target.
+	BacklogMs float64
+	// WarmMargin is the part of the rate that cold upstreams bear which all nodes
+	// together use.
+	WarmMargin float64
+	Random     *rand.Rand
+}
+
+// Request is what the scheduler needs to know of a request.
+type Request struct {
+	ID      string
+	Service string
+	Kind    fleet.RouteKind
+	// PromptTokens and AnswerTokens are 0 for a plain service.
+	PromptTokens, AnswerTokens int
+	Priority                   int
+	// Arrived, Due and Deadline are readings of the scheduler's clock: when it
+	// came, when its answer has to begin to be on time, and when it must have ended.
+	Arrived, Due, Deadline time.Duration
+	// Avoid holds the IDs of upstreams where an earlier attempt failed.
+	Avoid []string
+	// Regions are those whose upstreams may run it; empty is all.
+	Regions []string
+	// Again is true for a request that was placed before.
+	Again bool
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	NoUpstream Reason = "no_upstream"
+	TooLarge   Reason = "too_large"
+	TooLate    Reason = "too_late"
+)
+
+// Decision is the scheduler's word on a request. Neither Lead nor Reason is set
+// for one that waits.
+type Decision struct {
+	ID      string
+	Lead    *fleet.Upstream
+	Helpers []*fleet.Upstream
+	Reason  Reason
+	// RetryAfter is set for a refusal.
+	RetryAfter time.Duration
+	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
+	// before long ones, so that they aren't read after them.
+	Urgency int
+	// BacklogMs is the unread time at the lead before the request, for logs.
+	BacklogMs float64
+	// ExpectedFirst is the time to the first event that the model gives.
+	ExpectedFirst time.Duration
+}
+
+// placed is a request that runs.
+type placed struct {
+	lead    *load
+	helpers []*load
+	memory  int
+	partMs  float64
+	read    bool
+}
+
+// Scheduler holds the loads and the queue.
+type Scheduler struct {
+	config  Config
+	site    *fleet.Site
+	view    fleet.View
+	loads   map[string]*load
+	byHash  map[uint32]*load
+	running map[string]*placed
+	queue   []*Request
+	nodes   int
+	changed map[*load]struct{}
+}
+
+// New returns a scheduler without upstreams.
+func New(config Config) *Scheduler {
+	return &Scheduler{
+		config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
+		running: map[string]*placed{}, nodes: 1, changed: map[*load]struct{}{},
+	}
+}
+
+// Hash names an upstream in messages between nodes.
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// SetNodes sets how many nodes share the upstreams' limits.
+func (s *Scheduler) SetNodes(nodes int) { s.nodes = max(1, nodes) }
+
+// Configure takes a new view. An upstream that started again begins anew.
+func (s *Scheduler) Configure(view fleet.View) {
+	s.site, s.view = view.Site, view
+	for id, known := range s.loads {
+		entry, ok := view.Upstreams[id]
+		if ok && entry.StartedMs == known.entry.StartedMs {
+			known.entry = entry
+			continue
+		}
+		delete(s.loads, id)
+		delete(s.byHash, known.hash)
+		delete(s.changed, known)
+	}
+	for id, entry := range view.Upstreams {
+		if s.loads[id] == nil {
+			made := &load{entry: entry, hash: Hash(id), others: map[string]Totals{}}
+			s.loads[id], s.byHash[made.hash] = made, made
+		}
+	}
+}
+
+// Submit takes a request. One that is not decided at once waits for Advance.
+func (s *Scheduler) Submit(now time.Duration, request *Request) Decision {
+	decision, decided := s.decide(now, request)
+	if !decided {
+		s.enqueue(request)
+	}
+	return decision
+}
+
+func (s *Scheduler) enqueue(request *Request) {
+	at := sort.Search(len(s.queue), func(i int) bool { return before(request, s.queue[i]) })
+	s.queue = slices.Insert(s.queue, at, request)
+}
+
+// before orders the queue: rank first, then who has to begin first.
+func before(a, b *Request) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Due < b.Due
+}
+
+// Advance decides on waiting requests, in their order.
+func (s *Scheduler) Advance(now time.Duration) []Decision {
+	var decisions []Decision
+	kept := s.queue[:0]
+	for _, request := range s.queue {
+		decision, decided := s.decide(now, request)
+		if decided {
+			decisions = append(decisions, decision)
+		} else {
+			kept = append(kept, request)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return decisions
+}
+
+// Waiting is the number of requests that wait.
+func (s *Scheduler) Waiting() int { return len(s.queue) }
+
+// Cancel forgets a request that waits.
+func (s *Scheduler) Cancel(id string) {
+	s.queue = slices.DeleteFunc(s.queue, func(r *Request) bool { return r.ID == id })
+}
+
+func (s *Scheduler) decide(now time.Duration, request *Request) (Decision, bool) {
+	if s.site == nil || s.site.Services[request.Service] == nil {
+		return refuse(request, NoUpstream, defaultRetryAfter), true
+	}
+	service := s.site.Services[request.Service]
+	eligible := s.eligible(now, request, service)
+	if len(eligible) == 0 {
+		return refuse(request, NoUpstream, defaultRetryAfter), true
+	}
+	var decision Decision
+	var done bool
+	if service.Engine != nil && request.PromptTokens > 0 {
+		decision, done = s.placeEngine(now, request, service, eligible)
+	} else {
+		decision, done = s.placePlain(now, request, service, eligible)
+	}
+	if !done && now >= request.Deadline-minimumRun {
+		return refuse(request, TooLate, s.retryAfter(now, request)), true
+	}
+	return decision, done
+}
+
+const (
+	// defaultRetryAfter is when to come back where no better guess is at hand: a
+	// heartbeat interval of the upstreams is when the next one may appear.
+	defaultRetryAfter = time.Second
+	// minimumRun is the time without which no upstream can give an answer.
+	minimumRun = 50 * time.Millisecond
+)
+
+func refuse(request *Request, reason Reason, after time.Duration) Decision {
+	return Decision{ID: request.ID, Reason: reason, RetryAfter: after}
+}
+
+// retryAfter is when the backlog of the least loaded engine will be read.
+func (s *Scheduler) retryAfter(now time.Duration, request *Request) time.Duration {
+	least := -1.0
+	for _, l := range s.loads {
+		if l.entry.Service != request.Service {
+			continue
+		}
+		if backlog := l.backlog(now); least < 0 || backlog < least {
+			least = backlog
+		}
+	}
+	return defaultRetryAfter/4 + time.Duration(max(0, least)*float64(time.Millisecond))
+}
+
+// eligible are the upstreams that may take the request at all; those to avoid
+// only when there is no other.
+func (s *Scheduler) eligible(now time.Duration, request *Request, service *fleet.Service) []*load {
+	var good, avoided []*load
+	for _, l := range s.loads {
+		entry := l.entry
+		if entry.Service != service.Name || entry.Draining || s.view.ZonesOut[entry.Zone] || !s.home(request, entry.Zone) {
+			continue
+		}
+		if slices.Contains(request.Avoid, entry.ID) || now < l.avoidUntil || entry.Missing() {
+			avoided = append(avoided, l)
+		} else {
+			good = append(good, l)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	if request.Again {
+		avoided = slices.DeleteFunc(avoided, func(l *load) bool { return slices.Contains(request.Avoid, l.entry.ID) })
+	}
+	return avoided
+}
+
+func (s *Scheduler) home(request *Request, zone string) bool {
+	return len(request.Regions) == 0 || slices.Contains(request.Regions, s.config.Regions[zone])
+}
+
+// InService reports whether a placed request may still be sent to its upstreams.
+func (s *Scheduler) InService(decision *Decision) bool {
+	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
+		known := s.loads[entry.ID]
+		if known == nil || known.entry.Draining || s.view.ZonesOut[entry.Zone] || known.entry.StartedMs != entry.StartedMs {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/placement/share.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"time"
+)
+
+// Share is what one node tells the others of its requests at one upstream.
+type Share struct {
+	Hash   uint32
+	Totals Totals
+	// AddedMs is the reading that was placed there since the last share.
+	AddedMs float64
+	// AvoidFor is how long the teller avoids the upstream; 0 is not at all.
+	AvoidFor time.Duration
+}
+
+// Shares returns the upstreams whose totals changed since the last call, or all
+// that are in use.
+func (s *Scheduler) Shares(now time.Duration, all bool) []Share {
+	var shares []Share
+	for _, l := range s.loads {
+		if _, changed := s.changed[l]; !changed && (!all || l.running+l.helping == 0) {
+			continue
+		}
+		share := Share{Hash: l.hash, Totals: Totals{Running: l.running, Memory: l.memory, Helping: l.helping}}
+		share.AddedMs = l.toldMs
+		l.toldMs = 0
+		if now < l.avoidUntil && l.ownAvoid {
+			share.AvoidFor = l.avoidUntil - now
+		}
+		shares = append(shares, share)
+	}
+	clear(s.changed)
+	return shares
+}
+
+// Changed reports whether there is something to tell.
+func (s *Scheduler) Changed() bool { return len(s.changed) > 0 }
+
+// Told takes another node's shares. Where whole is true they are all that the
+// node has.
+func (s *Scheduler) Told(now time.Duration, node string, shares []Share, whole bool) {
+	if whole {
+		mentioned := make(map[uint32]bool, len(shares))
+		for _, share := range shares {
+			mentioned[share.Hash] = true
+		}
+		for _, l := range s.loads {
+			if !mentioned[l.hash] {
+				l.tell(node, Totals{})
+			}
+		}
+	}
+	for _, share := range shares {
+		l := s.byHash[share.Hash]
+		if l == nil {
+			continue
+		}
+		l.tell(node, share.Totals)
+		if share.AddedMs > 0 {
+			l.addBacklog(now, share.AddedMs)
+		}
+		if share.AvoidFor > 0 && now >= l.avoidUntil {
+			l.avoidUntil = now + min(share.AvoidFor, lastAvoid)
+			l.ownAvoid = false
+		}
+	}
+}
+
+// Forget drops what a node that is gone had told.
+func (s *Scheduler) Forget(node string) {
+	for _, l := range s.loads {
+		l.tell(node, Totals{})
+	}
+}
