--- a/edge/node.go
+++ b/edge/node.go
@@ -101,7 +101,7 @@
 		Zone: settings.Zone, Regions: settings.Regions, PartMs: partMs, MaxParts: maxParts, BacklogMs: backlogMs,
 		WarmMargin: settings.WarmOvershoot * warmShare, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	n.gate = exchange.NewGate(scheduler, func() { n.agent.Changed() })
+	n.gate = exchange.NewGate(scheduler, bootClock, func() { n.agent.Changed() })
 	n.retries = &exchange.RetryBudget{Ratio: settings.RetryRatio, Extra: settings.RetryExtra, Window: seconds(settings.RetryWindowSeconds)}
 	address, err := settings.peerAddress()
 	if err != nil {
--- a/exchange/gate.go
+++ b/exchange/gate.go
@@ -17,26 +17,26 @@
 type Gate struct {
 	mutex     sync.Mutex
 	scheduler *placement.Scheduler
-	started   time.Time
+	clock     func() time.Duration
 	waiting   map[string]chan placement.Decision
 	timer     *time.Timer
 	// changed is called, under no lock, when there is something to tell other nodes.
 	changed func()
 }
 
-// NewGate returns a gate over a scheduler that nothing else uses. changed is
-// called after each change of this node's own requests.
-func NewGate(scheduler *placement.Scheduler, changed func()) *Gate {
-	g := &Gate{scheduler: scheduler, started: time.Now(), waiting: map[string]chan placement.Decision{}, changed: changed}
+// NewGate returns a gate over a scheduler that nothing else uses. The clock is
+// that of the views. changed is called after each change of this node's requests.
+func NewGate(scheduler *placement.Scheduler, clock func() time.Duration, changed func()) *Gate {
+	g := &Gate{scheduler: scheduler, clock: clock, waiting: map[string]chan placement.Decision{}, changed: changed}
 	g.timer = time.AfterFunc(time.Hour, g.tick)
 	return g
 }
 
-// now is the scheduler's clock: the time since the gate was made.
-func (g *Gate) now() time.Duration { return time.Since(g.started) }
+// now reads the scheduler's clock.
+func (g *Gate) now() time.Duration { return g.clock() }
 
 // At converts a time to the scheduler's clock.
-func (g *Gate) At(t time.Time) time.Duration { return t.Sub(g.started) }
+func (g *Gate) At(t time.Time) time.Duration { return g.now() + time.Until(t) }
 
 // Do runs f with the scheduler and its clock, under the lock.
 func (g *Gate) Do(f func(s *placement.Scheduler, now time.Duration)) {
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -141,6 +141,10 @@
 		Deadline: r.request.Deadline, After: r.sent, Once: !r.request.Route.Repeatable(),
 		Urgency: decision.Urgency,
 	}
+	config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).Str("service", r.service).
+		Int("helpers", len(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
+		Dur("expected_first_ms", decision.ExpectedFirst).Dur("waited_ms", time.Since(r.request.Arrived)).
+		Int64("after", r.sent).Msg("attempt placed")
 	watch := r.watch(ctx, decision)
 	defer watch.stop()
 	config.Metrics.Attempt()
