--- a/edge/node.go
+++ b/edge/node.go
@@ -85,6 +85,7 @@
 	agent     *loadshare.Agent
 	pool      *directhttp.Pool
 	exchange  *exchange.Exchange
+	reports   *reports
 	callers   *http.Server
 	checks    *http.Server
 	listeners []net.Listener
@@ -124,6 +125,11 @@
 		},
 		MaxAnswerBytes: maxAnswerBytes, Backoff: comeBack,
 	})
+	n.reports = &reports{
+		self: settings.Name, reporter: platform.NewReports(directhttp.NewPool(dialTimeout, nil)),
+		follower: n.follower, gate: n.gate, live: n.agent.Live, told: n.agent.Changed, logger: n.logger,
+		failing: map[string]bool{},
+	}
 	return n, n.listen()
 }
 
@@ -190,6 +196,7 @@
 	group.Go(func() { n.follower.Run(work) })
 	group.Go(func() { n.agent.Run(work) })
 	group.Go(func() { n.sweep(work) })
+	group.Go(func() { n.reports.run(work) })
 	failed := make(chan error, len(n.listeners))
 	for i, server := range []*http.Server{n.callers, n.checks} {
 		group.Go(func() {
@@ -221,6 +228,7 @@
 	n.agent.Leave()
 	n.logger.Info().Int64("active", n.active.Load()).Msg("node drains")
 	time.Sleep(min(balancerLag, time.Until(end)))
+	n.exchange.CloseStreams()
 	n.callers.SetKeepAlivesEnabled(false)
 	const look = 20 * time.Millisecond
 	for quiet := 0; quiet < 5 && time.Now().Before(end); time.Sleep(look) {
--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -33,6 +33,9 @@
 	if route == nil {
 		return Admission{}, e.deny(NoRoute, age)
 	}
+	if route.Kind == fleet.Stream && e.closing.Load() {
+		return Admission{}, &Failure{Code: Unavailable, Reason: "node_ends", RetryAfter: e.config.Backoff}
+	}
 	admitted := Admission{Site: snapshot.Site, Route: route}
 	if !snapshot.Site.Keyed || route.Open {
 		return admitted, nil
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -165,8 +166,13 @@
 // Exchange serves requests. It is safe for concurrent use.
 type Exchange struct {
 	config Config
+	// closing is true when the node ends too soon for new streams.
+	closing atomic.Bool
 }
 
+// CloseStreams refuses new streams from now on: the node ends before they would.
+func (e *Exchange) CloseStreams() { e.closing.Store(true) }
+
 // New returns an exchange.
 func New(config Config) *Exchange { return &Exchange{config: config} }
 
--- a/exchange/gate.go
+++ b/exchange/gate.go
@@ -121,18 +121,11 @@
 // FirstEvent notes that a placed request's prompt was read.
 func (g *Gate) FirstEvent(id string) {
 	g.mutex.Lock()
-	g.scheduler.FirstEvent(id)
+	g.scheduler.FirstEvent(g.now(), id)
 	g.mutex.Unlock()
 	g.changed()
 }
 
-// Pause notes the time between two events of a stream.
-func (g *Gate) Pause(id string, pause time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.scheduler.Pause(g.now(), id, pause)
-}
-
 // End frees what a placed request held.
 func (g *Gate) End(id string, outcome placement.Outcome, guilty string) {
 	g.mutex.Lock()
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -129,6 +129,9 @@
 		Regions:      r.request.Route.Regions,
 		Again:        r.placements > 1,
 	}
+	if patience := r.request.Route.Patience; patience > 0 && !r.begun {
+		request.LeavesAt = gate.At(r.request.Arrived.Add(patience))
+	}
 	return gate.Place(ctx, request)
 }
 
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -34,8 +34,6 @@
 		}
 		if first {
 			gate.FirstEvent(decision.ID)
-		} else {
-			gate.Pause(decision.ID, time.Since(r.lastEvent))
 		}
 		watch.progress()
 		if failed := r.pass(reply, data, number); failed != nil {
--- a/fleet/site.go
+++ b/fleet/site.go
@@ -38,6 +38,9 @@
 	LatencyTarget time.Duration
 	// PauseTarget is the longest pause between events that callers are promised.
 	PauseTarget time.Duration
+	// Patience is how long callers wait for the first event of a stream, or for the
+	// next one, before they leave; 0 is until their deadline.
+	Patience time.Duration
 	// Priority is the rank of the route; 0 comes first.
 	Priority int
 	// MaxAttempts bounds the upstreams that one request may run on.
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -61,6 +61,7 @@
 	heardAt     time.Time
 	beliefsAge  time.Duration
 	silent      bool
+	leaving     bool
 }
 
 // Agent tells and hears.
@@ -237,7 +238,7 @@
 	older := !reborn && m.Sequence <= p.sequence
 	p.address, p.incarnation, p.heardAt, p.silent = from, m.Incarnation, time.Now(), false
 	if !older {
-		p.sequence, p.beliefsAge = m.Sequence, m.BeliefsAge
+		p.sequence, p.beliefsAge, p.leaving = m.Sequence, m.BeliefsAge, m.Leaving
 	}
 	a.mutex.Unlock()
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) {
@@ -250,6 +251,19 @@
 	})
 }
 
+// Live names the nodes in touch, without this one.
+func (a *Agent) Live() []string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	names := make([]string, 0, len(a.peers))
+	for name, p := range a.peers {
+		if p.incarnation != 0 && !p.leaving && time.Since(p.heardAt) < silentAfter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // FresherPeer reports whether a node in touch has beliefs younger than age.
 func (a *Agent) FresherPeer(age time.Duration) bool {
 	a.mutex.Lock()
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -38,7 +38,7 @@
 const (
 	flagWhole   = 1
 	flagLeaving = 2
-	// tenths keeps a tenth of a ms of reading time.
+	// tenths keeps a tenth of a ms of reading time, and of a pace.
 	tenths = 10
 )
 
@@ -62,7 +62,8 @@
 		b = binary.AppendUvarint(b, uint64(share.Totals.Running))
 		b = binary.AppendUvarint(b, uint64(share.Totals.Memory))
 		b = binary.AppendUvarint(b, uint64(share.Totals.Helping))
-		b = binary.AppendUvarint(b, uint64(share.AddedMs*tenths))
+		b = binary.AppendVarint(b, int64(share.AddedMs*tenths))
+		b = binary.AppendUvarint(b, uint64(share.Pace*tenths))
 		b = binary.AppendUvarint(b, uint64(share.AvoidFor.Milliseconds()))
 	}
 	return b
@@ -84,6 +85,16 @@
 	return value
 }
 
+func (r *reader) signed() int64 {
+	value, n := binary.Varint(r.data)
+	if n <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.data = r.data[n:]
+	return max(-maxCount, min(value, maxCount))
+}
+
 func (r *reader) bytes(n uint64) []byte {
 	if n > uint64(len(r.data)) {
 		r.failed = true
@@ -117,7 +128,8 @@
 		}
 		share := placement.Share{Hash: binary.BigEndian.Uint32(hash)}
 		share.Totals = placement.Totals{Running: r.count(), Memory: r.count(), Helping: r.count()}
-		share.AddedMs = float64(r.count()) / tenths
+		share.AddedMs = float64(r.signed()) / tenths
+		share.Pace = float64(r.count()) / tenths
 		share.AvoidFor = time.Duration(r.count()) * time.Millisecond
 		m.Shares = append(m.Shares, share)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -140,14 +140,14 @@
 
 func (s *Scheduler) place(now time.Duration, request *Request, service *fleet.Service, lead *load, helpers []*load) Decision {
 	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.backlog(now)}
-	held := &placed{lead: lead, helpers: helpers}
+	held := &placed{lead: lead}
 	lead.warm(now, s.warmRate(service))
 	if service.Engine != nil && request.PromptTokens > 0 {
 		held.memory = request.PromptTokens + request.AnswerTokens
 		held.partMs = readMs(service.Engine, request.PromptTokens) / float64(1+len(helpers))
-		slowest := s.read(now, lead, held.partMs)
+		slowest := s.read(now, held, lead)
 		for _, l := range helpers {
-			slowest = max(slowest, s.read(now, l, held.partMs))
+			slowest = max(slowest, s.read(now, held, l))
 			l.helping++
 			s.changed[l] = struct{}{}
 			decision.Helpers = append(decision.Helpers, l.entry)
@@ -164,9 +164,10 @@
 }
 
 // read books the reading of a part and returns when it will be read, in ms.
-func (s *Scheduler) read(now time.Duration, l *load, ms float64) float64 {
-	l.addBacklog(now, ms)
-	l.toldMs += ms
+func (s *Scheduler) read(now time.Duration, held *placed, l *load) float64 {
+	l.addBacklog(now, held.partMs)
+	l.toldMs += held.partMs
+	held.parts = append(held.parts, part{load: l, addedMs: l.addedMs})
 	return l.backlogMs * l.paceNow(now) / readShare
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -10,10 +10,10 @@
 	// readShare is the part of a pass that reads while a backlog is there: an
 	// engine of the users' platform reads 10 ms and writes 1 ms in each step.
 	readShare = 0.85
-	// paceWeight is the weight of one new observation of an engine's pace.
-	paceWeight = 0.3
-	// paceLife is how long an observed pace counts without a new one.
-	paceLife = 3 * time.Second
+	// reportLife is how long a report counts: some intervals between reports.
+	reportLife = 2 * time.Second
+	// slowest bounds the pace that a report may claim.
+	slowest = 20
 	// failWeight is the weight of one new outcome in the share of failures.
 	failWeight = 0.2
 	// failLife halves the share of failures without new outcomes.
@@ -37,7 +37,9 @@
 	// backlogMs is the unread time of all nodes' prompts at backlogAt.
 	backlogMs float64
 	backlogAt time.Duration
-	// pace is how many times longer than its model the engine takes.
+	// addedMs is all reading that was ever booked.
+	addedMs float64
+	// pace is how many times longer than its model the engine said to take, at paceAt.
 	pace   float64
 	paceAt time.Duration
 	// failShare is the decaying share of failed attempts at failAt.
@@ -49,6 +51,8 @@
 	ownAvoid bool
 	// toldMs is the reading placed since the others were last told.
 	toldMs float64
+	// toldPace is a pace that the others were not told yet.
+	toldPace float64
 	// warmTokens is this node's part of the rate that a cold upstream bears.
 	warmTokens float64
 	warmAt     time.Duration
@@ -73,21 +77,24 @@
 	return max(0, l.backlogMs-done)
 }
 
+// addBacklog books reading, or takes it back where ms is negative.
 func (l *load) addBacklog(now time.Duration, ms float64) {
-	l.backlogMs = l.backlog(now) + ms
+	l.backlogMs = max(0, l.backlog(now)+ms)
+	l.backlogAt = now
+	l.addedMs += max(0, ms)
+}
+
+// readUpTo notes that all reading was done that had been booked when addedMs was at.
+func (l *load) readUpTo(now time.Duration, at float64) {
+	l.backlogMs = min(l.backlog(now), max(0, l.addedMs-at))
 	l.backlogAt = now
 }
 
 func (l *load) paceNow(now time.Duration) float64 {
-	if l.pace < 1 || now-l.paceAt > paceLife {
+	if l.pace < 1 || now-l.paceAt > reportLife {
 		return 1
 	}
-	return l.pace
-}
-
-func (l *load) observePace(now time.Duration, pace float64) {
-	l.pace = l.paceNow(now)*(1-paceWeight) + max(1, pace)*paceWeight
-	l.paceAt = now
+	return min(l.pace, slowest)
 }
 
 // failures is the decaying share of failed attempts.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -21,40 +21,37 @@
 	Neutral
 )
 
-// FirstEvent notes that the prompt was read. The time since the send tells the
-// pace of the engine.
-func (s *Scheduler) FirstEvent(id string) {
+// FirstEvent notes that the prompt was read, and with it what its engines had to
+// read before.
+func (s *Scheduler) FirstEvent(now time.Duration, id string) {
 	held := s.running[id]
 	if held == nil || held.read {
 		return
 	}
+	for _, part := range held.parts {
+		part.load.readUpTo(now, part.addedMs)
+	}
 	s.endRead(held)
 }
 
 func (s *Scheduler) endRead(held *placed) {
 	held.read = true
-	for _, l := range held.helpers {
-		l.helping--
-		s.changed[l] = struct{}{}
+	for _, part := range held.parts {
+		if part.load != held.lead {
+			part.load.helping--
+			s.changed[part.load] = struct{}{}
+		}
 	}
 }
 
-// Pause notes the time between two events of a stream, for the pace of its engine.
-func (s *Scheduler) Pause(now time.Duration, id string, pause time.Duration) {
-	held := s.running[id]
-	if held == nil || s.site == nil || s.site.Services[held.lead.entry.Service] == nil {
-		return
+// unbook takes back the reading of a prompt that will not be read.
+func (s *Scheduler) unbook(now time.Duration, held *placed) {
+	for _, part := range held.parts {
+		part.load.addBacklog(now, -held.partMs)
+		part.load.toldMs -= held.partMs
 	}
-	engine := s.site.Services[held.lead.entry.Service].Engine
-	if engine == nil || held.lead.backlog(now) > 0 {
-		return
-	}
-	expected := passMs(engine, held.lead.totalRunning(), held.lead.totalMemory())
-	held.lead.observePace(now, milliseconds(pause)/expected)
 }
 
-func milliseconds(pause time.Duration) float64 { return float64(pause.Microseconds()) / 1000 }
-
 // End frees what an attempt held. Guilty is the upstream that the failure is put
 // down to; empty is the lead.
 func (s *Scheduler) End(now time.Duration, id string, outcome Outcome, guilty string) {
@@ -64,6 +61,7 @@
 	}
 	delete(s.running, id)
 	if !held.read {
+		s.unbook(now, held)
 		s.endRead(held)
 	}
 	held.lead.running--
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -47,6 +47,9 @@
 	// Arrived, Due and Deadline are readings of the scheduler's clock: when it
 	// came, when its answer has to begin to be on time, and when it must have ended.
 	Arrived, Due, Deadline time.Duration
+	// LeavesAt is when the caller leaves if its answer has not begun; 0 is at the
+	// deadline.
+	LeavesAt time.Duration
 	// Avoid holds the IDs of upstreams where an earlier attempt failed.
 	Avoid []string
 	// Regions are those whose upstreams may run it; empty is all.
@@ -85,11 +88,20 @@
 
 // placed is a request that runs.
 type placed struct {
-	lead    *load
-	helpers []*load
-	memory  int
-	partMs  float64
-	read    bool
+	lead *load
+	// parts are the engines that read the prompt, the lead first.
+	parts  []part
+	memory int
+	// partMs is the reading time of each part.
+	partMs float64
+	read   bool
+}
+
+// part is one engine's part of a prompt.
+type part struct {
+	load *load
+	// addedMs is all that had been booked there, with this part.
+	addedMs float64
 }
 
 // Scheduler holds the loads and the queue.
@@ -162,20 +174,32 @@
 	return a.Due < b.Due
 }
 
-// Advance decides on waiting requests, in their order.
+// Advance decides on waiting requests: first those that can still begin on time,
+// in their order, then the others. When more comes than can be served, some are
+// served on time instead of all of them late.
 func (s *Scheduler) Advance(now time.Duration) []Decision {
 	var decisions []Decision
-	kept := s.queue[:0]
+	var kept, late []*Request
 	for _, request := range s.queue {
-		decision, decided := s.decide(now, request)
-		if decided {
+		if now > request.Due-beginSlack {
+			late = append(late, request)
+			continue
+		}
+		if decision, decided := s.decide(now, request); decided {
+			decisions = append(decisions, decision)
+		} else {
+			kept = append(kept, request)
+		}
+	}
+	for _, request := range late {
+		if decision, decided := s.decide(now, request); decided {
 			decisions = append(decisions, decision)
 		} else {
 			kept = append(kept, request)
 		}
 	}
-	clear(s.queue[len(kept):])
 	s.queue = kept
+	sort.SliceStable(s.queue, func(i, j int) bool { return before(s.queue[i], s.queue[j]) })
 	return decisions
 }
 
@@ -203,7 +227,7 @@
 	} else {
 		decision, done = s.placePlain(now, request, service, eligible)
 	}
-	if !done && now >= request.Deadline-minimumRun {
+	if !done && now >= s.lastStart(request) {
 		return refuse(request, TooLate, s.retryAfter(now, request)), true
 	}
 	return decision, done
@@ -215,8 +239,20 @@
 	defaultRetryAfter = time.Second
 	// minimumRun is the time without which no upstream can give an answer.
 	minimumRun = 50 * time.Millisecond
+	// beginSlack is the time from the send to the first event of a short prompt at
+	// an engine without backlog: two passes.
+	beginSlack = 100 * time.Millisecond
 )
 
+// lastStart is when a waiting request is given up: its caller would leave before
+// the answer begins.
+func (s *Scheduler) lastStart(request *Request) time.Duration {
+	if request.LeavesAt > 0 {
+		return min(request.Deadline-minimumRun, request.LeavesAt-beginSlack)
+	}
+	return request.Deadline - minimumRun
+}
+
 func refuse(request *Request, reason Reason, after time.Duration) Decision {
 	return Decision{ID: request.ID, Reason: reason, RetryAfter: after}
 }
--- a/placement/share.go
+++ b/placement/share.go
@@ -8,8 +8,12 @@
 type Share struct {
 	Hash   uint32
 	Totals Totals
-	// AddedMs is the reading that was placed there since the last share.
+	// AddedMs is the reading that was placed there since the last share, less what
+	// was taken back.
 	AddedMs float64
+	// Pace is how many times longer than its model the upstream reported to take,
+	// to this node since the last share; 0 is no report.
+	Pace float64
 	// AvoidFor is how long the teller avoids the upstream; 0 is not at all.
 	AvoidFor time.Duration
 }
@@ -24,7 +28,8 @@
 		}
 		share := Share{Hash: l.hash, Totals: Totals{Running: l.running, Memory: l.memory, Helping: l.helping}}
 		share.AddedMs = l.toldMs
-		l.toldMs = 0
+		share.Pace = l.toldPace
+		l.toldMs, l.toldPace = 0, 0
 		if now < l.avoidUntil && l.ownAvoid {
 			share.AvoidFor = l.avoidUntil - now
 		}
@@ -57,9 +62,12 @@
 			continue
 		}
 		l.tell(node, share.Totals)
-		if share.AddedMs > 0 {
+		if share.AddedMs != 0 {
 			l.addBacklog(now, share.AddedMs)
 		}
+		if share.Pace > 0 {
+			l.pace, l.paceAt = share.Pace, now
+		}
 		if share.AvoidFor > 0 && now >= l.avoidUntil {
 			l.avoidUntil = now + min(share.AvoidFor, lastAvoid)
 			l.ownAvoid = false
@@ -73,3 +81,32 @@
 		l.tell(node, Totals{})
 	}
 }
+
+// Report is an upstream's word on itself.
+type Report struct {
+	// Pace is how many times longer than its model it takes; 1 is on time.
+	Pace float64
+	// Queued and Active are its requests.
+	Queued, Active int
+	// MemoryTokens is the memory that its requests hold.
+	MemoryTokens int
+	// StartedMs names the incarnation that reports; 0 is unsaid.
+	StartedMs int64
+}
+
+// Reported takes a report, or its failure, that this node asked for.
+func (s *Scheduler) Reported(now time.Duration, id string, report Report, ok bool) {
+	l := s.loads[id]
+	if l == nil {
+		return
+	}
+	if !ok {
+		l.avoid(now)
+		s.changed[l] = struct{}{}
+		return
+	}
+	if report.Pace != l.paceNow(now) {
+		s.changed[l] = struct{}{}
+	}
+	l.pace, l.paceAt, l.toldPace = report.Pace, now, report.Pace
+}
