--- a/edge/node.go
+++ b/edge/node.go
@@ -68,8 +68,9 @@
 	partMs = 50
 	// maxParts is the most engines that one prompt may be read by: the lead and 16.
 	maxParts = 17
-	// backlogMs holds long prompts back over this unread time an engine.
-	backlogMs = 150
+	// backlogMs is the unread time an engine over which long prompts wait: the pause
+	// target of short streams less a pass.
+	backlogMs = 180
 	// warmShare is the part of the allowed rate of cold upstreams that is used.
 	warmShare = 0.85
 )
--- a/exchange/gate.go
+++ b/exchange/gate.go
@@ -135,8 +135,9 @@
 	g.changed()
 }
 
-// Expected is the time to the next event of a placed request by what is known now.
-func (g *Gate) Expected(decision *placement.Decision) time.Duration {
+// Expected is the time to the next event of a placed request by what is known now,
+// and whether its engine answered a question a short time ago.
+func (g *Gate) Expected(decision *placement.Decision) (time.Duration, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.scheduler.Expected(g.now(), decision)
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -64,6 +64,7 @@
 		b = binary.AppendUvarint(b, uint64(share.Totals.Helping))
 		b = binary.AppendVarint(b, int64(share.AddedMs*tenths))
 		b = binary.AppendUvarint(b, uint64(share.Pace*tenths))
+		b = binary.AppendUvarint(b, uint64(share.Unknown))
 		b = binary.AppendUvarint(b, uint64(share.AvoidFor.Milliseconds()))
 	}
 	return b
@@ -130,6 +131,7 @@
 		share.Totals = placement.Totals{Running: r.count(), Memory: r.count(), Helping: r.count()}
 		share.AddedMs = float64(r.signed()) / tenths
 		share.Pace = float64(r.count()) / tenths
+		share.Unknown = r.count()
 		share.AvoidFor = time.Duration(r.count()) * time.Millisecond
 		m.Shares = append(m.Shares, share)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,8 @@
 	plainRunningMs = 5
 	// plainQueue is how many requests more than its slots a plain service is sent.
 	plainQueue = 4
+	// idleBacklogMs is unread time that delays nothing worth a wait.
+	idleBacklogMs = 5
 	// jitterMs spreads the choice between equals.
 	jitterMs = 2
 )
@@ -81,7 +83,8 @@
 			helpers = append(helpers, l)
 		}
 	}
-	if wanted > 1 && s.mustPace(now, request, lead, helpers) {
+	part := readMs(engine, request.PromptTokens) / float64(1+len(helpers))
+	if wanted > 1 && s.mustPace(now, request, lead, helpers, part) {
 		return Decision{}, false
 	}
 	return s.place(now, request, service, lead, helpers), true
@@ -117,16 +120,16 @@
 func (s *Scheduler) lead(now time.Duration, service *fleet.Service, scores []scored, need int) *load {
 	for _, candidate := range scores {
 		l := candidate.load
-		if l.totalRunning() < service.Engine.Slots && l.totalMemory()+need <= service.Engine.MemoryTokens && s.warm(now, l, service) {
+		if l.occupied(now) < service.Engine.Slots && l.totalMemory()+need <= service.Engine.MemoryTokens && s.warm(now, l, service) {
 			return l
 		}
 	}
 	return nil
 }
 
-// mustPace holds a long prompt back while its engines have much unread, as long
-// as it can still be on time.
-func (s *Scheduler) mustPace(now time.Duration, request *Request, lead *load, helpers []*load) bool {
+// mustPace holds a long prompt back while its engines have so much unread that
+// streams beside it would pause too long, as long as it can still be on time.
+func (s *Scheduler) mustPace(now time.Duration, request *Request, lead *load, helpers []*load, part float64) bool {
 	if s.config.BacklogMs <= 0 {
 		return false
 	}
@@ -135,7 +138,10 @@
 		total += l.backlog(now)
 	}
 	mean := total / float64(1+len(helpers))
-	return mean > s.config.BacklogMs && now+time.Duration(mean*2*float64(time.Millisecond)) < request.Due
+	if mean < idleBacklogMs || mean+part <= s.config.BacklogMs {
+		return false
+	}
+	return now+time.Duration((mean+2*part)*float64(time.Millisecond))+beginSlack < request.Due
 }
 
 func (s *Scheduler) place(now time.Duration, request *Request, service *fleet.Service, lead *load, helpers []*load) Decision {
--- a/placement/load.go
+++ b/placement/load.go
@@ -12,6 +12,8 @@
 	readShare = 0.85
 	// reportLife is how long a report counts: some intervals between reports.
 	reportLife = 2 * time.Second
+	// unknownLife is how long requests that no node knows of count after a report.
+	unknownLife = 700 * time.Millisecond
 	// slowest bounds the pace that a report may claim.
 	slowest = 20
 	// failWeight is the weight of one new outcome in the share of failures.
@@ -39,6 +41,9 @@
 	backlogAt time.Duration
 	// addedMs is all reading that was ever booked.
 	addedMs float64
+	// unknown is how many more requests the upstream reported than all nodes have
+	// there, at paceAt: those of nodes that died, and those not dropped yet.
+	unknown int
 	// pace is how many times longer than its model the engine said to take, at paceAt.
 	pace   float64
 	paceAt time.Duration
@@ -68,6 +73,14 @@
 }
 
 func (l *load) totalRunning() int { return l.running + l.sums.Running }
+
+// occupied is the number of requests at the upstream, with those that no node has.
+func (l *load) occupied(now time.Duration) int {
+	if now-l.paceAt > unknownLife {
+		return l.totalRunning()
+	}
+	return l.totalRunning() + l.unknown
+}
 func (l *load) totalMemory() int  { return l.memory + l.sums.Memory }
 func (l *load) totalHelping() int { return l.helping + l.sums.Helping }
 
@@ -122,6 +135,11 @@
 	}
 }
 
+// reported reports whether the upstream answered a question a short time ago.
+func (l *load) reported(now time.Duration) bool {
+	return l.paceAt > 0 && now-l.paceAt < reportLife/2
+}
+
 // avoid keeps new requests away from an upstream that did not answer.
 func (l *load) avoid(now time.Duration) {
 	if now < l.avoidUntil {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -91,20 +91,24 @@
 }
 
 // Expected is the time to the next event of a request by what is known now: what
-// its engines have not read, and a pass.
-func (s *Scheduler) Expected(now time.Duration, decision *Decision) time.Duration {
+// its engines have not read, and a pass. It also reports whether the engine that
+// writes answered a question a short time ago.
+func (s *Scheduler) Expected(now time.Duration, decision *Decision) (time.Duration, bool) {
 	if s.site == nil {
-		return 0
+		return 0, false
 	}
 	service := s.site.Services[decision.Lead.Service]
 	if service == nil || service.Engine == nil {
-		return 0
+		return 0, false
+	}
+	most, answers := 0.0, false
+	if l := s.loads[decision.Lead.ID]; l != nil {
+		answers = l.reported(now)
 	}
-	most := 0.0
 	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
 		if l := s.loads[entry.ID]; l != nil {
 			most = max(most, l.backlog(now)*l.paceNow(now)/readShare+passMs(service.Engine, l.totalRunning(), l.totalMemory()))
 		}
 	}
-	return time.Duration(most * float64(time.Millisecond))
+	return time.Duration(most * float64(time.Millisecond)), answers
 }
--- a/placement/share.go
+++ b/placement/share.go
@@ -14,6 +14,8 @@
 	// Pace is how many times longer than its model the upstream reported to take,
 	// to this node since the last share; 0 is no report.
 	Pace float64
+	// Unknown is the number of requests that no node knows of, with Pace.
+	Unknown int
 	// AvoidFor is how long the teller avoids the upstream; 0 is not at all.
 	AvoidFor time.Duration
 }
@@ -28,7 +30,7 @@
 		}
 		share := Share{Hash: l.hash, Totals: Totals{Running: l.running, Memory: l.memory, Helping: l.helping}}
 		share.AddedMs = l.toldMs
-		share.Pace = l.toldPace
+		share.Pace, share.Unknown = l.toldPace, l.unknown
 		l.toldMs, l.toldPace = 0, 0
 		if now < l.avoidUntil && l.ownAvoid {
 			share.AvoidFor = l.avoidUntil - now
@@ -66,7 +68,8 @@
 			l.addBacklog(now, share.AddedMs)
 		}
 		if share.Pace > 0 {
-			l.pace, l.paceAt = share.Pace, now
+			l.pace, l.paceAt, l.unknown = share.Pace, now, share.Unknown
+			l.avoidUntil, l.avoidFor = 0, 0
 		}
 		if share.AvoidFor > 0 && now >= l.avoidUntil {
 			l.avoidUntil = now + min(share.AvoidFor, lastAvoid)
@@ -100,13 +103,12 @@
 	if l == nil {
 		return
 	}
+	s.changed[l] = struct{}{}
 	if !ok {
 		l.avoid(now)
-		s.changed[l] = struct{}{}
 		return
 	}
-	if report.Pace != l.paceNow(now) {
-		s.changed[l] = struct{}{}
-	}
-	l.pace, l.paceAt, l.toldPace = report.Pace, now, report.Pace
+	l.pace, l.paceAt, l.toldPace = max(1, report.Pace), now, max(1, report.Pace)
+	l.unknown = max(0, report.Queued+report.Active-l.totalRunning())
+	l.avoidUntil, l.avoidFor = 0, 0
 }
