--- a/edge/node.go
+++ b/edge/node.go
@@ -70,7 +70,7 @@
 	maxParts = 17
 	// backlogMs is the unread time an engine over which long prompts wait: the pause
 	// target of short streams less a pass.
-	backlogMs = 180
+	backlogMs = 150
 	// warmShare is the part of the allowed rate of cold upstreams that is used.
 	warmShare = 0.85
 )
@@ -117,8 +117,10 @@
 	n.agent.BeliefsAge = n.beliefsAge
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
+	control := directhttp.NewPool(dialTimeout, nil)
 	n.exchange = exchange.New(exchange.Config{
 		Gate: n.gate, Retries: n.retries, Upstreams: platform.NewEgress(n.pool, maxIdle, onceIdle),
+		Memory:   platform.NewMemory(control),
 		Follower: n.follower, Logger: n.logger, Metrics: n.metrics, Now: bootClock,
 		Freshness: fleet.Freshness{
 			RunUntil:  milliseconds(settings.RevokeMs) - revokeMargin,
@@ -127,7 +129,7 @@
 		MaxAnswerBytes: maxAnswerBytes, Backoff: comeBack,
 	})
 	n.reports = &reports{
-		self: settings.Name, reporter: platform.NewReports(directhttp.NewPool(dialTimeout, nil)),
+		self: settings.Name, reporter: platform.NewReports(control),
 		follower: n.follower, gate: n.gate, live: n.agent.Live, told: n.agent.Changed, logger: n.logger,
 		failing: map[string]bool{},
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,6 +63,8 @@
 	Helpers  []*fleet.Upstream
 	// Deadline is when the upstream may stop.
 	Deadline time.Time
+	// Tickets are memory that was reserved for the request, the upstream's own first.
+	Tickets []Ticket
 	// After is the number of the event to go on after; 0 is from the start.
 	After int64
 	// Urgency ranks the request at an engine: 0 to 9, 0 first.
@@ -150,6 +152,7 @@
 	Gate      *Gate
 	Retries   *RetryBudget
 	Upstreams Upstreams
+	Memory    Memory
 	Follower  *follow.Follower
 	Logger    zerolog.Logger
 	Metrics   *telemetry.Metrics
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -69,11 +69,16 @@
 			r.fail(ctx, Failure{Code: Overloaded, Reason: string(decision.Reason), RetryAfter: decision.RetryAfter})
 			return
 		}
-		if !config.Gate.InService(&decision) {
+		reserved, ok := r.reserve(ctx, &decision)
+		if !ok || !config.Gate.InService(&decision) {
+			reserved.release()
 			config.Gate.End(decision.ID, placement.Neutral, "")
+			pause(ctx, reservePause/2+rand.N(reservePause))
 			continue
 		}
-		switch r.attempt(ctx, &decision) {
+		went := r.attempt(ctx, &decision, reserved)
+		reserved.release()
+		switch went {
 		case done:
 			return
 		case failed:
@@ -84,6 +89,15 @@
 	}
 }
 
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // repeat says whether the request goes to another upstream.
 func (r *run) repeat(ctx context.Context) next {
 	if r.mayRepeat(ctx) {
@@ -136,7 +150,7 @@
 }
 
 // attempt sends the request once to where it was placed.
-func (r *run) attempt(ctx context.Context, decision *placement.Decision) next {
+func (r *run) attempt(ctx context.Context, decision *placement.Decision, reserved *tickets) next {
 	config := &r.exchange.config
 	r.attempts++
 	attempt := &Attempt{
@@ -144,6 +158,9 @@
 		Deadline: r.request.Deadline, After: r.sent, Once: !r.request.Route.Repeatable(),
 		Urgency: decision.Urgency,
 	}
+	if reserved != nil {
+		attempt.Tickets = reserved.list
+	}
 	config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).Str("service", r.service).
 		Int("helpers", len(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
 		Dur("expected_first_ms", decision.ExpectedFirst).Dur("waited_ms", time.Since(r.request.Arrived)).
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -66,6 +66,12 @@
 	}
 	held.lead.running--
 	held.lead.memory -= held.memory
+	for _, part := range held.parts {
+		if part.memory > 0 {
+			part.load.memory -= part.memory
+			s.changed[part.load] = struct{}{}
+		}
+	}
 	s.changed[held.lead] = struct{}{}
 	s.judge(now, held, outcome, guilty)
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -74,6 +74,9 @@
 	ID      string
 	Lead    *fleet.Upstream
 	Helpers []*fleet.Upstream
+	// Reserve is the memory to set aside before the send, the lead's first; empty
+	// where the lead holds the whole prompt.
+	Reserve []Reservation
 	Reason  Reason
 	// RetryAfter is set for a refusal.
 	RetryAfter time.Duration
@@ -86,11 +89,18 @@
 	ExpectedFirst time.Duration
 }
 
+// Reservation is memory to set aside at one engine.
+type Reservation struct {
+	Upstream *fleet.Upstream
+	Tokens   int
+}
+
 // placed is a request that runs.
 type placed struct {
 	lead *load
 	// parts are the engines that read the prompt, the lead first.
-	parts  []part
+	parts []part
+	// memory is what the lead has to hold beside what is reserved in parts.
 	memory int
 	// partMs is the reading time of each part.
 	partMs float64
@@ -102,6 +112,8 @@
 	load *load
 	// addedMs is all that had been booked there, with this part.
 	addedMs float64
+	// memory is set aside there.
+	memory int
 }
 
 // Scheduler holds the loads and the queue.
