--- a/placement/choose.go
+++ b/placement/choose.go
@@ -59,58 +59,158 @@
 	return service.WarmRate * s.config.WarmMargin / float64(s.nodes)
 }
 
-// placeEngine chooses the lead and, for a long prompt, the engines that read with
-// it, and those that hold a part of it.
+// placeEngine places a short prompt on one engine, and a long one on the engines
+// that read it, and hold it, together.
 func (s *Scheduler) placeEngine(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
 	engine := service.Engine
-	scores := s.scores(now, engine, eligible)
-	slices.SortFunc(scores, func(a, b scored) int { return compare(a.score, b.score) })
+	work := readMs(engine, request.PromptTokens)
+	if work <= shortParts*s.config.PartMs {
+		lead := s.lead(now, service, s.scores(now, engine, eligible), request)
+		if lead == nil {
+			return Decision{}, false
+		}
+		return s.place(now, request, service, lead, nil, nil), true
+	}
+	return s.placeLong(now, request, service, eligible, work)
+}
+
+const (
+	// shortParts is the number of parts up to which a prompt is read by one engine.
+	shortParts = 1.5
+	// openMs is the score of an engine without tight streams for another one: a
+	// prompt is rather read where such streams already are, so that others stay
+	// free for long reads.
+	openMs = 40
+	// apartShare is the part of that time up to which only engines without tight
+	// streams read: over it, their backlog would grow.
+	apartShare = 0.4
+	// bigPartMs is the part up to which a prompt is split over all engines when they
+	// are loaded; a longer one is read by few, so that it stops fewer streams.
+	bigPartMs = 400
+	// aimShare is the part of the time left that reading a long prompt may take.
+	aimShare = 0.8
+)
+
+// placeLong chooses the readers of a long prompt. Engines without tight streams
+// come first. If they would be too late, the prompt is split over so many that no
+// part stops a tight stream for too long; if that can't be, over the fewest that
+// are in time.
+func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, work float64) (Decision, bool) {
+	engine := service.Engine
+	readers := s.readers(now, engine, eligible)
+	left := float64((request.Due-now).Milliseconds())*aimShare - passMs(engine, 1, request.PromptTokens)
+	free := 0
+	for free < len(readers) && readers[free].totalTight() == 0 {
+		free++
+	}
+	most := min(s.config.MaxParts, len(readers))
+	count := 0
+	switch {
+	case free > 0 && s.readTime(now, readers, min(free, most), work) <= left*apartShare:
+		count = min(free, most, parts(engine, request.PromptTokens, s.config.PartMs, most))
+	case s.readTime(now, readers, most, work) <= s.config.BacklogMs:
+		count = most
+	case s.mayWait(now, request, readers[:most], work):
+		return Decision{}, false
+	case work/float64(most) <= bigPartMs:
+		count = most
+	default:
+		for count = max(1, min(free, most)); count < most && s.readTime(now, readers, count, work) > left; {
+			count++
+		}
+	}
 	need := request.PromptTokens + request.AnswerTokens
-	var holders []*load
-	var lead *load
 	if need > engine.MemoryTokens {
-		var possible bool
-		holders, possible = s.holders(now, service, scores, request)
-		if !possible {
-			return refuse(request, TooLarge, defaultRetryAfter), true
+		return s.placeHeld(now, request, service, readers, count)
+	}
+	for i, l := range readers {
+		if l.occupied(now) < engine.Slots && l.totalMemory()+need <= engine.MemoryTokens && s.warm(now, l, service) {
+			helpers := slices.Clone(readers[:min(count, len(readers))])
+			if i < count {
+				helpers = slices.Delete(helpers, i, i+1)
+			} else {
+				helpers = helpers[:count-1]
+			}
+			return s.place(now, request, service, l, helpers, nil), true
 		}
-		if len(holders) > 0 {
-			lead = holders[0]
+	}
+	return Decision{}, false
+}
+
+// readers are the engines that may read a part, those whose reading stops the
+// fewest tight streams first.
+func (s *Scheduler) readers(now time.Duration, engine *fleet.Engine, eligible []*load) []*load {
+	var readers []*load
+	for _, l := range eligible {
+		if s.mayHelp(now, engine, l) {
+			readers = append(readers, l)
 		}
-	} else {
-		lead = s.lead(now, service, scores, need)
 	}
-	if lead == nil {
-		return Decision{}, false
+	if len(readers) == 0 {
+		readers = slices.Clone(eligible)
 	}
-	wanted := max(len(holders), parts(engine, request.PromptTokens, s.config.PartMs, min(s.config.MaxParts, len(scores))))
-	helpers := s.helpers(now, engine, scores, lead, holders, wanted)
-	part := readMs(engine, request.PromptTokens) / float64(1+len(helpers))
-	if wanted > 1 && s.mustPace(now, request, lead, helpers, part) {
-		return Decision{}, false
+	slices.SortFunc(readers, func(a, b *load) int {
+		if free := min(1, a.totalTight()) - min(1, b.totalTight()); free != 0 {
+			return free
+		}
+		return compare(s.readScore(now, a), s.readScore(now, b))
+	})
+	return readers
+}
+
+// readScore is the time until an engine reads, with what its failures cost.
+func (s *Scheduler) readScore(now time.Duration, l *load) float64 {
+	return l.backlog(now)*l.paceNow(now) + l.failures(now)*failCostMs + float64(l.totalTight())*tightMs
+}
+
+// tightMs is the score of each stream that a read would stop.
+const tightMs = 20
+
+// readTime is when the first count engines have read a prompt in even parts, in ms.
+func (s *Scheduler) readTime(now time.Duration, readers []*load, count int, work float64) float64 {
+	most := 0.0
+	for _, l := range readers[:count] {
+		most = max(most, (l.backlog(now)+work/float64(count))*l.paceNow(now)/readShare)
 	}
-	return s.place(now, request, service, lead, helpers, holders), true
+	return most
 }
 
-// helpers are the engines that read with the lead: those that hold a part, and the
-// best of the others.
-func (s *Scheduler) helpers(now time.Duration, engine *fleet.Engine, scores []scored, lead *load, holders []*load, wanted int) []*load {
-	var helpers []*load
-	if len(holders) > 0 {
-		helpers = append(helpers, holders[1:]...)
-		// The lead's own reservation takes one of the places.
-		wanted = min(wanted, s.config.MaxParts-1)
+// mayWait reports whether a long prompt that would stop tight streams now can
+// still be on time after what is unread has been read.
+func (s *Scheduler) mayWait(now time.Duration, request *Request, readers []*load, work float64) bool {
+	part := work / float64(len(readers)) / readShare
+	if part > s.config.BacklogMs {
+		return false
 	}
-	for _, candidate := range scores {
-		if len(helpers) >= wanted-1 {
+	total := 0.0
+	for _, l := range readers {
+		total += l.backlog(now)
+	}
+	mean := total / float64(len(readers))
+	return mean > idleBacklogMs && now+time.Duration((mean+2*part)*float64(time.Millisecond))+beginSlack < request.Due
+}
+
+// placeHeld places a prompt that several engines hold.
+func (s *Scheduler) placeHeld(now time.Duration, request *Request, service *fleet.Service, readers []*load, count int) (Decision, bool) {
+	holders, possible := s.holders(now, service, readers, request)
+	if !possible {
+		return refuse(request, TooLarge, defaultRetryAfter), true
+	}
+	if len(holders) == 0 {
+		return Decision{}, false
+	}
+	// The lead's own reservation takes one of the places.
+	count = min(max(count, len(holders)), s.config.MaxParts-1)
+	helpers := slices.Clone(holders[1:])
+	for _, l := range readers {
+		if len(helpers) >= count-1 {
 			break
 		}
-		l := candidate.load
-		if l != lead && !slices.Contains(helpers, l) && s.mayHelp(now, engine, l) {
+		if !slices.Contains(holders, l) {
 			helpers = append(helpers, l)
 		}
 	}
-	return helpers
+	return s.place(now, request, service, holders[0], helpers, holders), true
 }
 
 func (s *Scheduler) mayHelp(now time.Duration, engine *fleet.Engine, l *load) bool {
@@ -130,20 +230,18 @@
 
 // holders are the engines to hold a prompt together, the lead first; none if they
 // have no room now. It reports false if the prompt is too large for any number.
-func (s *Scheduler) holders(now time.Duration, service *fleet.Service, scores []scored, request *Request) ([]*load, bool) {
+func (s *Scheduler) holders(now time.Duration, service *fleet.Service, readers []*load, request *Request) ([]*load, bool) {
 	engine := service.Engine
 	usable := int(float64(engine.MemoryTokens) * (1 - memoryMargin))
-	if request.PromptTokens+request.AnswerTokens > usable*min(maxHolders, len(scores)) {
+	if request.PromptTokens+request.AnswerTokens > usable*min(maxHolders, len(readers)) {
 		return nil, false
 	}
 	free := func(l *load) int { return usable - l.totalMemory() }
-	var candidates []*load
-	for _, candidate := range scores {
-		if s.mayHelp(now, engine, candidate.load) {
-			candidates = append(candidates, candidate.load)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *load) int { return free(b) - free(a) })
+	// Those with room come in the readers' order, so that tight streams are spared.
+	candidates := slices.Clone(readers)
+	slices.SortStableFunc(candidates, func(a, b *load) int {
+		return min(free(b), shareTokens) - min(free(a), shareTokens)
+	})
 	most := min(maxHolders, len(candidates))
 	for count := max(2, (request.PromptTokens+shareTokens-1)/shareTokens); count <= most; count++ {
 		share := request.PromptTokens/count + 1
@@ -176,19 +274,24 @@
 	return 0
 }
 
-// scores are the expected ms until an engine would read the request.
+// scores are the expected ms until an engine would read a short prompt, best first.
 func (s *Scheduler) scores(now time.Duration, engine *fleet.Engine, eligible []*load) []scored {
 	list := make([]scored, 0, len(eligible))
 	for _, l := range eligible {
 		pass := passMs(engine, l.totalRunning(), l.totalMemory())
 		score := (l.backlog(now)+pass)*l.paceNow(now) + l.failures(now)*failCostMs + s.config.Random.Float64()*jitterMs
+		if l.totalTight() == 0 {
+			score += openMs
+		}
 		list = append(list, scored{load: l, score: score})
 	}
+	slices.SortFunc(list, func(a, b scored) int { return compare(a.score, b.score) })
 	return list
 }
 
 // lead is the best engine with a free slot and enough memory.
-func (s *Scheduler) lead(now time.Duration, service *fleet.Service, scores []scored, need int) *load {
+func (s *Scheduler) lead(now time.Duration, service *fleet.Service, scores []scored, request *Request) *load {
+	need := request.PromptTokens + request.AnswerTokens
 	for _, candidate := range scores {
 		l := candidate.load
 		if l.occupied(now) < service.Engine.Slots && l.totalMemory()+need <= service.Engine.MemoryTokens && s.warm(now, l, service) {
@@ -198,23 +301,6 @@
 	return nil
 }
 
-// mustPace holds a long prompt back while its engines have so much unread that
-// streams beside it would pause too long, as long as it can still be on time.
-func (s *Scheduler) mustPace(now time.Duration, request *Request, lead *load, helpers []*load, part float64) bool {
-	if s.config.BacklogMs <= 0 {
-		return false
-	}
-	total := lead.backlog(now)
-	for _, l := range helpers {
-		total += l.backlog(now)
-	}
-	mean := total / float64(1+len(helpers))
-	if mean < idleBacklogMs || mean+part <= s.config.BacklogMs {
-		return false
-	}
-	return now+time.Duration((mean+2*part)*float64(time.Millisecond))+beginSlack < request.Due
-}
-
 func (s *Scheduler) place(now time.Duration, request *Request, service *fleet.Service, lead *load, helpers, holders []*load) Decision {
 	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.backlog(now)}
 	held := &placed{lead: lead}
@@ -235,6 +321,10 @@
 		decision.ExpectedFirst = time.Duration(slowest * float64(time.Millisecond))
 	}
 	lead.running++
+	if request.Pause > 0 && request.Pause <= s.config.TightPause {
+		held.tight = true
+		lead.tight++
+	}
 	lead.memory += held.memory
 	s.changed[lead] = struct{}{}
 	s.running[request.ID] = held
