--- a/placement/choose.go
+++ b/placement/choose.go
@@ -77,16 +77,12 @@
 const (
 	// shortParts is the number of parts up to which a prompt is read by one engine.
 	shortParts = 1.5
-	// openMs is the score of an engine without tight streams for another one: a
-	// prompt is rather read where such streams already are, so that others stay
-	// free for long reads.
-	openMs = 40
 	// apartShare is the part of that time up to which only engines without tight
 	// streams read: over it, their backlog would grow.
 	apartShare = 0.4
 	// bigPartMs is the part up to which a prompt is split over all engines when they
 	// are loaded; a longer one is read by few, so that it stops fewer streams.
-	bigPartMs = 400
+	bigPartMs = 200
 	// aimShare is the part of the time left that reading a long prompt may take.
 	aimShare = 0.8
 )
@@ -99,23 +95,13 @@
 	engine := service.Engine
 	readers := s.readers(now, engine, eligible)
 	left := float64((request.Due-now).Milliseconds())*aimShare - passMs(engine, 1, request.PromptTokens)
-	free := 0
-	for free < len(readers) && readers[free].totalTight() == 0 {
-		free++
-	}
 	most := min(s.config.MaxParts, len(readers))
-	count := 0
+	count := min(most, parts(engine, request.PromptTokens, s.config.PartMs, most))
 	switch {
-	case free > 0 && s.readTime(now, readers, min(free, most), work) <= left*apartShare:
-		count = min(free, most, parts(engine, request.PromptTokens, s.config.PartMs, most))
-	case s.readTime(now, readers, most, work) <= s.config.BacklogMs:
-		count = most
-	case s.mayWait(now, request, readers[:most], work):
+	case s.mayWait(now, request, readers[:count], work):
 		return Decision{}, false
-	case work/float64(most) <= bigPartMs:
-		count = most
-	default:
-		for count = max(1, min(free, most)); count < most && s.readTime(now, readers, count, work) > left; {
+	case work/float64(most) > bigPartMs:
+		for count = 2; count < most && s.readTime(now, readers, count, work) > left; {
 			count++
 		}
 	}
@@ -150,9 +136,6 @@
 		readers = slices.Clone(eligible)
 	}
 	slices.SortFunc(readers, func(a, b *load) int {
-		if free := min(1, a.totalTight()) - min(1, b.totalTight()); free != 0 {
-			return free
-		}
 		return compare(s.readScore(now, a), s.readScore(now, b))
 	})
 	return readers
@@ -160,11 +143,27 @@
 
 // readScore is the time until an engine reads, with what its failures cost.
 func (s *Scheduler) readScore(now time.Duration, l *load) float64 {
-	return l.backlog(now)*l.paceNow(now) + l.failures(now)*failCostMs + float64(l.totalTight())*tightMs
+	return l.backlog(now)*l.paceNow(now) + l.failures(now)*failCostMs + float64(l.totalRunning())*writerMs
 }
 
-// tightMs is the score of each stream that a read would stop.
-const tightMs = 20
+const (
+	// writerMs is the score of each stream that a read would stop.
+	writerMs = 0.5
+	// heldLoad is the share of the engines' time that may go to reading when a
+	// prompt comes that takes several engines' memory.
+	heldLoad = 0.12
+	// busyRetryAfter is when such a prompt may find the engines less busy.
+	busyRetryAfter = 3 * time.Second
+)
+
+// readLoad is the share of the engines' time that went to reading lately.
+func (s *Scheduler) readLoad(now time.Duration, engines []*load) float64 {
+	total := 0.0
+	for _, l := range engines {
+		total += l.readShare(now)
+	}
+	return total / float64(max(1, len(engines)))
+}
 
 // readTime is when the first count engines have read a prompt in even parts, in ms.
 func (s *Scheduler) readTime(now time.Duration, readers []*load, count int, work float64) float64 {
@@ -179,19 +178,20 @@
 // still be on time after what is unread has been read.
 func (s *Scheduler) mayWait(now time.Duration, request *Request, readers []*load, work float64) bool {
 	part := work / float64(len(readers)) / readShare
-	if part > s.config.BacklogMs {
-		return false
-	}
 	total := 0.0
 	for _, l := range readers {
 		total += l.backlog(now)
 	}
 	mean := total / float64(len(readers))
-	return mean > idleBacklogMs && now+time.Duration((mean+2*part)*float64(time.Millisecond))+beginSlack < request.Due
+	return mean > idleBacklogMs && mean+part > s.config.BacklogMs && now+time.Duration((mean+2*part)*float64(time.Millisecond))+beginSlack < request.Due
 }
 
-// placeHeld places a prompt that several engines hold.
+// placeHeld places a prompt that several engines hold. Reading it takes so long
+// that it is refused while engines read much already: it would make many others late.
 func (s *Scheduler) placeHeld(now time.Duration, request *Request, service *fleet.Service, readers []*load, count int) (Decision, bool) {
+	if s.readLoad(now, readers) > heldLoad {
+		return refuse(request, Busy, busyRetryAfter), true
+	}
 	holders, possible := s.holders(now, service, readers, request)
 	if !possible {
 		return refuse(request, TooLarge, defaultRetryAfter), true
@@ -280,9 +280,6 @@
 	for _, l := range eligible {
 		pass := passMs(engine, l.totalRunning(), l.totalMemory())
 		score := (l.backlog(now)+pass)*l.paceNow(now) + l.failures(now)*failCostMs + s.config.Random.Float64()*jitterMs
-		if l.totalTight() == 0 {
-			score += openMs
-		}
 		list = append(list, scored{load: l, score: score})
 	}
 	slices.SortFunc(list, func(a, b scored) int { return compare(a.score, b.score) })
--- a/placement/load.go
+++ b/placement/load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/fleet"
@@ -12,6 +13,8 @@
 	readShare = 0.85
 	// reportLife is how long a report counts: some intervals between reports.
 	reportLife = 2 * time.Second
+	// recentTime is the time over which the share of reading is taken.
+	recentTime = 2 * time.Second
 	// unknownLife is how long requests that no node knows of count after a report.
 	unknownLife = 700 * time.Millisecond
 	// slowest bounds the pace that a report may claim.
@@ -39,8 +42,10 @@
 	// backlogMs is the unread time of all nodes' prompts at backlogAt.
 	backlogMs float64
 	backlogAt time.Duration
-	// addedMs is all reading that was ever booked.
-	addedMs float64
+	// addedMs is all reading that was ever booked; lately is the same with the past
+	// decaying, at latelyAt.
+	addedMs, lately float64
+	latelyAt        time.Duration
 	// unknown is how many more requests the upstream reported than all nodes have
 	// there, at paceAt: those of nodes that died, and those not dropped yet.
 	unknown int
@@ -98,6 +103,18 @@
 	l.backlogMs = max(0, l.backlog(now)+ms)
 	l.backlogAt = now
 	l.addedMs += max(0, ms)
+	l.lately = l.recent(now) + ms
+	l.latelyAt = now
+}
+
+// recent is the reading of the last time, in ms; it decays with recentTime.
+func (l *load) recent(now time.Duration) float64 {
+	return l.lately * math.Exp(-float64(now-l.latelyAt)/float64(recentTime))
+}
+
+// readShare is the share of the engine's time that went to reading lately.
+func (l *load) readShare(now time.Duration) float64 {
+	return l.recent(now) / float64(recentTime.Milliseconds())
 }
 
 // readUpTo notes that all reading was done that had been booked when addedMs was at.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -70,6 +70,8 @@
 	NoUpstream Reason = "no_upstream"
 	TooLarge   Reason = "too_large"
 	TooLate    Reason = "too_late"
+	// Busy means that it would make too many others late.
+	Busy Reason = "busy"
 )
 
 // Decision is the scheduler's word on a request. Neither Lead nor Reason is set
