--- a/exchange/run.go
+++ b/exchange/run.go
@@ -163,7 +163,7 @@
 		attempt.Tickets = reserved.list
 	}
 	config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).Str("service", r.service).
-		Int("helpers", len(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
+		Int("prompt_tokens", r.request.PromptTokens).Int("helpers", len(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
 		Dur("expected_first_ms", decision.ExpectedFirst).Dur("waited_ms", time.Since(r.request.Arrived)).
 		Int64("after", r.sent).Msg("attempt placed")
 	watch := r.watch(ctx, decision)
