--- a/edge/node.go
+++ b/edge/node.go
@@ -60,6 +60,8 @@
 	balancerLag = 2500 * time.Millisecond
 	// exitMargin is the part of the grace that is kept for the exit itself.
 	exitMargin = 500 * time.Millisecond
+	// lastAnswers is how long before its end a node answers what has not begun.
+	lastAnswers = 400 * time.Millisecond
 	// unreadyAge is the age of beliefs from which a node sends callers elsewhere if
 	// another node knows better: a missed call and a new one.
 	unreadyAge = 2500 * time.Millisecond
@@ -237,7 +239,12 @@
 	n.exchange.CloseStreams()
 	n.callers.SetKeepAlivesEnabled(false)
 	const look = 20 * time.Millisecond
+	ended := false
 	for quiet := 0; quiet < 5 && time.Now().Before(end); time.Sleep(look) {
+		if !ended && time.Until(end) < lastAnswers {
+			n.exchange.EndUnbegun()
+			ended = true
+		}
 		if n.active.Load() == 0 {
 			quiet++
 		} else {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -171,19 +171,40 @@
 	config Config
 	// closing is true when the node ends too soon for new streams.
 	closing atomic.Bool
+	// ending ends when the node ends too soon for answers that have not begun.
+	ending    context.Context
+	endUnsent context.CancelFunc
 }
 
+// errNodeEnds is the cause of the end of requests whose node ends.
+var errNodeEnds = eris.New("node ends")
+
+// EndUnbegun gives each request whose answer has not begun its final answer.
+func (e *Exchange) EndUnbegun() { e.endUnsent() }
+
 // CloseStreams refuses new streams from now on: the node ends before they would.
 func (e *Exchange) CloseStreams() { e.closing.Store(true) }
 
 // New returns an exchange.
-func New(config Config) *Exchange { return &Exchange{config: config} }
+func New(config Config) *Exchange {
+	e := &Exchange{config: config}
+	e.ending, e.endUnsent = context.WithCancel(context.Background())
+	return e
+}
 
 // Serve carries the request to its end. The context ends when the caller leaves.
 func (e *Exchange) Serve(ctx context.Context, request *Request, caller Caller) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	run := &run{exchange: e, request: request, caller: caller, sent: request.After}
+	stop := context.AfterFunc(e.ending, func() {
+		if !run.begun.Load() {
+			end(errNodeEnds)
+		}
+	})
+	defer stop()
 	run.serve(ctx)
 	e.log(run)
 }
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/fleet"
@@ -32,7 +33,7 @@
 	avoid         []string
 	// sent is the number of the last event that the caller has.
 	sent  int64
-	begun bool
+	begun atomic.Bool
 
 	outcome, reason          string
 	firstEvent, longestPause time.Duration
@@ -144,7 +145,7 @@
 		Regions:      r.request.Route.Regions,
 		Again:        r.placements > 1,
 	}
-	if patience := r.request.Route.Patience; patience > 0 && !r.begun {
+	if patience := r.request.Route.Patience; patience > 0 && !r.begun.Load() {
 		request.LeavesAt = gate.At(r.request.Arrived.Add(patience))
 	}
 	return gate.Place(ctx, request)
@@ -265,18 +266,24 @@
 
 // fail gives the caller the system's own answer.
 func (r *run) fail(ctx context.Context, failure Failure) {
-	r.outcome, r.reason = string(failure.Code), failure.Reason
-	if errors.Is(ctx.Err(), context.Canceled) {
+	ends := errors.Is(context.Cause(ctx), errNodeEnds)
+	if ends {
+		failure = Failure{Code: Unavailable, Reason: "node_ends", RetryAfter: r.exchange.config.Backoff}
+		if r.ran > 0 {
+			failure.Code = UpstreamFailed
+		}
+	} else if errors.Is(ctx.Err(), context.Canceled) {
 		r.outcome = outcomeLeft
 		r.caller.Break()
 		return
 	}
-	if r.begun {
+	r.reason = failure.Reason
+	if r.begun.Load() {
 		r.outcome = outcomeBroken
 		r.caller.Break()
 		return
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !ends {
 		failure.Code = Expired
 		if r.ran == 0 {
 			failure.Code = ExpiredUnrun
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -51,8 +51,7 @@
 // pass sends one event to the caller.
 func (r *run) pass(reply Reply, data []byte, number int64) error {
 	now := time.Now()
-	if !r.begun {
-		r.begun = true
+	if r.begun.CompareAndSwap(false, true) {
 		r.caller.Begin(reply)
 		r.firstEvent = now.Sub(r.request.Arrived)
 	} else {
@@ -71,8 +70,7 @@
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && len(rest) == 0 {
 		reply.Finish()
 		gate.End(decision.ID, placement.Answered, "")
-		if !r.begun {
-			r.begun = true
+		if r.begun.CompareAndSwap(false, true) {
 			r.caller.Begin(reply)
 		}
 		r.caller.End()
