--- a/edge/node.go
+++ b/edge/node.go
@@ -60,6 +60,9 @@
 	balancerLag = 2500 * time.Millisecond
 	// exitMargin is the part of the grace that is kept for the exit itself.
 	exitMargin = 500 * time.Millisecond
+	// quietEnd is how long callers must have sent nothing before a node ends early:
+	// a request may still be on its way in parts.
+	quietEnd = 500 * time.Millisecond
 	// lastAnswers is how long before its end a node answers what has not begun.
 	lastAnswers = 400 * time.Millisecond
 	// unreadyAge is the age of beliefs from which a node sends callers elsewhere if
@@ -94,8 +97,11 @@
 	callers   *http.Server
 	checks    *http.Server
 	listeners []net.Listener
+	noting    *noting
 	draining  atomic.Bool
-	active    atomic.Int64
+	// closing is true when callers' connections end with their next answer.
+	closing atomic.Bool
+	active  atomic.Int64
 }
 
 // New returns a node that is bound to its addresses. Errors: ErrSettings, ErrListen.
@@ -149,6 +155,8 @@
 		}
 		n.listeners = append(n.listeners, listener)
 	}
+	n.noting = &noting{Listener: n.listeners[0], started: time.Now()}
+	n.listeners[0] = n.noting
 	n.callers = &http.Server{
 		Handler: n.counted(platform.NewIngress(n.exchange)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: quietLog(n.logger), DisableGeneralOptionsHandler: true,
@@ -172,6 +180,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.active.Add(1)
 		defer n.active.Add(-1)
+		if n.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -237,19 +248,15 @@
 	n.logger.Info().Int64("active", n.active.Load()).Msg("node drains")
 	time.Sleep(min(balancerLag, time.Until(end)))
 	n.exchange.CloseStreams()
-	n.callers.SetKeepAlivesEnabled(false)
+	n.closing.Store(true)
 	const look = 20 * time.Millisecond
 	ended := false
-	for quiet := 0; quiet < 5 && time.Now().Before(end); time.Sleep(look) {
+	for time.Now().Before(end) && (n.active.Load() > 0 || n.noting.quietFor() < quietEnd) {
+		time.Sleep(look)
 		if !ended && time.Until(end) < lastAnswers {
 			n.exchange.EndUnbegun()
 			ended = true
 		}
-		if n.active.Load() == 0 {
-			quiet++
-		} else {
-			quiet = 0
-		}
 	}
 	n.logger.Info().Int64("active", n.active.Load()).Dur("taken_ms", time.Since(started)).Msg("node drained")
 }
