--- a/placement/choose.go
+++ b/placement/choose.go
@@ -149,9 +149,13 @@
 const (
 	// writerMs is the score of each stream that a read would stop.
 	writerMs = 0.5
+	// heldSpread is the time, in ms, over which a large read counts.
+	heldSpread = 4000
+	// heldIdle is the share of reading up to which engines count as idle.
+	heldIdle = 0.1
 	// heldLoad is the share of the engines' time that may go to reading when a
 	// prompt comes that takes several engines' memory.
-	heldLoad = 0.12
+	heldLoad = 0.2
 	// busyRetryAfter is when such a prompt may find the engines less busy.
 	busyRetryAfter = 3 * time.Second
 )
@@ -189,9 +193,15 @@
 // placeHeld places a prompt that several engines hold. Reading it takes so long
 // that it is refused while engines read much already: it would make many others late.
 func (s *Scheduler) placeHeld(now time.Duration, request *Request, service *fleet.Service, readers []*load, count int) (Decision, bool) {
-	if s.readLoad(now, readers) > heldLoad {
+	share := readMs(service.Engine, request.PromptTokens) / float64(len(readers)) / heldSpread
+	busy := s.readLoad(now, readers)
+	if busy+share > heldLoad && busy > heldIdle {
 		return refuse(request, Busy, busyRetryAfter), true
 	}
+	if busy > heldIdle {
+		// It is late rather than many others.
+		count = 0
+	}
 	holders, possible := s.holders(now, service, readers, request)
 	if !possible {
 		return refuse(request, TooLarge, defaultRetryAfter), true
