--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,173 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+var errDown = errors.New("down")
+
+// scripted is a source whose state a test sets.
+type scripted struct {
+	mutex    sync.Mutex
+	site     int64
+	revision int64
+	down     bool
+	gone     bool
+	silent   bool
+	reads    int
+}
+
+func (s *scripted) set(f func(s *scripted)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f(s)
+}
+
+func (s *scripted) batch(kind fleet.Kind) Batch {
+	batch := Batch{Revision: s.revision}
+	if kind == fleet.Operator {
+		site := &fleet.Site{Version: s.site}
+		site.Index()
+		batch.Changes = []fleet.Change{{Site: site}}
+	}
+	return batch
+}
+
+func (s *scripted) Read(_ context.Context, kind fleet.Kind) (Batch, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return Batch{}, errDown
+	}
+	s.reads++
+	s.gone = false
+	return s.batch(kind), nil
+}
+
+func (s *scripted) Changes(ctx context.Context, kind fleet.Kind, since int64, wait time.Duration) (Batch, error) {
+	for start := time.Now(); ; {
+		s.mutex.Lock()
+		batch, down, gone, silent := s.batch(kind), s.down, s.gone, s.silent
+		s.mutex.Unlock()
+		switch {
+		case silent:
+			<-ctx.Done()
+			return Batch{}, ctx.Err()
+		case down:
+			return Batch{}, errDown
+		case gone:
+			return Batch{}, ErrHistoryGone
+		case batch.Revision != since:
+			return batch, nil
+		case time.Since(start) >= wait:
+			return Batch{Revision: batch.Revision}, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func run(t *testing.T, test func(t *testing.T, source *scripted, f *Follower)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		source := &scripted{site: 1, revision: 1}
+		f := New(source, func() time.Duration { return time.Since(started) }, zerolog.Nop(), telemetry.NewMetrics())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		time.Sleep(50 * time.Millisecond)
+		test(t, source, f)
+		cancel()
+		<-done
+	})
+}
+
+func age(f *Follower) time.Duration { return f.now() - f.Current().FreshAt }
+
+func TestAChangeIsKnownAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		is.True(f.Current().Known)
+		source.set(func(s *scripted) { s.site, s.revision = 2, 2 })
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(f.Current().Site.Version, int64(2))
+	})
+}
+
+func TestBeliefsStayFreshOnAQuietSite(t *testing.T) {
+	run(t, func(t *testing.T, _ *scripted, f *Follower) {
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if age(f) > 2*fleet.FollowWait+100*time.Millisecond {
+				t.Fatalf("beliefs are %v old", age(f))
+			}
+		}
+	})
+}
+
+func TestASilentConnectionIsLeft(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		source.set(func(s *scripted) { s.silent = true })
+		time.Sleep(fleet.FollowWait + 100*time.Millisecond)
+		source.set(func(s *scripted) { s.silent = false; s.site, s.revision = 3, 3 })
+		// The call that hangs is given up, and the next one brings the change.
+		time.Sleep(fleet.FollowWait + callSlack)
+		is.Equal(f.Current().Site.Version, int64(3))
+	})
+}
+
+func TestALostHistoryIsReadAgain(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		before := 0
+		source.set(func(s *scripted) { before = s.reads })
+		source.set(func(s *scripted) { s.gone = true; s.site, s.revision = 4, 4 })
+		time.Sleep(2 * time.Second)
+		source.set(func(s *scripted) { is.True(s.reads > before) })
+		is.Equal(f.Current().Site.Version, int64(4))
+	})
+}
+
+func TestAStaleReadIsNotTaken(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		source.set(func(s *scripted) { s.site, s.revision = 8, 8 })
+		time.Sleep(100 * time.Millisecond)
+		fresh := f.Current().FreshAt
+		source.set(func(s *scripted) { s.gone = true; s.site, s.revision = 6, 6 })
+		time.Sleep(2500 * time.Millisecond)
+		is.Equal(f.Current().Site.Version, int64(8))
+		is.True(f.Current().FreshAt-fresh < 2*time.Second) // what is stale makes nothing fresh
+		source.set(func(s *scripted) { s.site, s.revision = 9, 9 })
+		time.Sleep(time.Second)
+		is.Equal(f.Current().Site.Version, int64(9))
+	})
+}
+
+func TestAnOutageAgesBeliefs(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		source.set(func(s *scripted) { s.down = true })
+		time.Sleep(5 * time.Second)
+		is.True(age(f) > 4500*time.Millisecond)
+		is.True(f.Current().Known)
+		source.set(func(s *scripted) { s.down = false })
+		time.Sleep(lastPause + 1100*time.Millisecond)
+		is.True(age(f) < 2*time.Second)
+	})
+}
--- /dev/null
+++ b/loadshare/message_test.go
@@ -0,0 +1,52 @@
+package loadshare
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/placement"
+)
+
+func sample() *message {
+	return &message{
+		Node: "edge-1", Incarnation: 42, Sequence: 7, Whole: true, Leaving: true, BeliefsAge: 1500 * time.Millisecond,
+		Shares: []placement.Share{
+			{Hash: 1, Totals: placement.Totals{Running: 3, Memory: 150_000, Helping: 2, Tight: 1}, AddedMs: 110.5, Pace: 1, Unknown: 2},
+			{Hash: 0xffffffff, AddedMs: -20, AvoidFor: time.Second},
+		},
+	}
+}
+
+func TestMessagesComeBackAsTheyWere(t *testing.T) {
+	is := is.New(t)
+	decoded, err := decode(sample().encode())
+	is.NoErr(err)
+	is.Equal(decoded, sample())
+}
+
+func TestCutMessagesAreRefused(t *testing.T) {
+	whole := sample().encode()
+	for cut := range len(whole) {
+		if _, err := decode(whole[:cut]); err == nil {
+			t.Fatalf("cut at %d was taken", cut)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(sample().encode())
+	f.Add([]byte{formatVersion, 0, 1, 'a', 1, 1, 1, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decode(data)
+		if err != nil {
+			return
+		}
+		for _, share := range m.Shares {
+			if share.Totals.Running < 0 || share.Totals.Memory < 0 || share.AvoidFor < 0 {
+				t.Fatalf("negative totals: %+v", share)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/standin/fleetengine/engine.go
@@ -0,0 +1,229 @@
+// Package fleetengine is a stand-in for the engines and plain services of the
+// users' platform, by their published protocol: streams of numbered events that
+// may be resumed, memory that is set aside by orders, refusals that say so, and
+// faults.
+package fleetengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Knobs are the faults that the engine shows. The zero value shows none.
+type Knobs struct {
+	// Full refuses every request without running it.
+	Full bool
+	// Mute takes requests and answers none.
+	Mute bool
+	// Status, if not 0, is the status of every answer; the request has run.
+	Status int
+	// BreakAfter, if not 0, closes streams after this event, in the middle of the next.
+	BreakAfter int
+	// Extra sends a second answer after each one.
+	Extra bool
+	// Unsigned leaves the signature out.
+	Unsigned bool
+}
+
+// Run is one request that the engine ran.
+type Run struct {
+	ID, Path, Organisation, Body string
+	// After is the event that the run went on after.
+	After int
+	// Header is what came with the request.
+	Header http.Header
+	// Cut is true when the connection ended before the answer did.
+	Cut bool
+}
+
+// Engine is one engine or service. It is safe for concurrent use.
+type Engine struct {
+	// ID names the process; Events and Pause shape its streams; MemoryTokens bounds
+	// what can be set aside. All are set before it serves.
+	ID           string
+	Events       int
+	Pause        time.Duration
+	MemoryTokens int
+
+	mutex   sync.Mutex
+	knobs   Knobs
+	runs    []*Run
+	tickets map[string]int
+	active  int
+}
+
+// New returns an engine of short streams.
+func New(id string) *Engine {
+	const events, memory, pause = 8, 232_000, 5 * time.Millisecond
+	return &Engine{ID: id, Events: events, Pause: pause, MemoryTokens: memory, tickets: map[string]int{}}
+}
+
+// Set replaces the knobs.
+func (e *Engine) Set(knobs Knobs) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.knobs = knobs
+}
+
+// Runs returns the requests that ran.
+func (e *Engine) Runs() []Run {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	runs := make([]Run, len(e.runs))
+	for i, run := range e.runs {
+		runs[i] = *run
+	}
+	return runs
+}
+
+// Held is the memory set aside, in tokens.
+func (e *Engine) Held() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	held := 0
+	for _, tokens := range e.tickets {
+		held += tokens
+	}
+	return held
+}
+
+// Active is the number of requests that run.
+func (e *Engine) Active() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.active
+}
+
+// ServeHTTP answers the calls of the protocol.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if named := r.Header.Get("X-Target-Instance"); named != "" && named != e.ID {
+		w.Header().Set("X-Instance-Id", e.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/report":
+		e.report(w)
+	case "/v1/order":
+		e.order(w, r)
+	default:
+		e.run(w, r)
+	}
+}
+
+func (e *Engine) report(w http.ResponseWriter) {
+	e.mutex.Lock()
+	active := e.active
+	e.mutex.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"pace": 1, "queued": 0, "active": active, "kvUsedTokens": e.Held()})
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation, ID string
+		Tokens        int
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	held := e.Held()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	switch order.Operation {
+	case "reserve":
+		if _, renewed := e.tickets[order.ID]; !renewed && held+order.Tokens > e.MemoryTokens {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		e.tickets[order.ID] = order.Tokens
+	case "release":
+		delete(e.tickets, order.ID)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (e *Engine) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	body := make([]byte, max(0, r.ContentLength))
+	_, _ = r.Body.Read(body)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.mutex.Lock()
+	knobs := e.knobs
+	if knobs.Full {
+		e.mutex.Unlock()
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	run := &Run{
+		ID: id, Path: r.URL.RequestURI(), Organisation: r.Header.Get("X-Tenant"), Body: string(body),
+		After: after, Header: r.Header.Clone(),
+	}
+	e.runs = append(e.runs, run)
+	e.active++
+	e.mutex.Unlock()
+	defer func() {
+		e.mutex.Lock()
+		e.active--
+		run.Cut = r.Context().Err() != nil
+		e.mutex.Unlock()
+	}()
+	if !knobs.Unsigned {
+		w.Header().Set("X-Origin-Signature", e.ID+"."+id)
+	}
+	switch {
+	case knobs.Mute:
+		<-r.Context().Done()
+	case knobs.Status != 0:
+		w.WriteHeader(knobs.Status)
+	case r.Header.Get("X-Token-Usage") != "":
+		e.stream(w, r, knobs, after)
+	default:
+		answer := fmt.Sprintf("%s ran %s", e.ID, r.URL.RequestURI())
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = w.Write([]byte(answer))
+		if knobs.Extra {
+			e.second(w, id)
+		}
+	}
+}
+
+// second writes another answer where the next one is due.
+func (e *Engine) second(w http.ResponseWriter, id string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 5\r\n\r\nextra")
+	_ = buffered.Flush()
+	time.Sleep(time.Second)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, knobs Knobs, after int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for event := after + 1; event <= e.Events; event++ {
+		select {
+		case <-time.After(e.Pause):
+		case <-r.Context().Done():
+			return
+		}
+		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event)
+		if knobs.BreakAfter > 0 && event > knobs.BreakAfter {
+			_, _ = w.Write([]byte(text[:len(text)/2]))
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(text))
+		_ = control.Flush()
+	}
+}
--- /dev/null
+++ b/standin/fleetstore/store.go
@@ -0,0 +1,278 @@
+// Package fleetstore is a stand-in for the table store of the users' platform, by
+// its published protocol: rows, transactions under conditions, a feed of changes
+// whose history can be lost, and outages.
+package fleetstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Row is one row of a table.
+type Row struct {
+	Table   string `json:"tableName"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"schemaVersion,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Knobs are the faults that the store shows. The zero value shows none.
+type Knobs struct {
+	// Down answers every call with 503.
+	Down bool
+	// Silent answers no call.
+	Silent bool
+	// Stale lets reads of tables answer with what was there at the time it was set.
+	Stale bool
+	// LoseWrites carries this many writes out and closes the connection.
+	LoseWrites int
+}
+
+// Store holds the rows. It is safe for concurrent use.
+type Store struct {
+	mutex   sync.Mutex
+	changed chan struct{}
+	version int64
+	rows    map[string]Row
+	history []Row
+	// forgotten is the version up to which the history is gone.
+	forgotten int64
+	knobs     Knobs
+	stale     map[string]Row
+	staleAt   int64
+	started   time.Time
+	calls     map[string]int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{changed: make(chan struct{}), rows: map[string]Row{}, started: time.Now(), calls: map[string]int{}}
+}
+
+// Set replaces the knobs.
+func (s *Store) Set(knobs Knobs) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if knobs.Stale && !s.knobs.Stale {
+		s.stale, s.staleAt = make(map[string]Row, len(s.rows)), s.version
+		for id, row := range s.rows {
+			s.stale[id] = row
+		}
+	}
+	s.knobs = knobs
+	s.wake()
+}
+
+// Calls returns how often each call came.
+func (s *Store) Calls() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for path, count := range s.calls {
+		calls[path] = count
+	}
+	return calls
+}
+
+// Put writes a row as the operator or an upstream does.
+func (s *Store) Put(table, key string, value any) int64 {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("a stand-in's own value: " + err.Error())
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.write(Row{Table: table, Key: key, Value: data})
+	return s.version
+}
+
+// Drop removes a row.
+func (s *Store) Drop(table, key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.write(Row{Table: table, Key: key, Deleted: true})
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.forgotten = nil, s.version
+	s.wake()
+}
+
+// write applies one row at the current version; the mutex is held.
+func (s *Store) write(row Row) {
+	row.Version = s.version
+	id := row.Table + "\x00" + row.Part + "\x00" + row.Key
+	if row.Deleted {
+		delete(s.rows, id)
+	} else {
+		s.rows[id] = row
+	}
+	s.history = append(s.history, row)
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP answers the calls of the protocol.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	s.calls[r.URL.Path]++
+	knobs := s.knobs
+	s.mutex.Unlock()
+	if knobs.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if knobs.Down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/rows-get":
+		s.get(w, r)
+	case "/v1/rows-feed":
+		s.feed(w, r)
+	case "/v1/rows-tx":
+		s.transact(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+type answer struct {
+	Rows     []Row `json:"rows"`
+	HasMore  bool  `json:"hasMore"`
+	Version  int64 `json:"schemaVersion"`
+	ServerMs int64 `json:"serverTimeMs"`
+}
+
+func (s *Store) answer(w http.ResponseWriter, status int, body answer) {
+	body.ServerMs = time.Since(s.started).Milliseconds()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that left gets no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit := 500
+	if asked, err := strconv.Atoi(query.Get("pageLimit")); err == nil && asked > 0 {
+		limit = min(limit, asked)
+	}
+	s.mutex.Lock()
+	body, rows := answer{Version: s.version}, s.rows
+	if s.knobs.Stale {
+		body.Version, rows = s.staleAt, s.stale
+	}
+	for _, row := range rows {
+		if row.Table == query.Get("tableName") && row.Part == query.Get("part") && row.Key >= query.Get("source") {
+			body.Rows = append(body.Rows, row)
+		}
+	}
+	s.mutex.Unlock()
+	sort.Slice(body.Rows, func(i, j int) bool { return body.Rows[i].Key < body.Rows[j].Key })
+	if len(body.Rows) > limit {
+		body.Rows, body.HasMore = body.Rows[:limit], true
+	}
+	s.answer(w, http.StatusOK, body)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseInt(query.Get("sinceRevision"), 10, 64)
+	waitMs, _ := strconv.Atoi(query.Get("waitMs"))
+	timer := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		body, changed := answer{Version: s.version}, s.changed
+		gone, knobs := since < s.forgotten, s.knobs
+		for _, row := range s.history {
+			if row.Table == query.Get("tableName") && row.Version > since {
+				body.Rows = append(body.Rows, row)
+			}
+		}
+		s.mutex.Unlock()
+		switch {
+		case knobs.Silent:
+			<-r.Context().Done()
+			return
+		case knobs.Down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case gone:
+			s.answer(w, http.StatusGone, answer{Version: body.Version})
+			return
+		case len(body.Rows) > 0:
+			s.answer(w, http.StatusOK, body)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			s.answer(w, http.StatusOK, body)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected []Row `json:"expectedRevision"`
+		Write    []Row `json:"write"`
+		Delete   []Row `json:"delete"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, row := range append(append([]Row(nil), body.Write...), body.Delete...) {
+		if row.Table == "op" || row.Table == "servers" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	s.mutex.Lock()
+	for _, row := range body.Expected {
+		if s.rows[row.Table+"\x00"+row.Part+"\x00"+row.Key].Version != row.Version {
+			version := s.version
+			s.mutex.Unlock()
+			s.answer(w, http.StatusPreconditionFailed, answer{Version: version})
+			return
+		}
+	}
+	s.version++
+	for _, row := range body.Write {
+		s.write(row)
+	}
+	for _, row := range body.Delete {
+		row.Deleted = true
+		s.write(row)
+	}
+	version, lose := s.version, s.knobs.LoseWrites > 0
+	if lose {
+		s.knobs.LoseWrites--
+	}
+	s.mutex.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, http.StatusOK, answer{Version: version})
+}
--- /dev/null
+++ b/upstream/directhttp/exchange_test.go
@@ -0,0 +1,249 @@
+package directhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const answered = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nhello"
+
+// serve accepts connections and gives each to f, one after the other.
+func serve(t *testing.T, f func(conn net.Conn, number int)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				f(conn, number)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func request(id string) *Request {
+	return &Request{
+		Method: http.MethodPost, Bytes: []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"),
+		Belongs: func(_ int, header http.Header) bool { return header.Get("X-Id") == id },
+	}
+}
+
+func readRequest(conn net.Conn) bool {
+	read, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, read.Body)
+	return err == nil
+}
+
+func exchange(t *testing.T, pool *Pool, address, id string) (string, bool, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := pool.Take(ctx, address, time.Minute)
+	if err != nil {
+		return "", false, err
+	}
+	reused := conn.Reused
+	reply, err := pool.Send(ctx, conn, request(id))
+	if err != nil {
+		return "", reused, err
+	}
+	body, err := reply.Whole(1 << 10)
+	if err != nil {
+		reply.Abort()
+		return "", reused, err
+	}
+	reply.Finish()
+	return string(body), reused, nil
+}
+
+func TestACleanConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn net.Conn, _ int) {
+		for readRequest(conn) {
+			_, _ = io.WriteString(conn, answered)
+		}
+	})
+	pool := NewPool(time.Second, nil)
+	_, reused, err := exchange(t, pool, address, "1")
+	is.NoErr(err)
+	is.True(!reused)
+	body, reused, err := exchange(t, pool, address, "1")
+	is.NoErr(err)
+	is.True(reused)
+	is.Equal(body, "hello")
+}
+
+func TestAnAnswerCutAnywhereIsBroken(t *testing.T) {
+	for cut := range len(answered) {
+		address := serve(t, func(conn net.Conn, _ int) {
+			if readRequest(conn) {
+				_, _ = io.WriteString(conn, answered[:cut])
+			}
+		})
+		if _, _, err := exchange(t, NewPool(time.Second, nil), address, "1"); !errors.Is(err, ErrBroken) {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+	}
+}
+
+func TestNothingIsSentToAClosedPort(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	address := listener.Addr().String()
+	is.New(t).NoErr(listener.Close())
+	_, _, err = exchange(t, NewPool(time.Second, nil), address, "1")
+	is.New(t).True(errors.Is(err, ErrNotSent))
+}
+
+func TestAnExtraAnswerEndsTheConnection(t *testing.T) {
+	for name, extra := range map[string]string{"at once": answered + "HTTP/1.1 200", "whole": answered + answered, "a byte": answered + "x"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, func(conn net.Conn, _ int) {
+				for readRequest(conn) {
+					_, _ = io.WriteString(conn, extra)
+				}
+			})
+			pool := NewPool(time.Second, nil)
+			body, _, err := exchange(t, pool, address, "1")
+			is.NoErr(err)
+			is.Equal(body, "hello")
+			_, reused, err := exchange(t, pool, address, "1")
+			is.NoErr(err)
+			is.True(!reused)
+		})
+	}
+}
+
+func TestALateExtraAnswerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	late := make(chan struct{})
+	address := serve(t, func(conn net.Conn, _ int) {
+		if readRequest(conn) {
+			_, _ = io.WriteString(conn, answered)
+		}
+		if readRequest(conn) {
+			// What belongs to the first request comes where the second's is due.
+			_, _ = io.WriteString(conn, answered+strings.Replace(strings.Replace(answered, "X-Id: 1", "X-Id: 2", 1), "hello", "world", 1))
+			close(late)
+		}
+	})
+	pool := NewPool(time.Second, nil)
+	_, _, err := exchange(t, pool, address, "1")
+	is.NoErr(err)
+	body, reused, err := exchange(t, pool, address, "2")
+	is.NoErr(err)
+	is.True(reused)
+	is.Equal(body, "world")
+	<-late
+}
+
+func TestAnAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn net.Conn, _ int) {
+		if readRequest(conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhello")
+		}
+	})
+	pool := NewPool(time.Second, nil)
+	body, _, err := exchange(t, pool, address, "1")
+	is.NoErr(err)
+	is.Equal(body, "hello")
+	is.Equal(len(pool.idle[address]), 0)
+}
+
+func TestAResetIsNoEnd(t *testing.T) {
+	address := serve(t, func(conn net.Conn, _ int) {
+		if readRequest(conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhel")
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	_, _, err := exchange(t, NewPool(time.Second, nil), address, "1")
+	is.New(t).True(errors.Is(err, ErrBroken))
+}
+
+func TestAnEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn net.Conn, _ int) {
+		_, _ = bufio.NewReader(conn).ReadString('\n')
+		_, _ = io.WriteString(conn, answered)
+		time.Sleep(200 * time.Millisecond)
+	})
+	pool := NewPool(time.Second, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := pool.Take(ctx, address, time.Minute)
+	is.NoErr(err)
+	long := request("1")
+	long.Bytes = append([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33554432\r\n\r\n"), make([]byte, 32<<20)...)
+	reply, err := pool.Send(ctx, conn, long)
+	is.NoErr(err)
+	body, err := reply.Whole(1 << 10)
+	is.NoErr(err)
+	is.Equal(string(body), "hello")
+	reply.Finish()
+	is.Equal(len(pool.idle[address]), 0)
+}
+
+func TestTheContextEndsASilentExchange(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn net.Conn, _ int) {
+		readRequest(conn)
+		time.Sleep(time.Second)
+	})
+	pool := NewPool(time.Second, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	conn, err := pool.Take(ctx, address, time.Minute)
+	is.NoErr(err)
+	started := time.Now()
+	_, err = pool.Send(ctx, conn, request("1"))
+	is.True(errors.Is(err, ErrBroken))
+	is.True(time.Since(started) < 500*time.Millisecond)
+}
+
+func TestAConnectionThatWasClosedWhileIdleIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(conn net.Conn, _ int) {
+		if readRequest(conn) {
+			_, _ = io.WriteString(conn, answered)
+		}
+	})
+	pool := NewPool(time.Second, nil)
+	_, _, err := exchange(t, pool, address, "1")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	_, reused, err := exchange(t, pool, address, "1")
+	is.NoErr(err)
+	is.True(!reused)
+}
+
+func TestKeepAliveIsRead(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keepAlive("timeout=5, max=100"), 5*time.Second)
+	is.Equal(keepAlive("max=100"), time.Duration(0))
+	is.Equal(keepAlive("timeout=x"), time.Duration(0))
+}
