--- a/placement/choose.go
+++ b/placement/choose.go
@@ -253,7 +253,7 @@
 		return min(free(b), shareTokens) - min(free(a), shareTokens)
 	})
 	most := min(maxHolders, len(candidates))
-	for count := max(2, (request.PromptTokens+shareTokens-1)/shareTokens); count <= most; count++ {
+	for count := max(2, min(most, (request.PromptTokens+shareTokens-1)/shareTokens)); count <= most; count++ {
 		share := request.PromptTokens/count + 1
 		if free(candidates[count-1]) < share+request.AnswerTokens {
 			continue
