--- a/edge/node.go
+++ b/edge/node.go
@@ -76,8 +76,6 @@
 	// backlogMs is the unread time an engine over which long prompts wait: the pause
 	// target of short streams less a pass.
 	backlogMs = 150
-	// tightPause is the pause target up to which a stream is kept apart from reads.
-	tightPause = 400 * time.Millisecond
 	// warmShare is the part of the allowed rate of cold upstreams that is used.
 	warmShare = 0.85
 )
@@ -111,7 +109,6 @@
 	n.follower = follow.New(store, bootClock, n.logger, n.metrics)
 	scheduler := placement.New(placement.Config{
 		Zone: settings.Zone, Regions: settings.Regions, PartMs: partMs, MaxParts: maxParts, BacklogMs: backlogMs,
-		TightPause: tightPause,
 		WarmMargin: settings.WarmOvershoot * warmShare, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.gate = exchange.NewGate(scheduler, bootClock, func() { n.agent.Changed() })
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
 
@@ -132,7 +132,7 @@
 	if err != nil {
 		return false
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	return response.StatusCode == http.StatusOK
 }
 
@@ -177,7 +177,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	return answer{response.StatusCode, response.Header, string(body), err}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -163,16 +163,16 @@
 	t.Helper()
 	engine := &fleet.Engine{Slots: 16, MemoryTokens: 232_000, StepMs: 1, ReadTokensPerMs: 206, PairsMsPerM: 0.138, StepsPerPass: 43}
 	site := &fleet.Site{Version: 1, Keyed: true, Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: engine}, "app": {Name: "app"}}}
-	add := func(name string, kind fleet.RouteKind, service string, attempts int) {
+	add := func(name string, kind fleet.RouteKind, service string) {
 		site.Routes = append(site.Routes, fleet.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Resumable: name == "stream",
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: 2, Resumable: name == "stream",
 			LatencyTarget: 300 * time.Millisecond, Targets: []fleet.Target{{Service: service, Weight: 1}},
 		})
 	}
-	add("safe", fleet.Safe, "app", 2)
-	add("unsafe", fleet.Unsafe, "app", 2)
-	add("stream", fleet.Stream, "llm", 2)
-	add("once", fleet.Stream, "llm", 2)
+	add("safe", fleet.Safe, "app")
+	add("unsafe", fleet.Unsafe, "app")
+	add("stream", fleet.Stream, "llm")
+	add("once", fleet.Stream, "llm")
 	site.ByKey = map[string]*fleet.Organisation{"key": {Name: "works"}}
 	site.Index()
 	f := &fixture{upstreams: &upstreams{steps: steps, held: map[string]int{}}, site: site}
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -140,7 +140,6 @@
 		Arrived:      gate.At(r.request.Arrived),
 		Due:          gate.At(r.request.Arrived.Add(r.request.Route.LatencyTarget)),
 		Deadline:     gate.At(r.request.Deadline),
-		Pause:        r.request.Route.PauseTarget,
 		Avoid:        r.avoid,
 		Regions:      r.request.Route.Regions,
 		Again:        r.placements > 1,
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -62,7 +62,6 @@
 		b = binary.AppendUvarint(b, uint64(share.Totals.Running))
 		b = binary.AppendUvarint(b, uint64(share.Totals.Memory))
 		b = binary.AppendUvarint(b, uint64(share.Totals.Helping))
-		b = binary.AppendUvarint(b, uint64(share.Totals.Tight))
 		b = binary.AppendVarint(b, int64(share.AddedMs*tenths))
 		b = binary.AppendUvarint(b, uint64(share.Pace*tenths))
 		b = binary.AppendUvarint(b, uint64(share.Unknown))
@@ -129,7 +128,7 @@
 			break
 		}
 		share := placement.Share{Hash: binary.BigEndian.Uint32(hash)}
-		share.Totals = placement.Totals{Running: r.count(), Memory: r.count(), Helping: r.count(), Tight: r.count()}
+		share.Totals = placement.Totals{Running: r.count(), Memory: r.count(), Helping: r.count()}
 		share.AddedMs = float64(r.signed()) / tenths
 		share.Pace = float64(r.count()) / tenths
 		share.Unknown = r.count()
--- a/loadshare/message_test.go
+++ b/loadshare/message_test.go
@@ -13,7 +13,7 @@
 	return &message{
 		Node: "edge-1", Incarnation: 42, Sequence: 7, Whole: true, Leaving: true, BeliefsAge: 1500 * time.Millisecond,
 		Shares: []placement.Share{
-			{Hash: 1, Totals: placement.Totals{Running: 3, Memory: 150_000, Helping: 2, Tight: 1}, AddedMs: 110.5, Pace: 1, Unknown: 2},
+			{Hash: 1, Totals: placement.Totals{Running: 3, Memory: 150_000, Helping: 2}, AddedMs: 110.5, Pace: 1, Unknown: 2},
 			{Hash: 0xffffffff, AddedMs: -20, AvoidFor: time.Second},
 		},
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -77,20 +77,16 @@
 const (
 	// shortParts is the number of parts up to which a prompt is read by one engine.
 	shortParts = 1.5
-	// apartShare is the part of that time up to which only engines without tight
-	// streams read: over it, their backlog would grow.
-	apartShare = 0.4
-	// bigPartMs is the part up to which a prompt is split over all engines when they
-	// are loaded; a longer one is read by few, so that it stops fewer streams.
+	// bigPartMs is the part up to which a prompt is split over as many engines as
+	// can be: with a pass beside it, what a stream's pause target bears.
 	bigPartMs = 200
 	// aimShare is the part of the time left that reading a long prompt may take.
 	aimShare = 0.8
 )
 
-// placeLong chooses the readers of a long prompt. Engines without tight streams
-// come first. If they would be too late, the prompt is split over so many that no
-// part stops a tight stream for too long; if that can't be, over the fewest that
-// are in time.
+// placeLong chooses the readers of a long prompt: so many that each part is read
+// beside the events of other streams. Where the parts would still be long, the
+// fewest that are in time read it, so that fewer streams pause.
 func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, work float64) (Decision, bool) {
 	engine := service.Engine
 	readers := s.readers(now, engine, eligible)
@@ -123,8 +119,8 @@
 	return Decision{}, false
 }
 
-// readers are the engines that may read a part, those whose reading stops the
-// fewest tight streams first.
+// readers are the engines that may read a part, those that read it first and stop
+// the fewest streams in front.
 func (s *Scheduler) readers(now time.Duration, engine *fleet.Engine, eligible []*load) []*load {
 	var readers []*load
 	for _, l := range eligible {
@@ -247,7 +243,7 @@
 		return nil, false
 	}
 	free := func(l *load) int { return usable - l.totalMemory() }
-	// Those with room come in the readers' order, so that tight streams are spared.
+	// Those with room come in the readers' order.
 	candidates := slices.Clone(readers)
 	slices.SortStableFunc(candidates, func(a, b *load) int {
 		return min(free(b), shareTokens) - min(free(a), shareTokens)
@@ -328,10 +324,6 @@
 		decision.ExpectedFirst = time.Duration(slowest * float64(time.Millisecond))
 	}
 	lead.running++
-	if request.Pause > 0 && request.Pause <= s.config.TightPause {
-		held.tight = true
-		lead.tight++
-	}
 	lead.memory += held.memory
 	s.changed[lead] = struct{}{}
 	s.running[request.ID] = held
--- a/placement/load.go
+++ b/placement/load.go
@@ -33,8 +33,8 @@
 type load struct {
 	entry *fleet.Upstream
 	hash  uint32
-	// running, memory, helping and tight are this node's own requests there.
-	running, memory, helping, tight int
+	// running, memory and helping are this node's own requests there.
+	running, memory, helping int
 	// others holds the same of the other nodes, by node.
 	others map[string]Totals
 	// sums are the totals of others.
@@ -75,8 +75,6 @@
 	Memory int
 	// Helping counts the other engines' prompts that the upstream reads a part of.
 	Helping int
-	// Tight counts the streams that bear only short pauses.
-	Tight int
 }
 
 func (l *load) totalRunning() int { return l.running + l.sums.Running }
@@ -89,7 +87,6 @@
 	return l.totalRunning() + l.unknown
 }
 func (l *load) totalMemory() int  { return l.memory + l.sums.Memory }
-func (l *load) totalTight() int   { return l.tight + l.sums.Tight }
 func (l *load) totalHelping() int { return l.helping + l.sums.Helping }
 
 // backlog is the unread time now, in ms.
@@ -175,7 +172,6 @@
 	l.sums.Running += totals.Running - before.Running
 	l.sums.Memory += totals.Memory - before.Memory
 	l.sums.Helping += totals.Helping - before.Helping
-	l.sums.Tight += totals.Tight - before.Tight
 	if totals == (Totals{}) {
 		delete(l.others, node)
 		return
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -65,9 +65,6 @@
 		s.endRead(held)
 	}
 	held.lead.running--
-	if held.tight {
-		held.lead.tight--
-	}
 	held.lead.memory -= held.memory
 	for _, part := range held.parts {
 		if part.memory > 0 {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -27,11 +27,9 @@
 	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
 	// before long ones, so that they aren't read after them.
 	Urgency int
-	// BacklogMs is the unread time of an engine up to which tight streams beside it
-	// keep their pause target.
+	// BacklogMs is the unread time of an engine up to which streams beside it keep
+	// their pause target.
 	BacklogMs float64
-	// TightPause is the pause target up to which a stream counts as tight.
-	TightPause time.Duration
 	// WarmMargin is the part of the rate that cold upstreams bear which all nodes
 	// together use.
 	WarmMargin float64
@@ -52,8 +50,6 @@
 	// LeavesAt is when the caller leaves if its answer has not begun; 0 is at the
 	// deadline.
 	LeavesAt time.Duration
-	// Pause is the longest pause between events that is on time; 0 is any.
-	Pause time.Duration
 	// Avoid holds the IDs of upstreams where an earlier attempt failed.
 	Avoid []string
 	// Regions are those whose upstreams may run it; empty is all.
@@ -111,8 +107,6 @@
 	// partMs is the reading time of each part.
 	partMs float64
 	read   bool
-	// tight is true for a stream that bears only short pauses.
-	tight bool
 }
 
 // part is one engine's part of a prompt.
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -39,7 +39,7 @@
 		view.Upstreams[id] = &fleet.Upstream{ID: id, Service: "app", Address: id, Zone: fmt.Sprintf("z%d", i%3), Slots: 6}
 	}
 	s := New(Config{
-		Zone: "z0", PartMs: 50, MaxParts: 17, BacklogMs: 150, TightPause: 400 * time.Millisecond, WarmMargin: 1.2,
+		Zone: "z0", PartMs: 50, MaxParts: 17, BacklogMs: 150, WarmMargin: 1.2,
 		Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	s.Configure(view)
@@ -50,7 +50,7 @@
 	w.next++
 	return &Request{
 		ID: fmt.Sprintf("r%d", w.next), Service: "llm", Kind: fleet.Stream, PromptTokens: tokens, AnswerTokens: 1400,
-		Arrived: now, Due: now + 300*time.Millisecond, Deadline: now + 10*time.Second, Pause: 250 * time.Millisecond,
+		Arrived: now, Due: now + 300*time.Millisecond, Deadline: now + 10*time.Second,
 	}
 }
 
@@ -151,8 +151,8 @@
 		w.End(now, ended.id, Answered, "")
 	}
 	for id, l := range w.loads {
-		if l.running != 0 || l.memory != 0 || l.helping != 0 || l.tight != 0 {
-			t.Fatalf("%s keeps running %d, memory %d, helping %d, tight %d", id, l.running, l.memory, l.helping, l.tight)
+		if l.running != 0 || l.memory != 0 || l.helping != 0 {
+			t.Fatalf("%s keeps running %d, memory %d, helping %d", id, l.running, l.memory, l.helping)
 		}
 	}
 }
--- a/placement/share.go
+++ b/placement/share.go
@@ -28,7 +28,7 @@
 		if _, changed := s.changed[l]; !changed && (!all || l.running+l.helping == 0) {
 			continue
 		}
-		share := Share{Hash: l.hash, Totals: Totals{Running: l.running, Memory: l.memory, Helping: l.helping, Tight: l.tight}}
+		share := Share{Hash: l.hash, Totals: Totals{Running: l.running, Memory: l.memory, Helping: l.helping}}
 		share.AddedMs = l.toldMs
 		share.Pace, share.Unknown = l.toldPace, l.unknown
 		l.toldMs, l.toldPace = 0, 0
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 5\r\n\r\nextra")
 	_ = buffered.Flush()
 	time.Sleep(time.Second)
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -59,7 +59,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	response, err := answer(conn, request)
+	response, err := answer(conn, request) //nolint:bodyclose // Finish and Abort end the exchange with its connection.
 	if err != nil {
 		stop()
 		_ = conn.Close()
--- a/upstream/directhttp/exchange_test.go
+++ b/upstream/directhttp/exchange_test.go
@@ -31,7 +31,7 @@
 				return
 			}
 			go func() {
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				f(conn, number)
 			}()
 		}
