Store: two nodes ask in short turns and tell the others that nothing changed

Now the first two nodes by name ask each 0.7 s and tell; the others wait up to 15 s at the store, and ask themselves when they are not told for 1.8 s or are behind another node. Claims count only where the last change is known here, by the sender's clock with the least offset seen, so that a datagram that lay in the buffer of a process that stood still makes nothing fresh.

--- a/edge/node.go
+++ b/edge/node.go
@@ -117,12 +117,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n.agent, err = loadshare.Listen(loadshare.Node{Name: settings.Name, Address: address}, store, n.gate, n.logger, n.metrics)
+	n.agent, err = loadshare.Listen(loadshare.Node{Name: settings.Name, Address: address}, store, n.gate, bootClock, n.logger, n.metrics)
 	if err != nil {
 		return nil, eris.Wrap(ErrListen, err.Error())
 	}
 	n.agent.OnNodes = n.shareLimits
-	n.agent.BeliefsAge = n.beliefsAge
+	n.agent.Beliefs = n.follower
+	n.follower.Tells = n.agent.Tells
+	n.follower.Told = n.agent.BeliefsChanged
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	control := directhttp.NewPool(dialTimeout, nil)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -146,7 +146,10 @@
 	return batch, nil
 }
 
-func (s source) Changes(ctx context.Context, _ fleet.Kind, _ int64, _ time.Duration) (follow.Batch, error) {
+func (s source) Changes(ctx context.Context, _ fleet.Kind, since int64, wait time.Duration) (follow.Batch, error) {
+	if wait == 0 {
+		return follow.Batch{Revision: since}, nil
+	}
 	<-ctx.Done()
 	return follow.Batch{}, ctx.Err()
 }
--- a/fleet/book.go
+++ b/fleet/book.go
@@ -56,6 +56,8 @@
 	known    [kinds]bool
 	// failed is true when the last call for a table failed.
 	failed [kinds]bool
+	// changed is the version of the last change of a table that is known.
+	changed [kinds]int64
 	// settlesAt is the end of the time in which lapsed entries may come back.
 	settlesAt time.Duration
 }
@@ -98,6 +100,7 @@
 		b.replaceUpstreams(changes, now)
 	}
 	b.apply(changes, now)
+	b.changed[kind] = revision
 	b.confirm(kind, revision, asked)
 	return true
 }
@@ -120,7 +123,8 @@
 
 // Apply takes the changes since the known revision, answered to a call that
 // began at asked. It reports false when the answer is older than what is known.
-func (b *Book) Apply(kind Kind, changes []Change, revision int64, asked, now time.Duration) bool {
+// Where there are changes, last is the version of the last of them.
+func (b *Book) Apply(kind Kind, changes []Change, last, revision int64, asked, now time.Duration) bool {
 	if revision < b.revision[kind] {
 		return false
 	}
@@ -129,6 +133,7 @@
 		b.view.ZonesOut = maps.Clone(b.view.ZonesOut)
 		b.view.Upstreams = maps.Clone(b.view.Upstreams)
 		b.apply(changes, now)
+		b.changed[kind] = max(b.changed[kind], last)
 	}
 	b.confirm(kind, revision, asked)
 	return true
@@ -190,6 +195,35 @@
 	b.view.Upstreams[id] = &kept
 }
 
+// Claim is what a node knows of a table: its last change, and the time up to which
+// there was no other.
+type Claim struct {
+	Changed int64
+	FreshAt time.Duration
+}
+
+// Claims returns what this node knows of each table.
+func (b *Book) Claims() [2]Claim {
+	var claims [2]Claim
+	for kind := range kinds {
+		claims[kind] = Claim{Changed: b.changed[kind], FreshAt: b.freshAt[kind]}
+	}
+	return claims
+}
+
+// Confirm takes another node's claim, with its time on this node's clock. It
+// reports whether this node lacks a change that the other one has.
+func (b *Book) Confirm(kind Kind, claim Claim) (behind bool) {
+	if !b.known[kind] {
+		return false
+	}
+	if claim.Changed > b.revision[kind] {
+		return true
+	}
+	b.freshAt[kind] = max(b.freshAt[kind], claim.FreshAt)
+	return false
+}
+
 // Expire removes the entries that did not come back. It reports whether one was
 // removed.
 func (b *Book) Expire(now time.Duration) bool {
--- a/fleet/book_test.go
+++ b/fleet/book_test.go
@@ -29,7 +29,7 @@
 	is := is.New(t)
 	book := bookWith(t, "a", "b")
 	is.True(!book.Replace(Upstreams, []Change{entry("a")}, 9, time.Second, time.Second))
-	is.True(!book.Apply(Upstreams, []Change{{Gone: "a"}}, 9, time.Second, time.Second))
+	is.True(!book.Apply(Upstreams, []Change{{Gone: "a"}}, 9, 9, time.Second, time.Second))
 	is.Equal(len(book.View().Upstreams), 2)
 	is.Equal(book.TableFreshAt(Upstreams), time.Duration(0)) // a stale answer makes nothing fresher
 }
@@ -37,16 +37,16 @@
 func TestTheSiteNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	book := bookWith(t)
-	is.True(book.Apply(Operator, []Change{{Site: &Site{Version: 4}}}, 11, 0, 0))
+	is.True(book.Apply(Operator, []Change{{Site: &Site{Version: 4}}}, 11, 11, 0, 0))
 	is.Equal(book.View().Site.Version, int64(5))
-	is.True(book.Apply(Operator, []Change{{Site: &Site{Version: 9}}}, 12, 0, 0))
+	is.True(book.Apply(Operator, []Change{{Site: &Site{Version: 9}}}, 12, 12, 0, 0))
 	is.Equal(book.View().Site.Version, int64(9))
 }
 
 func TestFreshnessCountsFromTheQuestion(t *testing.T) {
 	is := is.New(t)
 	book := bookWith(t)
-	is.True(book.Apply(Operator, nil, 11, 3*time.Second, 4*time.Second))
+	is.True(book.Apply(Operator, nil, 11, 11, 3*time.Second, 4*time.Second))
 	is.Equal(book.TableFreshAt(Operator), 3*time.Second)
 	is.Equal(book.FreshAt(), time.Duration(0)) // the other table is older
 	is.Equal(book.Age(4*time.Second), 4*time.Second)
@@ -57,10 +57,10 @@
 	book := bookWith(t, "a", "b")
 	book.Failed(Upstreams)
 	now := 10 * time.Second
-	is.True(book.Apply(Upstreams, []Change{{Gone: "a"}, {Gone: "b"}}, 12, now, now))
+	is.True(book.Apply(Upstreams, []Change{{Gone: "a"}, {Gone: "b"}}, 12, 12, now, now))
 	is.Equal(len(book.View().Upstreams), 2)
 	is.True(book.View().Upstreams["a"].Missing())
-	is.True(book.Apply(Upstreams, []Change{entry("a")}, 13, now+time.Second, now+time.Second))
+	is.True(book.Apply(Upstreams, []Change{entry("a")}, 13, 13, now+time.Second, now+time.Second))
 	is.True(!book.View().Upstreams["a"].Missing())
 	is.True(!book.Expire(now + lapseGrace - 1))
 	is.True(book.Expire(now + lapseGrace))
@@ -70,7 +70,7 @@
 func TestEntriesRemovedInCalmTimesAreGoneAtOnce(t *testing.T) {
 	is := is.New(t)
 	book := bookWith(t, "a")
-	is.True(book.Apply(Upstreams, []Change{{Gone: "a"}}, 12, time.Second, time.Second))
+	is.True(book.Apply(Upstreams, []Change{{Gone: "a"}}, 12, 12, time.Second, time.Second))
 	is.Equal(len(book.View().Upstreams), 0)
 }
 
@@ -79,10 +79,10 @@
 	book := bookWith(t, "a")
 	leaving := entry("a")
 	leaving.Upstream.Draining = true
-	is.True(book.Apply(Upstreams, []Change{leaving}, 11, time.Second, time.Second))
+	is.True(book.Apply(Upstreams, []Change{leaving}, 11, 11, time.Second, time.Second))
 	book.Failed(Upstreams)
 	now := 20 * time.Second
-	is.True(book.Apply(Upstreams, []Change{{Gone: "a"}}, 12, now, now))
+	is.True(book.Apply(Upstreams, []Change{{Gone: "a"}}, 12, 12, now, now))
 	is.Equal(len(book.View().Upstreams), 0)
 }
 
@@ -102,8 +102,8 @@
 	is := is.New(t)
 	book := bookWith(t, "a")
 	before := book.View()
-	is.True(book.Apply(Upstreams, []Change{entry("b")}, 12, 0, 0))
-	is.True(book.Apply(Operator, []Change{{Zone: "z"}}, 12, 0, 0))
+	is.True(book.Apply(Upstreams, []Change{entry("b")}, 12, 12, 0, 0))
+	is.True(book.Apply(Operator, []Change{{Zone: "z"}}, 12, 12, 0, 0))
 	is.Equal(len(before.Upstreams), 1)
 	is.Equal(len(before.ZonesOut), 0)
 }
@@ -129,3 +129,17 @@
 	is.Equal(route.Choose(0.999), "b")
 	is.Equal((&Route{}).Choose(0.5), "")
 }
+
+func TestAnotherNodesClaimCountsOnlyWithoutAGap(t *testing.T) {
+	is := is.New(t)
+	book := bookWith(t, "a")
+	is.True(!book.Confirm(Upstreams, Claim{Changed: 10, FreshAt: 5 * time.Second}))
+	is.Equal(book.TableFreshAt(Upstreams), 5*time.Second)
+	is.True(book.Confirm(Upstreams, Claim{Changed: 11, FreshAt: 9 * time.Second})) // a change is missing here
+	is.Equal(book.TableFreshAt(Upstreams), 5*time.Second)
+	is.True(!book.Confirm(Upstreams, Claim{Changed: 3, FreshAt: time.Second}))
+	is.Equal(book.TableFreshAt(Upstreams), 5*time.Second) // nothing grows older
+	is.True(!NewBook().Confirm(Upstreams, Claim{Changed: 0, FreshAt: time.Second}))
+	is.True(book.Apply(Upstreams, []Change{entry("b")}, 12, 15, 0, 0))
+	is.Equal(book.Claims()[Upstreams].Changed, int64(12))
+}
--- a/fleet/freshness.go
+++ b/fleet/freshness.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// FollowWait is how long one call for changes may wait at the store. It bounds
-	// the age of what is known on a quiet site.
-	FollowWait = time.Second
+	// FollowWait is how long a call for changes may wait at the store, at the nodes
+	// that tell the others that there is no change. It bounds the age of what is
+	// known on a quiet site.
+	FollowWait = 700 * time.Millisecond
+	// LongWait is the same at the other nodes.
+	LongWait = 15 * time.Second
 )
 
 // Freshness bounds what may be done with beliefs of an age.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -38,6 +38,8 @@
 // Batch is the answer to one call.
 type Batch struct {
 	Changes []fleet.Change
+	// Last is the version of the last change, for an answer to Changes.
+	Last int64
 	// Revision is the store's version that the answer goes up to.
 	Revision int64
 }
@@ -61,6 +63,23 @@
 	current atomic.Pointer[Snapshot]
 	// OnChange is called after the view changed, under no lock. It is set before Run.
 	OnChange func()
+	// Tells reports whether this node is one of those that tell the others that
+	// there is no change. The others wait long at the store. It is set before Run.
+	Tells func() bool
+	// Told is called after an answer of the store, under no lock. It is set before Run.
+	Told func()
+
+	// waits holds the long calls, by table.
+	waits [2]waiting
+}
+
+// waiting is one table's call that waits at the store.
+type waiting struct {
+	cancel context.CancelFunc
+	// behindSince is when a change was first heard of that the call has not brought.
+	behindSince time.Duration
+	// aloneUntil is until when the node doesn't count on others' news.
+	aloneUntil time.Duration
 }
 
 // Snapshot is a view with its age.
@@ -75,7 +94,7 @@
 // New returns a follower that knows nothing. The clock also counts the time in
 // which the machine was suspended.
 func New(source Source, now func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) *Follower {
-	f := &Follower{source: source, logger: logger, metrics: metrics, now: now, book: fleet.NewBook()}
+	f := &Follower{Tells: func() bool { return true }, Told: func() {}, source: source, logger: logger, metrics: metrics, now: now, book: fleet.NewBook()}
 	f.current.Store(&Snapshot{View: f.book.View()})
 	return f
 }
@@ -108,6 +127,9 @@
 			synced, lost, pause = true, false, firstPause
 			continue
 		}
+		if errors.Is(err, errAskAgain) {
+			continue
+		}
 		if errors.Is(err, ErrHistoryGone) {
 			f.logger.Info().Int("table", int(kind)).Msg("store history gone, reading the table again")
 			synced = false
@@ -135,35 +157,116 @@
 func (f *Follower) step(ctx context.Context, kind fleet.Kind, synced bool) (bool, error) {
 	asked := f.now()
 	if !synced {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		batch, err := f.source.Read(ctx, kind)
-		if err != nil {
-			return false, err
-		}
-		return f.merge(kind, batch, asked, true), nil
+		return f.read(ctx, kind, asked)
 	}
-	ctx, cancel := context.WithTimeout(ctx, fleet.FollowWait+callSlack)
-	defer cancel()
+	wait, long := fleet.FollowWait, false
 	f.mutex.Lock()
 	since := f.book.Revision(kind)
+	if !f.Tells() && asked >= f.waits[kind].aloneUntil {
+		wait, long = fleet.LongWait, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	if long {
+		f.waits[kind].cancel = cancel
+	}
+	f.mutex.Unlock()
+	batch, err := f.source.Changes(ctx, kind, since, wait)
+	f.mutex.Lock()
+	f.waits[kind].cancel = nil
+	askAgain := long && errors.Is(ctx.Err(), context.Canceled)
 	f.mutex.Unlock()
-	batch, err := f.source.Changes(ctx, kind, since, fleet.FollowWait)
+	if err != nil && askAgain {
+		return false, errAskAgain
+	}
 	if err != nil {
 		return false, err
 	}
 	return f.merge(kind, batch, asked, false), nil
 }
 
+// errAskAgain is returned for a long call that was given up to ask anew.
+var errAskAgain = eris.New("ask again")
+
+// read reads a whole table. A read may be stale; it counts when the store then has
+// the changes since.
+func (f *Follower) read(ctx context.Context, kind fleet.Kind, asked time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := f.source.Read(ctx, kind)
+	if err != nil {
+		return false, err
+	}
+	since, err := f.source.Changes(ctx, kind, batch.Revision, 0)
+	if err != nil {
+		return false, err
+	}
+	return f.merge(kind, batch, asked, true) && f.merge(kind, since, asked, false), nil
+}
+
+// Claims returns what this node knows of each table.
+func (f *Follower) Claims() [2]fleet.Claim {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.book.Claims()
+}
+
+// Confirm takes another node's claims, with their times on this node's clock.
+func (f *Follower) Confirm(claims [2]fleet.Claim) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for kind := range claims {
+		if f.book.Confirm(fleet.Kind(kind), claims[kind]) {
+			if f.waits[kind].behindSince == 0 {
+				f.waits[kind].behindSince = f.now()
+			}
+		}
+	}
+	f.publish()
+}
+
+const (
+	// quietAge is the age of a table from which a node that waits long asks itself:
+	// the others' news come each FollowWait, and two of them may be lost.
+	quietAge = 1800 * time.Millisecond
+	// behindTime is how much later than another node a change may come.
+	behindTime = 300 * time.Millisecond
+	// aloneTime is how long a node asks itself after that.
+	aloneTime = 3 * time.Second
+)
+
+// askSooner gives up long calls of tables that are too old, or behind; the mutex
+// is held.
+func (f *Follower) askSooner() {
+	now := f.now()
+	for kind := range f.waits {
+		w := &f.waits[kind]
+		if w.cancel == nil {
+			continue
+		}
+		old := now-f.book.TableFreshAt(fleet.Kind(kind)) > quietAge
+		if behind := w.behindSince != 0 && now-w.behindSince > behindTime; old || behind {
+			w.aloneUntil = now + aloneTime
+			w.cancel()
+			w.cancel = nil
+		}
+	}
+}
+
 func (f *Follower) merge(kind fleet.Kind, batch Batch, asked time.Duration, whole bool) bool {
 	f.mutex.Lock()
 	now := f.now()
 	before := f.book.View()
 	merge := f.book.Apply
 	if whole {
-		merge = f.book.Replace
+		merge = func(kind fleet.Kind, changes []fleet.Change, _, revision int64, asked, now time.Duration) bool {
+			return f.book.Replace(kind, changes, revision, asked, now)
+		}
+	}
+	ok := merge(kind, batch.Changes, batch.Last, batch.Revision, asked, now)
+	if ok {
+		f.waits[kind].behindSince = 0
 	}
-	ok := merge(kind, batch.Changes, batch.Revision, asked, now)
 	snapshot := f.publish()
 	f.mutex.Unlock()
 	if ok && (whole || len(batch.Changes) > 0) {
@@ -172,6 +275,9 @@
 			f.OnChange()
 		}
 	}
+	if ok {
+		f.Told()
+	}
 	return ok
 }
 
@@ -204,6 +310,7 @@
 		case <-ticker.C:
 		}
 		f.mutex.Lock()
+		f.askSooner()
 		removed := f.book.Expire(f.now())
 		var snapshot *Snapshot
 		if removed {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -26,6 +26,7 @@
 	gone     bool
 	silent   bool
 	reads    int
+	calls    int
 }
 
 func (s *scripted) set(f func(s *scripted)) {
@@ -58,9 +59,14 @@
 func (s *scripted) Changes(ctx context.Context, kind fleet.Kind, since int64, wait time.Duration) (Batch, error) {
 	for start := time.Now(); ; {
 		s.mutex.Lock()
+		if start.Equal(time.Now()) {
+			s.calls++
+		}
 		batch, down, gone, silent := s.batch(kind), s.down, s.gone, s.silent
 		s.mutex.Unlock()
 		switch {
+		case ctx.Err() != nil:
+			return Batch{}, ctx.Err()
 		case silent:
 			<-ctx.Done()
 			return Batch{}, ctx.Err()
@@ -69,6 +75,7 @@
 		case gone:
 			return Batch{}, ErrHistoryGone
 		case batch.Revision != since:
+			batch.Last = batch.Revision
 			return batch, nil
 		case time.Since(start) >= wait:
 			return Batch{Revision: batch.Revision}, nil
@@ -159,6 +166,61 @@
 	})
 }
 
+// tell lets another node confirm that nothing changed, each half second.
+func tell(f *Follower, changed int64, times int) {
+	for range times {
+		time.Sleep(500 * time.Millisecond)
+		claim := fleet.Claim{Changed: changed, FreshAt: f.now()}
+		f.Confirm([2]fleet.Claim{claim, claim})
+	}
+}
+
+func TestANodeThatIsToldAsksTheStoreSeldom(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		f.mutex.Lock()
+		f.Tells = func() bool { return false }
+		f.mutex.Unlock()
+		tell(f, 1, 6)
+		calls := 0
+		source.set(func(s *scripted) { calls = s.calls })
+		tell(f, 1, 20)
+		source.set(func(s *scripted) { is.True(s.calls-calls <= 2) })
+		is.True(age(f) < 600*time.Millisecond)
+	})
+}
+
+func TestANodeThatIsNotToldAsksItself(t *testing.T) {
+	run(t, func(t *testing.T, _ *scripted, f *Follower) {
+		f.mutex.Lock()
+		f.Tells = func() bool { return false }
+		f.mutex.Unlock()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			// The age at which it asks, its own short call, and the look for it.
+			if age(f) > quietAge+fleet.FollowWait+2*expireInterval {
+				t.Fatalf("beliefs are %v old", age(f))
+			}
+		}
+	})
+}
+
+func TestANodeWhoseLongCallWentSilentAsksAgain(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		f.mutex.Lock()
+		f.Tells = func() bool { return false }
+		f.mutex.Unlock()
+		tell(f, 1, 4)
+		source.set(func(s *scripted) { s.silent = true })
+		time.Sleep(fleet.LongWait)
+		source.set(func(s *scripted) { s.silent = false; s.site, s.revision = 5, 5 })
+		tell(f, 5, 2)
+		time.Sleep(fleet.FollowWait + callSlack)
+		is.Equal(f.Current().Site.Version, int64(5))
+	})
+}
+
 func TestAnOutageAgesBeliefs(t *testing.T) {
 	run(t, func(t *testing.T, source *scripted, f *Follower) {
 		is := is.New(t)
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -23,6 +24,14 @@
 	// silentAfter is the silence after which a node's totals no longer count: four
 	// beats, so that a lossy link alone does not do it.
 	silentAfter = 4 * beatInterval
+	// trustAfter is how long a node must have been heard before its claims count: the
+	// difference of the clocks is known from several datagrams by then, and a single
+	// late one can't make it seem fresher than it is.
+	trustAfter = 3 * beatInterval
+	// tellerAge is the age of beliefs up to which a node counts as one that tells.
+	tellerAge = 2 * time.Second
+	// tellers is how many nodes ask the store in short turns and tell the others.
+	tellers = 2
 	// forgetAfter is how long a silent node still counts among those that share
 	// limits: longer than a retry window.
 	forgetAfter = 15 * time.Second
@@ -48,6 +57,13 @@
 	Nodes(ctx context.Context) ([]Node, error)
 }
 
+// Beliefs are what a node knows of the store's tables.
+type Beliefs interface {
+	Claims() [2]fleet.Claim
+	// Confirm takes another node's claims, with their times on this node's clock.
+	Confirm(claims [2]fleet.Claim)
+}
+
 // Gate is where placements are known.
 type Gate interface {
 	Do(f func(s *placement.Scheduler, now time.Duration))
@@ -59,9 +75,16 @@
 	incarnation uint64
 	sequence    uint64
 	heardAt     time.Time
-	beliefsAge  time.Duration
-	silent      bool
-	leaving     bool
+	// firstAt is when the incarnation was first heard.
+	firstAt time.Time
+	// offset is the least difference of this node's clock and the peer's at the
+	// arrival of a datagram.
+	offset time.Duration
+	// freshAt is the time up to which the peer's beliefs are complete, on this
+	// node's clock.
+	freshAt time.Duration
+	silent  bool
+	leaving bool
 }
 
 // Agent tells and hears.
@@ -69,14 +92,15 @@
 	self      Node
 	directory Directory
 	gate      Gate
+	clock     func() time.Duration
 	logger    zerolog.Logger
 	metrics   *telemetry.Metrics
 	conn      *net.UDPConn
 	started   uint64
 	// OnNodes is called with the number of nodes that share limits, at each change.
 	OnNodes func(nodes int)
-	// BeliefsAge tells how old the node's beliefs are.
-	BeliefsAge func() time.Duration
+	// Beliefs are told with each datagram.
+	Beliefs Beliefs
 
 	mutex    sync.Mutex
 	peers    map[string]*peer
@@ -87,13 +111,14 @@
 }
 
 // Listen returns an agent that is bound to its address.
-func Listen(self Node, directory Directory, gate Gate, logger zerolog.Logger, metrics *telemetry.Metrics) (*Agent, error) {
+// The clock also counts the time in which the machine was suspended.
+func Listen(self Node, directory Directory, gate Gate, clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) (*Agent, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Address))
 	if err != nil {
 		return nil, eris.Wrap(err, "datagram address")
 	}
 	return &Agent{
-		self: self, directory: directory, gate: gate, logger: logger, metrics: metrics, conn: conn,
+		self: self, directory: directory, gate: gate, clock: clock, logger: logger, metrics: metrics, conn: conn,
 		started: uint64(time.Now().UnixNano()), peers: map[string]*peer{},
 	}, nil
 }
@@ -133,11 +158,12 @@
 
 // tell sends one datagram to each node.
 func (a *Agent) tell(shares []placement.Share, whole bool) {
+	claims := a.Beliefs.Claims()
 	a.mutex.Lock()
 	a.sequence++
 	m := message{
 		Node: a.self.Name, Incarnation: a.started, Sequence: a.sequence, Whole: whole,
-		BeliefsAge: a.BeliefsAge(), Leaving: a.leaving, Shares: shares,
+		SentAt: a.clock(), Claims: claims, Leaving: a.leaving, Shares: shares,
 	}
 	addresses := make([]netip.AddrPort, 0, len(a.peers))
 	for _, p := range a.peers {
@@ -237,10 +263,24 @@
 	reborn := m.Incarnation > p.incarnation
 	older := !reborn && m.Sequence <= p.sequence
 	p.address, p.incarnation, p.heardAt, p.silent = from, m.Incarnation, time.Now(), false
+	if offset := a.clock() - m.SentAt; reborn || offset < p.offset {
+		p.offset = offset
+	}
+	if reborn {
+		p.firstAt = time.Now()
+	}
 	if !older {
-		p.sequence, p.beliefsAge, p.leaving = m.Sequence, m.BeliefsAge, m.Leaving
+		p.sequence, p.leaving = m.Sequence, m.Leaving
+		p.freshAt = min(m.Claims[0].FreshAt, m.Claims[1].FreshAt) + p.offset
+	}
+	claims, trusted := m.Claims, time.Since(p.firstAt) > trustAfter
+	for i := range claims {
+		claims[i].FreshAt += p.offset
 	}
 	a.mutex.Unlock()
+	if trusted {
+		a.Beliefs.Confirm(claims)
+	}
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) {
 		if reborn {
 			s.Forget(m.Node)
@@ -269,7 +309,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, p := range a.peers {
-		if heard := time.Since(p.heardAt); heard < silentAfter && p.beliefsAge+heard < age {
+		if time.Since(p.heardAt) < silentAfter && a.clock()-p.freshAt < age {
 			return true
 		}
 	}
@@ -317,6 +357,28 @@
 	return nil
 }
 
+// Tells reports whether this node is one of those that ask the store in short turns
+// and tell the others: the first by name of those whose beliefs are fresh.
+func (a *Agent) Tells() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	before := 0
+	for name, p := range a.peers {
+		fresh := p.incarnation != 0 && !p.leaving && time.Since(p.heardAt) < silentAfter && a.clock()-p.freshAt < tellerAge
+		if fresh && name < a.self.Name {
+			before++
+		}
+	}
+	return before < tellers
+}
+
+// BeliefsChanged tells the others at once, if this node is one of those that do.
+func (a *Agent) BeliefsChanged() {
+	if a.Tells() {
+		a.tell(nil, false)
+	}
+}
+
 // Leave tells the others that this node shuts down.
 func (a *Agent) Leave() {
 	a.mutex.Lock()
--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -48,6 +48,28 @@
 	f(g.scheduler, time.Since(g.started))
 }
 
+// clock is the steady clock of the test's process.
+func clock() time.Duration { return time.Since(processStart) + time.Hour }
+
+var processStart = time.Now()
+
+// beliefs are 100 ms old, and note what they are told.
+type beliefs struct {
+	mutex sync.Mutex
+	heard [2]fleet.Claim
+}
+
+func (b *beliefs) Claims() [2]fleet.Claim {
+	at := clock() - 100*time.Millisecond
+	return [2]fleet.Claim{{Changed: 3, FreshAt: at}, {Changed: 4, FreshAt: at}}
+}
+
+func (b *beliefs) Confirm(claims [2]fleet.Claim) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.heard = claims
+}
+
 type node struct {
 	agent *Agent
 	gate  *gate
@@ -65,13 +87,13 @@
 	_ = free.Close()
 	g := &gate{scheduler: placement.New(placement.Config{}), started: time.Now()}
 	g.scheduler.Configure(fleet.View{Site: &fleet.Site{}, Upstreams: map[string]*fleet.Upstream{"u": {ID: "u"}}})
-	agent, err := Listen(Node{Name: name, Address: address}, list, g, zerolog.Nop(), telemetry.NewMetrics())
+	agent, err := Listen(Node{Name: name, Address: address}, list, g, clock, zerolog.Nop(), telemetry.NewMetrics())
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := &node{agent: agent, gate: g, nodes: make(chan int, 100)}
 	agent.OnNodes = func(nodes int) { n.nodes <- nodes }
-	agent.BeliefsAge = func() time.Duration { return 100 * time.Millisecond }
+	agent.Beliefs = &beliefs{}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -128,17 +150,64 @@
 func direct() (*Agent, *gate) {
 	g := &gate{scheduler: placement.New(placement.Config{}), started: time.Now()}
 	g.scheduler.Configure(fleet.View{Site: &fleet.Site{}, Upstreams: map[string]*fleet.Upstream{"u": {ID: "u"}}})
-	return &Agent{self: Node{Name: "self"}, gate: g, logger: zerolog.Nop(), peers: map[string]*peer{}}, g
+	return &Agent{self: Node{Name: "self"}, gate: g, clock: clock, Beliefs: &beliefs{}, logger: zerolog.Nop(), peers: map[string]*peer{}}, g
+}
+
+// claimed is a datagram whose claims were fresh at a time.
+func claimed(incarnation, sequence uint64, sent, fresh time.Duration) *message {
+	return &message{Node: "b", Incarnation: incarnation, Sequence: sequence, SentAt: sent, Claims: [2]fleet.Claim{{FreshAt: fresh}, {FreshAt: fresh}}}
 }
 
 func TestOlderDatagramsDoNotCount(t *testing.T) {
 	is := is.New(t)
 	a, _ := direct()
-	a.take(&message{Node: "b", Incarnation: 5, Sequence: 9, BeliefsAge: time.Second}, netip.AddrPort{})
-	a.take(&message{Node: "b", Incarnation: 5, Sequence: 8, BeliefsAge: 2 * time.Second}, netip.AddrPort{})
-	is.Equal(a.peers["b"].beliefsAge, time.Second)
-	a.take(&message{Node: "b", Incarnation: 4, Sequence: 99, BeliefsAge: 3 * time.Second}, netip.AddrPort{})
-	is.Equal(a.peers["b"].beliefsAge, time.Second) // of a process that is gone
-	a.take(&message{Node: "b", Incarnation: 6, Sequence: 1, BeliefsAge: 4 * time.Second}, netip.AddrPort{})
-	is.Equal(a.peers["b"].beliefsAge, 4*time.Second)
+	now := clock()
+	near := func(want time.Duration) bool {
+		d := a.peers["b"].freshAt - want
+		return d > -time.Second/4 && d < time.Second/4
+	}
+	a.take(claimed(5, 9, now, now-time.Second), netip.AddrPort{})
+	a.take(claimed(5, 8, now, now-2*time.Second), netip.AddrPort{})
+	is.True(near(now - time.Second))
+	a.take(claimed(4, 99, now, now-3*time.Second), netip.AddrPort{})
+	is.True(near(now - time.Second)) // of a process that is gone
+	a.take(claimed(6, 1, now, now-4*time.Second), netip.AddrPort{})
+	is.True(near(now - 4*time.Second))
+}
+
+func TestADatagramThatLayLongMakesNothingFresh(t *testing.T) {
+	is := is.New(t)
+	a, _ := direct()
+	// The peer's clock is 7 s ahead of this one's; three datagrams come at once.
+	const ahead = 7 * time.Second
+	for i := range uint64(3) {
+		now := clock()
+		a.take(claimed(1, i, now+ahead, now+ahead), netip.AddrPort{})
+	}
+	heard := a.Beliefs.(*beliefs)
+	is.Equal(heard.heard[0].FreshAt, time.Duration(0)) // it was not heard for long enough
+	a.peers["b"].firstAt = time.Now().Add(-trustAfter - time.Second)
+	// One lay 6 s in the buffer of a process that stood still.
+	now := clock()
+	a.take(claimed(1, 9, now+ahead-6*time.Second, now+ahead-6*time.Second), netip.AddrPort{})
+	age := clock() - heard.heard[0].FreshAt
+	is.True(age > 5900*time.Millisecond)
+	is.True(age < 6100*time.Millisecond)
+}
+
+func TestTheFirstByNameTell(t *testing.T) {
+	is := is.New(t)
+	a, _ := direct()
+	a.self.Name = "m"
+	is.True(a.Tells())
+	now := clock()
+	for i, name := range []string{"x", "b", "c"} {
+		m := claimed(1, 1, now, now)
+		m.Node = name
+		a.take(m, netip.AddrPort{})
+		is.Equal(a.Tells(), i < 2) // name
+	}
+	stale := claimed(1, 2, now, now-5*time.Second)
+	a.take(stale, netip.AddrPort{})
+	is.True(a.Tells()) // b does not reach the store
 }
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -7,10 +7,12 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
 )
 
@@ -28,8 +30,10 @@
 	Sequence    uint64
 	// Whole is true when Shares are all that the node has.
 	Whole bool
-	// BeliefsAge is how old the node's beliefs are.
-	BeliefsAge time.Duration
+	// SentAt is when it was sent, on the sender's clock.
+	SentAt time.Duration
+	// Claims are what the sender knows of the store's tables, with its own times.
+	Claims [2]fleet.Claim
 	// Leaving is true when the node shuts down.
 	Leaving bool
 	Shares  []placement.Share
@@ -54,7 +58,11 @@
 	b = append(b, m.Node...)
 	b = binary.AppendUvarint(b, m.Incarnation)
 	b = binary.AppendUvarint(b, m.Sequence)
-	b = binary.AppendUvarint(b, uint64(max(0, m.BeliefsAge.Milliseconds())))
+	b = binary.AppendUvarint(b, uint64(m.SentAt.Microseconds()))
+	for _, claim := range m.Claims {
+		b = binary.AppendUvarint(b, uint64(max(0, claim.Changed)))
+		b = binary.AppendUvarint(b, uint64(max(0, (m.SentAt-claim.FreshAt).Microseconds())))
+	}
 	b = binary.AppendUvarint(b, uint64(len(m.Shares)))
 	for i := range m.Shares {
 		share := &m.Shares[i]
@@ -109,6 +117,11 @@
 // maxCount bounds what a datagram may claim to be at an upstream.
 const maxCount = 1 << 32
 
+// maxMicroseconds is a century.
+const maxMicroseconds = 100 * 366 * 24 * 3600 * 1_000_000
+
+func (r *reader) microseconds() int64 { return int64(min(r.number(), maxMicroseconds)) }
+
 func (r *reader) count() int { return int(min(r.number(), maxCount)) }
 
 func decode(data []byte) (*message, error) {
@@ -121,7 +134,11 @@
 	m.Node = string(r.bytes(r.number()))
 	m.Incarnation = r.number()
 	m.Sequence = r.number()
-	m.BeliefsAge = time.Duration(r.count()) * time.Millisecond
+	m.SentAt = time.Duration(r.microseconds()) * time.Microsecond
+	for i := range m.Claims {
+		m.Claims[i].Changed = int64(r.number() & math.MaxInt64)
+		m.Claims[i].FreshAt = m.SentAt - time.Duration(r.microseconds())*time.Microsecond
+	}
 	for n := r.number(); n > 0 && !r.failed; n-- {
 		hash := r.bytes(4)
 		if r.failed {
--- a/loadshare/message_test.go
+++ b/loadshare/message_test.go
@@ -6,12 +6,14 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
 )
 
 func sample() *message {
 	return &message{
-		Node: "edge-1", Incarnation: 42, Sequence: 7, Whole: true, Leaving: true, BeliefsAge: 1500 * time.Millisecond,
+		Node: "edge-1", Incarnation: 42, Sequence: 7, Whole: true, Leaving: true, SentAt: 90 * time.Second,
+		Claims: [2]fleet.Claim{{Changed: 12, FreshAt: 88 * time.Second}, {Changed: 1 << 40, FreshAt: 90 * time.Second}},
 		Shares: []placement.Share{
 			{Hash: 1, Totals: placement.Totals{Running: 3, Memory: 150_000, Helping: 2}, AddedMs: 110.5, Pace: 1, Unknown: 2},
 			{Hash: 0xffffffff, AddedMs: -20, AvoidFor: time.Second},
