--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -147,10 +147,10 @@
 }
 
 // direct returns an agent that is told by hand.
-func direct() (*Agent, *gate) {
+func direct() *Agent {
 	g := &gate{scheduler: placement.New(placement.Config{}), started: time.Now()}
 	g.scheduler.Configure(fleet.View{Site: &fleet.Site{}, Upstreams: map[string]*fleet.Upstream{"u": {ID: "u"}}})
-	return &Agent{self: Node{Name: "self"}, gate: g, clock: clock, Beliefs: &beliefs{}, logger: zerolog.Nop(), peers: map[string]*peer{}}, g
+	return &Agent{self: Node{Name: "self"}, gate: g, clock: clock, Beliefs: &beliefs{}, logger: zerolog.Nop(), peers: map[string]*peer{}}
 }
 
 // claimed is a datagram whose claims were fresh at a time.
@@ -160,7 +160,7 @@
 
 func TestOlderDatagramsDoNotCount(t *testing.T) {
 	is := is.New(t)
-	a, _ := direct()
+	a := direct()
 	now := clock()
 	near := func(want time.Duration) bool {
 		d := a.peers["b"].freshAt - want
@@ -177,7 +177,7 @@
 
 func TestADatagramThatLayLongMakesNothingFresh(t *testing.T) {
 	is := is.New(t)
-	a, _ := direct()
+	a := direct()
 	// The peer's clock is 7 s ahead of this one's; three datagrams come at once.
 	const ahead = 7 * time.Second
 	for i := range uint64(3) {
@@ -197,7 +197,7 @@
 
 func TestTheFirstByNameTell(t *testing.T) {
 	is := is.New(t)
-	a, _ := direct()
+	a := direct()
 	a.self.Name = "m"
 	is.True(a.Tells())
 	now := clock()
