--- a/entry/header.go
+++ b/entry/header.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/textproto"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
@@ -13,8 +14,8 @@
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Host": true,
-	"Content-Length": true, "Authorization": true, "X-Attempt-Id": true,
-	"X-Kv-Engines": true,
+	"Content-Length": true, "Authorization": true, "X-Kv-Engines": true,
+	textproto.CanonicalMIMEHeaderKey(upstream.HeaderAttempt): true,
 }
 
 const (
