--- a/edge/node.go
+++ b/edge/node.go
@@ -82,18 +82,20 @@
 
 // Node is one node.
 type Node struct {
-	settings  *Settings
-	logger    zerolog.Logger
-	metrics   *telemetry.Metrics
-	follower  *follow.Follower
-	gate      *exchange.Gate
-	retries   *exchange.RetryBudget
-	agent     *loadshare.Agent
-	pool      *directhttp.Pool
-	exchange  *exchange.Exchange
-	reports   *reports
-	callers   *http.Server
-	checks    *http.Server
+	settings *Settings
+	logger   zerolog.Logger
+	metrics  *telemetry.Metrics
+	follower *follow.Follower
+	gate     *exchange.Gate
+	retries  *exchange.RetryBudget
+	agent    *loadshare.Agent
+	pool     *directhttp.Pool
+	exchange *exchange.Exchange
+	reports  *reports
+	callers  *http.Server
+	checks   *http.Server
+	// measures is for metrics; nil where the settings name no address.
+	measures  *http.Server
 	listeners []net.Listener
 	noting    *noting
 	draining  atomic.Bool
@@ -147,7 +149,14 @@
 }
 
 func (n *Node) listen() error {
-	for _, address := range []string{n.settings.CallerAddress, n.settings.ReadyAddress} {
+	addresses := []string{n.settings.CallerAddress, n.settings.ReadyAddress}
+	if n.settings.MetricsAddress != "" {
+		addresses = append(addresses, n.settings.MetricsAddress)
+		mux := http.NewServeMux()
+		mux.HandleFunc("/metrics", n.showMetrics)
+		n.measures = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: quietLog(n.logger)}
+	}
+	for _, address := range addresses {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return eris.Wrap(ErrListen, err.Error())
@@ -161,7 +170,7 @@
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: quietLog(n.logger), DisableGeneralOptionsHandler: true,
 	}
 	n.checks = &http.Server{
-		Handler:           platform.ReadyHandler(n.ready, http.HandlerFunc(n.showMetrics)),
+		Handler:           platform.ReadyHandler(n.ready),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: quietLog(n.logger),
 	}
 	return nil
@@ -216,7 +225,11 @@
 	group.Go(func() { n.sweep(work) })
 	group.Go(func() { n.reports.run(work) })
 	failed := make(chan error, len(n.listeners))
-	for i, server := range []*http.Server{n.callers, n.checks} {
+	servers := []*http.Server{n.callers, n.checks}
+	if n.measures != nil {
+		servers = append(servers, n.measures)
+	}
+	for i, server := range servers {
 		group.Go(func() {
 			if err := server.Serve(n.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				failed <- eris.Wrap(ErrListen, err.Error())
@@ -229,8 +242,9 @@
 		n.drain()
 	case err = <-failed:
 	}
-	_ = n.callers.Close()
-	_ = n.checks.Close()
+	for _, server := range servers {
+		_ = server.Close()
+	}
 	stop()
 	group.Wait()
 	n.logger.Info().Err(err).Msg("node ends")
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -21,7 +21,9 @@
 	Regions map[string]string `yaml:"regions"`
 	// CallerAddress is the IP address and port for callers.
 	CallerAddress string `yaml:"caller_address"`
-	// ReadyAddress is the IP address and port for the balancer's check and metrics.
+	// MetricsAddress is the IP address and port for metrics, at /metrics; empty is none.
+	MetricsAddress string `yaml:"metrics_address"`
+	// ReadyAddress is the IP address and port for the balancer's check.
 	ReadyAddress string `yaml:"ready_address"`
 	// PeerIP and PeerPorts are the address and the range of ports for other nodes.
 	PeerIP    string   `yaml:"peer_ip"`
@@ -77,6 +79,11 @@
 			report(field, "is not an IP address and port: "+err.Error())
 		}
 	}
+	if s.MetricsAddress != "" {
+		if _, err := netip.ParseAddrPort(s.MetricsAddress); err != nil {
+			report("metrics_address", "is not an IP address and port: "+err.Error())
+		}
+	}
 	if _, err := netip.ParseAddr(s.PeerIP); err != nil {
 		report("peer_ip", "is not an IP address: "+err.Error())
 	}
