--- a/cli/check.go
+++ b/cli/check.go
@@ -8,6 +8,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeontiller/wigeontiller/edge"
 	documents "github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/settings"
 	"github.com/wigeontiller/wigeontiller/strictyaml"
@@ -25,7 +26,7 @@
 }
 
 func addCheck(parser *flaggy.Parser) []*command {
-	parsed := subcommand("check", "Check a settings file or an environment document.")
+	parsed := subcommand("check", "Check a settings file of either kind or an environment document.")
 	var file string
 	parsed.AddPositionalValue(&file, "file", 1, true, "The file to check.")
 	parser.AttachSubcommand(parsed, 1)
@@ -38,9 +39,12 @@
 		return eris.Wrap(ErrUsage, err.Error())
 	}
 	report := checkReport{File: file, Kind: kindOf(data)}
-	if report.Kind == "settings" {
+	switch report.Kind {
+	case kindSettings:
 		_, err = settings.Parse(data)
-	} else {
+	case kindEdge:
+		_, err = edge.ParseSettings(data)
+	default:
 		_, err = documents.Parse(data)
 	}
 	report.Valid = err == nil
@@ -54,15 +58,26 @@
 	return nil
 }
 
-// kindOf tells settings from a document by the address that only settings have.
+const (
+	kindSettings    = "settings"
+	kindEdge        = "edge settings"
+	kindEnvironment = "environment"
+)
+
+// kindOf tells settings from a document by the addresses that only settings have.
 func kindOf(data []byte) string {
 	var probe struct {
 		CallerAddress string `yaml:"caller_address"`
+		StoreAddress  string `yaml:"store_address"`
 	}
-	if strictyaml.DecodeLenient(data, &probe) && probe.CallerAddress != "" {
-		return "settings"
+	fits := strictyaml.DecodeLenient(data, &probe)
+	switch {
+	case fits && probe.StoreAddress != "":
+		return kindEdge
+	case fits && probe.CallerAddress != "":
+		return kindSettings
 	}
-	return "environment"
+	return kindEnvironment
 }
 
 func (r checkReport) text() string {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"reflect"
+	"sort"
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/strictyaml"
@@ -59,6 +60,12 @@
 		problems = append(problems, strictyaml.FieldError{Field: field, Line: source.Line(field), Message: message})
 	}
 	settings.check(report)
+	sort.Slice(problems, func(i, j int) bool {
+		if problems[i].Line != problems[j].Line {
+			return problems[i].Line < problems[j].Line
+		}
+		return problems[i].Field < problems[j].Field
+	})
 	if len(problems) > 0 {
 		return nil, problems
 	}
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,7 @@
 	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/standin/engine"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
+	"github.com/wigeontiller/wigeontiller/upstream"
 )
 
 const (
@@ -139,13 +141,41 @@
 		_, _ = io.Copy(io.MultiWriter(p, near), far)
 		return
 	}
-	_, _ = io.CopyN(near, far, int64(p.cuts[number]))
+	passUntil(near, far, p.cuts[number])
 	if p.reset != nil {
 		<-p.reset
 		_ = near.SetLinger(0)
 	}
 }
 
+// passUntil passes a number of bytes on, but not the end marker: how many bytes an
+// answer has depends on how its writes fell into chunks, so that an offset of one
+// answer may be behind the end of another.
+func passUntil(near io.Writer, far io.Reader, count int) {
+	var all []byte
+	buffer := make([]byte, 4<<10)
+	for passed := 0; passed < count; {
+		n, err := far.Read(buffer)
+		all = append(all, buffer[:n]...)
+		until := len(all) - len(upstream.EndMarker) + 1
+		if len(all) >= count {
+			until = count
+		}
+		if marker := bytes.Index(all, upstream.EndMarker); marker >= 0 && marker < count {
+			until, count = marker, marker
+		}
+		if until > passed {
+			if _, err := near.Write(all[passed:until]); err != nil {
+				return
+			}
+			passed = until
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // Write records what passes uncut, before it is passed on.
 func (p *cutter) Write(data []byte) (int, error) {
 	p.mutex.Lock()
