--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -141,26 +141,29 @@
 		_, _ = io.Copy(io.MultiWriter(p, near), far)
 		return
 	}
-	passUntil(near, far, p.cuts[number])
+	passUntil(near, far, p.cuts[number], number == 0)
 	if p.reset != nil {
 		<-p.reset
 		_ = near.SetLinger(0)
 	}
 }
 
-// passUntil passes a number of bytes on, but not the end marker: how many bytes an
-// answer has depends on how its writes fell into chunks, so that an offset of one
-// answer may be behind the end of another.
-func passUntil(near io.Writer, far io.Reader, count int) {
+// passUntil passes a number of bytes on, but not the end marker, and where first is
+// set at least the first event: how many bytes an answer has depends on how its
+// writes fell into chunks, so that an offset of one answer may be behind the end of
+// another, or before its first event.
+func passUntil(near io.Writer, far io.Reader, count int, first bool) {
 	var all []byte
 	buffer := make([]byte, 4<<10)
 	for passed := 0; passed < count; {
 		n, err := far.Read(buffer)
 		all = append(all, buffer[:n]...)
-		until := len(all) - len(upstream.EndMarker) + 1
-		if len(all) >= count {
-			until = count
+		if ends := boundaries(string(all)); first && len(ends) > 0 {
+			count, first = max(count, ends[0]), false
+		} else if first {
+			count = max(count, len(all)+1)
 		}
+		until := min(count, len(all)-begunMarker(all))
 		if marker := bytes.Index(all, upstream.EndMarker); marker >= 0 && marker < count {
 			until, count = marker, marker
 		}
@@ -176,6 +179,16 @@
 	}
 }
 
+// begunMarker is the number of bytes at the end of data that may begin the end marker.
+func begunMarker(data []byte) int {
+	for n := min(len(data), len(upstream.EndMarker)-1); n > 0; n-- {
+		if bytes.HasPrefix(upstream.EndMarker, data[len(data)-n:]) {
+			return n
+		}
+	}
+	return 0
+}
+
 // Write records what passes uncut, before it is passed on.
 func (p *cutter) Write(data []byte) (int, error) {
 	p.mutex.Lock()
