--- /dev/null
+++ b/exchange/promise.go
@@ -0,0 +1,46 @@
+package exchange
+
+// The promises that a run looks at again before it keeps them. A breach is a fault
+// of the program: it is counted, logged as an error, and not carried out.
+const (
+	promiseOnce  = "at_most_once"
+	promiseUnrun = "not_run"
+	promiseOrder = "event_order"
+)
+
+// broken notes a breach.
+func (r *run) broken(promise string) {
+	r.exchange.config.Metrics.InvariantBroken(promise)
+	r.exchange.config.Logger.Error().Str("request_id", r.request.ID).Str("promise", promise).
+		Int("ran", r.ran).Int64("last_event", r.sent).Msg("promise broken")
+}
+
+// maySend reports whether a sending keeps the promise that a request that must not
+// be repeated runs once.
+func (r *run) maySend() bool {
+	if r.ran == 0 || r.request.Route.Repeatable() {
+		return true
+	}
+	r.broken(promiseOnce)
+	return false
+}
+
+// truthful returns the failure with a code that promises no more than is true.
+func (r *run) truthful(failure Failure) Failure {
+	promises := failure.Code == Unavailable || failure.Code == Overloaded || failure.Code == ExpiredUnrun
+	if !promises || r.ran == 0 || r.request.Route.Repeatable() {
+		return failure
+	}
+	r.broken(promiseUnrun)
+	failure.Code = UpstreamFailed
+	return failure
+}
+
+// inOrder reports whether an event follows the last one that the caller has.
+func (r *run) inOrder(number int64) bool {
+	if number == 0 || number == r.sent+1 {
+		return true
+	}
+	r.broken(promiseOrder)
+	return false
+}
--- /dev/null
+++ b/exchange/promise_test.go
@@ -0,0 +1,35 @@
+package exchange
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+// breach runs f for a request on a route that has run, and returns the count.
+func breach(t *testing.T, promise string, kind fleet.RouteKind, f func(r *run)) int64 {
+	t.Helper()
+	fixture := newFixture(t)
+	r := &run{exchange: fixture.exchange, request: &Request{Route: &fleet.Route{Kind: kind}}, ran: 1, sent: 4}
+	f(r)
+	return fixture.exchange.config.Metrics.CounterValue(`wigeontiller_invariant_broken_total{invariant="` + promise + `"}`)
+}
+
+func TestBreachesAreCountedAndNotCarriedOut(t *testing.T) {
+	is := is.New(t)
+	is.Equal(breach(t, promiseOnce, fleet.Unsafe, func(r *run) { is.True(!r.maySend()) }), int64(1))
+	is.Equal(breach(t, promiseOnce, fleet.Safe, func(r *run) { is.True(r.maySend()) }), int64(0))
+	is.Equal(breach(t, promiseUnrun, fleet.Unsafe, func(r *run) {
+		is.Equal(r.truthful(Failure{Code: Overloaded}).Code, UpstreamFailed)
+	}), int64(1))
+	is.Equal(breach(t, promiseUnrun, fleet.Unsafe, func(r *run) {
+		is.Equal(r.truthful(Failure{Code: Expired}).Code, Expired)
+	}), int64(0))
+	is.Equal(breach(t, promiseOrder, fleet.Stream, func(r *run) {
+		is.True(r.inOrder(5))
+		is.True(!r.inOrder(6))
+		is.True(!r.inOrder(4))
+	}), int64(2))
+}
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -153,6 +153,10 @@
 // attempt sends the request once to where it was placed.
 func (r *run) attempt(ctx context.Context, decision *placement.Decision, reserved *tickets) next {
 	config := &r.exchange.config
+	if !r.maySend() {
+		config.Gate.End(decision.ID, placement.Neutral, "")
+		return failed
+	}
 	r.attempts++
 	attempt := &Attempt{
 		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
@@ -291,6 +295,7 @@
 	if failure.Code == UpstreamFailed && (r.ran == 0 || r.request.Route.Repeatable()) {
 		failure.Code = Overloaded
 	}
+	failure = r.truthful(failure)
 	r.outcome = string(failure.Code)
 	r.exchange.config.Metrics.Refusal(r.outcome)
 	r.caller.Fail(failure)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -50,6 +50,9 @@
 
 // pass sends one event to the caller.
 func (r *run) pass(reply Reply, data []byte, number int64) error {
+	if !r.inOrder(number) {
+		return errGap
+	}
 	now := time.Now()
 	if r.begun.CompareAndSwap(false, true) {
 		r.caller.Begin(reply)
