Stand-in engine: a stream that ends can always be opened

The engine took an ended stream from the running ones and put it to the kept ones under two locks; a node that resumed between got 404 and gave up. Ruled out: the relay, the cutter.

--- a/standin/engine/resume.go
+++ b/standin/engine/resume.go
@@ -38,18 +38,17 @@
 }
 
 // end frees an attempt's memory. The events of a whole answer are kept for the
-// grace period.
+// grace period, from before the attempt is no longer listed as running.
 func (e *Engine) end(s *stream) {
-	e.release(s)
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
 	s.ended = true
 	s.changed.Broadcast()
-	if s.canceled {
-		return
+	if !s.canceled {
+		e.kept[s.id] = s
+		time.AfterFunc(e.config.Grace, func() { e.drop(s) })
 	}
-	e.kept[s.id] = s
-	time.AfterFunc(e.config.Grace, func() { e.drop(s) })
+	e.mutex.Unlock()
+	e.release(s)
 }
 
 func (e *Engine) drop(s *stream) {
--- a/standin/engine/resume_test.go
+++ b/standin/engine/resume_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -114,3 +115,45 @@
 	_ = response.Body.Close()
 	eventually(t, "memory is free", func() bool { return server.Engine().Load().KVTokens == 0 })
 }
+
+// TestAnEndingStreamCanAlwaysBeOpened looks for a stream while it goes from those
+// that run to those that are kept.
+func TestAnEndingStreamCanAlwaysBeOpened(t *testing.T) {
+	const openers = 4
+	for number := range 2000 {
+		engine := New(Config{Slots: 4, KVTokens: 100_000, PrefillTokensPerSecond: 1_000_000, TokenInterval: time.Millisecond, Grace: time.Minute})
+		admitted := engine.admit("one", "", 10, 10, 20, 4)
+		if admitted == nil {
+			t.Fatal("not admitted")
+		}
+		done := make(chan struct{})
+		var started sync.WaitGroup
+		missed := make(chan int)
+		for range openers {
+			started.Add(1)
+			go func() {
+				misses := 0
+				started.Done()
+				for ended := false; !ended; {
+					select {
+					case <-done:
+						ended = true
+					default:
+					}
+					if engine.open("one", "") == nil {
+						misses++
+					}
+				}
+				missed <- misses
+			}()
+		}
+		started.Wait()
+		engine.end(admitted)
+		close(done)
+		for range openers {
+			if misses := <-missed; misses > 0 {
+				t.Fatalf("stream %d could not be opened %d times", number, misses)
+			}
+		}
+	}
+}
