Beliefs: a node tells only what the store told itself

Ruled out: a lost change (the version was known as missing), the clock (others' ages grew evenly). TestWhatANodeWasToldIsNotItsOwnClaim failed first.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -52,8 +52,10 @@
 type Book struct {
 	view     View
 	revision [kinds]int64
-	freshAt  [kinds]time.Duration
-	known    [kinds]bool
+	// freshAt is the time up to which a table is known, ownAt the same by the store's
+	// own answers to this node.
+	freshAt, ownAt [kinds]time.Duration
+	known          [kinds]bool
 	// failed is true when the last call for a table failed.
 	failed [kinds]bool
 	// changed is the version of the last change of a table that is known.
@@ -153,6 +155,7 @@
 
 func (b *Book) confirm(kind Kind, revision int64, asked time.Duration) {
 	b.revision[kind] = revision
+	b.ownAt[kind] = max(b.ownAt[kind], asked)
 	b.freshAt[kind] = max(b.freshAt[kind], asked)
 	b.known[kind] = true
 }
@@ -202,11 +205,12 @@
 	FreshAt time.Duration
 }
 
-// Claims returns what this node knows of each table.
+// Claims returns what this node knows of each table by the store's own answers. What
+// others told it is left out: passed on and back, it would seem ever fresher.
 func (b *Book) Claims() [2]Claim {
 	var claims [2]Claim
 	for kind := range kinds {
-		claims[kind] = Claim{Changed: b.changed[kind], FreshAt: b.freshAt[kind]}
+		claims[kind] = Claim{Changed: b.changed[kind], FreshAt: b.ownAt[kind]}
 	}
 	return claims
 }
--- a/fleet/book_test.go
+++ b/fleet/book_test.go
@@ -143,3 +143,21 @@
 	is.True(book.Apply(Upstreams, []Change{entry("b")}, 12, 15, 0, 0))
 	is.Equal(book.Claims()[Upstreams].Changed, int64(12))
 }
+
+// Two nodes that the store does not answer must not keep each other fresh: each
+// word on the way adds the least delay of a datagram to the time it names.
+func TestWhatANodeWasToldIsNotItsOwnClaim(t *testing.T) {
+	is := is.New(t)
+	const delay = 5 * time.Millisecond
+	a, b := bookWith(t, "x"), bookWith(t, "x")
+	for range 1000 {
+		for _, pair := range [][2]*Book{{a, b}, {b, a}} {
+			for kind, claim := range pair[0].Claims() {
+				claim.FreshAt += delay
+				pair[1].Confirm(Kind(kind), claim)
+			}
+		}
+	}
+	is.True(a.FreshAt() <= delay)
+	is.True(b.FreshAt() <= delay)
+}
