Nodes that ask the store pass changes of upstreams on; big prompts on few engines of large fleets

Now the two nodes that tell also pass the changes of upstreams on (a gap is noticed by the version of the last change; who lacks one asks the store); the table is asked at most each 300 ms; claims carry the store's version; an outage's end that is heard from others opens the time in which lapsed entries may return. Prompts over one engine's memory are placed at any load up to 0.7 if at most a tenth of the fleet's engines read them.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -75,6 +75,9 @@
 // Revision returns the store's version up to which a table is known.
 func (b *Book) Revision(kind Kind) int64 { return b.revision[kind] }
 
+// Changed returns the version of the last change of a table that is known.
+func (b *Book) Changed(kind Kind) int64 { return b.changed[kind] }
+
 // Known reports whether both tables were read and a document is in force.
 func (b *Book) Known() bool {
 	return b.known[Operator] && b.known[Upstreams] && b.view.Site != nil
@@ -144,12 +147,19 @@
 // noteContact opens the time in which lapsed entries may return when the store
 // was silent before.
 func (b *Book) noteContact(kind Kind, now time.Duration) {
-	if kind == Upstreams && b.failed[kind] && b.known[kind] && now-b.freshAt[kind] > outageGap {
-		b.settlesAt = now + lapseGrace
+	if b.failed[kind] {
+		b.noteNews(kind, now)
 	}
 	b.failed[kind] = false
 }
 
+// noteNews is noteContact for what comes from another node.
+func (b *Book) noteNews(kind Kind, now time.Duration) {
+	if kind == Upstreams && b.known[kind] && now-b.freshAt[kind] > outageGap {
+		b.settlesAt = now + lapseGrace
+	}
+}
+
 // Failed notes that a call for a table got no usable answer.
 func (b *Book) Failed(kind Kind) { b.failed[kind] = true }
 
@@ -198,36 +208,6 @@
 	b.view.Upstreams[id] = &kept
 }
 
-// Claim is what a node knows of a table: its last change, and the time up to which
-// there was no other.
-type Claim struct {
-	Changed int64
-	FreshAt time.Duration
-}
-
-// Claims returns what this node knows of each table by the store's own answers. What
-// others told it is left out: passed on and back, it would seem ever fresher.
-func (b *Book) Claims() [2]Claim {
-	var claims [2]Claim
-	for kind := range kinds {
-		claims[kind] = Claim{Changed: b.changed[kind], FreshAt: b.ownAt[kind]}
-	}
-	return claims
-}
-
-// Confirm takes another node's claim, with its time on this node's clock. It
-// reports whether this node lacks a change that the other one has.
-func (b *Book) Confirm(kind Kind, claim Claim) (behind bool) {
-	if !b.known[kind] {
-		return false
-	}
-	if claim.Changed > b.revision[kind] {
-		return true
-	}
-	b.freshAt[kind] = max(b.freshAt[kind], claim.FreshAt)
-	return false
-}
-
 // Expire removes the entries that did not come back. It reports whether one was
 // removed.
 func (b *Book) Expire(now time.Duration) bool {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -32,6 +32,10 @@
 	// firstPause is the pause after a failed call; it doubles up to lastPause.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// callSpacing is the least time between two calls for the table of upstreams, so
+	// that many that start at once cost few calls. It is a small part of the time in
+	// which a node must know that one leaves, 2 s on the users' sites.
+	callSpacing = 300 * time.Millisecond
 	// expireInterval is how often lapsed entries are looked at.
 	expireInterval = 100 * time.Millisecond
 )
@@ -67,8 +71,9 @@
 	// Tells reports whether this node is one of those that tell the others that
 	// there is no change. The others wait long at the store. It is set before Run.
 	Tells func() bool
-	// Told is called after an answer of the store, under no lock. It is set before Run.
-	Told func()
+	// Told is called after an answer of the store, under no lock, with the changes of
+	// upstreams in it, if any. It is set before Run.
+	Told func(news *fleet.News)
 
 	// waits holds the long calls, by table.
 	waits [2]waiting
@@ -95,7 +100,7 @@
 // New returns a follower that knows nothing. The clock also counts the time in
 // which the machine was suspended.
 func New(source Source, now func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) *Follower {
-	f := &Follower{Tells: func() bool { return true }, Told: func() {}, source: source, logger: logger, metrics: metrics, now: now, book: fleet.NewBook()}
+	f := &Follower{Tells: func() bool { return true }, Told: func(*fleet.News) {}, source: source, logger: logger, metrics: metrics, now: now, book: fleet.NewBook()}
 	f.current.Store(&Snapshot{View: f.book.View()})
 	return f
 }
@@ -117,11 +122,15 @@
 	pause := firstPause
 	synced, lost := false, false
 	for ctx.Err() == nil {
+		asked := f.now()
 		ok, err := f.step(ctx, kind, synced)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil && ok {
+			if kind == fleet.Upstreams {
+				sleep(ctx, callSpacing-(f.now()-asked))
+			}
 			if lost {
 				f.logger.Info().Int("table", int(kind)).Msg("store regained")
 			}
@@ -172,6 +181,11 @@
 		f.waits[kind].cancel = cancel
 	}
 	f.mutex.Unlock()
+	if long && kind == fleet.Upstreams {
+		// The nodes that tell pass these changes on.
+		<-ctx.Done()
+		return false, errAskAgain
+	}
 	batch, err := f.source.Changes(ctx, kind, since, wait)
 	f.mutex.Lock()
 	f.waits[kind].cancel = nil
@@ -217,15 +231,39 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for kind := range claims {
-		if f.book.Confirm(fleet.Kind(kind), claims[kind]) {
-			if f.waits[kind].behindSince == 0 {
-				f.waits[kind].behindSince = f.now()
-			}
+		if f.book.Confirm(fleet.Kind(kind), claims[kind], f.now()) {
+			f.behind(fleet.Kind(kind))
 		}
 	}
 	f.publish()
 }
 
+// behind notes that another node has a change that this one lacks; the mutex is held.
+func (f *Follower) behind(kind fleet.Kind) {
+	if f.waits[kind].behindSince == 0 {
+		f.waits[kind].behindSince = f.now()
+	}
+}
+
+// Learn takes another node's news of the upstreams, with its time on this node's clock.
+func (f *Follower) Learn(news *fleet.News) {
+	const kind = fleet.Upstreams
+	f.mutex.Lock()
+	before, last := f.book.View(), f.book.Changed(kind)
+	if !f.book.Learn(kind, *news, f.now()) {
+		f.behind(kind)
+		f.mutex.Unlock()
+		return
+	}
+	f.waits[kind].behindSince = 0
+	changed := f.book.Changed(kind) > last
+	snapshot := f.publish()
+	f.mutex.Unlock()
+	if changed {
+		f.changed(kind, before, snapshot, Batch{Changes: news.Changes, Revision: news.Revision}, true)
+	}
+}
+
 const (
 	// quietAge is the age of a table from which a node that waits long asks itself:
 	// the others' news come each FollowWait, and two of them may be lost.
@@ -257,7 +295,7 @@
 func (f *Follower) merge(kind fleet.Kind, batch Batch, asked time.Duration, whole bool) bool {
 	f.mutex.Lock()
 	now := f.now()
-	before := f.book.View()
+	before, last := f.book.View(), f.book.Changed(kind)
 	merge := f.book.Apply
 	if whole {
 		merge = func(kind fleet.Kind, changes []fleet.Change, _, revision int64, asked, now time.Duration) bool {
@@ -271,17 +309,26 @@
 	snapshot := f.publish()
 	f.mutex.Unlock()
 	if ok && (whole || len(batch.Changes) > 0) {
-		f.logChanges(kind, before, snapshot, batch)
-		if f.OnChange != nil {
-			f.OnChange()
-		}
+		f.changed(kind, before, snapshot, batch, false)
 	}
 	if ok {
-		f.Told()
+		var news *fleet.News
+		if kind == fleet.Upstreams && !whole && len(batch.Changes) > 0 {
+			news = &fleet.News{Before: last, Last: batch.Last, Revision: batch.Revision, Changes: batch.Changes, FreshAt: asked}
+		}
+		f.Told(news)
 	}
 	return ok
 }
 
+// changed logs changes and hands them on.
+func (f *Follower) changed(kind fleet.Kind, before fleet.View, after *Snapshot, batch Batch, told bool) {
+	f.logChanges(kind, before, after, batch, told)
+	if f.OnChange != nil {
+		f.OnChange()
+	}
+}
+
 // publish makes the snapshot of the book; the mutex is held.
 func (f *Follower) publish() *Snapshot {
 	snapshot := &Snapshot{View: f.book.View(), FreshAt: f.book.FreshAt(), Known: f.book.Known()}
@@ -289,8 +336,8 @@
 	return snapshot
 }
 
-func (f *Follower) logChanges(kind fleet.Kind, before fleet.View, after *Snapshot, batch Batch) {
-	event := f.logger.Info().Int("table", int(kind)).Int64("revision", batch.Revision).
+func (f *Follower) logChanges(kind fleet.Kind, before fleet.View, after *Snapshot, batch Batch, told bool) {
+	event := f.logger.Info().Int("table", int(kind)).Bool("told", told).Int64("revision", batch.Revision).
 		Int("changes", len(batch.Changes)).Int("upstreams", len(after.Upstreams)).Int("zones_out", len(after.ZonesOut))
 	if after.Site != nil {
 		event = event.Int64("site_version", after.Site.Version)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -205,6 +205,44 @@
 	})
 }
 
+func TestNewsOfUpstreamsNeedNoCall(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		f.mutex.Lock()
+		f.Tells = func() bool { return false }
+		f.mutex.Unlock()
+		tell(f, 1, 6)
+		source.set(func(s *scripted) { s.calls = 0 })
+		for revision := int64(2); revision < 50; revision++ {
+			news := &fleet.News{Before: revision - 1, Last: revision, Revision: revision, FreshAt: f.now()}
+			news.Changes = []fleet.Change{{Upstream: &fleet.Upstream{ID: "u", StartedMs: revision}}}
+			f.Learn(news)
+			is.Equal(f.Current().Upstreams["u"].StartedMs, revision)
+			time.Sleep(500 * time.Millisecond)
+			f.Confirm([2]fleet.Claim{{Changed: 1, FreshAt: f.now()}, {Changed: revision, Revision: revision, FreshAt: f.now()}})
+		}
+		// 24 s: one or two calls for the operator's table, none for the upstreams'.
+		source.set(func(s *scripted) { is.True(s.calls <= 2) })
+	})
+}
+
+func TestNewsThatWereLostAreAskedFor(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		f.mutex.Lock()
+		f.Tells = func() bool { return false }
+		f.mutex.Unlock()
+		tell(f, 1, 6)
+		source.set(func(s *scripted) { s.revision = 9 })
+		f.Learn(&fleet.News{Before: 5, Last: 9, Revision: 9, FreshAt: f.now()})
+		is.Equal(f.book.Changed(fleet.Upstreams), int64(1))
+		time.Sleep(behindTime + 2*expireInterval)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		is.Equal(f.book.Revision(fleet.Upstreams), int64(9))
+	})
+}
+
 func TestANodeThatIsNotToldAsksItself(t *testing.T) {
 	run(t, func(t *testing.T, _ *scripted, f *Follower) {
 		f.mutex.Lock()
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -42,6 +42,8 @@
 	registerPause = 500 * time.Millisecond
 	// callTimeout bounds a call to the list.
 	callTimeout = time.Second
+	// maxNews bounds the changes in one datagram: an entry takes about 80 bytes.
+	maxNews = 300
 	// maxDatagram is what one datagram may hold.
 	maxDatagram = 60 << 10
 )
@@ -63,6 +65,8 @@
 	Claims() [2]fleet.Claim
 	// Confirm takes another node's claims, with their times on this node's clock.
 	Confirm(claims [2]fleet.Claim)
+	// Learn takes another node's news of upstreams, with their time on this node's clock.
+	Learn(news *fleet.News)
 }
 
 // Gate is where placements are known.
@@ -156,18 +160,18 @@
 	var shares []placement.Share
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.Shares(now, false) })
 	if len(shares) > 0 {
-		a.tell(shares, false)
+		a.tell(shares, false, nil)
 	}
 }
 
 // tell sends one datagram to each node.
-func (a *Agent) tell(shares []placement.Share, whole bool) {
+func (a *Agent) tell(shares []placement.Share, whole bool, news *fleet.News) {
 	claims := a.Beliefs.Claims()
 	a.mutex.Lock()
 	a.sequence++
 	m := message{
 		Node: a.self.Name, Incarnation: a.started, Sequence: a.sequence, Whole: whole,
-		SentAt: a.clock(), Claims: claims, Leaving: a.leaving, Shares: shares,
+		SentAt: a.clock(), Claims: claims, Leaving: a.leaving, Shares: shares, News: news,
 	}
 	addresses := make([]netip.AddrPort, 0, len(a.peers))
 	for _, p := range a.peers {
@@ -187,7 +191,7 @@
 func (a *Agent) beat() {
 	var shares []placement.Share
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.Shares(now, true) })
-	a.tell(shares, true)
+	a.tell(shares, true, nil)
 	a.lookAround()
 }
 
@@ -273,7 +277,13 @@
 	for i := range claims {
 		claims[i].FreshAt += p.offset
 	}
+	if m.News != nil {
+		m.News.FreshAt += p.offset
+	}
 	a.mutex.Unlock()
+	if trusted && m.News != nil {
+		a.Beliefs.Learn(m.News)
+	}
 	if trusted {
 		a.Beliefs.Confirm(claims)
 	}
@@ -349,7 +359,7 @@
 	}
 	a.mutex.Unlock()
 	a.countNodes()
-	a.tell(nil, false)
+	a.tell(nil, false, nil)
 	return nil
 }
 
@@ -369,9 +379,13 @@
 }
 
 // BeliefsChanged tells the others at once, if this node is one of those that do.
-func (a *Agent) BeliefsChanged() {
+// News that are too long are left out: the others then ask the store.
+func (a *Agent) BeliefsChanged(news *fleet.News) {
+	if news != nil && len(news.Changes) > maxNews {
+		news = nil
+	}
 	if a.Tells() {
-		a.tell(nil, false)
+		a.tell(nil, false, news)
 	}
 }
 
--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -57,6 +57,7 @@
 type beliefs struct {
 	mutex sync.Mutex
 	heard [2]fleet.Claim
+	news  []*fleet.News
 }
 
 func (b *beliefs) Claims() [2]fleet.Claim {
@@ -70,6 +71,12 @@
 	b.heard = claims
 }
 
+func (b *beliefs) Learn(news *fleet.News) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.news = append(b.news, news)
+}
+
 type node struct {
 	agent *Agent
 	gate  *gate
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -7,7 +7,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,7 +19,7 @@
 var errMessage = eris.New("datagram can't be read")
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 1
+const formatVersion = 2
 
 // message is one datagram.
 type message struct {
@@ -37,11 +36,14 @@
 	// Leaving is true when the node shuts down.
 	Leaving bool
 	Shares  []placement.Share
+	// News are changes of upstreams, with the sender's time; nil is none.
+	News *fleet.News
 }
 
 const (
 	flagWhole   = 1
 	flagLeaving = 2
+	flagNews    = 4
 	// tenths keeps a tenth of a ms of reading time, and of a pace.
 	tenths = 10
 )
@@ -54,13 +56,16 @@
 	if m.Leaving {
 		b[1] |= flagLeaving
 	}
-	b = binary.AppendUvarint(b, uint64(len(m.Node)))
-	b = append(b, m.Node...)
+	if m.News != nil {
+		b[1] |= flagNews
+	}
+	b = appendText(b, m.Node)
 	b = binary.AppendUvarint(b, m.Incarnation)
 	b = binary.AppendUvarint(b, m.Sequence)
 	b = binary.AppendUvarint(b, uint64(m.SentAt.Microseconds()))
 	for _, claim := range m.Claims {
 		b = binary.AppendUvarint(b, uint64(max(0, claim.Changed)))
+		b = binary.AppendUvarint(b, uint64(max(0, claim.Revision-claim.Changed)))
 		b = binary.AppendUvarint(b, uint64(max(0, (m.SentAt-claim.FreshAt).Microseconds())))
 	}
 	b = binary.AppendUvarint(b, uint64(len(m.Shares)))
@@ -75,9 +80,16 @@
 		b = binary.AppendUvarint(b, uint64(share.Unknown))
 		b = binary.AppendUvarint(b, uint64(share.AvoidFor.Milliseconds()))
 	}
+	if m.News != nil {
+		b = appendNews(b, m.News, m.SentAt)
+	}
 	return b
 }
 
+func appendText(b []byte, text string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(text))), text...)
+}
+
 // reader takes the fields of a datagram; it remembers the first failure.
 type reader struct {
 	data   []byte
@@ -114,6 +126,8 @@
 	return taken
 }
 
+func (r *reader) text() string { return string(r.bytes(r.number())) }
+
 // maxCount bounds what a datagram may claim to be at an upstream.
 const maxCount = 1 << 32
 
@@ -131,12 +145,13 @@
 	}
 	m := &message{Whole: data[1]&flagWhole != 0, Leaving: data[1]&flagLeaving != 0}
 	r := &reader{data: data[fixed:]}
-	m.Node = string(r.bytes(r.number()))
+	m.Node = r.text()
 	m.Incarnation = r.number()
 	m.Sequence = r.number()
 	m.SentAt = time.Duration(r.microseconds()) * time.Microsecond
 	for i := range m.Claims {
-		m.Claims[i].Changed = int64(r.number() & math.MaxInt64)
+		m.Claims[i].Changed = r.version()
+		m.Claims[i].Revision = m.Claims[i].Changed + int64(r.count())
 		m.Claims[i].FreshAt = m.SentAt - time.Duration(r.microseconds())*time.Microsecond
 	}
 	for n := r.number(); n > 0 && !r.failed; n-- {
@@ -152,6 +167,9 @@
 		share.AvoidFor = time.Duration(r.count()) * time.Millisecond
 		m.Shares = append(m.Shares, share)
 	}
+	if data[1]&flagNews != 0 {
+		m.News = r.news(m.SentAt)
+	}
 	if r.failed || m.Node == "" {
 		return nil, errMessage
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -97,6 +97,7 @@
 	case s.mayWait(now, request, readers[:count], work):
 		return Decision{}, false
 	case work/float64(most) > bigPartMs:
+		s.fewestStopped(now, readers)
 		for count = 2; count < most && s.readTime(now, readers, count, work) > left; {
 			count++
 		}
@@ -143,6 +144,8 @@
 }
 
 const (
+	// stoppedMs is the score of each stream that a long part would stop.
+	stoppedMs = 30
 	// writerMs is the score of each stream that a read would stop.
 	writerMs = 0.5
 	// heldSpread is the time, in ms, over which a large read counts.
@@ -152,6 +155,9 @@
 	// heldLoad is the share of the engines' time that may go to reading when a
 	// prompt comes that takes several engines' memory.
 	heldLoad = 0.2
+	// heldFew is the part of the fleet's engines that may read such a prompt at any
+	// load up to heldBusy.
+	heldFew, heldBusy = 0.1, 0.7
 	// busyRetryAfter is when such a prompt may find the engines less busy.
 	busyRetryAfter = 3 * time.Second
 )
@@ -165,6 +171,13 @@
 	return total / float64(max(1, len(engines)))
 }
 
+// fewestStopped orders readers for a prompt whose parts stop the streams beside
+// them for longer than those bear: engines with few streams first.
+func (s *Scheduler) fewestStopped(now time.Duration, readers []*load) {
+	score := func(l *load) float64 { return s.readScore(now, l) + float64(l.totalRunning())*stoppedMs }
+	slices.SortFunc(readers, func(a, b *load) int { return compare(score(a), score(b)) })
+}
+
 // readTime is when the first count engines have read a prompt in even parts, in ms.
 func (s *Scheduler) readTime(now time.Duration, readers []*load, count int, work float64) float64 {
 	most := 0.0
@@ -191,10 +204,11 @@
 func (s *Scheduler) placeHeld(now time.Duration, request *Request, service *fleet.Service, readers []*load, count int) (Decision, bool) {
 	share := readMs(service.Engine, request.PromptTokens) / float64(len(readers)) / heldSpread
 	busy := s.readLoad(now, readers)
-	if busy+share > heldLoad && busy > heldIdle {
+	few := float64(count) <= float64(len(readers))*heldFew && busy < heldBusy
+	if !few && busy+share > heldLoad && busy > heldIdle {
 		return refuse(request, Busy, busyRetryAfter), true
 	}
-	if busy > heldIdle {
+	if !few && busy > heldIdle {
 		// It is late rather than many others.
 		count = 0
 	}
