--- a/placement/choose.go
+++ b/placement/choose.go
@@ -93,6 +93,7 @@
 	left := float64((request.Due-now).Milliseconds())*aimShare - passMs(engine, 1, request.PromptTokens)
 	most := min(s.config.MaxParts, len(readers))
 	count := min(most, parts(engine, request.PromptTokens, s.config.PartMs, most))
+	count = s.soonest(now, readers, count, work)
 	switch {
 	case s.mayWait(now, request, readers[:count], work):
 		return Decision{}, false
@@ -178,6 +179,18 @@
 	slices.SortFunc(readers, func(a, b *load) int { return compare(score(a), score(b)) })
 }
 
+// soonest is the number of readers, of the first most, that have read a prompt first:
+// one that has much to read itself would hold the others up.
+func (s *Scheduler) soonest(now time.Duration, readers []*load, most int, work float64) int {
+	best, bestTime := most, s.readTime(now, readers, most, work)
+	for count := most - 1; count > 0; count-- {
+		if taken := s.readTime(now, readers, count, work); taken < bestTime {
+			best, bestTime = count, taken
+		}
+	}
+	return best
+}
+
 // readTime is when the first count engines have read a prompt in even parts, in ms.
 func (s *Scheduler) readTime(now time.Duration, readers []*load, count int, work float64) float64 {
 	most := 0.0
