--- a/edge/node.go
+++ b/edge/node.go
@@ -255,7 +255,7 @@
 	}
 	stop()
 	group.Wait()
-	n.logger.Info().Err(err).Msg("node ends")
+	n.logger.Info().Err(err).Msg(telemetry.LogNodeEnds)
 	return err
 }
 
@@ -266,7 +266,7 @@
 	end := started.Add(seconds(n.settings.GraceSeconds) - exitMargin)
 	n.draining.Store(true)
 	n.agent.Leave()
-	n.logger.Info().Int64("active", n.active.Load()).Msg("node drains")
+	n.logger.Info().Int64("active", n.active.Load()).Msg(telemetry.LogNodeDrains)
 	time.Sleep(min(balancerLag, time.Until(end)))
 	n.exchange.CloseStreams()
 	n.closing.Store(true)
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -12,6 +12,7 @@
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
 const (
@@ -86,10 +87,10 @@
 	}
 	r.mutex.Unlock()
 	if err != nil && !was {
-		r.logger.Warn().Err(err).Str("upstream", entry.ID).Msg("engine does not report")
+		r.logger.Warn().Err(err).Str("upstream", entry.ID).Msg(telemetry.LogUpstreamMute)
 	}
 	if err == nil && was {
-		r.logger.Info().Str("upstream", entry.ID).Msg("engine reports again")
+		r.logger.Info().Str("upstream", entry.ID).Msg(telemetry.LogUpstreamMuteEnded)
 	}
 	r.logger.Debug().Str("upstream", entry.ID).Float64("pace", report.Pace).Int("queued", report.Queued).
 		Int("active", report.Active).Int("memory", report.MemoryTokens).Msg("engine reported")
--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
 // The codes of requests that are not admitted; none of them has run.
@@ -26,7 +27,7 @@
 func (e *Exchange) Admit(host, path, key string) (Admission, *Failure) {
 	snapshot := e.config.Follower.Current()
 	if !snapshot.Known {
-		return Admission{}, &Failure{Code: Unavailable, Reason: "no_beliefs", RetryAfter: e.config.Backoff}
+		return Admission{}, &Failure{Code: Unavailable, Reason: ReasonNoBeliefs, RetryAfter: e.config.Backoff}
 	}
 	age := e.config.Now() - snapshot.FreshAt
 	route := snapshot.Site.Route(host, path)
@@ -34,7 +35,7 @@
 		return Admission{}, e.deny(NoRoute, age)
 	}
 	if route.Kind == fleet.Stream && e.closing.Load() {
-		return Admission{}, &Failure{Code: Unavailable, Reason: "node_ends", RetryAfter: e.config.Backoff}
+		return Admission{}, &Failure{Code: Unavailable, Reason: ReasonNodeEnds, RetryAfter: e.config.Backoff}
 	}
 	admitted := Admission{Site: snapshot.Site, Route: route}
 	if !snapshot.Site.Keyed || route.Open {
@@ -45,14 +46,14 @@
 		return Admission{}, e.deny(NoKey, age)
 	}
 	if age > e.config.Freshness.RunUntil {
-		return Admission{}, &Failure{Code: Unavailable, Reason: "beliefs_too_old", RetryAfter: e.config.Backoff}
+		return Admission{}, &Failure{Code: Unavailable, Reason: ReasonBeliefsTooOld, RetryAfter: e.config.Backoff}
 	}
 	return admitted, nil
 }
 
 func (e *Exchange) deny(code Code, age time.Duration) *Failure {
 	if age > e.config.Freshness.DenyUntil {
-		return &Failure{Code: Unavailable, Reason: string(code) + "_unsure", RetryAfter: e.config.Backoff}
+		return &Failure{Code: Unavailable, Reason: string(code) + Unsure, RetryAfter: e.config.Backoff}
 	}
 	return &Failure{Code: code}
 }
@@ -62,5 +63,5 @@
 	e.config.Metrics.Refusal(string(failure.Code))
 	e.config.Logger.Info().Str("request_id", id).Str("host", host).Str("path", path).
 		Str("outcome", string(failure.Code)).Str("reason", failure.Reason).
-		Dur("beliefs_age_ms", e.config.Now()-e.config.Follower.Current().FreshAt).Msg("request not admitted")
+		Dur("beliefs_age_ms", e.config.Now()-e.config.Follower.Current().FreshAt).Msg(telemetry.LogNotAdmitted)
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -219,16 +219,20 @@
 	e.config.Metrics.Count("wigeontiller_requests_total{outcome=\""+r.outcome+"\"}", 1)
 	e.config.Metrics.Observe("wigeontiller_request_seconds", taken)
 	event := e.config.Logger.Info()
-	if r.outcome != outcomeAnswered && r.outcome != outcomeLeft {
+	if r.outcome != Answered && r.outcome != CallerLeft {
 		event = e.config.Logger.Warn()
 	}
 	event = event.Str("request_id", r.request.ID).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
-		Dur("taken_ms", taken).Int("attempts", r.attempts).Int64("site_version", r.request.SiteVersion)
+		Dur("taken_ms", taken).Dur("latency_target_ms", r.request.Route.LatencyTarget).Int("attempts", r.attempts).Int64("site_version", r.request.SiteVersion)
 	if r.firstEvent > 0 {
-		event = event.Dur("first_event_ms", r.firstEvent).Dur("longest_pause_ms", r.longestPause)
+		event = event.Dur("first_event_ms", r.firstEvent).Dur("longest_pause_ms", r.longestPause).
+			Dur("pause_end_ms", r.pauseEnd).Dur("pause_target_ms", r.request.Route.PauseTarget)
+	}
+	if r.status != 0 {
+		event = event.Int("status", r.status)
 	}
 	if r.reason != "" {
 		event = event.Str("reason", r.reason)
 	}
-	event.Msg("request ended")
+	event.Msg(telemetry.LogRequestEnded)
 }
--- a/exchange/promise.go
+++ b/exchange/promise.go
@@ -1,5 +1,7 @@
 package exchange
 
+import "github.com/wigeontiller/wigeontiller/telemetry"
+
 // The promises that a run looks at again before it keeps them. A breach is a fault
 // of the program: it is counted, logged as an error, and not carried out.
 const (
@@ -12,7 +14,7 @@
 func (r *run) broken(promise string) {
 	r.exchange.config.Metrics.InvariantBroken(promise)
 	r.exchange.config.Logger.Error().Str("request_id", r.request.ID).Str("promise", promise).
-		Int("ran", r.ran).Int64("last_event", r.sent).Msg("promise broken")
+		Int("ran", r.ran).Int64("last_event", r.sent).Msg(telemetry.LogPromiseBroken)
 }
 
 // maySend reports whether a sending keeps the promise that a request that must not
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -12,13 +12,24 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
-// The outcomes of a request, in logs and counters.
+// The outcomes of a request, in logs and counters, beside the codes.
 const (
-	outcomeAnswered = "answered"
-	outcomeLeft     = "caller_left"
-	outcomeBroken   = "broken_off"
+	Answered   = "answered"
+	CallerLeft = "caller_left"
+	BrokenOff  = "broken_off"
+)
+
+// Reasons of failures, beside those of package placement.
+const (
+	ReasonNoBeliefs     = "no_beliefs"
+	ReasonBeliefsTooOld = "beliefs_too_old"
+	ReasonNodeEnds      = "node_ends"
+	ReasonBudgetSpent   = "retry_budget_spent"
+	// Unsure ends the reason of a denial by beliefs that may be out of date.
+	Unsure = "_unsure"
 )
 
 // run is one request on its way.
@@ -35,9 +46,14 @@
 	sent  int64
 	begun atomic.Bool
 
-	outcome, reason          string
+	outcome, reason string
+	// status is that of an upstream's whole answer that was passed on.
+	status int
+
 	firstEvent, longestPause time.Duration
-	lastEvent                time.Time
+	// pauseEnd is the end of the longest pause, from the request's arrival.
+	pauseEnd  time.Duration
+	lastEvent time.Time
 }
 
 // next says how a run goes on after an attempt.
@@ -58,7 +74,7 @@
 	config.Retries.First(config.Gate.now(), r.service)
 	for {
 		if r.exchange.stale() {
-			r.fail(ctx, Failure{Code: Unavailable, Reason: "beliefs_too_old", RetryAfter: config.Backoff})
+			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonBeliefsTooOld, RetryAfter: config.Backoff})
 			return
 		}
 		decision, ok := r.place(ctx)
@@ -121,7 +137,7 @@
 	}
 	config := &r.exchange.config
 	if !config.Retries.Spend(config.Gate.now(), r.service) {
-		r.reason = "retry_budget_spent"
+		r.reason = ReasonBudgetSpent
 		return false
 	}
 	return true
@@ -167,9 +183,9 @@
 		attempt.Tickets = reserved.list
 	}
 	config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).Str("service", r.service).
-		Int("prompt_tokens", r.request.PromptTokens).Int("helpers", len(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
+		Int("prompt_tokens", r.request.PromptTokens).Strs("helpers", ids(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
 		Dur("expected_first_ms", decision.ExpectedFirst).Dur("waited_ms", time.Since(r.request.Arrived)).
-		Int64("after", r.sent).Msg("attempt placed")
+		Int64("after", r.sent).Msg(telemetry.LogAttemptPlaced)
 	watch := r.watch(ctx, decision)
 	defer watch.stop()
 	config.Metrics.Attempt()
@@ -191,6 +207,14 @@
 	return r.whole(ctx, decision, reply)
 }
 
+func ids(upstreams []*fleet.Upstream) []string {
+	named := make([]string, len(upstreams))
+	for i, u := range upstreams {
+		named[i] = u.ID
+	}
+	return named
+}
+
 // lost judges an attempt without an answer.
 func (r *run) lost(ctx context.Context, decision *placement.Decision, err error) next {
 	outcome := placement.Silent
@@ -255,8 +279,9 @@
 	} else {
 		gate.End(decision.ID, placement.Answered, "")
 	}
+	r.status = reply.Status()
 	r.caller.Whole(reply, body)
-	r.outcome = outcomeAnswered
+	r.outcome = Answered
 	return done
 }
 
@@ -264,25 +289,25 @@
 func (r *run) note(decision *placement.Decision, what string, status int) {
 	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
-		Int64("last_event", r.sent).Str("error", what).Msg("attempt failed")
+		Int64("last_event", r.sent).Str("error", what).Msg(telemetry.LogAttemptFailed)
 }
 
 // fail gives the caller the system's own answer.
 func (r *run) fail(ctx context.Context, failure Failure) {
 	ends := errors.Is(context.Cause(ctx), errNodeEnds)
 	if ends {
-		failure = Failure{Code: Unavailable, Reason: "node_ends", RetryAfter: r.exchange.config.Backoff}
+		failure = Failure{Code: Unavailable, Reason: ReasonNodeEnds, RetryAfter: r.exchange.config.Backoff}
 		if r.ran > 0 {
 			failure.Code = UpstreamFailed
 		}
 	} else if errors.Is(ctx.Err(), context.Canceled) {
-		r.outcome = outcomeLeft
+		r.outcome = CallerLeft
 		r.caller.Break()
 		return
 	}
 	r.reason = failure.Reason
 	if r.begun.Load() {
-		r.outcome = outcomeBroken
+		r.outcome = BrokenOff
 		r.caller.Break()
 		return
 	}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -39,7 +39,7 @@
 		if failed := r.pass(reply, data, number); failed != nil {
 			reply.Abort()
 			gate.End(decision.ID, placement.Neutral, "")
-			r.outcome, r.reason = outcomeLeft, "write_failed"
+			r.outcome, r.reason = CallerLeft, "write_failed"
 			r.caller.Break()
 			return done
 		}
@@ -57,8 +57,8 @@
 	if r.begun.CompareAndSwap(false, true) {
 		r.caller.Begin(reply)
 		r.firstEvent = now.Sub(r.request.Arrived)
-	} else {
-		r.longestPause = max(r.longestPause, now.Sub(r.lastEvent))
+	} else if pause := now.Sub(r.lastEvent); pause > r.longestPause {
+		r.longestPause, r.pauseEnd = pause, now.Sub(r.request.Arrived)
 	}
 	r.lastEvent = now
 	if number != 0 {
@@ -77,7 +77,7 @@
 			r.caller.Begin(reply)
 		}
 		r.caller.End()
-		r.outcome = outcomeAnswered
+		r.outcome = Answered
 		return done
 	}
 	reply.Abort()
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
 const (
@@ -81,7 +82,7 @@
 	}
 	w.mutex.Unlock()
 	w.run.exchange.config.Logger.Info().Str("request_id", w.run.request.ID).Str("upstream", w.decision.Lead.ID).
-		Msg("upstream is silent")
+		Msg(telemetry.LogUpstreamSilent)
 	w.run.exchange.config.Metrics.Count("wigeontiller_silent_upstreams_total", 1)
 	w.cancel()
 }
--- /dev/null
+++ b/explain/cause.go
@@ -0,0 +1,207 @@
+package explain
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/exchange"
+	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// cause names why the request ended as it did. Lines are in order.
+func (l *Log) cause(lines []Line) string {
+	end := l.end()
+	switch end.Message {
+	case "":
+		return l.endless(lines)
+	case telemetry.LogNotAdmitted:
+		return "not admitted, nothing was sent: " + notAdmitted(end, lines)
+	}
+	switch outcome := end.Text("outcome"); outcome {
+	case exchange.Answered:
+		if status := int(end.Number("status")); status >= http.StatusInternalServerError {
+			return fmt.Sprintf("the upstream's own failure (%d) was passed on after %.0f attempts; %s", status, end.Number("attempts"), l.state(lines))
+		}
+		return l.late(end, lines)
+	case exchange.CallerLeft:
+		left := fmt.Sprintf("the caller left after %v; %s", rounded(end.Millis("taken_ms")), l.state(lines))
+		if pause := end.Millis("longest_pause_ms"); pause > 0 {
+			left += fmt.Sprintf(", with pauses of up to %v", rounded(pause))
+		}
+		return left
+	default:
+		return fmt.Sprintf("%s: %s", strings.ReplaceAll(outcome, "_", " "), l.failed(end, lines))
+	}
+}
+
+func rounded(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// endless explains a request without an end.
+func (l *Log) endless(lines []Line) string {
+	if ends := last(lines, telemetry.LogNodeEnds); ends != nil {
+		return "its node ended before it had an answer; " + l.state(lines)
+	}
+	return "no end is logged: the node was killed, or lines were dropped; " + l.state(lines)
+}
+
+func notAdmitted(end *Line, lines []Line) string {
+	reason := end.Text("reason")
+	age := rounded(end.Millis("beliefs_age_ms"))
+	switch {
+	case reason == exchange.ReasonNoBeliefs:
+		return "the node had just started and knew no document"
+	case reason == exchange.ReasonNodeEnds:
+		return "the node was shutting down" + since(end, last(lines, telemetry.LogNodeDrains))
+	case reason == exchange.ReasonBeliefsTooOld:
+		return fmt.Sprintf("what the node knew was %v old%s", age, since(end, last(lines, telemetry.LogStoreLost)))
+	case strings.HasSuffix(reason, exchange.Unsure):
+		return fmt.Sprintf("its key or route was unknown, to a node whose knowledge was %v old", age)
+	}
+	return "the document in force has no such " + strings.TrimPrefix(end.Text("outcome"), "no_")
+}
+
+// since says how long before the end a line was logged.
+func since(end, line *Line) string {
+	if line == nil {
+		return ""
+	}
+	return fmt.Sprintf(" (%q %v before)", line.Message, rounded(end.At.Sub(line.At)))
+}
+
+// failed explains an answer of the system's own to a request that was admitted.
+func (l *Log) failed(end *Line, lines []Line) string {
+	reason := end.Text("reason")
+	switch placement.Reason(reason) {
+	case placement.NoUpstream:
+		return "no upstream of the service was in service"
+	case placement.TooLarge:
+		return "no number of engines that may share a prompt had the memory for it"
+	case placement.Busy:
+		return "the prompt needs several engines' memory, and the engines read too much to take it"
+	case placement.TooLate:
+		return fmt.Sprintf("it waited %v for a place, until its caller would have left", rounded(end.Millis("taken_ms")))
+	}
+	switch reason {
+	case exchange.ReasonBeliefsTooOld:
+		return "what the node knew became too old to send by" + since(end, last(lines, telemetry.LogStoreLost))
+	case exchange.ReasonNodeEnds:
+		return "the node was shutting down" + since(end, last(lines, telemetry.LogNodeDrains)) + "; " + l.state(lines)
+	case exchange.ReasonBudgetSpent:
+		return "the retry budget was spent; " + l.state(lines)
+	}
+	if at := last(lines, telemetry.LogAttemptFailed); at != nil {
+		return fmt.Sprintf("after %.0f attempts; %s", end.Number("attempts"), l.state(lines))
+	}
+	return strings.ReplaceAll(reason, "_", " ")
+}
+
+// state says how far the last attempt came.
+func (l *Log) state(lines []Line) string {
+	failed, placed := last(lines, telemetry.LogAttemptFailed), last(lines, telemetry.LogAttemptPlaced)
+	switch {
+	case placed == nil:
+		return "it was never sent"
+	case failed == nil || failed.At.Before(placed.At):
+		return fmt.Sprintf("its attempt at %s was under way", placed.Text("upstream"))
+	}
+	return fmt.Sprintf("its attempt at %s %s", failed.Text("upstream"), l.fault(failed, lines))
+}
+
+// fault says why an attempt failed, by its line.
+func (l *Log) fault(failed *Line, lines []Line) string {
+	text := failed.Text("error")
+	status := int(failed.Number("status"))
+	upstream := failed.Text("upstream")
+	end := l.end()
+	for i := range lines {
+		line := &lines[i]
+		if line.Message == telemetry.LogUpstreamSilent && line.Text("upstream") == upstream {
+			return "was given up: the upstream was silent"
+		}
+	}
+	switch {
+	case strings.Contains(text, "use of closed network connection") || strings.Contains(text, "context"):
+		if end.Text("outcome") == exchange.CallerLeft {
+			return fmt.Sprintf("ended with the caller, after event %.0f", failed.Number("last_event"))
+		}
+		return "was ended by this node: its time was over"
+	case strings.Contains(text, "connection refused"):
+		return "found no process at the address"
+	case strings.Contains(text, "connection reset"), strings.Contains(text, "EOF"), strings.Contains(text, "broken pipe"):
+		return fmt.Sprintf("was cut by the upstream, after event %.0f", failed.Number("last_event"))
+	case strings.Contains(text, "timeout"):
+		return "got no connection in time"
+	case status > 0:
+		return fmt.Sprintf("was answered with %d (%s)", status, text)
+	}
+	return "failed: " + text
+}
+
+// late explains an answer that came late, or says that it was on time.
+func (l *Log) late(end *Line, lines []Line) string {
+	target, pauseTarget := end.Millis("latency_target_ms"), end.Millis("pause_target_ms")
+	first, pause := end.Millis("first_event_ms"), end.Millis("longest_pause_ms")
+	if first == 0 {
+		first = end.Millis("taken_ms")
+	}
+	switch {
+	case target > 0 && first > target:
+		return fmt.Sprintf("answered late, %v of %v to the first event: %s", rounded(first), target, l.slowStart(first, lines))
+	case pauseTarget > 0 && pause > pauseTarget:
+		return fmt.Sprintf("answered late, with a pause of %v of %v: %s", rounded(pause), pauseTarget, l.paused(end, lines))
+	}
+	return "answered on time"
+}
+
+func (l *Log) slowStart(first time.Duration, lines []Line) string {
+	placed := last(lines, telemetry.LogAttemptPlaced)
+	if placed == nil {
+		return "no attempt is logged"
+	}
+	waited, expected := placed.Millis("waited_ms"), placed.Millis("expected_first_ms")
+	attempts := 0
+	for i := range lines {
+		if lines[i].Message == telemetry.LogAttemptPlaced {
+			attempts++
+		}
+	}
+	switch {
+	case attempts > 1:
+		return fmt.Sprintf("attempt %d gave it, placed after %v; before it, %s", attempts, rounded(waited), l.state(lines[:len(lines)-1]))
+	case waited > first/2:
+		return fmt.Sprintf("it waited %v for a place", rounded(waited))
+	case first-waited > 2*expected:
+		return fmt.Sprintf("%s was slower than known: %v expected", placed.Text("upstream"), rounded(expected))
+	}
+	return fmt.Sprintf("%s had %.0f ms to read before it", placed.Text("upstream"), placed.Number("backlog_ms"))
+}
+
+// paused names what an engine read in a pause.
+func (l *Log) paused(end *Line, lines []Line) string {
+	placed := last(lines, telemetry.LogAttemptPlaced)
+	if placed == nil {
+		return "no attempt is logged"
+	}
+	if failed := last(lines, telemetry.LogAttemptFailed); failed != nil {
+		return "it went on elsewhere; its first attempt at " + failed.Text("upstream") + " " + l.fault(failed, lines)
+	}
+	upstream := placed.Text("upstream")
+	pauseEnd := end.At.Add(end.Millis("pause_end_ms") - end.Millis("taken_ms"))
+	from := pauseEnd.Add(-2 * end.Millis("longest_pause_ms"))
+	prompts, tokens := 0, 0.0
+	for i := range l.placed {
+		line := &l.placed[i]
+		other := line.Text("request_id") != end.Text("request_id")
+		if other && line.At.After(from) && line.At.Before(pauseEnd) && line.uses(upstream) {
+			prompts++
+			tokens = max(tokens, line.Number("prompt_tokens"))
+		}
+	}
+	if prompts == 0 {
+		return upstream + " read no prompt that these logs name: it was slow"
+	}
+	return fmt.Sprintf("%s read %d prompts beside it, the longest of %.0f tokens", upstream, prompts, tokens)
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -132,7 +132,7 @@
 				sleep(ctx, callSpacing-(f.now()-asked))
 			}
 			if lost {
-				f.logger.Info().Int("table", int(kind)).Msg("store regained")
+				f.logger.Info().Int("table", int(kind)).Msg(telemetry.LogStoreRegained)
 			}
 			synced, lost, pause = true, false, firstPause
 			continue
@@ -146,7 +146,7 @@
 			continue
 		}
 		if !lost {
-			f.logger.Warn().Err(err).Int("table", int(kind)).Bool("older_than_known", err == nil).Msg("store lost")
+			f.logger.Warn().Err(err).Int("table", int(kind)).Bool("older_than_known", err == nil).Msg(telemetry.LogStoreLost)
 		}
 		lost = true
 		f.metrics.Count("wigeontiller_store_failures_total", 1)
@@ -345,7 +345,7 @@
 			event = event.Int64("site_before", before.Site.Version)
 		}
 	}
-	event.Msg("beliefs changed")
+	event.Msg(telemetry.LogBeliefsChanged)
 }
 
 // lookAgain gives up calls that wait too long and drops entries that did not come
