--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeontiller/wigeontiller/apierror"
 	"github.com/wigeontiller/wigeontiller/dispatch"
+	"github.com/wigeontiller/wigeontiller/retry"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
@@ -51,38 +52,46 @@
 
 // attempts places and sends a call until an answer starts or the call is given up.
 func (s *Server) attempts(ctx context.Context, accepted *call) (*answer, *apierror.Error) {
-	execution := apierror.NotRun
-	limit := accepted.request.Plan.Document.Retry.MaxAttempts
-	for number := 1; ; {
+	history := retry.NewHistory(retry.Rules{
+		Repeatable: accepted.idempotent, MaxRuns: accepted.request.Plan.Document.Retry.MaxAttempts,
+	})
+	for {
 		placement, err := s.place(ctx, accepted)
 		if err != nil {
-			return nil, placeFailure(err, execution)
+			return nil, placeFailure(err, execution(&history))
+		}
+		if !history.Send() {
+			placement.Finish(scheduling.Outcome{Abandoned: true})
+			return nil, attemptFailure(ctx, execution(&history))
 		}
 		got, err := s.attempt(ctx, accepted, placement)
 		if err == nil {
 			return got, nil
 		}
 		if errors.Is(err, upstream.ErrRefused) {
-			if failure := s.requeue(ctx, accepted, execution); failure != nil {
+			if failure := s.requeue(ctx, accepted, execution(&history)); failure != nil {
 				return nil, failure
 			}
 			continue
 		}
 		if errors.Is(err, upstream.ErrBroken) {
-			execution = apierror.MayHaveRun
-		}
-		again := accepted.idempotent || execution == apierror.NotRun
-		if ctx.Err() != nil || !again || number >= limit {
-			return nil, attemptFailure(ctx, execution)
+			history.MayHaveRun()
 		}
-		if !s.config.Dispatcher.MayRetry(accepted.request) {
-			return nil, attemptFailure(ctx, execution)
+		if ctx.Err() != nil || !history.MayRepeat() || !s.config.Dispatcher.MayRetry(accepted.request) {
+			return nil, attemptFailure(ctx, execution(&history))
 		}
 		accepted.request.Avoid = append(accepted.request.Avoid, placement.Upstream.ID)
-		number++
 	}
 }
 
+// execution is what an error answer says of the call's attempts.
+func execution(history *retry.History) apierror.Execution {
+	if history.Unrun() {
+		return apierror.NotRun
+	}
+	return apierror.MayHaveRun
+}
+
 // requeue waits before a request that a full upstream refused is placed again.
 func (s *Server) requeue(ctx context.Context, accepted *call, execution apierror.Execution) *apierror.Error {
 	pause, ok := s.config.Dispatcher.Requeue(accepted.request)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/retry"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -198,7 +199,7 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	run := &run{exchange: e, request: request, caller: caller, sent: request.After}
+	run := e.newRun(request, caller)
 	stop := context.AfterFunc(e.ending, func() {
 		if !run.begun.Load() {
 			end(errNodeEnds)
@@ -209,6 +210,11 @@
 	e.log(run)
 }
 
+func (e *Exchange) newRun(request *Request, caller Caller) *run {
+	rules := retry.Rules{Repeatable: request.Route.Repeatable(), MaxRuns: request.Route.MaxAttempts}
+	return &run{exchange: e, request: request, caller: caller, history: retry.NewHistory(rules), sent: request.After}
+}
+
 // Stale reports whether the view is too old to send a request that needs a key.
 func (e *Exchange) stale() bool {
 	return e.config.Now()-e.config.Follower.Current().FreshAt > e.config.Freshness.RunUntil
@@ -223,7 +229,7 @@
 		event = e.config.Logger.Warn()
 	}
 	event = event.Str("request_id", r.request.ID).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
-		Dur("taken_ms", taken).Dur("latency_target_ms", r.request.Route.LatencyTarget).Int("attempts", r.attempts).Int64("site_version", r.request.SiteVersion)
+		Dur("taken_ms", taken).Dur("latency_target_ms", r.request.Route.LatencyTarget).Int("attempts", r.history.Sent()).Int64("site_version", r.request.SiteVersion)
 	if r.firstEvent > 0 {
 		event = event.Dur("first_event_ms", r.firstEvent).Dur("longest_pause_ms", r.longestPause).
 			Dur("pause_end_ms", r.pauseEnd).Dur("pause_target_ms", r.request.Route.PauseTarget)
--- a/exchange/promise.go
+++ b/exchange/promise.go
@@ -14,13 +14,13 @@
 func (r *run) broken(promise string) {
 	r.exchange.config.Metrics.InvariantBroken(promise)
 	r.exchange.config.Logger.Error().Str("request_id", r.request.ID).Str("promise", promise).
-		Int("ran", r.ran).Int64("last_event", r.sent).Msg(telemetry.LogPromiseBroken)
+		Int("ran", r.history.Ran()).Int64("last_event", r.sent).Msg(telemetry.LogPromiseBroken)
 }
 
 // maySend reports whether a sending keeps the promise that a request that must not
 // be repeated runs once.
 func (r *run) maySend() bool {
-	if r.ran == 0 || r.request.Route.Repeatable() {
+	if r.history.Send() {
 		return true
 	}
 	r.broken(promiseOnce)
@@ -30,7 +30,7 @@
 // truthful returns the failure with a code that promises no more than is true.
 func (r *run) truthful(failure Failure) Failure {
 	promises := failure.Code == Unavailable || failure.Code == Overloaded || failure.Code == ExpiredUnrun
-	if !promises || r.ran == 0 || r.request.Route.Repeatable() {
+	if !promises || r.history.Unrun() || r.request.Route.Repeatable() {
 		return failure
 	}
 	r.broken(promiseUnrun)
--- a/exchange/promise_test.go
+++ b/exchange/promise_test.go
@@ -12,7 +12,8 @@
 func breach(t *testing.T, promise string, kind fleet.RouteKind, f func(r *run)) int64 {
 	t.Helper()
 	fixture := newFixture(t)
-	r := &run{exchange: fixture.exchange, request: &Request{Route: &fleet.Route{Kind: kind}}, ran: 1, sent: 4}
+	r := fixture.exchange.newRun(&Request{Route: &fleet.Route{Kind: kind}, After: 4}, nil)
+	r.history.MayHaveRun()
 	f(r)
 	return fixture.exchange.config.Metrics.CounterValue(`wigeontiller_invariant_broken_total{invariant="` + promise + `"}`)
 }
--- a/exchange/run.go
+++ b/exchange/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/retry"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -34,14 +35,13 @@
 
 // run is one request on its way.
 type run struct {
-	exchange *Exchange
-	request  *Request
-	caller   Caller
-	service  string
-	// attempts counts the sendings, ran the upstreams that may have run it.
-	attempts, ran int
-	placements    int
-	avoid         []string
+	exchange   *Exchange
+	request    *Request
+	caller     Caller
+	service    string
+	history    retry.History
+	placements int
+	avoid      []string
 	// sent is the number of the last event that the caller has.
 	sent  int64
 	begun atomic.Bool
@@ -129,10 +129,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if r.ran >= max(1, r.request.Route.MaxAttempts) {
-		return false
-	}
-	if r.ran > 0 && !r.request.Route.Repeatable() {
+	if !r.history.MayRepeat() {
 		return false
 	}
 	config := &r.exchange.config
@@ -173,7 +170,6 @@
 		config.Gate.End(decision.ID, placement.Neutral, "")
 		return failed
 	}
-	r.attempts++
 	attempt := &Attempt{
 		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
 		Deadline: r.request.Deadline, After: r.sent, Once: !r.request.Route.Repeatable(),
@@ -200,7 +196,7 @@
 		return r.refused(ctx, decision, reply, placement.Foreign)
 	case Ran:
 	}
-	r.ran++
+	r.history.MayHaveRun()
 	if r.request.Route.Kind == fleet.Stream && reply.Status() == http.StatusOK {
 		return r.stream(ctx, decision, reply, watch)
 	}
@@ -228,7 +224,7 @@
 		r.reason = "upstream_unreachable"
 		return r.repeat(ctx)
 	}
-	r.ran++
+	r.history.MayHaveRun()
 	r.reason = "upstream_broke_off"
 	return r.repeat(ctx)
 }
@@ -297,7 +293,7 @@
 	ends := errors.Is(context.Cause(ctx), errNodeEnds)
 	if ends {
 		failure = Failure{Code: Unavailable, Reason: ReasonNodeEnds, RetryAfter: r.exchange.config.Backoff}
-		if r.ran > 0 {
+		if !r.history.Unrun() {
 			failure.Code = UpstreamFailed
 		}
 	} else if errors.Is(ctx.Err(), context.Canceled) {
@@ -313,11 +309,11 @@
 	}
 	if ctx.Err() != nil && !ends {
 		failure.Code = Expired
-		if r.ran == 0 {
+		if r.history.Unrun() {
 			failure.Code = ExpiredUnrun
 		}
 	}
-	if failure.Code == UpstreamFailed && (r.ran == 0 || r.request.Route.Repeatable()) {
+	if failure.Code == UpstreamFailed && (r.history.Unrun() || r.request.Route.Repeatable()) {
 		failure.Code = Overloaded
 	}
 	failure = r.truthful(failure)
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -41,7 +41,7 @@
 func (r *run) watch(ctx context.Context, decision *placement.Decision) *watch {
 	w := &watch{run: r, decision: decision}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	if r.request.Route.Repeatable() && r.ran+1 < r.request.Route.MaxAttempts {
+	if r.request.Route.Repeatable() && r.history.Ran()+1 < r.request.Route.MaxAttempts {
 		w.since = time.Now()
 		w.mutex.Lock()
 		w.timer = time.AfterFunc(w.patience(), w.silent)
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestAttemptsThatDidNotRunCostNothing(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory(Rules{})
+	for range 5 {
+		is.True(h.Send())
+		is.True(h.MayRepeat())
+		is.True(h.Unrun())
+	}
+	is.Equal(h.Sent(), 5)
+	h.MayHaveRun()
+	is.True(!h.Unrun())
+	is.True(!h.MayRepeat())
+	is.True(!h.Send())
+	is.Equal(h.Sent(), 5)
+}
+
+func TestRepeatableRequestsRunOnSoManyUpstreams(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory(Rules{Repeatable: true, MaxRuns: 2})
+	is.True(h.Send())
+	h.MayHaveRun()
+	is.True(h.MayRepeat())
+	is.True(h.Send())
+	h.MayHaveRun()
+	is.True(!h.MayRepeat())
+	is.Equal(h.Ran(), 2)
+}
+
+// Whatever the attempts do, a request that must not be repeated runs once, no
+// request runs on more upstreams than it may, and what is called unrun has not run.
+func TestRulesHoldInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rules := Rules{Repeatable: rapid.Bool().Draw(t, "repeatable"), MaxRuns: rapid.IntRange(0, 4).Draw(t, "max runs")}
+		h, ran := NewHistory(rules), 0
+		for _, runs := range rapid.SliceOf(rapid.Bool()).Draw(t, "attempts") {
+			if !h.MayRepeat() || !h.Send() {
+				break
+			}
+			if runs {
+				h.MayHaveRun()
+				ran++
+			}
+		}
+		if !rules.Repeatable && ran > 1 || ran > max(1, rules.MaxRuns) || h.Unrun() != (ran == 0) {
+			t.Fatalf("ran %d times: %+v", ran, h)
+		}
+	})
+}
