Requests that are read at the very end of a node are answered

After the drain all servers were closed at once, also with requests that were being read, and requests whose answer had not begun were ended only in the loop's last turn. Now EndUnbegun is always called and the servers have 300 ms of the 500 ms that are kept for the exit to finish. The test (a body whose end comes 50 ms after the drain) got an unexpected EOF before, 503 after. Ruled out: a request on an idle connection (the rule counts those that were read).

--- a/edge/node.go
+++ b/edge/node.go
@@ -66,6 +66,9 @@
 	quietEnd = 500 * time.Millisecond
 	// lastAnswers is how long before its end a node answers what has not begun.
 	lastAnswers = 400 * time.Millisecond
+	// lastRequests is the part of exitMargin in which requests that were read at the
+	// end are answered.
+	lastRequests = 300 * time.Millisecond
 	// unreadyAge is the age of beliefs from which a node sends callers elsewhere if
 	// another node knows better: a missed call and a new one.
 	unreadyAge = 2500 * time.Millisecond
@@ -250,15 +253,30 @@
 		n.drain()
 	case err = <-failed:
 	}
-	for _, server := range servers {
-		_ = server.Close()
-	}
+	endServers(servers)
 	stop()
 	group.Wait()
 	n.logger.Info().Err(err).Msg(telemetry.LogNodeEnds)
 	return err
 }
 
+// endServers lets requests that were read at the very end have their answer, and
+// then closes all connections.
+func endServers(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastRequests)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				// What is open now would be cut by the end of the process anyway.
+				_ = server.Close()
+			}
+		})
+	}
+	group.Wait()
+}
+
 // drain serves what is there while the balancer takes the node out, and ends when
 // all is answered.
 func (n *Node) drain() {
@@ -271,13 +289,12 @@
 	n.exchange.CloseStreams()
 	n.closing.Store(true)
 	const look = 20 * time.Millisecond
-	ended := false
 	for time.Now().Before(end) && (n.active.Load() > 0 || n.noting.quietFor() < quietEnd) {
 		time.Sleep(look)
-		if !ended && time.Until(end) < lastAnswers {
+		if time.Until(end) < lastAnswers {
 			n.exchange.EndUnbegun()
-			ended = true
 		}
 	}
+	n.exchange.EndUnbegun()
 	n.logger.Info().Int64("active", n.active.Load()).Dur("taken_ms", time.Since(started)).Msg("node drained")
 }
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -207,6 +209,36 @@
 	}
 }
 
+// A node that had no processor time for a while may find a request only at the end of
+// its grace.
+func TestARequestThatIsReadAtTheVeryEndIsAnswered(t *testing.T) {
+	for _, route := range []string{"chat", "book"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 0)
+			s.graceSeconds = 1
+			s.start("edge-0")
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(s.nodes[0].url, "http://"))
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /"+route+"/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: late\r\nX-Deadline-Ms: 2000\r\n"+
+				"Authorization: Token key-a\r\nX-Token-Usage: 1000,300\r\nContent-Length: 8\r\n\r\nbody")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			s.nodes[0].stop()
+			time.Sleep(time.Duration(s.graceSeconds*float64(time.Second)) - exitMargin + 50*time.Millisecond)
+			_, err = io.WriteString(conn, "body")
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(2 * time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			_ = response.Body.Close()
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.NoErr(<-s.nodes[0].done)
+		})
+	}
+}
+
 func TestANodeStartsFromTheStoreAlone(t *testing.T) {
 	s := newSite(t, 0)
 	started := time.Now()
--- a/edge/site_test.go
+++ b/edge/site_test.go
@@ -28,6 +28,8 @@
 	servers map[string]*httptest.Server
 	nodes   []*running
 	version int
+	// graceSeconds is the grace of nodes that are started from now on.
+	graceSeconds float64
 }
 
 type running struct {
@@ -48,7 +50,7 @@
 
 func newSite(t *testing.T, nodes int) *site {
 	t.Helper()
-	s := &site{t: t, store: fleetstore.New(), engines: map[string]*fleetengine.Engine{}, servers: map[string]*httptest.Server{}}
+	s := &site{t: t, store: fleetstore.New(), engines: map[string]*fleetengine.Engine{}, servers: map[string]*httptest.Server{}, graceSeconds: 8}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(func() {
 		s.store.Set(fleetstore.Knobs{})
@@ -127,7 +129,7 @@
 	}
 	settings := &Settings{
 		Name: name, Zone: "z", CallerAddress: freePort(s.t), ReadyAddress: freePort(s.t), PeerIP: "127.0.0.1", PeerPorts: []uint16{uint16(peer)},
-		StoreAddress: s.address, GraceSeconds: 8, RevokeMs: 5000, ApplyMs: 2000, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 100, WarmOvershoot: 1.5,
+		StoreAddress: s.address, GraceSeconds: s.graceSeconds, RevokeMs: 5000, ApplyMs: 2000, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 100, WarmOvershoot: 1.5,
 	}
 	node, err := New(settings, zerolog.Nop())
 	if err != nil {
