--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -84,6 +84,15 @@
 	is.True(!got.ended)
 }
 
+func TestAStreamWithAGapGoesOnElsewhereBeforeIt(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, step{status: 200, body: events(1, 3) + events(5, 8)}, step{status: 200, body: events(4, 8)})
+	got := f.serve(t, f.request("stream"))
+	is.Equal(got.events, events(1, 8))
+	is.True(got.ended)
+	is.Equal(f.upstreams.attempts[1].After, int64(3))
+}
+
 func TestAStreamThatMayNotBeResumedRunsOnce(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, step{status: 200, body: events(1, 3), ends: errReset}, step{status: 200, body: events(4, 8)})
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -23,6 +23,14 @@
 	is.Equal(h.Sent(), 5)
 }
 
+func TestOthersRunOnceWhateverTheBound(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory(Rules{MaxRuns: 3})
+	is.True(h.Send())
+	h.MayHaveRun()
+	is.True(!h.MayRepeat())
+}
+
 func TestRepeatableRequestsRunOnSoManyUpstreams(t *testing.T) {
 	is := is.New(t)
 	h := NewHistory(Rules{Repeatable: true, MaxRuns: 2})
@@ -42,9 +50,12 @@
 		rules := Rules{Repeatable: rapid.Bool().Draw(t, "repeatable"), MaxRuns: rapid.IntRange(0, 4).Draw(t, "max runs")}
 		h, ran := NewHistory(rules), 0
 		for _, runs := range rapid.SliceOf(rapid.Bool()).Draw(t, "attempts") {
-			if !h.MayRepeat() || !h.Send() {
+			if !h.MayRepeat() {
 				break
 			}
+			if !h.Send() {
+				t.Fatal("what may be repeated may not be sent")
+			}
 			if runs {
 				h.MayHaveRun()
 				ran++
