Calls for the upstreams' table: a burst is free, many are spaced

Cause: with each call at least 300 ms after the last, a change in calm times was known up to 300 ms late; TestADrainingUpstreamGetsNothingMore (200 ms) was red, 7 requests instead of none. A token bucket of the x/time library replaces the fixed pause: four calls at once, then one each 300 ms. The new test of follow holds the number of calls when 200 changes come in 4 s.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/periodic"
@@ -32,10 +33,11 @@
 	// firstPause is the pause after a failed call; it doubles up to lastPause.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
-	// callSpacing is the least time between two calls for the table of upstreams, so
-	// that many that start at once cost few calls. It is a small part of the time in
-	// which a node must know that one leaves, 2 s on the users' sites.
+	// callSpacing is the mean time between calls for the table of upstreams after a
+	// burst of callBurst, so that many that start at once cost few calls. It is a small
+	// part of the time in which a node must know that one leaves, 2 s on the users' sites.
 	callSpacing = 300 * time.Millisecond
+	callBurst   = 4
 	// expireInterval is how often lapsed entries are looked at.
 	expireInterval = 100 * time.Millisecond
 )
@@ -121,16 +123,16 @@
 func (f *Follower) follow(ctx context.Context, kind fleet.Kind) {
 	pause := firstPause
 	synced, lost := false, false
+	calls := rate.NewLimiter(rate.Every(callSpacing), callBurst)
 	for ctx.Err() == nil {
-		asked := f.now()
+		if kind == fleet.Upstreams && calls.Wait(ctx) != nil {
+			return
+		}
 		ok, err := f.step(ctx, kind, synced)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil && ok {
-			if kind == fleet.Upstreams {
-				sleep(ctx, callSpacing-(f.now()-asked))
-			}
 			if lost {
 				f.logger.Info().Int("table", int(kind)).Msg(telemetry.LogStoreRegained)
 			}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -286,3 +286,22 @@
 		is.True(age(f) < 2*time.Second)
 	})
 }
+
+func TestManyChangesCostFewCalls(t *testing.T) {
+	run(t, func(t *testing.T, source *scripted, f *Follower) {
+		is := is.New(t)
+		time.Sleep(5 * time.Second)
+		source.set(func(s *scripted) { s.calls = 0 })
+		for revision := int64(2); revision <= 200; revision++ {
+			source.set(func(s *scripted) { s.site, s.revision = revision, revision })
+			time.Sleep(20 * time.Millisecond)
+		}
+		// 4 s: a call for each of the operator's changes, which nothing may hold up, and
+		// few for those of the upstreams.
+		source.set(func(s *scripted) { is.True(s.calls <= 199+callBurst+int(4*time.Second/callSpacing)+2) })
+		time.Sleep(callSpacing)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		is.Equal(f.book.Revision(fleet.Upstreams), int64(200))
+	})
+}
