Two more promises are assertions: one answer a request, no older document

Not made an assertion: nothing to a draining upstream, whose look directly before the send is the mechanism itself, and the ramp and retry sums, which no node knows.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -212,7 +212,9 @@
 
 func (e *Exchange) newRun(request *Request, caller Caller) *run {
 	rules := retry.Rules{Repeatable: request.Route.Repeatable(), MaxRuns: request.Route.MaxAttempts}
-	return &run{exchange: e, request: request, caller: caller, history: retry.NewHistory(rules), sent: request.After}
+	r := &run{exchange: e, request: request, history: retry.NewHistory(rules), sent: request.After}
+	r.caller = &oneAnswer{Caller: caller, run: r}
+	return r
 }
 
 // Stale reports whether the view is too old to send a request that needs a key.
--- a/exchange/promise.go
+++ b/exchange/promise.go
@@ -8,6 +8,7 @@
 	promiseOnce  = "at_most_once"
 	promiseUnrun = "not_run"
 	promiseOrder = "event_order"
+	promiseOne   = "one_answer"
 )
 
 // broken notes a breach.
@@ -46,3 +47,66 @@
 	r.broken(promiseOrder)
 	return false
 }
+
+// oneAnswer passes one answer on to a caller, and no second one.
+type oneAnswer struct {
+	Caller
+	run *run
+	// begun is set by the first call, ended by the one that completes the answer.
+	begun, ended bool
+}
+
+// starts reports whether an answer may start now.
+func (o *oneAnswer) starts() bool {
+	if o.begun {
+		o.run.broken(promiseOne)
+		return false
+	}
+	o.begun = true
+	return true
+}
+
+// ends reports whether the answer that started may be completed now.
+func (o *oneAnswer) ends() bool {
+	if o.ended {
+		o.run.broken(promiseOne)
+		return false
+	}
+	o.ended = true
+	return true
+}
+
+// Whole implements Caller.
+func (o *oneAnswer) Whole(reply Reply, body []byte) {
+	if o.starts() && o.ends() {
+		o.Caller.Whole(reply, body)
+	}
+}
+
+// Fail implements Caller.
+func (o *oneAnswer) Fail(failure Failure) {
+	if o.starts() && o.ends() {
+		o.Caller.Fail(failure)
+	}
+}
+
+// Begin implements Caller.
+func (o *oneAnswer) Begin(reply Reply) {
+	if o.starts() {
+		o.Caller.Begin(reply)
+	}
+}
+
+// End implements Caller.
+func (o *oneAnswer) End() {
+	if o.ends() {
+		o.Caller.End()
+	}
+}
+
+// Break implements Caller.
+func (o *oneAnswer) Break() {
+	if o.ends() {
+		o.Caller.Break()
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -331,9 +331,17 @@
 	}
 }
 
+// promiseNewer is that no document is replaced by an older one, nor by none.
+const promiseNewer = "document_never_older"
+
 // publish makes the snapshot of the book; the mutex is held.
 func (f *Follower) publish() *Snapshot {
 	snapshot := &Snapshot{View: f.book.View(), FreshAt: f.book.FreshAt(), Known: f.book.Known()}
+	if before := f.current.Load().Site; before != nil && (snapshot.Site == nil || snapshot.Site.Version < before.Version) {
+		f.metrics.InvariantBroken(promiseNewer)
+		f.logger.Error().Str("promise", promiseNewer).Int64("site_before", before.Version).Msg(telemetry.LogPromiseBroken)
+		snapshot.Site = before
+	}
 	f.current.Store(snapshot)
 	return snapshot
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -305,3 +305,14 @@
 		is.Equal(f.book.Revision(fleet.Upstreams), int64(200))
 	})
 }
+
+func TestAnOlderDocumentIsNotPublished(t *testing.T) {
+	run(t, func(t *testing.T, _ *scripted, f *Follower) {
+		is := is.New(t)
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.current.Store(&Snapshot{View: fleet.View{Site: &fleet.Site{Version: 9}}})
+		is.Equal(f.publish().Site.Version, int64(9)) // the book's is 1
+		is.Equal(f.metrics.CounterValue(`wigeontiller_invariant_broken_total{invariant="`+promiseNewer+`"}`), int64(1))
+	})
+}
