The scheduler follows the engines' passes instead of a backlog that drains

An engine reads in its next pass all that came during this one; the estimate drained at once. Now each engine has a pass that runs and reading that waits for the next; a long prompt waits where it would make that pass longer than 220 ms, if it can still be on time in the one after. The sort of readers, the time of short prompts and the watch use the same model.

--- a/edge/node.go
+++ b/edge/node.go
@@ -77,9 +77,9 @@
 	partMs = 50
 	// maxParts is the most engines that one prompt may be read by: the lead and 16.
 	maxParts = 17
-	// backlogMs is the unread time an engine over which long prompts wait: the pause
-	// target of short streams less a pass.
-	backlogMs = 150
+	// passMs is the longest pass that long prompts are paced for: the tightest pause
+	// target of the users' sites, 250 ms, less the reading of a short prompt.
+	passMs = 220
 	// warmShare is the part of the allowed rate of cold upstreams that is used.
 	warmShare = 0.85
 )
@@ -114,7 +114,7 @@
 	store := platform.NewStore(settings.StoreAddress, n.logger)
 	n.follower = follow.New(store, bootClock, n.logger, n.metrics)
 	scheduler := placement.New(placement.Config{
-		Zone: settings.Zone, Regions: settings.Regions, PartMs: partMs, MaxParts: maxParts, BacklogMs: backlogMs,
+		Zone: settings.Zone, Regions: settings.Regions, PartMs: partMs, MaxParts: maxParts, PassMs: passMs,
 		WarmMargin: settings.WarmOvershoot * warmShare, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.gate = exchange.NewGate(scheduler, bootClock, func() { n.agent.Changed() })
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -182,7 +182,7 @@
 	clock := func() time.Duration { return time.Since(started) + time.Duration(f.skew.Load()) + time.Hour }
 	metrics := telemetry.NewMetrics()
 	follower := follow.New(source{site: site}, clock, zerolog.Nop(), metrics)
-	scheduler := placement.New(placement.Config{Zone: "z", PartMs: 50, MaxParts: 17, BacklogMs: 150, WarmMargin: 1, Random: rand.New(rand.NewPCG(1, 1))})
+	scheduler := placement.New(placement.Config{Zone: "z", PartMs: 50, MaxParts: 17, PassMs: 220, WarmMargin: 1, Random: rand.New(rand.NewPCG(1, 1))})
 	gate := NewGate(scheduler, clock, func() {})
 	follower.OnChange = func() { gate.Configure(follower.Current) }
 	ctx, cancel := context.WithCancel(t.Context())
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -65,7 +65,7 @@
 	engine := service.Engine
 	work := readMs(engine, request.PromptTokens)
 	if work <= shortParts*s.config.PartMs {
-		lead := s.lead(now, service, s.scores(now, engine, eligible), request)
+		lead := s.lead(now, service, s.scores(now, eligible), request)
 		if lead == nil {
 			return Decision{}, false
 		}
@@ -141,7 +141,7 @@
 
 // readScore is the time until an engine reads, with what its failures cost.
 func (s *Scheduler) readScore(now time.Duration, l *load) float64 {
-	return l.backlog(now)*l.paceNow(now) + l.failures(now)*failCostMs + float64(l.totalRunning())*writerMs
+	return l.readAfter(now, 0) + l.failures(now)*failCostMs + float64(l.totalRunning())*writerMs
 }
 
 const (
@@ -149,36 +149,8 @@
 	stoppedMs = 30
 	// writerMs is the score of each stream that a read would stop.
 	writerMs = 0.5
-	// heldSpread is the time, in ms, over which a large read counts.
-	heldSpread = 4000
-	// heldIdle is the share of reading up to which engines count as idle.
-	heldIdle = 0.1
-	// heldLoad is the share of the engines' time that may go to reading when a
-	// prompt comes that takes several engines' memory.
-	heldLoad = 0.2
-	// heldFew is the part of the fleet's engines that may read such a prompt at any
-	// load up to heldBusy.
-	heldFew, heldBusy = 0.1, 0.7
-	// busyRetryAfter is when such a prompt may find the engines less busy.
-	busyRetryAfter = 3 * time.Second
 )
 
-// readLoad is the share of the engines' time that went to reading lately.
-func (s *Scheduler) readLoad(now time.Duration, engines []*load) float64 {
-	total := 0.0
-	for _, l := range engines {
-		total += l.readShare(now)
-	}
-	return total / float64(max(1, len(engines)))
-}
-
-// fewestStopped orders readers for a prompt whose parts stop the streams beside
-// them for longer than those bear: engines with few streams first.
-func (s *Scheduler) fewestStopped(now time.Duration, readers []*load) {
-	score := func(l *load) float64 { return s.readScore(now, l) + float64(l.totalRunning())*stoppedMs }
-	slices.SortFunc(readers, func(a, b *load) int { return compare(score(a), score(b)) })
-}
-
 // soonest is the number of readers, of the first most, that have read a prompt first:
 // one that has much to read itself would hold the others up.
 func (s *Scheduler) soonest(now time.Duration, readers []*load, most int, work float64) int {
@@ -195,103 +167,30 @@
 func (s *Scheduler) readTime(now time.Duration, readers []*load, count int, work float64) float64 {
 	most := 0.0
 	for _, l := range readers[:count] {
-		most = max(most, (l.backlog(now)+work/float64(count))*l.paceNow(now)/readShare)
+		most = max(most, l.readAfter(now, work/float64(count)))
 	}
 	return most
 }
 
-// mayWait reports whether a long prompt that would stop tight streams now can
-// still be on time after what is unread has been read.
+// mayWait reports whether a long prompt that would make the next pass of one of its
+// readers too long for streams beside it can still be on time in the one after it.
 func (s *Scheduler) mayWait(now time.Duration, request *Request, readers []*load, work float64) bool {
-	part := work / float64(len(readers)) / readShare
-	total := 0.0
+	part := work / float64(len(readers))
+	crowded, latest := false, 0.0
 	for _, l := range readers {
-		total += l.backlog(now)
+		after := l.readAfter(now, part)
+		crowded = crowded || l.passes.pendingMs > idleBacklogMs && l.pass(now).takes(l.passes.pendingMs+part) > milliseconds(s.config.PassMs)
+		latest = max(latest, after)
 	}
-	mean := total / float64(len(readers))
-	return mean > idleBacklogMs && mean+part > s.config.BacklogMs && now+time.Duration((mean+2*part)*float64(time.Millisecond))+beginSlack < request.Due
+	return crowded && now+milliseconds(latest+s.config.PassMs)+beginSlack < request.Due
 }
 
-// placeHeld places a prompt that several engines hold. Reading it takes so long
-// that it is refused while engines read much already: it would make many others late.
-func (s *Scheduler) placeHeld(now time.Duration, request *Request, service *fleet.Service, readers []*load, count int) (Decision, bool) {
-	share := readMs(service.Engine, request.PromptTokens) / float64(len(readers)) / heldSpread
-	busy := s.readLoad(now, readers)
-	few := float64(count) <= float64(len(readers))*heldFew && busy < heldBusy
-	if !few && busy+share > heldLoad && busy > heldIdle {
-		return refuse(request, Busy, busyRetryAfter), true
-	}
-	if !few && busy > heldIdle {
-		// It is late rather than many others.
-		count = 0
-	}
-	holders, possible := s.holders(now, service, readers, request)
-	if !possible {
-		return refuse(request, TooLarge, defaultRetryAfter), true
-	}
-	if len(holders) == 0 {
-		return Decision{}, false
-	}
-	// The lead's own reservation takes one of the places.
-	count = min(max(count, len(holders)), s.config.MaxParts-1)
-	helpers := slices.Clone(holders[1:])
-	for _, l := range readers {
-		if len(helpers) >= count-1 {
-			break
-		}
-		if !slices.Contains(holders, l) {
-			helpers = append(helpers, l)
-		}
-	}
-	return s.place(now, request, service, holders[0], helpers, holders), true
-}
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func (s *Scheduler) mayHelp(now time.Duration, engine *fleet.Engine, l *load) bool {
 	return l.totalHelping() < engine.Slots-1 && now >= l.avoidUntil && !l.entry.Cold(now)
 }
 
-const (
-	// memoryMargin is the part of an engine's memory that is not planned for: other
-	// nodes' news are some ms old, and an engine rounds up to whole blocks.
-	memoryMargin = 0.03
-	// shareTokens is the part of a prompt that one engine is to hold, where enough
-	// engines have room: a long context slows all writers beside it.
-	shareTokens = 80_000
-	// maxHolders bounds the engines that hold one prompt.
-	maxHolders = 8
-)
-
-// holders are the engines to hold a prompt together, the lead first; none if they
-// have no room now. It reports false if the prompt is too large for any number.
-func (s *Scheduler) holders(now time.Duration, service *fleet.Service, readers []*load, request *Request) ([]*load, bool) {
-	engine := service.Engine
-	usable := int(float64(engine.MemoryTokens) * (1 - memoryMargin))
-	if request.PromptTokens+request.AnswerTokens > usable*min(maxHolders, len(readers)) {
-		return nil, false
-	}
-	free := func(l *load) int { return usable - l.totalMemory() }
-	// Those with room come in the readers' order.
-	candidates := slices.Clone(readers)
-	slices.SortStableFunc(candidates, func(a, b *load) int {
-		return min(free(b), shareTokens) - min(free(a), shareTokens)
-	})
-	most := min(maxHolders, len(candidates))
-	for count := max(2, min(most, (request.PromptTokens+shareTokens-1)/shareTokens)); count <= most; count++ {
-		share := request.PromptTokens/count + 1
-		if free(candidates[count-1]) < share+request.AnswerTokens {
-			continue
-		}
-		chosen := slices.Clone(candidates[:count])
-		for i, l := range chosen {
-			if l.occupied(now) < engine.Slots && s.warm(now, l, service) {
-				chosen[0], chosen[i] = chosen[i], chosen[0]
-				return chosen, true
-			}
-		}
-	}
-	return nil, true
-}
-
 type scored struct {
 	load  *load
 	score float64
@@ -308,11 +207,10 @@
 }
 
 // scores are the expected ms until an engine would read a short prompt, best first.
-func (s *Scheduler) scores(now time.Duration, engine *fleet.Engine, eligible []*load) []scored {
+func (s *Scheduler) scores(now time.Duration, eligible []*load) []scored {
 	list := make([]scored, 0, len(eligible))
 	for _, l := range eligible {
-		pass := passMs(engine, l.totalRunning(), l.totalMemory())
-		score := (l.backlog(now)+pass)*l.paceNow(now) + l.failures(now)*failCostMs + s.config.Random.Float64()*jitterMs
+		score := l.readAfter(now, 0) + l.failures(now)*failCostMs + s.config.Random.Float64()*jitterMs
 		list = append(list, scored{load: l, score: score})
 	}
 	slices.SortFunc(list, func(a, b scored) int { return compare(a.score, b.score) })
@@ -332,7 +230,7 @@
 }
 
 func (s *Scheduler) place(now time.Duration, request *Request, service *fleet.Service, lead *load, helpers, holders []*load) Decision {
-	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.backlog(now)}
+	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.unread(now)}
 	held := &placed{lead: lead}
 	lead.warm(now, s.warmRate(service))
 	if service.Engine != nil && request.PromptTokens > 0 {
@@ -376,10 +274,11 @@
 
 // read books the reading of a part and returns when it will be read, in ms.
 func (s *Scheduler) read(now time.Duration, held *placed, l *load) float64 {
+	after := l.readAfter(now, held.partMs)
 	l.addBacklog(now, held.partMs)
 	l.toldMs += held.partMs
 	held.parts = append(held.parts, part{load: l, addedMs: l.addedMs})
-	return l.backlogMs * l.paceNow(now) / readShare
+	return after
 }
 
 // urgency ranks a prompt by the time that reading it takes.
--- a/placement/load.go
+++ b/placement/load.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// readShare is the part of a pass that reads while a backlog is there: an
-	// engine of the users' platform reads 10 ms and writes 1 ms in each step.
-	readShare = 0.85
 	// reportLife is how long a report counts: some intervals between reports.
 	reportLife = 2 * time.Second
 	// recentTime is the time over which the share of reading is taken.
@@ -32,16 +29,17 @@
 // load is what a node knows of one upstream beside its entry.
 type load struct {
 	entry *fleet.Upstream
-	hash  uint32
+	// engine is nil for an upstream of a plain service.
+	engine *fleet.Engine
+	hash   uint32
 	// running, memory and helping are this node's own requests there.
 	running, memory, helping int
 	// others holds the same of the other nodes, by node.
 	others map[string]Totals
 	// sums are the totals of others.
 	sums Totals
-	// backlogMs is the unread time of all nodes' prompts at backlogAt.
-	backlogMs float64
-	backlogAt time.Duration
+	// passes is when the engine reads what all nodes have placed.
+	passes passes
 	// addedMs is all reading that was ever booked; lately is the same with the past
 	// decaying, at latelyAt.
 	addedMs, lately float64
@@ -89,16 +87,9 @@
 func (l *load) totalMemory() int  { return l.memory + l.sums.Memory }
 func (l *load) totalHelping() int { return l.helping + l.sums.Helping }
 
-// backlog is the unread time now, in ms.
-func (l *load) backlog(now time.Duration) float64 {
-	done := float64((now - l.backlogAt).Microseconds()) / 1000 * readShare / l.paceNow(now)
-	return max(0, l.backlogMs-done)
-}
-
 // addBacklog books reading, or takes it back where ms is negative.
 func (l *load) addBacklog(now time.Duration, ms float64) {
-	l.backlogMs = max(0, l.backlog(now)+ms)
-	l.backlogAt = now
+	l.passes.add(now, ms, l.pass(now))
 	l.addedMs += max(0, ms)
 	l.lately = l.recent(now) + ms
 	l.latelyAt = now
@@ -116,8 +107,29 @@
 
 // readUpTo notes that all reading was done that had been booked when addedMs was at.
 func (l *load) readUpTo(now time.Duration, at float64) {
-	l.backlogMs = min(l.backlog(now), max(0, l.addedMs-at))
-	l.backlogAt = now
+	l.passes.readBut(now, max(0, l.addedMs-at), l.pass(now))
+}
+
+// pass is what the engine's next pass takes without reading.
+func (l *load) pass(now time.Duration) pass {
+	p := pass{pace: l.paceNow(now), writes: l.totalRunning() > 0}
+	if l.engine != nil {
+		p.baseMs = passMs(l.engine, l.totalRunning(), l.totalMemory())
+	}
+	return p
+}
+
+// unread is the time that the engine still reads what was placed, in ms of its model.
+func (l *load) unread(now time.Duration) float64 {
+	l.passes.roll(now, l.pass(now))
+	return l.passes.unread(now, l.pass(now))
+}
+
+// readAfter is the time in ms until a part that comes now is read, by the end of the
+// next pass.
+func (l *load) readAfter(now time.Duration, ms float64) float64 {
+	l.passes.roll(now, l.pass(now))
+	return l.passes.after(now, ms, l.pass(now))
 }
 
 func (l *load) paceNow(now time.Duration) float64 {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -113,7 +113,7 @@
 	}
 	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
 		if l := s.loads[entry.ID]; l != nil {
-			most = max(most, l.backlog(now)*l.paceNow(now)/readShare+passMs(service.Engine, l.totalRunning(), l.totalMemory()))
+			most = max(most, l.readAfter(now, 0))
 		}
 	}
 	return time.Duration(most * float64(time.Millisecond)), answers
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -27,9 +27,9 @@
 	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
 	// before long ones, so that they aren't read after them.
 	Urgency int
-	// BacklogMs is the unread time of an engine up to which streams beside it keep
-	// their pause target.
-	BacklogMs float64
+	// PassMs is the longest pass that long prompts are paced for: what streams beside
+	// them bear between two events.
+	PassMs float64
 	// WarmMargin is the part of the rate that cold upstreams bear which all nodes
 	// together use.
 	WarmMargin float64
@@ -151,7 +151,7 @@
 	for id, known := range s.loads {
 		entry, ok := view.Upstreams[id]
 		if ok && entry.StartedMs == known.entry.StartedMs {
-			known.entry = entry
+			known.entry, known.engine = entry, engineOf(view.Site, entry)
 			continue
 		}
 		delete(s.loads, id)
@@ -160,12 +160,19 @@
 	}
 	for id, entry := range view.Upstreams {
 		if s.loads[id] == nil {
-			made := &load{entry: entry, hash: Hash(id), others: map[string]Totals{}}
+			made := &load{entry: entry, engine: engineOf(view.Site, entry), hash: Hash(id), others: map[string]Totals{}}
 			s.loads[id], s.byHash[made.hash] = made, made
 		}
 	}
 }
 
+func engineOf(site *fleet.Site, entry *fleet.Upstream) *fleet.Engine {
+	if site == nil || site.Services[entry.Service] == nil {
+		return nil
+	}
+	return site.Services[entry.Service].Engine
+}
+
 // Submit takes a request. One that is not decided at once waits for Advance.
 func (s *Scheduler) Submit(now time.Duration, request *Request) Decision {
 	decision, decided := s.decide(now, request)
@@ -278,7 +285,7 @@
 		if l.entry.Service != request.Service {
 			continue
 		}
-		if backlog := l.backlog(now); least < 0 || backlog < least {
+		if backlog := l.unread(now); least < 0 || backlog < least {
 			least = backlog
 		}
 	}
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -39,7 +39,7 @@
 		view.Upstreams[id] = &fleet.Upstream{ID: id, Service: "app", Address: id, Zone: fmt.Sprintf("z%d", i%3), Slots: 6}
 	}
 	s := New(Config{
-		Zone: "z0", PartMs: 50, MaxParts: 17, BacklogMs: 150, WarmMargin: 1.2,
+		Zone: "z0", PartMs: 50, MaxParts: 17, PassMs: 220, WarmMargin: 1.2,
 		Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	s.Configure(view)
@@ -161,10 +161,10 @@
 	is := is.New(t)
 	w := newWorld(3, 0)
 	decision := w.Submit(time.Second, w.request(time.Second, 100_000))
-	is.True(w.loads[decision.Lead.ID].backlog(time.Second) > 100)
+	is.True(w.loads[decision.Lead.ID].unread(time.Second) > 100)
 	w.End(time.Second, decision.ID, Refused, "")
 	for _, l := range w.loads {
-		is.True(l.backlog(time.Second) < 0.001)
+		is.True(l.unread(time.Second) < 0.001)
 	}
 }
 
@@ -174,9 +174,9 @@
 	first := w.Submit(time.Second, w.request(time.Second, 20_000))
 	second := w.Submit(time.Second, w.request(time.Second, 5_000))
 	w.FirstEvent(time.Second, first.ID)
-	is.True(w.loads["e0"].backlog(time.Second) < readMs(engine(), 5_000)+0.001)
+	is.True(w.loads["e0"].unread(time.Second) < readMs(engine(), 5_000)+0.001)
 	w.FirstEvent(time.Second, second.ID)
-	is.True(w.loads["e0"].backlog(time.Second) < 0.001)
+	is.True(w.loads["e0"].unread(time.Second) < 0.001)
 }
 
 func TestDrainingAndEvacuatedUpstreamsGetNothing(t *testing.T) {
@@ -350,7 +350,7 @@
 	b.Told(time.Second, "a", a.Shares(time.Second, false), false)
 	lead := b.loads[decision.Lead.ID]
 	is.Equal(lead.totalRunning(), 1)
-	is.True(lead.backlog(time.Second) > 40)
+	is.True(lead.unread(time.Second) > 40)
 	a.FirstEvent(time.Second, decision.ID)
 	a.End(time.Second, decision.ID, Answered, "")
 	b.Told(time.Second, "a", a.Shares(time.Second, false), false)
