A line and a gauge tell that requests wait for a place

One line when requests of a service wait for half a second, with its upstreams, slots and those occupied, one when none waits any more; bounded by two a service and half a second.

--- a/edge/node.go
+++ b/edge/node.go
@@ -235,6 +235,8 @@
 	group.Go(func() { n.agent.Run(work) })
 	group.Go(func() { periodic.Run(work, sweepInterval, func() { n.pool.Sweep(maxIdle) }) })
 	group.Go(func() { periodic.Run(work, reportInterval, func() { n.reports.askAll(work) }) })
+	queue := &queueWatch{gate: n.gate, logger: n.logger, metrics: n.metrics, looks: map[string]int{}}
+	group.Go(func() { periodic.Run(work, queueInterval, queue.look) })
 	failed := make(chan error, len(n.listeners))
 	servers := []*http.Server{n.callers, n.checks}
 	if n.measures != nil {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -13,6 +13,8 @@
 	LogStoreLost         = "store lost"
 	LogStoreRegained     = "store regained"
 	LogBeliefsChanged    = "beliefs changed"
+	LogRequestsWait      = "requests wait"
+	LogNoneWaits         = "no request waits"
 	LogUpstreamMute      = "engine does not report"
 	LogUpstreamMuteEnded = "engine reports again"
 )
