Loops at an interval are periodic.Run

Five loops of the older packages had their own ticker. Those that end by themselves or have two tickers stay (callerwatch, dispatch, claimstore, the stand-in engine).

--- a/budget/budgetrpc/node.go
+++ b/budget/budgetrpc/node.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc"
 
 	"github.com/wigeontiller/wigeontiller/budget"
+	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/storage"
 )
 
@@ -187,23 +188,16 @@
 
 // Run reports to keepers until the context ends.
 func (n *Node) Run(ctx context.Context) {
-	ticker := time.NewTicker(n.timing.Interval / loopsPerInterval)
-	defer ticker.Stop()
 	defer n.calls.Wait()
 	expired := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.callTable(ctx)
-			n.round(ctx)
-		}
+	periodic.Run(ctx, n.timing.Interval/loopsPerInterval, func() {
+		n.callTable(ctx)
+		n.round(ctx)
 		if time.Since(expired) > expireInterval {
 			expired = time.Now()
 			n.expire(expired)
 		}
-	}
+	})
 }
 
 func (n *Node) expire(now time.Time) {
--- a/follower.go
+++ b/follower.go
@@ -15,6 +15,7 @@
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/environment"
 	"github.com/wigeontiller/wigeontiller/peer"
+	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/tables"
 )
 
@@ -67,17 +68,9 @@
 	workers.Wait()
 }
 
+// every calls step now and at each interval until the context ends.
 func every(ctx context.Context, interval time.Duration, step func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	periodic.RunNow(ctx, interval, func() { step(ctx) })
 }
 
 // offer notes that a peer has a version in force.
--- a/membership/udp/agent.go
+++ b/membership/udp/agent.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/wigeontiller/wigeontiller/membership"
+	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -68,18 +69,9 @@
 func (a *Agent) Run(ctx context.Context) {
 	var workers conc.WaitGroup
 	workers.Go(a.read)
-	ticker := time.NewTicker(membership.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			_ = a.conn.Close()
-			workers.Wait()
-			return
-		case <-ticker.C:
-			a.send(a.tick())
-		}
-	}
+	periodic.Run(ctx, membership.TickInterval, func() { a.send(a.tick()) })
+	_ = a.conn.Close()
+	workers.Wait()
 }
 
 func (a *Agent) tick() []membership.Packet {
--- a/observe/poller.go
+++ b/observe/poller.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/wigeontiller/wigeontiller/orphan"
+	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/scheduling"
 	"github.com/wigeontiller/wigeontiller/tables"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -96,16 +97,7 @@
 
 // Run polls until the context ends.
 func (p *Poller) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		p.Round(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	periodic.RunNow(ctx, pollInterval, func() { p.Round(ctx) })
 }
 
 // Round reads each engine once. It is called from one goroutine.
--- a/orders/ordering/shell.go
+++ b/orders/ordering/shell.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/orders"
+	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/storage"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -93,16 +94,7 @@
 
 // Run gives orders until the context ends.
 func (s *Shell) Run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		s.Round(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	periodic.RunNow(ctx, interval, func() { s.Round(ctx) })
 }
 
 // Round looks at each engine once.
--- a/periodic/periodic.go
+++ b/periodic/periodic.go
@@ -20,3 +20,9 @@
 		}
 	}
 }
+
+// RunNow is Run with a first call at once.
+func RunNow(ctx context.Context, interval time.Duration, f func()) {
+	f()
+	Run(ctx, interval, f)
+}
