--- /dev/null
+++ b/entry/cutter_test.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/wigeontiller/wigeontiller/upstream"
+)
+
+// cutter passes connections on and cuts the first ones after a number of
+// answered bytes. The mutex guards seen and accepted.
+type cutter struct {
+	to   string
+	cuts []int
+	// reset cuts by a TCP reset when it is set. A reset may discard what the
+	// node has not read yet, so it waits until the caller's answer has begun: a
+	// stream that breaks before its first event is not resumed but retried.
+	reset    chan struct{}
+	mutex    sync.Mutex
+	accepted int
+	seen     []byte
+}
+
+func (p *cutter) start(t *testing.T, to string) string {
+	t.Helper()
+	p.to = to
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.pass(conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (p *cutter) pass(near *net.TCPConn) {
+	defer func() { _ = near.Close() }()
+	far, err := net.Dial("tcp", p.to)
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	go func() { _, _ = io.Copy(far, near) }()
+	p.mutex.Lock()
+	number := p.accepted
+	p.accepted++
+	p.mutex.Unlock()
+	if number >= len(p.cuts) {
+		_, _ = io.Copy(io.MultiWriter(p, near), far)
+		return
+	}
+	if number == 0 {
+		passUntil(near, far, p.cuts[number])
+	} else {
+		_, _ = io.CopyN(near, far, int64(p.cuts[number]))
+	}
+	if p.reset != nil {
+		<-p.reset
+		_ = near.SetLinger(0)
+	}
+}
+
+// passUntil passes a number of bytes on, at least the first event and not the end
+// marker: how many bytes an answer has depends on how its writes fell into chunks,
+// so that an offset of one answer may be behind the end of another, or before its
+// first event.
+func passUntil(near io.Writer, far io.Reader, count int) {
+	begun := false
+	var all []byte
+	buffer := make([]byte, 4<<10)
+	for passed := 0; passed < count; {
+		n, err := far.Read(buffer)
+		all = append(all, buffer[:n]...)
+		if ends := boundaries(string(all)); !begun && len(ends) > 0 {
+			count, begun = max(count, ends[0]), true
+		} else if !begun {
+			count = max(count, len(all)+1)
+		}
+		until := min(count, len(all)-begunMarker(all))
+		if marker := bytes.Index(all, upstream.EndMarker); marker >= 0 && marker < count {
+			until, count = marker, marker
+		}
+		if until > passed {
+			if _, err := near.Write(all[passed:until]); err != nil {
+				return
+			}
+			passed = until
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// begunMarker is the number of bytes at the end of data that may begin the end marker.
+func begunMarker(data []byte) int {
+	for n := min(len(data), len(upstream.EndMarker)-1); n > 0; n-- {
+		if bytes.HasPrefix(upstream.EndMarker, data[len(data)-n:]) {
+			return n
+		}
+	}
+	return 0
+}
+
+// Write records what passes uncut, before it is passed on.
+func (p *cutter) Write(data []byte) (int, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.seen = append(p.seen, data...)
+	return len(data), nil
+}
+
+func (p *cutter) recorded() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return string(p.seen)
+}
+
+func (p *cutter) connections() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.accepted
+}
