An answer that news overtook is no failure of the store

Found by reading the diff: where two nodes tell, one's news may raise the version while the other's call is on its way; its answer, older by then, was logged as a lost store and paused the follower. The test got no errAskAgain before. A stale answer without such news still counts as a failure.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -199,10 +199,19 @@
 	if err != nil {
 		return false, err
 	}
-	return f.merge(kind, batch, asked, false), nil
+	if f.merge(kind, batch, asked, false) {
+		return true, nil
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.book.Revision(kind) != since {
+		return false, errAskAgain
+	}
+	return false, nil
 }
 
-// errAskAgain is returned for a long call that was given up to ask anew.
+// errAskAgain is returned for a long call that was given up to ask anew, and for an
+// answer that was overtaken by another node's news.
 var errAskAgain = eris.New("ask again")
 
 // read reads a whole table. A read may be stale; it counts when the store then has
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -316,3 +316,29 @@
 		is.Equal(f.metrics.CounterValue(`wigeontiller_invariant_broken_total{invariant="`+promiseNewer+`"}`), int64(1))
 	})
 }
+
+// overtaken answers each call after a hook has run.
+type overtaken struct {
+	*scripted
+	hook func()
+}
+
+func (o *overtaken) Changes(context.Context, fleet.Kind, int64, time.Duration) (Batch, error) {
+	o.hook()
+	return Batch{Revision: 5}, nil
+}
+
+func TestAnAnswerThatNewsOvertookIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	source := &overtaken{scripted: &scripted{site: 1, revision: 1}, hook: func() {}}
+	f := New(source, func() time.Duration { return time.Second }, zerolog.Nop(), telemetry.NewMetrics())
+	_, err := f.step(t.Context(), fleet.Upstreams, false)
+	is.NoErr(err)
+	source.hook = func() { f.Learn(&fleet.News{Before: 1, Last: 9, Revision: 9}) }
+	_, err = f.step(t.Context(), fleet.Upstreams, true)
+	is.True(errors.Is(err, errAskAgain))
+	source.hook = func() {}
+	ok, err := f.step(t.Context(), fleet.Upstreams, true) // a stale answer is none
+	is.NoErr(err)
+	is.True(!ok)
+}
