--- a/cli/explain.go
+++ b/cli/explain.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -24,7 +25,7 @@
 func explainRequest(env *environment, id string, files []string) error {
 	log := explain.NewLog(id)
 	for _, name := range files {
-		if err := readLog(log, name); err != nil {
+		if err := readLog(env, log, name); err != nil {
 			return err
 		}
 	}
@@ -35,14 +36,18 @@
 	return env.print(explained, explained.Text())
 }
 
-func readLog(log *explain.Log, name string) error {
+func readLog(env *environment, log *explain.Log, name string) error {
 	file, err := os.Open(name)
 	if err != nil {
 		return eris.Wrap(ErrUsage, err.Error())
 	}
 	defer func() { _ = file.Close() }()
-	if _, err := explain.Read(file, log.Add); err != nil {
+	passedOver, err := explain.Read(file, log.Add)
+	if err != nil {
 		return eris.Wrap(err, name)
 	}
+	if passedOver > 0 {
+		_, _ = fmt.Fprintf(env.stderr, "%s: %d lines are no log lines\n", name, passedOver)
+	}
 	return nil
 }
