Trial: load passed on by one relay of each zone in fleets over 24 nodes

Change: above 24 nodes a node sends to its zone's relay and the deputy; the relay sends one bundle each 40 ms to the zone's nodes, and its sums to the other zones' relays. The first relays publish what the store says.

--- a/edge/node.go
+++ b/edge/node.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.agent, err = loadshare.Listen(loadshare.Node{Name: settings.Name, Address: address}, store, n.gate, bootClock, n.logger, n.metrics)
+	n.agent, err = loadshare.Listen(loadshare.Node{Name: settings.Name, Address: address, Zone: settings.Zone, Capacity: settings.ProcessorShare}, store, n.gate, bootClock, n.logger, n.metrics)
 	if err != nil {
 		return nil, eris.Wrap(ErrListen, err.Error())
 	}
@@ -132,6 +132,7 @@
 	n.agent.View = n.follower
 	n.follower.IsPublisher = n.agent.IsPublisher
 	n.follower.OnStoreResponse = n.agent.PublishView
+	n.follower.StaleCallSpacing = n.agent.StaleCallSpacing
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	control := directhttp.NewPool(dialTimeout, nil)
@@ -146,8 +147,8 @@
 		MaxResponseBytes: maxAnswerBytes, RetryAfter: retryAfter,
 	})
 	n.reportPoller = &reportPoller{
-		self: settings.Name, fetcher: platform.NewReportClient(control),
-		follower: n.follower, gate: n.gate, livePeers: n.agent.LivePeers, notifyPeers: n.agent.ScheduleFlush, logger: n.logger,
+		fetcher: platform.NewReportClient(control),
+		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger,
 		failing: map[string]bool{},
 	}
 	if err := n.listen(); err != nil {
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/exchange"
@@ -30,12 +29,11 @@
 // reportPoller polls the engines that are assigned to this node by rendezvous hashing and
 // passes their reports to the scheduler.
 type reportPoller struct {
-	self     string
 	fetcher  ReportFetcher
 	follower *follow.Follower
 	gate     *exchange.SchedulerRunner
-	// livePeers returns the names of the responsive peers.
-	livePeers func() []string
+	// isOwner reports whether this node polls an upstream of a zone.
+	isOwner func(id, zone string) bool
 	// notifyPeers schedules a broadcast of the changed load to the peers.
 	notifyPeers func()
 	logger      zerolog.Logger
@@ -51,29 +49,16 @@
 	if view.Configuration == nil {
 		return
 	}
-	nodes := r.livePeers()
 	var group sync.WaitGroup
 	for _, entry := range view.Upstreams {
 		service := view.Configuration.Services[entry.Service]
-		if service != nil && service.Engine != nil && !view.ZonesOutOfService[entry.Zone] && r.isOwner(entry.ID, nodes) {
+		if service != nil && service.Engine != nil && !view.ZonesOutOfService[entry.Zone] && r.isOwner(entry.ID, entry.Zone) {
 			group.Go(func() { r.poll(ctx, entry) })
 		}
 	}
 	group.Wait()
 }
 
-// isOwner reports whether rendezvous hashing over this node and its live peers assigns
-// the engine to this node.
-func (r *reportPoller) isOwner(id string, nodes []string) bool {
-	own := xxhash.Sum64String(r.self + "/" + id)
-	for _, node := range nodes {
-		if xxhash.Sum64String(node+"/"+id) > own {
-			return false
-		}
-	}
-	return true
-}
-
 func (r *reportPoller) poll(ctx context.Context, entry *fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -47,6 +47,9 @@
 	// WarmOvershoot is the factor by which requests to a cold upstream may exceed its
 	// warm-up rate.
 	WarmOvershoot float64 `yaml:"warm_overshoot"`
+	// ProcessorShare is the machine's processor share in cores; 0 is not known. Nodes with a
+	// larger one pass the load on between the others.
+	ProcessorShare float64 `yaml:"processor_share"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
 }
@@ -109,7 +112,7 @@
 			report(field, "must be over 0")
 		}
 	}
-	for field, value := range map[string]float64{"retry_ratio": s.RetryRatio, "retry_extra": s.RetryExtra} {
+	for field, value := range map[string]float64{"retry_ratio": s.RetryRatio, "retry_extra": s.RetryExtra, "processor_share": s.ProcessorShare} {
 		if value < 0 {
 			report(field, "must not be negative")
 		}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -78,6 +78,11 @@
 	// changes of upstreams, or nil if it has none. It is set before Run.
 	OnStoreResponse func(update *fleet.Update)
 
+	// StaleCallSpacing returns the mean time between requests of this node for a table that
+	// is old, if it is not a publisher and the publishers can be expected to forward what
+	// they get; 0 is no spacing. It is set before Run.
+	StaleCallSpacing func() time.Duration
+
 	// polls holds the state of the long polls, by table.
 	polls [2]longPoll
 }
@@ -105,7 +110,9 @@
 // New returns a follower with an empty view. The clock must include the time in
 // which the machine was suspended.
 func New(source Source, now func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) *Follower {
-	f := &Follower{IsPublisher: func() bool { return true }, OnStoreResponse: func(*fleet.Update) {}, source: source, logger: logger, metrics: metrics, now: now, replica: fleet.NewReplica()}
+	f := &Follower{
+		IsPublisher: func() bool { return true }, StaleCallSpacing: func() time.Duration { return 0 }, OnStoreResponse: func(*fleet.Update) {}, source: source, logger: logger, metrics: metrics, now: now, replica: fleet.NewReplica(),
+	}
 	f.current.Store(&Snapshot{View: f.replica.View()})
 	return f
 }
@@ -131,6 +138,9 @@
 		if kind == fleet.UpstreamTable && calls.Wait(ctx) != nil {
 			return
 		}
+		if synced {
+			f.spaceStaleCalls(ctx, kind)
+		}
 		ok, err := f.poll(ctx, kind, synced)
 		if ctx.Err() != nil {
 			return
@@ -161,6 +171,24 @@
 	}
 }
 
+// spaceStaleCalls delays the next request for a table that is old until this node's turn, the
+// publishers have confirmed the table, or this node is a publisher or lacks a change.
+func (f *Follower) spaceStaleCalls(ctx context.Context, kind fleet.Table) {
+	spacing := f.StaleCallSpacing()
+	if spacing <= 0 {
+		return
+	}
+	for end := f.now() + rand.N(2*spacing); f.now() < end && ctx.Err() == nil; sleep(ctx, sweepInterval) {
+		f.mutex.Lock()
+		fresh := f.now()-f.replica.TableFreshAt(kind) <= maxLongPollAge
+		behind := f.polls[kind].behindSince != 0
+		f.mutex.Unlock()
+		if fresh || behind || f.IsPublisher() {
+			return
+		}
+	}
+}
+
 func (f *Follower) recordFailure(kind fleet.Table) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -29,38 +29,15 @@
 	// The clock offset is then known from several datagrams, so that a single delayed
 	// one can't make its view seem fresher than it is.
 	trustAfter = 3 * heartbeatInterval
-	// maxPublisherAge is the view age up to which a node can be a publisher.
-	maxPublisherAge = 2 * time.Second
-	// publisherCount is how many nodes poll the store at short intervals and publish
-	// its changes to the others.
-	publisherCount = 2
 	// removeAfter is how long an unresponsive node still counts among those that share
 	// limits: longer than a retry window.
 	removeAfter = 15 * time.Second
-	// directoryInterval is how often the directory is read.
-	directoryInterval = 15 * time.Second
-	// directoryRetryDelay is the delay after a failed request to the directory.
-	directoryRetryDelay = 500 * time.Millisecond
-	// directoryTimeout bounds the requests of one synchronization with the directory.
-	directoryTimeout = time.Second
 	// maxUpdateChanges bounds the changes in one datagram: an entry takes about 80 bytes.
 	maxUpdateChanges = 300
 	// maxDatagramBytes bounds a received datagram.
 	maxDatagramBytes = 60 << 10
 )
 
-// Node is an entry of the directory: a node's name and the address of its datagrams.
-type Node struct {
-	Name    string
-	Address netip.AddrPort
-}
-
-// Directory holds the list of the fleet's nodes.
-type Directory interface {
-	Register(ctx context.Context, node Node) error
-	Nodes(ctx context.Context) ([]Node, error)
-}
-
 // View is a node's view of the store's tables.
 type View interface {
 	// Claims returns the revision and age of the view, by table.
@@ -78,10 +55,13 @@
 
 // peer is another node.
 type peer struct {
-	address     netip.AddrPort
+	node        Node
 	incarnation uint64
 	sequence    uint64
-	receivedAt  time.Time
+	// discoveredAt is when the directory or a datagram first named the node.
+	discoveredAt time.Time
+	// receivedAt is when the last datagram arrived; zero is never.
+	receivedAt time.Time
 	// firstReceivedAt is when the first datagram of the incarnation arrived.
 	firstReceivedAt time.Time
 	// clockOffset is this node's clock minus the peer's: the least value seen at the
@@ -91,9 +71,28 @@
 	freshAt      time.Duration
 	unresponsive bool
 	shuttingDown bool
+	// relayed is true if the peer's totals are passed on by its zone's relay.
+	relayed bool
+	// bundleAt is when the last bundle arrived; bundlesSince is when they began to arrive.
+	bundleAt, bundlesSince time.Time
+	// listedAt is when a bundle last listed this node.
+	listedAt time.Time
+}
+
+// lastSeen is when the node last gave a sign of existing.
+func (p *peer) lastSeen() time.Time {
+	if p.receivedAt.IsZero() {
+		return p.discoveredAt
+	}
+	return p.receivedAt
 }
 
-// Agent sends this node's load and view to its peers and receives theirs.
+func (p *peer) live(now time.Time) bool {
+	return p.incarnation != 0 && !p.shuttingDown && now.Sub(p.receivedAt) < unresponsiveAfter
+}
+
+// Agent sends this node's load and view to its peers and receives theirs: in a small fleet
+// each node to each other one, in a larger one by the relays of the zones.
 type Agent struct {
 	self        Node
 	directory   Directory
@@ -103,6 +102,7 @@
 	metrics     *telemetry.Metrics
 	conn        *net.UDPConn
 	incarnation uint64
+	started     time.Time
 	// OnNodeCount is called with the number of nodes that share limits, at each change.
 	OnNodeCount func(nodes int)
 	// View is the source of the claims in each datagram. It is set before Run.
@@ -114,6 +114,7 @@
 	flushPending bool
 	nodeCount    int
 	shuttingDown bool
+	relay        relayState
 }
 
 // Listen returns an agent that is bound to its address.
@@ -123,10 +124,19 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "can't listen on the datagram address")
 	}
-	return &Agent{
-		self: self, directory: directory, gate: gate, clock: clock, logger: logger, metrics: metrics, conn: conn,
-		incarnation: uint64(time.Now().UnixNano()), peers: map[string]*peer{},
-	}, nil
+	a := newAgent(self, gate, clock, logger, metrics)
+	a.directory, a.conn = directory, conn
+	return a, nil
+}
+
+// newAgent returns an agent without a socket and a directory.
+func newAgent(self Node, gate Gate, clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) *Agent {
+	a := &Agent{
+		self: self, gate: gate, clock: clock, logger: logger, metrics: metrics, incarnation: uint64(time.Now().UnixNano()),
+		started: time.Now(), peers: map[string]*peer{}, relay: newRelayState(time.Now()), OnNodeCount: func(int) {},
+	}
+	a.rank()
+	return a
 }
 
 // Close closes the socket of an agent that was not run.
@@ -140,10 +150,11 @@
 	group.Go(a.receive)
 	group.Go(func() { a.runDirectory(ctx) })
 	group.Go(func() { periodic.Run(ctx, heartbeatInterval, a.heartbeat) })
+	group.Go(func() { a.runRelay(ctx) })
 	group.Wait()
 }
 
-// ScheduleFlush sends the changed shares to the peers after flushDelay. It never blocks.
+// ScheduleFlush sends the changed shares to the peers after a short delay. It never blocks.
 func (a *Agent) ScheduleFlush() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -151,76 +162,119 @@
 		return
 	}
 	a.flushPending = true
-	time.AfterFunc(flushDelay, a.flush)
+	delay := flushDelay
+	if a.relayed() {
+		delay = relayedFlushDelay
+	}
+	time.AfterFunc(delay, a.flush)
 }
 
 func (a *Agent) flush() {
 	a.mutex.Lock()
 	a.flushPending = false
+	acting := a.relay.acting
 	a.mutex.Unlock()
+	if acting {
+		// The next bundle takes the changes along.
+		return
+	}
 	var shares []placement.LoadUpdate
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, false) })
 	if len(shares) > 0 {
-		a.broadcast(shares, false, nil)
+		a.sendShares(shares, false)
 	}
 }
 
-// broadcast sends one datagram to each peer.
-func (a *Agent) broadcast(shares []placement.LoadUpdate, full bool, update *fleet.Update) {
-	claims := a.View.Claims()
+// sendShares sends this node's totals to those that need them: all peers, or this zone's relay
+// and its deputy.
+func (a *Agent) sendShares(shares []placement.LoadUpdate, full bool) {
 	a.mutex.Lock()
-	a.sequence++
-	m := message{
-		Node: a.self.Name, Incarnation: a.incarnation, Sequence: a.sequence, Full: full,
-		SentAt: a.clock(), Claims: claims, ShuttingDown: a.shuttingDown, Shares: shares, Update: update,
+	relayed := a.relayed()
+	targets := a.allTargets()
+	if relayed {
+		targets = a.relayTargets(time.Now())
 	}
-	addresses := make([]netip.AddrPort, 0, len(a.peers))
-	for _, p := range a.peers {
-		addresses = append(addresses, p.address)
+	a.mutex.Unlock()
+	m := &message{Full: full, Shares: shares, Relayed: relayed}
+	if !relayed {
+		a.addClaims(m)
 	}
+	a.send(m, targets)
+}
+
+// addClaims adds this node's claims.
+func (a *Agent) addClaims(m *message) {
+	m.HasClaims, m.Claims = true, a.View.Claims()
+}
+
+// send completes the message's head and sends it as one datagram to each target.
+func (a *Agent) send(m *message, targets []netip.AddrPort) {
+	a.mutex.Lock()
+	a.sequence++
+	m.Node, m.Incarnation, m.Sequence = a.self.Name, a.incarnation, a.sequence
+	m.SentAt, m.ShuttingDown = a.clock(), a.shuttingDown
 	a.mutex.Unlock()
 	data := m.encode()
-	for _, address := range addresses {
+	for _, address := range targets {
 		if _, err := a.conn.WriteToUDPAddrPort(data, address); err != nil {
 			a.metrics.Count("wigeontiller_datagrams_unsent_total", 1)
 		}
 	}
-	a.metrics.Count("wigeontiller_datagrams_sent_total", int64(len(addresses)))
+	a.metrics.Count("wigeontiller_datagrams_sent_total", int64(len(targets)))
+	a.metrics.Count("wigeontiller_datagram_bytes_sent_total", int64(len(targets)*len(data)))
+}
+
+// allTargets returns the addresses of all known nodes; the mutex is held.
+func (a *Agent) allTargets() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(a.peers))
+	for _, p := range a.peers {
+		addresses = append(addresses, p.node.Address)
+	}
+	return addresses
 }
 
 // heartbeat sends all of this node's totals and checks the peers.
 func (a *Agent) heartbeat() {
-	var shares []placement.LoadUpdate
-	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, true) })
-	a.broadcast(shares, true, nil)
+	a.mutex.Lock()
+	acting := a.relay.acting
+	a.mutex.Unlock()
+	if !acting {
+		var shares []placement.LoadUpdate
+		a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, true) })
+		a.sendShares(shares, true)
+	}
 	a.checkPeers()
 }
 
 // checkPeers drops the totals of unresponsive nodes and counts those that share limits.
 func (a *Agent) checkPeers() {
 	a.mutex.Lock()
+	now := time.Now()
 	var unresponsive []string
 	for name, p := range a.peers {
-		age := time.Since(p.receivedAt)
-		if age > removeAfter {
-			delete(a.peers, name)
-		}
-		if age > unresponsiveAfter && !p.unresponsive {
+		if !p.receivedAt.IsZero() && now.Sub(p.receivedAt) > unresponsiveAfter && !p.unresponsive {
 			p.unresponsive = true
-			unresponsive = append(unresponsive, name)
+			a.relay.totals.remove(nodeHash(name))
+			if !p.relayed || a.relay.acting {
+				unresponsive = append(unresponsive, name)
+			}
 		}
 	}
 	a.mutex.Unlock()
 	for _, name := range unresponsive {
 		a.logger.Warn().Str("peer", name).Msg("node is silent")
-		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.RemoveNode(name) })
+		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) {
+			s.RemoveNode(name)
+			s.RemoveNode(memberKey(nodeHash(name)))
+		})
 	}
+	a.checkZones(now)
 	a.updateNodeCount()
 }
 
 func (a *Agent) updateNodeCount() {
 	a.mutex.Lock()
-	nodes := 1 + len(a.peers)
+	nodes := a.countNodes(time.Now())
 	changed := nodes != a.nodeCount
 	a.nodeCount = nodes
 	a.mutex.Unlock()
@@ -241,6 +295,8 @@
 			a.metrics.Count("wigeontiller_datagrams_unreadable_total", 1)
 			continue
 		}
+		a.metrics.Count("wigeontiller_datagrams_received_total", 1)
+		a.metrics.Count("wigeontiller_datagram_bytes_received_total", int64(n))
 		if m.Node != a.self.Name {
 			a.handle(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		}
@@ -248,30 +304,28 @@
 }
 
 // handle merges a datagram. From one that arrives out of order, only the claims and the
-// update are used, not the shares.
+// update are used, not the totals.
 func (a *Agent) handle(m *message, from netip.AddrPort) {
 	a.mutex.Lock()
-	p := a.peers[m.Node]
-	if p == nil {
-		p = &peer{}
-		a.peers[m.Node] = p
-		a.logger.Info().Str("peer", m.Node).Stringer("address", from).Msg("peer discovered")
-	}
+	p := a.peerOf(m, from)
 	if m.Incarnation < p.incarnation {
 		a.mutex.Unlock()
 		return
 	}
 	restarted := m.Incarnation > p.incarnation
 	older := !restarted && m.Sequence <= p.sequence
-	p.address, p.incarnation, p.receivedAt, p.unresponsive = from, m.Incarnation, time.Now(), false
+	p.incarnation, p.receivedAt, p.unresponsive = m.Incarnation, time.Now(), false
 	if offset := a.clock() - m.SentAt; restarted || offset < p.clockOffset {
 		p.clockOffset = offset
 	}
 	if restarted {
 		p.firstReceivedAt = time.Now()
+		p.bundleAt, p.bundlesSince, p.listedAt = time.Time{}, time.Time{}, time.Time{}
 	}
 	if !older {
 		p.sequence, p.shuttingDown = m.Sequence, m.ShuttingDown
+	}
+	if !older && m.HasClaims {
 		p.freshAt = min(m.Claims[0].FreshAt, m.Claims[1].FreshAt) + p.clockOffset
 	}
 	claims, trusted := m.Claims, time.Since(p.firstReceivedAt) > trustAfter
@@ -285,110 +339,74 @@
 	if trusted && m.Update != nil {
 		a.View.ApplyUpdate(m.Update)
 	}
-	if trusted {
+	if trusted && m.HasClaims {
 		a.View.Confirm(claims)
 	}
-	a.gate.Do(func(s *placement.Scheduler, now time.Duration) {
-		if restarted {
-			s.RemoveNode(m.Node)
-		}
-		if !older {
-			s.ApplyLoadUpdates(now, m.Node, m.Shares, m.Full)
-		}
-	})
+	a.applyTotals(m, restarted, older)
 }
 
-// LivePeers returns the names of the responsive peers that are not shutting down.
-func (a *Agent) LivePeers() []string {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	names := make([]string, 0, len(a.peers))
-	for name, p := range a.peers {
-		if p.incarnation != 0 && !p.shuttingDown && time.Since(p.receivedAt) < unresponsiveAfter {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// HasFresherPeer reports whether a responsive peer has a view younger than age.
-func (a *Agent) HasFresherPeer(age time.Duration) bool {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	for _, p := range a.peers {
-		if time.Since(p.receivedAt) < unresponsiveAfter && a.clock()-p.freshAt < age {
-			return true
-		}
+// peerOf returns the sender's peer, which it adds if it is new; the mutex is held.
+func (a *Agent) peerOf(m *message, from netip.AddrPort) *peer {
+	p := a.peers[m.Node]
+	if p == nil {
+		p = &peer{node: Node{Name: m.Node}, discoveredAt: time.Now()}
+		a.peers[m.Node] = p
+		a.logger.Info().Str("peer", m.Node).Stringer("address", from).Msg("peer discovered")
+		a.rank()
 	}
-	return false
-}
-
-// runDirectory registers this node and reads the directory at each directoryInterval.
-func (a *Agent) runDirectory(ctx context.Context) {
-	registered := false
-	for ctx.Err() == nil {
-		pause := directoryInterval
-		if err := a.syncDirectory(ctx, &registered); err != nil {
-			a.logger.Warn().Err(err).Msg("list of nodes not reached")
-			pause = directoryRetryDelay
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+	p.node.Address = from
+	if m.Announced != nil && (p.node.Zone != m.Announced.Zone || p.node.Capacity != m.Announced.Capacity) {
+		p.node.Zone, p.node.Capacity = m.Announced.Zone, m.Announced.Capacity
+		a.rank()
 	}
+	return p
 }
 
-func (a *Agent) syncDirectory(ctx context.Context, registered *bool) error {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	if !*registered {
-		if err := a.directory.Register(ctx, a.self); err != nil {
-			return err
-		}
-		*registered = true
-	}
-	nodes, err := a.directory.Nodes(ctx)
-	if err != nil {
-		return err
+// applyTotals merges the totals of a datagram, by the way on which they came.
+func (a *Agent) applyTotals(m *message, restarted, older bool) {
+	for i := range m.Zones {
+		a.applyZone(&m.Zones[i], m.Bundle == nil)
 	}
 	a.mutex.Lock()
-	for _, node := range nodes {
-		if node.Name != a.self.Name && a.peers[node.Name] == nil {
-			a.peers[node.Name] = &peer{address: node.Address, receivedAt: time.Now()}
-		}
+	p := a.peers[m.Node]
+	dropDirect := restarted || m.Relayed && !p.relayed
+	if !older {
+		p.relayed = m.Relayed
 	}
 	a.mutex.Unlock()
-	a.updateNodeCount()
-	a.broadcast(nil, false, nil)
-	return nil
+	if dropDirect {
+		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.RemoveNode(m.Node) })
+	}
+	key := m.Node
+	switch {
+	case older:
+		return
+	case m.Bundle != nil:
+		a.applyBundle(m)
+		return
+	case m.Relayed && !a.applyMember(m, restarted):
+		return
+	case m.Relayed:
+		key = memberKey(nodeHash(m.Node))
+	}
+	a.gate.Do(func(s *placement.Scheduler, now time.Duration) {
+		if restarted {
+			s.RemoveNode(key)
+		}
+		s.ApplyLoadUpdates(now, key, m.Shares, m.Full)
+	})
 }
 
-// IsPublisher reports whether this node polls the store at short intervals and publishes
-// its view: fewer than publisherCount live peers with a fresh view precede it by name.
-func (a *Agent) IsPublisher() bool {
+// HasFresherPeer reports whether a responsive peer has a view younger than age.
+func (a *Agent) HasFresherPeer(age time.Duration) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	before := 0
-	for name, p := range a.peers {
-		fresh := p.incarnation != 0 && !p.shuttingDown && time.Since(p.receivedAt) < unresponsiveAfter && a.clock()-p.freshAt < maxPublisherAge
-		if fresh && name < a.self.Name {
-			before++
+	for _, p := range a.peers {
+		if time.Since(p.receivedAt) < unresponsiveAfter && a.clock()-p.freshAt < age {
+			return true
 		}
 	}
-	return before < publisherCount
-}
-
-// PublishView sends this node's claims and the update, if any, to the peers at once, if
-// this node is a publisher. An update that is too long is left out; the peers then poll
-// the store.
-func (a *Agent) PublishView(update *fleet.Update) {
-	if update != nil && len(update.Changes) > maxUpdateChanges {
-		update = nil
-	}
-	if a.IsPublisher() {
-		a.broadcast(nil, false, update)
-	}
+	return false
 }
 
 // AnnounceShutdown marks this node as shutting down in all further datagrams.
--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -115,6 +115,19 @@
 	return n
 }
 
+// livePeers returns the names of the responsive peers that are not shutting down.
+func (a *Agent) livePeers() []string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var names []string
+	for name, p := range a.peers {
+		if p.live(time.Now()) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -128,10 +141,10 @@
 func TestAgentDiscoversPeerAndDetectsItsStop(t *testing.T) {
 	directory := &memoryDirectory{}
 	a, b := startNode(t, "a", directory), startNode(t, "b", directory)
-	eventually(t, "a and b did not discover each other", func() bool { return len(a.agent.LivePeers()) == 1 && len(b.agent.LivePeers()) == 1 })
+	eventually(t, "a and b did not discover each other", func() bool { return len(a.agent.livePeers()) == 1 && len(b.agent.livePeers()) == 1 })
 	eventually(t, "a did not count b", func() bool { a.agent.mutex.Lock(); defer a.agent.mutex.Unlock(); return a.agent.nodeCount == 2 })
 	b.stop()
-	eventually(t, "a did not detect that b stopped", func() bool { return len(a.agent.LivePeers()) == 0 })
+	eventually(t, "a did not detect that b stopped", func() bool { return len(a.agent.livePeers()) == 0 })
 	// An unresponsive node still counts among those that share limits.
 	a.agent.mutex.Lock()
 	defer a.agent.mutex.Unlock()
@@ -141,9 +154,9 @@
 func TestAgentExcludesPeerThatShutsDown(t *testing.T) {
 	directory := &memoryDirectory{}
 	a, b := startNode(t, "a", directory), startNode(t, "b", directory)
-	eventually(t, "a did not discover b", func() bool { return len(a.agent.LivePeers()) == 1 })
+	eventually(t, "a did not discover b", func() bool { return len(a.agent.livePeers()) == 1 })
 	b.agent.AnnounceShutdown()
-	eventually(t, "a still lists b as live", func() bool { return len(a.agent.LivePeers()) == 0 })
+	eventually(t, "a still lists b as live", func() bool { return len(a.agent.livePeers()) == 0 })
 }
 
 func TestAgentReportsFresherPeer(t *testing.T) {
@@ -157,12 +170,14 @@
 func newUnconnectedAgent() *Agent {
 	g := &lockedScheduler{scheduler: placement.New(placement.Config{}), started: time.Now()}
 	g.scheduler.UpdateView(fleet.View{Configuration: &fleet.Configuration{}, Upstreams: map[string]*fleet.Upstream{"u": {ID: "u"}}})
-	return &Agent{self: Node{Name: "self"}, gate: g, clock: clock, View: &fakeView{}, logger: zerolog.Nop(), peers: map[string]*peer{}}
+	a := newAgent(Node{Name: "self"}, g, clock, zerolog.Nop(), telemetry.NewMetrics())
+	a.View = &fakeView{}
+	return a
 }
 
 // messageWithClaims returns a message of node b whose claims are complete up to fresh.
 func messageWithClaims(incarnation, sequence uint64, sent, fresh time.Duration) *message {
-	return &message{Node: "b", Incarnation: incarnation, Sequence: sequence, SentAt: sent, Claims: [2]fleet.Watermark{{FreshAt: fresh}, {FreshAt: fresh}}}
+	return &message{Node: "b", Incarnation: incarnation, Sequence: sequence, SentAt: sent, HasClaims: true, Claims: [2]fleet.Watermark{{FreshAt: fresh}, {FreshAt: fresh}}}
 }
 
 func TestHandleKeepsPeerFreshnessOnOlderDatagram(t *testing.T) {
--- /dev/null
+++ b/loadshare/directory.go
@@ -0,0 +1,100 @@
+package loadshare
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+const (
+	// directoryInterval is how often the directory is read. New nodes announce themselves.
+	directoryInterval = time.Minute
+	// secondSyncDelay is the delay of the second reading after the start: many nodes may
+	// start at the same time, and an announcement may be lost.
+	secondSyncDelay = 3 * time.Second
+	// directoryRetryDelay is the delay after a failed request to the directory; it doubles up
+	// to maxDirectoryRetryDelay.
+	directoryRetryDelay    = 500 * time.Millisecond
+	maxDirectoryRetryDelay = 4 * time.Second
+	// directoryTimeout bounds the requests of one synchronization with the directory.
+	directoryTimeout = time.Second
+)
+
+// Node is an entry of the directory.
+type Node struct {
+	Name string
+	// Address is where the node receives datagrams.
+	Address netip.AddrPort
+	Zone    string
+	// Capacity is the machine's processor share, in cores.
+	Capacity float64
+}
+
+// Directory holds the list of the fleet's nodes.
+type Directory interface {
+	Register(ctx context.Context, node Node) error
+	Nodes(ctx context.Context) ([]Node, error)
+}
+
+// runDirectory registers this node and reads the directory at each directoryInterval.
+func (a *Agent) runDirectory(ctx context.Context) {
+	registered, synced, retry := false, false, directoryRetryDelay
+	for ctx.Err() == nil {
+		pause := directoryInterval
+		err := a.syncDirectory(ctx, &registered)
+		switch {
+		case err != nil:
+			a.logger.Warn().Err(err).Msg("list of nodes not reached")
+			pause, retry = retry, min(2*retry, maxDirectoryRetryDelay)
+		case !synced:
+			pause, synced, retry = secondSyncDelay, true, directoryRetryDelay
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (a *Agent) syncDirectory(ctx context.Context, registered *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	if !*registered {
+		if err := a.directory.Register(ctx, a.self); err != nil {
+			return err
+		}
+		*registered = true
+	}
+	nodes, err := a.directory.Nodes(ctx)
+	if err != nil {
+		return err
+	}
+	a.addNodes(nodes)
+	a.updateNodeCount()
+	a.mutex.Lock()
+	targets := a.allTargets()
+	a.mutex.Unlock()
+	a.send(&message{Announced: &a.self, Relayed: a.isRelayed()}, targets)
+	return nil
+}
+
+// addNodes merges the directory's entries.
+func (a *Agent) addNodes(nodes []Node) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, node := range nodes {
+		if node.Name == a.self.Name {
+			continue
+		}
+		p := a.peers[node.Name]
+		if p == nil {
+			p = &peer{node: node, discoveredAt: time.Now()}
+			a.peers[node.Name] = p
+		}
+		p.node.Zone, p.node.Capacity = node.Zone, node.Capacity
+		if p.receivedAt.IsZero() {
+			p.node.Address = node.Address
+		}
+	}
+	a.rank()
+}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -19,7 +19,7 @@
 var errMalformed = eris.New("malformed datagram")
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 2
+const formatVersion = 3
 
 // message is one datagram.
 type message struct {
@@ -27,10 +27,15 @@
 	// Incarnation increases with each start of the node.
 	Incarnation uint64
 	Sequence    uint64
-	// Full is true if Shares holds all of the node's totals.
+	// Full is true if Shares, or Members, holds all totals.
 	Full bool
+	// Relayed is true if the relay of the sender's zone passes the sender's totals on, so that
+	// they are part of the zone's sums.
+	Relayed bool
 	// SentAt is the time of sending, on the sender's clock.
 	SentAt time.Duration
+	// HasClaims is true if Claims is set.
+	HasClaims bool
 	// Claims give the revision and age of the sender's view, by table; times are on its clock.
 	Claims [2]fleet.Watermark
 	// ShuttingDown is true if the node shuts down.
@@ -38,51 +43,100 @@
 	Shares       []placement.LoadUpdate
 	// Update holds changes of upstreams, with a time on the sender's clock; nil is none.
 	Update *fleet.Update
+	// Announced describes the sender to nodes that may not have it in their directory; nil is
+	// not stated.
+	Announced *Node
+	// Bundle is what a relay sends to the nodes of its zone; nil for other messages.
+	Bundle *bundle
+	// Zones are the sums of zones, as their relays sent them.
+	Zones []zoneLoad
+}
+
+// bundle is the load of the nodes of one zone, by node.
+type bundle struct {
+	// Nodes is the number of the zone's nodes that share limits.
+	Nodes   int
+	Members []memberLoad
+}
+
+// memberLoad is the load of one node of a relay's zone.
+type memberLoad struct {
+	// Hash identifies the node.
+	Hash         uint32
+	ShuttingDown bool
+	Shares       []placement.LoadUpdate
+}
+
+// zoneLoad is the sum of the load of a zone's nodes, by its relay.
+type zoneLoad struct {
+	Zone string
+	// Relay identifies the node that made the sum, in its Incarnation.
+	Relay       uint32
+	Incarnation uint64
+	Sequence    uint64
+	// Full is true if Shares holds all of the zone's totals.
+	Full bool
+	// Nodes is the number of the zone's nodes that share limits.
+	Nodes  int
+	Shares []placement.LoadUpdate
 }
 
 const (
 	flagFull         = 1
 	flagShuttingDown = 2
 	flagUpdate       = 4
+	flagRelayed      = 8
+	flagAnnounced    = 16
+	flagClaims       = 32
+	flagBundle       = 64
+	flagZones        = 128
 	// fixedPointScale encodes prefill time in tenths of a ms and speed factors in tenths.
 	fixedPointScale = 10
+	// capacityScale encodes the processor share of a machine in thousandths.
+	capacityScale = 1000
 )
 
-func (m *message) encode() []byte {
-	b := []byte{formatVersion, 0}
-	if m.Full {
-		b[1] |= flagFull
-	}
-	if m.ShuttingDown {
-		b[1] |= flagShuttingDown
-	}
-	if m.Update != nil {
-		b[1] |= flagUpdate
+// flags returns the second byte of the datagram.
+func (m *message) flags() byte {
+	var flags byte
+	for flag, set := range map[byte]bool{
+		flagFull: m.Full, flagShuttingDown: m.ShuttingDown, flagUpdate: m.Update != nil, flagRelayed: m.Relayed,
+		flagAnnounced: m.Announced != nil, flagClaims: m.HasClaims, flagBundle: m.Bundle != nil, flagZones: len(m.Zones) > 0,
+	} {
+		if set {
+			flags |= flag
+		}
 	}
+	return flags
+}
+
+func (m *message) encode() []byte {
+	b := []byte{formatVersion, m.flags()}
 	b = appendText(b, m.Node)
 	b = binary.AppendUvarint(b, m.Incarnation)
 	b = binary.AppendUvarint(b, m.Sequence)
 	b = binary.AppendUvarint(b, uint64(m.SentAt.Microseconds()))
-	for _, claim := range m.Claims {
-		b = binary.AppendUvarint(b, uint64(max(0, claim.LastChange)))
-		b = binary.AppendUvarint(b, uint64(max(0, claim.Revision-claim.LastChange)))
-		b = binary.AppendUvarint(b, uint64(max(0, (m.SentAt-claim.FreshAt).Microseconds())))
-	}
-	b = binary.AppendUvarint(b, uint64(len(m.Shares)))
-	for i := range m.Shares {
-		share := &m.Shares[i]
-		b = binary.BigEndian.AppendUint32(b, share.Hash)
-		b = binary.AppendUvarint(b, uint64(share.Totals.Running))
-		b = binary.AppendUvarint(b, uint64(share.Totals.MemoryTokens))
-		b = binary.AppendUvarint(b, uint64(share.Totals.HelperPrompts))
-		b = binary.AppendVarint(b, int64(share.AddedPrefillMs*fixedPointScale))
-		b = binary.AppendUvarint(b, uint64(share.SpeedFactor*fixedPointScale))
-		b = binary.AppendUvarint(b, uint64(share.Unattributed))
-		b = binary.AppendUvarint(b, uint64(share.AvoidFor.Milliseconds()))
+	if m.HasClaims {
+		for _, claim := range m.Claims {
+			b = binary.AppendUvarint(b, uint64(max(0, claim.LastChange)))
+			b = binary.AppendUvarint(b, uint64(max(0, claim.Revision-claim.LastChange)))
+			b = binary.AppendUvarint(b, uint64(max(0, (m.SentAt-claim.FreshAt).Microseconds())))
+		}
 	}
+	b = appendShares(b, m.Shares)
 	if m.Update != nil {
 		b = appendUpdate(b, m.Update, m.SentAt)
 	}
+	if m.Announced != nil {
+		b = appendText(b, m.Announced.Zone)
+		b = binary.AppendUvarint(b, uint64(max(0, m.Announced.Capacity)*capacityScale))
+	}
+	if m.Bundle != nil {
+		b = appendBundle(b, m.Bundle)
+	}
+	if len(m.Zones) > 0 {
+		b = appendZones(b, m.Zones)
+	}
 	return b
 }
 
@@ -145,32 +199,33 @@
 		return nil, errMalformed
 	}
 	m := &message{Full: data[1]&flagFull != 0, ShuttingDown: data[1]&flagShuttingDown != 0}
+	flags := data[1]
+	m.Relayed, m.HasClaims = flags&flagRelayed != 0, flags&flagClaims != 0
 	r := &fieldReader{data: data[fixed:]}
 	m.Node = r.text()
 	m.Incarnation = r.uvarint()
 	m.Sequence = r.uvarint()
 	m.SentAt = time.Duration(r.microseconds()) * time.Microsecond
-	for i := range m.Claims {
-		m.Claims[i].LastChange = r.version()
-		m.Claims[i].Revision = m.Claims[i].LastChange + int64(r.count())
-		m.Claims[i].FreshAt = m.SentAt - time.Duration(r.microseconds())*time.Microsecond
-	}
-	for n := r.uvarint(); n > 0 && !r.failed; n-- {
-		hash := r.bytes(4)
-		if r.failed {
-			break
+	if m.HasClaims {
+		for i := range m.Claims {
+			m.Claims[i].LastChange = r.version()
+			m.Claims[i].Revision = m.Claims[i].LastChange + int64(r.count())
+			m.Claims[i].FreshAt = m.SentAt - time.Duration(r.microseconds())*time.Microsecond
 		}
-		share := placement.LoadUpdate{Hash: binary.BigEndian.Uint32(hash)}
-		share.Totals = placement.Totals{Running: r.count(), MemoryTokens: r.count(), HelperPrompts: r.count()}
-		share.AddedPrefillMs = float64(r.varint()) / fixedPointScale
-		share.SpeedFactor = float64(r.count()) / fixedPointScale
-		share.Unattributed = r.count()
-		share.AvoidFor = time.Duration(r.count()) * time.Millisecond
-		m.Shares = append(m.Shares, share)
-	}
-	if data[1]&flagUpdate != 0 {
+	}
+	m.Shares = r.shares()
+	if flags&flagUpdate != 0 {
 		m.Update = r.update(m.SentAt)
 	}
+	if flags&flagAnnounced != 0 {
+		m.Announced = &Node{Name: m.Node, Zone: r.text(), Capacity: float64(r.count()) / capacityScale}
+	}
+	if flags&flagBundle != 0 {
+		m.Bundle = r.bundle()
+	}
+	if flags&flagZones != 0 {
+		m.Zones = r.zones()
+	}
 	if r.failed || m.Node == "" {
 		return nil, errMalformed
 	}
--- a/loadshare/message_test.go
+++ b/loadshare/message_test.go
@@ -12,7 +12,8 @@
 
 func sampleMessage() *message {
 	return &message{
-		Node: "edge-1", Incarnation: 42, Sequence: 7, Full: true, ShuttingDown: true, SentAt: 90 * time.Second,
+		Node: "edge-1", Incarnation: 42, Sequence: 7, Full: true, ShuttingDown: true, SentAt: 90 * time.Second, Relayed: true, HasClaims: true,
+		Announced: &Node{Name: "edge-1", Zone: "z1", Capacity: 0.192},
 		Claims: [2]fleet.Watermark{{LastChange: 12, Revision: 15, FreshAt: 88 * time.Second}, {LastChange: 1 << 40, Revision: 1 << 40, FreshAt: 90 * time.Second}},
 		Shares: []placement.LoadUpdate{
 			{Hash: 1, Totals: placement.Totals{Running: 3, MemoryTokens: 150_000, HelperPrompts: 2}, AddedPrefillMs: 110.5, SpeedFactor: 1, Unattributed: 2},
@@ -26,6 +27,11 @@
 			}},
 			{Upstream: &fleet.Upstream{ID: "i-3", Service: "llm", Address: "10.1.0.5:80", Zone: "z1"}},
 		}},
+		Bundle: &bundle{Nodes: 59, Members: []memberLoad{
+			{Hash: 9, Shares: []placement.LoadUpdate{{Hash: 4, Totals: placement.Totals{Running: 1}}}},
+			{Hash: 10, ShuttingDown: true},
+		}},
+		Zones: []zoneLoad{{Zone: "z2", Relay: 3, Incarnation: 4, Sequence: 5, Full: true, Nodes: 6, Shares: []placement.LoadUpdate{{Hash: 1, SpeedFactor: 2.5}}}},
 	}
 }
 
--- /dev/null
+++ b/loadshare/publisher.go
@@ -0,0 +1,107 @@
+package loadshare
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+const (
+	// maxPublisherAge is the view age up to which a node can be a publisher; relays hear of
+	// each other more often and use maxRelayPublisherAge, one poll and the way of its answer.
+	maxPublisherAge      = 2 * time.Second
+	maxRelayPublisherAge = 1200 * time.Millisecond
+	// publisherCount is how many nodes poll the store at short intervals and publish
+	// its changes to the others.
+	publisherCount = 2
+)
+
+// IsPublisher reports whether this node polls the store at short intervals and publishes
+// its view: fewer than publisherCount live peers with a fresh view precede it. In a small fleet
+// all nodes are ordered by name; in a larger one the relays are, by zone, and a relay's
+// deputy replaces them if there is none with a fresh view.
+func (a *Agent) IsPublisher() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := time.Now()
+	if a.relayed() {
+		return a.isRelayPublisher(now)
+	}
+	before := 0
+	for name, p := range a.peers {
+		if p.live(now) && a.clock()-p.freshAt < maxPublisherAge && name < a.self.Name {
+			before++
+		}
+	}
+	return before < publisherCount
+}
+
+// isRelayPublisher is IsPublisher in a fleet with relays; the mutex is held.
+func (a *Agent) isRelayPublisher(now time.Time) bool {
+	if !a.relay.acting && a.relay.ownRank >= relayTargets {
+		return false
+	}
+	before, fresh := 0, 0
+	for zone, source := range a.relay.zones {
+		relay := a.peerByHash(zone, source.relay)
+		if now.Sub(source.receivedAt) > relayTimeout || relay == nil || a.clock()-relay.freshAt > maxRelayPublisherAge {
+			continue
+		}
+		fresh++
+		if zone < a.self.Zone {
+			before++
+		}
+	}
+	if a.relay.acting {
+		return before < publisherCount
+	}
+	own := a.peers[a.currentRelay(now)]
+	return fresh == 0 && (own == nil || a.clock()-own.freshAt > maxRelayPublisherAge)
+}
+
+// peerByHash returns the peer of a zone with a hash, or nil; the mutex is held.
+func (a *Agent) peerByHash(zone string, hash uint32) *peer {
+	for _, node := range a.relay.ranked[zone] {
+		if nodeHash(node.Name) == hash {
+			return a.peers[node.Name]
+		}
+	}
+	return nil
+}
+
+// PublishView sends this node's claims and the update, if any, to the peers at once, if
+// this node is a publisher. An update that is too long is left out; the peers then poll
+// the store.
+func (a *Agent) PublishView(update *fleet.Update) {
+	if update != nil && len(update.Changes) > maxUpdateChanges {
+		update = nil
+	}
+	if !a.IsPublisher() {
+		return
+	}
+	a.mutex.Lock()
+	relayed, targets := a.relayed(), a.allTargets()
+	a.mutex.Unlock()
+	m := &message{Update: update, Relayed: relayed}
+	a.addClaims(m)
+	a.send(m, targets)
+}
+
+// StaleCallSpacing returns the mean time between calls to the store of a node whose view is
+// old although it hears other nodes: all nodes together then make about one call per
+// fleetCallSpacing.
+func (a *Agent) StaleCallSpacing() time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	heard := false
+	for _, p := range a.peers {
+		heard = heard || p.live(time.Now())
+	}
+	if !heard || !a.relayed() {
+		return 0
+	}
+	return time.Duration(a.nodeCount) * fleetCallSpacing
+}
+
+// fleetCallSpacing is the time between calls to the store of all nodes with an old view.
+const fleetCallSpacing = 50 * time.Millisecond
