Calls to the store: a node that relies on publishers asks once, not for 3 s

Cause: claims of a peer not yet trusted dropped its update too, so that in the first seconds each node asked for each change itself and went on with short polls for 3 s. Ruled out: the directory (2 reads a node).

--- a/fleet/age.go
+++ b/fleet/age.go
@@ -7,8 +7,8 @@
 	// publish to the others that there is no change. It bounds the view's age while
 	// nothing changes.
 	ShortPollWait = 700 * time.Millisecond
-	// LongPollWait is the same on the other nodes.
-	LongPollWait = 15 * time.Second
+	// LongPollWait is the same on the other nodes; the store allows no longer one.
+	LongPollWait = 30 * time.Second
 )
 
 // AgeLimits limits what may be done with a view by its age.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -96,6 +96,9 @@
 	// shortPollUntil is the time until which the node uses short polls instead of
 	// relying on other nodes' updates.
 	shortPollUntil time.Duration
+	// catchUp makes the next request of a node that relies on publishers a single one that
+	// does not wait.
+	catchUp bool
 }
 
 // Snapshot is a read-only copy of the view at one moment, with its age.
@@ -203,11 +206,18 @@
 		return f.readTable(ctx, kind, requestedAt)
 	}
 	wait, long, publisher := fleet.ShortPollWait, false, f.IsPublisher()
+	spaced := f.StaleCallSpacing() > 0
 	f.mutex.Lock()
 	since := f.replica.Revision(kind)
-	if !publisher && requestedAt >= f.polls[kind].shortPollUntil {
+	catchUp := f.polls[kind].catchUp || requestedAt-f.replica.TableFreshAt(kind) > maxLongPollAge
+	switch {
+	case publisher:
+	case spaced && catchUp:
+		wait = 0
+	case spaced || requestedAt >= f.polls[kind].shortPollUntil:
 		wait, long = fleet.LongPollWait, true
 	}
+	f.polls[kind].catchUp = false
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	if long {
@@ -329,6 +339,7 @@
 		old := now-f.replica.TableFreshAt(fleet.Table(kind)) > maxLongPollAge
 		if behind := poll.behindSince != 0 && now-poll.behindSince > behindTimeout; old || behind {
 			poll.shortPollUntil = now + shortPollTime
+			poll.catchUp = true
 			poll.cancel()
 			poll.cancel = nil
 		}
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -332,11 +332,14 @@
 	for i := range claims {
 		claims[i].FreshAt += p.clockOffset
 	}
-	if m.Update != nil {
+	if m.Update != nil && trusted {
 		m.Update.FreshAt += p.clockOffset
+	} else if m.Update != nil {
+		// Its changes count by their revisions; only its age rests on the clock offset.
+		m.Update.FreshAt = 0
 	}
 	a.mutex.Unlock()
-	if trusted && m.Update != nil {
+	if m.Update != nil {
 		a.View.ApplyUpdate(m.Update)
 	}
 	if trusted && m.HasClaims {
