Relays of the zones: tests in virtual time, and three faults that they found

60 nodes in three zones on a simulated network: load seen once by all, death, return, cuts both ways and inbound, publishers, counts that limits rest on, owners of engines' reports, bytes and datagrams a second. Found and mended: the deputy waited for two time-outs; a relay that hears nobody went on as relay, and no node sent to it again after the cut.

--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -53,6 +53,13 @@
 	Do(f func(s *placement.Scheduler, now time.Duration))
 }
 
+// packetConn sends and receives datagrams; it is a *net.UDPConn but in tests.
+type packetConn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // peer is another node.
 type peer struct {
 	node        Node
@@ -100,7 +107,7 @@
 	clock       func() time.Duration
 	logger      zerolog.Logger
 	metrics     *telemetry.Metrics
-	conn        *net.UDPConn
+	conn        packetConn
 	incarnation uint64
 	started     time.Time
 	// OnNodeCount is called with the number of nodes that share limits, at each change.
--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -48,10 +48,8 @@
 	f(g.scheduler, time.Since(g.started))
 }
 
-// clock is the monotonic clock of the test's process.
-func clock() time.Duration { return time.Since(processStart) + time.Hour }
-
-var processStart = time.Now()
+// clock is the time since the Unix epoch; it is positive in virtual time too.
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // fakeView is 100 ms old and records the claims and updates that it receives.
 type fakeView struct {
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -34,6 +34,8 @@
 	// listTimeout is how long a relay may leave this node out of its bundles although this
 	// node sends to it: a full bundle and a half.
 	listTimeout = 3 * time.Second
+	// relayProbeInterval is how often a node tries a relay again that leaves it out.
+	relayProbeInterval = 4 * listTimeout
 	// zoneTimeout is the time after which another zone's sums no longer count.
 	zoneTimeout = 2 * time.Second
 	// relayTargets is how many nodes of a zone get what is meant for its relay: the relay
@@ -107,7 +109,8 @@
 	if p == nil || p.shuttingDown || now.Sub(p.bundleAt) > relayTimeout {
 		return false
 	}
-	return now.Sub(p.bundlesSince) < listTimeout || now.Sub(p.listedAt) < listTimeout
+	probing := now.Sub(p.bundlesSince)%relayProbeInterval < listTimeout
+	return probing || now.Sub(p.listedAt) < listTimeout
 }
 
 // currentRelay returns this zone's relay as this node knows it, or "" if there is none; the
@@ -144,15 +147,15 @@
 // updateActing decides whether this node is its zone's relay; the mutex is held.
 func (a *Agent) updateActing(now time.Time) {
 	for _, node := range a.relay.ranked[a.self.Zone][:a.relay.ownRank] {
-		if a.usableRelay(a.peers[node.Name], now) {
-			a.relay.betterAt = now
+		if p := a.peers[node.Name]; a.usableRelay(p, now) && p.bundleAt.After(a.relay.betterAt) {
+			a.relay.betterAt = p.bundleAt
 		}
 	}
 	wait := time.Duration(0)
 	if a.relay.ownRank > 0 {
 		wait = relayTimeout + time.Duration(a.relay.ownRank-1)*takeoverStep
 	}
-	acting := a.relayed() && !a.shuttingDown && now.Sub(a.relay.betterAt) >= wait
+	acting := a.relayed() && !a.shuttingDown && now.Sub(a.relay.betterAt) >= wait && !a.isolated(now)
 	started := acting && !a.relay.acting
 	if acting != a.relay.acting {
 		a.logger.Info().Bool("relay", acting).Int("rank", a.relay.ownRank).Str("zone", a.self.Zone).Msg("relay of the zone's load")
@@ -167,6 +170,17 @@
 	}
 }
 
+// isolated reports whether this node hears none of the others, so that it can't pass on what
+// they send; the mutex is held.
+func (a *Agent) isolated(now time.Time) bool {
+	for _, p := range a.peers {
+		if now.Sub(p.lastSeen()) < unresponsiveAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // runRelay sends bundles while this node is its zone's relay.
 func (a *Agent) runRelay(ctx context.Context) {
 	periodic.Run(ctx, relayInterval, func() {
