Upstreams that leave or want nothing, bytes without end, the check at the write

Leaving (Server-Leaving) and a pause (Retry-After of a 503) are read from every answer before it is used and bind this node until a new start, or the time; other nodes try the upstream last. A plain body over its limit was passed on cut as a whole one and its connection kept: it is a failure now. Bodies share 32 MiB. The permission to send is asked again just before the write. Comments no longer keep a stalled stream alive. Each test was seen red, on the old code or with its mechanism taken out.

--- a/edge/node.go
+++ b/edge/node.go
@@ -51,6 +51,9 @@
 	maxHeaderBytes = 64 << 10
 	// maxAnswerBytes bounds a response that is not a stream; it is held in memory.
 	maxAnswerBytes = 8 << 20
+	// maxBufferedBytes bounds all such responses together: a sixth of the smallest machine's
+	// memory.
+	maxBufferedBytes = 32 << 20
 	// retryAfter is the time after which a caller should retry at another node.
 	retryAfter = 300 * time.Millisecond
 	// revokeMargin is how long before the end of the revocation time a node with a stale
@@ -144,10 +147,10 @@
 			MaxSendAge: milliseconds(settings.RevokeMs) - revokeMargin,
 			MaxDenyAge: milliseconds(settings.ApplyMs),
 		},
-		MaxResponseBytes: maxAnswerBytes, RetryAfter: retryAfter,
+		MaxResponseBytes: maxAnswerBytes, MaxBufferedBytes: maxBufferedBytes, RetryAfter: retryAfter,
 	})
 	n.reportPoller = &reportPoller{
-		fetcher: platform.NewReportClient(control),
+		fetcher:  platform.NewReportClient(control),
 		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger,
 		failing: map[string]bool{},
 	}
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -19,6 +19,9 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// hasData is true if the last event has a data field; comments that keep a connection
+	// alive have none.
+	hasData bool
 }
 
 // eventBufferBytes is several times the size of a usual event.
@@ -33,7 +36,7 @@
 // of the body the error is io.EOF and data holds the bytes after the last complete
 // event; a complete stream has none.
 func (r *eventReader) next() (data []byte, number int64, err error) {
-	r.buffer = r.buffer[:0]
+	r.buffer, r.hasData = r.buffer[:0], false
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.buffer = append(r.buffer, line...)
@@ -50,6 +53,7 @@
 		if len(text) == 0 && len(r.buffer) > len(line) {
 			return r.buffer, number, nil
 		}
+		r.hasData = r.hasData || bytes.HasPrefix(text, []byte("data"))
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if parsed, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				number = parsed
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -26,6 +26,8 @@
 var (
 	// ErrNotSent means that no byte of the attempt reached the upstream.
 	ErrNotSent = eris.New("attempt not sent")
+	// ErrNotPermitted means that Attempt.Permitted forbade the attempt; no byte was sent.
+	ErrNotPermitted = eris.New("attempt no longer permitted")
 	// ErrIncomplete means that the attempt may have run and has no complete response.
 	ErrIncomplete = eris.New("attempt broken off")
 )
@@ -71,6 +73,10 @@
 	After int64
 	// Urgency is the request's priority at an engine, 0 to 9; 0 is first.
 	Urgency int
+	// Permitted reports whether the attempt may still be sent. The sender asks just before
+	// it writes the first byte, since a dial or a pause of the process may come before; if
+	// not, it returns ErrNotPermitted.
+	Permitted func() bool
 	// AtMostOnce is true for a request that must not run twice: it must not be sent on a
 	// connection that the upstream may be closing.
 	AtMostOnce bool
@@ -93,6 +99,10 @@
 type Reply interface {
 	Status() int
 	Verdict() Verdict
+	// Leaving reports whether the upstream said that it leaves.
+	Leaving() bool
+	// Pause is how long the upstream wants nothing from this node; 0 is not stated.
+	Pause() time.Duration
 	// FaultyUpstream returns the ID of another upstream that caused the failure, or "".
 	FaultyUpstream() string
 	// Authentic reports whether a successful response carries proof that the upstream sent it.
@@ -105,7 +115,7 @@
 	Abort()
 }
 
-// Sender sends attempts to upstreams. Errors: ErrNotSent, ErrIncomplete.
+// Sender sends attempts to upstreams. Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Reply, error)
 }
@@ -165,6 +175,8 @@
 	Now func() time.Duration
 	// MaxResponseBytes is the maximum body size of a response that is not a stream.
 	MaxResponseBytes int64
+	// MaxBufferedBytes is the maximum size of all such bodies that are held at a time.
+	MaxBufferedBytes int64
 	// RetryAfter is set in failures for which the scheduler gives none.
 	RetryAfter time.Duration
 }
@@ -178,6 +190,7 @@
 	// the node shuts down.
 	shutdown         context.Context
 	cancelUnanswered context.CancelFunc
+	buffers          *bufferMemory
 }
 
 // errShutdown is the cancellation cause of requests that end because the node shuts down.
@@ -192,7 +205,7 @@
 
 // New returns an exchange.
 func New(config Config) *Exchange {
-	e := &Exchange{config: config}
+	e := &Exchange{config: config, buffers: newBufferMemory(config.MaxBufferedBytes)}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
 	return e
 }
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -30,6 +30,13 @@
 	body     string
 	// bodyErr is the error at the end of the body; nil is a complete body.
 	bodyErr error
+	// leaving and pause are what the upstream asks for.
+	leaving bool
+	pause   time.Duration
+	// stream is the body in place of body; it ends when the attempt's context does.
+	stream io.ReadCloser
+	// before runs before the attempt asks for permission.
+	before func()
 	// hang withholds the response until the context ends.
 	hang bool
 }
@@ -52,6 +59,12 @@
 		u.steps = u.steps[1:]
 	}
 	u.mutex.Unlock()
+	if s.before != nil {
+		s.before()
+	}
+	if !attempt.Permitted() {
+		return nil, ErrNotPermitted
+	}
 	if s.hang {
 		<-ctx.Done()
 		return nil, ErrIncomplete
@@ -59,6 +72,10 @@
 	if s.err != nil {
 		return nil, s.err
 	}
+	if s.stream != nil {
+		context.AfterFunc(ctx, func() { _ = s.stream.Close() })
+		return &fakeReply{attemptStep: s, body: s.stream}, nil
+	}
 	return &fakeReply{attemptStep: s, body: io.MultiReader(bytes.NewBufferString(s.body), errorReader{s.bodyErr})}, nil
 }
 
@@ -103,6 +120,8 @@
 func (r *fakeReply) Status() int            { return r.status }
 func (r *fakeReply) Verdict() Verdict       { return r.verdict }
 func (r *fakeReply) FaultyUpstream() string { return r.faulty }
+func (r *fakeReply) Leaving() bool          { return r.leaving }
+func (r *fakeReply) Pause() time.Duration   { return r.pause }
 func (r *fakeReply) Authentic() bool        { return !r.unsigned }
 func (r *fakeReply) CloseDelimited() bool   { return false }
 func (r *fakeReply) Body() io.Reader        { return r.body }
@@ -199,7 +218,7 @@
 		Scheduler: runner, Retries: &RetryBudget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, Sender: f.sender, Memory: f.sender,
 		Follower: follower, Logger: zerolog.Nop(), Metrics: metrics, Now: clock,
 		Freshness:        fleet.AgeLimits{MaxSendAge: 4500 * time.Millisecond, MaxDenyAge: 2 * time.Second},
-		MaxResponseBytes: 1 << 20, RetryAfter: 300 * time.Millisecond,
+		MaxResponseBytes: 1 << 20, MaxBufferedBytes: 4 << 20, RetryAfter: 300 * time.Millisecond,
 	})
 	for !follower.Current().Synced {
 		time.Sleep(time.Millisecond)
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -175,7 +174,8 @@
 	attempt := &Attempt{
 		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
 		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
-		Urgency: decision.Urgency,
+		Urgency:   decision.Urgency,
+		Permitted: func() bool { return !r.exchange.stale() && config.Scheduler.InService(decision) },
 	}
 	if reserved != nil {
 		attempt.Reservations = reserved.list
@@ -191,6 +191,7 @@
 	if err != nil {
 		return r.onSendError(ctx, decision, err)
 	}
+	r.recordWishes(decision, reply)
 	switch reply.Verdict() {
 	case NotExecuted:
 		return r.onNotExecuted(ctx, decision, reply, placement.Refused)
@@ -205,6 +206,29 @@
 	return r.deliverResponse(ctx, decision, reply)
 }
 
+// recordWishes records, before the response is used, that an upstream leaves or wants nothing
+// from this node for a time.
+func (r *requestHandler) recordWishes(decision *placement.Decision, reply Reply) {
+	leaving, pause := reply.Leaving(), time.Duration(0)
+	if reply.Status() == http.StatusServiceUnavailable {
+		pause = reply.Pause()
+	}
+	if !leaving && pause <= 0 {
+		return
+	}
+	lead := decision.Lead
+	r.exchange.config.Scheduler.Do(func(s *placement.Scheduler, now time.Duration) {
+		if leaving {
+			s.MarkLeaving(now, lead.ID, lead.StartedMs)
+		}
+		if pause > 0 {
+			s.Pause(now, lead.ID, lead.StartedMs, pause)
+		}
+	})
+	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", lead.ID).Bool("leaving", leaving).
+		Dur("pause_ms", pause).Msg(telemetry.LogUpstreamAsked)
+}
+
 func upstreamIDs(upstreams []*fleet.Upstream) []string {
 	list := make([]string, len(upstreams))
 	for i, u := range upstreams {
@@ -215,6 +239,12 @@
 
 // onSendError handles an attempt without a response.
 func (r *requestHandler) onSendError(ctx context.Context, decision *placement.Decision, err error) nextAction {
+	if errors.Is(err, ErrNotPermitted) {
+		// The next placement is by the current view, or finds that it is too old.
+		r.exchange.config.Scheduler.End(decision.ID, placement.Neutral, "")
+		r.logFailedAttempt(decision, err.Error(), 0)
+		return actionRetry
+	}
 	outcome := placement.Unresponsive
 	if ctx.Err() != nil {
 		outcome = placement.Neutral
@@ -235,10 +265,10 @@
 func (r *requestHandler) onNotExecuted(ctx context.Context, decision *placement.Decision, reply Reply, outcome placement.Outcome) nextAction {
 	faulty := reply.FaultyUpstream()
 	r.logFailedAttempt(decision, "not run", reply.Status())
-	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body(), r.exchange.config.MaxResponseBytes)); err != nil {
-		reply.Abort()
-	} else {
+	if discard(reply.Body(), maxRefusalBytes) {
 		reply.Finish()
+	} else {
+		reply.Abort()
 	}
 	if faulty != "" && faulty != decision.Lead.ID {
 		outcome = placement.Unresponsive
@@ -250,10 +280,15 @@
 	return r.retryOrFail(ctx)
 }
 
+// maxRefusalBytes is the maximum body size of a response that states that the upstream did
+// not run the request, if its connection is to be used again.
+const maxRefusalBytes = 64 << 10
+
 // deliverResponse forwards a response that is not a stream.
 func (r *requestHandler) deliverResponse(ctx context.Context, decision *placement.Decision, reply Reply) nextAction {
 	scheduler := r.exchange.config.Scheduler
-	body, err := io.ReadAll(io.LimitReader(reply.Body(), r.exchange.config.MaxResponseBytes))
+	body, release, err := r.exchange.buffers.read(reply.Body(), r.exchange.config.MaxResponseBytes)
+	defer release()
 	if err != nil || !reply.Authentic() {
 		reply.Abort()
 		outcome := placement.Unresponsive
--- a/exchange/scheduler_runner.go
+++ b/exchange/scheduler_runner.go
@@ -117,7 +117,7 @@
 func (g *SchedulerRunner) InService(decision *placement.Decision) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.scheduler.InService(decision)
+	return g.scheduler.InService(g.now(), decision)
 }
 
 // FirstEvent records that the prefill of a placed request has finished.
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -35,7 +35,9 @@
 		if first {
 			scheduler.FirstEvent(decision.ID)
 		}
-		watch.recordEvent()
+		if number != 0 || events.hasData {
+			watch.recordEvent()
+		}
 		if failed := r.relayEvent(reply, data, number); failed != nil {
 			reply.Abort()
 			scheduler.End(decision.ID, placement.Neutral, "")
--- a/loadshare/message_test.go
+++ b/loadshare/message_test.go
@@ -14,7 +14,7 @@
 	return &message{
 		Node: "edge-1", Incarnation: 42, Sequence: 7, Full: true, ShuttingDown: true, SentAt: 90 * time.Second, Relayed: true, HasClaims: true,
 		Announced: &Node{Name: "edge-1", Zone: "z1", Capacity: 0.192},
-		Claims: [2]fleet.Watermark{{LastChange: 12, Revision: 15, FreshAt: 88 * time.Second}, {LastChange: 1 << 40, Revision: 1 << 40, FreshAt: 90 * time.Second}},
+		Claims:    [2]fleet.Watermark{{LastChange: 12, Revision: 15, FreshAt: 88 * time.Second}, {LastChange: 1 << 40, Revision: 1 << 40, FreshAt: 90 * time.Second}},
 		Shares: []placement.LoadUpdate{
 			{Hash: 1, Totals: placement.Totals{Running: 3, MemoryTokens: 150_000, HelperPrompts: 2}, AddedPrefillMs: 110.5, SpeedFactor: 1, Unattributed: 2},
 			{Hash: 0xffffffff, AddedPrefillMs: -20, AvoidFor: time.Second},
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -371,7 +371,9 @@
 	}
 	a.mutex.Unlock()
 	if accepted {
-		a.gate.Do(func(s *placement.Scheduler, now time.Duration) { s.ApplyLoadUpdates(now, zoneKey(z.Zone), z.Shares, z.Full) })
+		a.gate.Do(func(s *placement.Scheduler, now time.Duration) {
+			s.ApplyLoadUpdates(now, zoneKey(z.Zone), z.Shares, z.Full)
+		})
 	}
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -58,6 +58,10 @@
 	avoidFor       time.Duration
 	// avoidedByOwnAttempt is true when this node detected the failure itself.
 	avoidedByOwnAttempt bool
+	// leavingUnpublished is true, and pausedUnpublished set, after the upstream asked this
+	// node for it, until the other nodes are told.
+	leavingUnpublished bool
+	pausedUnpublished  time.Duration
 	// unpublishedMs is the prefill time placed since the last update to the other nodes.
 	unpublishedMs float64
 	// unpublishedSpeedFactor is a reported factor not yet sent to the other nodes; 0 is none.
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -35,6 +35,11 @@
 		if now < l.avoidUntil && l.avoidedByOwnAttempt {
 			update.AvoidFor = l.avoidUntil - now
 		}
+		if l.leavingUnpublished || l.pausedUnpublished > now {
+			// The others try the upstream last; what it asked binds this node only.
+			update.AvoidFor = maxAvoidTime
+			l.leavingUnpublished, l.pausedUnpublished = false, 0
+		}
 		updates = append(updates, update)
 	}
 	clear(s.changed)
@@ -95,6 +100,8 @@
 	MemoryTokens int
 	// StartedMs identifies the reporting incarnation; 0 is not stated.
 	StartedMs int64
+	// Leaving is true if the upstream said that it leaves.
+	Leaving bool
 }
 
 // ApplyReport applies a report that this node requested, or, with ok false, its failure.
@@ -108,6 +115,9 @@
 		l.avoid(now)
 		return
 	}
+	if report.Leaving {
+		s.MarkLeaving(now, id, report.StartedMs)
+	}
 	l.speedFactor, l.reportedAt, l.unpublishedSpeedFactor = max(1, report.SpeedFactor), now, max(1, report.SpeedFactor)
 	l.unattributed = max(0, report.Queued+report.Active-l.totalRunning())
 	l.avoidUntil, l.avoidFor = 0, 0
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -129,13 +129,15 @@
 	queue         []*Request
 	nodeCount     int
 	changed       map[*load]struct{}
+	// holds are by the upstream's ID.
+	holds map[string]*hold
 }
 
 // New returns a scheduler without upstreams.
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
-		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{},
+		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{},
 	}
 }
 
@@ -239,7 +241,7 @@
 	service := s.configuration.Services[request.Service]
 	eligible := s.eligible(now, request, service)
 	if len(eligible) == 0 {
-		return refuse(request, NoUpstream, defaultRetryAfter), true
+		return refuse(request, NoUpstream, max(defaultRetryAfter, s.earliestResume(now, request.Service))), true
 	}
 	var decision Decision
 	var done bool
@@ -301,6 +303,9 @@
 		if entry.Service != service.Name || entry.Draining || s.view.ZonesOutOfService[entry.Zone] || !s.inAllowedRegion(request, entry.Zone) {
 			continue
 		}
+		if _, held := s.held(now, l); held {
+			continue
+		}
 		if slices.Contains(request.Avoid, entry.ID) || now < l.avoidUntil || entry.Missing() {
 			avoided = append(avoided, l)
 		} else {
@@ -321,12 +326,15 @@
 }
 
 // InService reports whether a placed request may still be sent to its upstreams.
-func (s *Scheduler) InService(decision *Decision) bool {
+func (s *Scheduler) InService(now time.Duration, decision *Decision) bool {
 	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
 		known := s.loads[entry.ID]
 		if known == nil || known.entry.Draining || s.view.ZonesOutOfService[entry.Zone] || known.entry.StartedMs != entry.StartedMs {
 			return false
 		}
+		if _, held := s.held(now, known); held {
+			return false
+		}
 	}
 	return true
 }
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -183,7 +183,7 @@
 	is := is.New(t)
 	f := newFixture(3, 0)
 	placed := f.Submit(time.Second, f.request(time.Second, 5_000))
-	is.True(f.InService(&placed))
+	is.True(f.InService(time.Second, &placed))
 	draining := *f.view.Upstreams[placed.Lead.ID]
 	draining.Draining = true
 	f.view.Upstreams[draining.ID] = &draining
@@ -191,7 +191,7 @@
 		f.view.ZonesOutOfService[zone] = zone != draining.Zone
 	}
 	f.UpdateView(f.view)
-	is.True(!f.InService(&placed)) // callers check this again before the send
+	is.True(!f.InService(time.Second, &placed)) // callers check this again before the send
 	decision := f.Submit(time.Second, f.request(time.Second, 5_000))
 	is.True(decision.Lead == nil)
 	is.Equal(decision.Reason, NoUpstream)
@@ -206,7 +206,7 @@
 	again.StartedMs = 99
 	f.view.Upstreams["e0"] = &again
 	f.UpdateView(f.view)
-	is.True(!f.InService(&placed))
+	is.True(!f.InService(time.Second, &placed))
 	is.Equal(f.loads["e0"].running, 0)
 	f.End(time.Second, placed.ID, Unresponsive, "")
 	is.Equal(f.loads["e0"].running, 0)
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -7,6 +7,7 @@
 	LogNotAdmitted          = "request not admitted"
 	LogRequestEnded         = "request ended"
 	LogUpstreamUnresponsive = "upstream is silent"
+	LogUpstreamAsked        = "upstream asked for fewer requests"
 	LogInvariantBroken      = "promise broken"
 	LogNodeDraining         = "node drains"
 	LogNodeStopped          = "node ends"
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -32,6 +32,9 @@
 	// Matches reports whether a response with this status and header belongs to the
 	// request. Others are skipped: a peer may respond late to an earlier request.
 	Matches func(status int, header http.Header) bool
+	// MayWrite is asked just before the first byte is written, after a connection was
+	// dialed and the process may have been paused; nil is always.
+	MayWrite func() bool
 }
 
 // Reply is a response whose header has arrived. Exactly one of Finish and Abort must
@@ -52,8 +55,12 @@
 
 // Send writes the request and returns when the header of its response has arrived.
 // The context bounds the whole exchange: when it ends, the connection is closed.
-// Errors: ErrNotSent, ErrIncomplete.
+// Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete.
 func (p *Pool) Send(ctx context.Context, conn *Conn, request *Request) (*Reply, error) {
+	if request.MayWrite != nil && !request.MayWrite() {
+		_ = conn.Close()
+		return nil, eris.Wrap(ErrNotPermitted, "connection closed")
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written, err := write(conn, request.Bytes)
 	if err != nil {
@@ -100,6 +107,8 @@
 // readResponse returns the first final response that belongs to the request.
 func readResponse(conn *Conn, request *Request) (*http.Response, error) {
 	sent := &http.Request{Method: request.Method}
+	conn.limit.begin()
+	defer conn.limit.end()
 	for range maxForeignResponses {
 		response, err := http.ReadResponse(conn.reader, sent)
 		if err != nil {
@@ -114,13 +123,24 @@
 		if response.Close {
 			return nil, errForeignResponse
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+		if err := skipBody(conn, response.Body); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errForeignResponse
 }
 
+// skipBody reads a body to its end; one over maxSkippedBytes is an error.
+func skipBody(conn *Conn, body io.Reader) error {
+	conn.limit.end()
+	defer conn.limit.begin()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		err = errForeignResponse
+	}
+	return err
+}
+
 var errForeignResponse = eris.New("response belongs to another request")
 
 // Finish ends an exchange whose body was read to its end. The connection is reused only
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -23,6 +23,8 @@
 var (
 	// ErrNotSent is returned when no byte reached the peer.
 	ErrNotSent = eris.New("request not sent")
+	// ErrNotPermitted is returned when Request.MayWrite forbade the write; no byte was sent.
+	ErrNotPermitted = eris.New("request no longer permitted")
 	// ErrIncomplete is returned when bytes were sent and no complete response arrived.
 	ErrIncomplete = eris.New("exchange interrupted before a complete response")
 )
@@ -60,6 +62,7 @@
 type Conn struct {
 	net.Conn
 	address string
+	limit   *headLimit
 	reader  *bufio.Reader
 	// lastUsedAt is when the last exchange ended.
 	lastUsedAt time.Time
@@ -98,7 +101,12 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	return &Conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *Conn {
+	limit := &headLimit{reader: raw}
+	return &Conn{Conn: raw, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
