A store that comes back from a copy: eras order versions, nothing goes back

Cause: all was ordered by the store's version alone, so that after a drill the old copy's rows, or a reused version, were passed over or taken for known. Versions, claims and updates carry the era now; a later one is read whole. The own row is written again.

--- a/edge/node.go
+++ b/edge/node.go
@@ -135,6 +135,7 @@
 	n.agent.View = n.follower
 	n.follower.IsPublisher = n.agent.IsPublisher
 	n.follower.OnStoreResponse = n.agent.PublishView
+	n.follower.OnEra = n.agent.Register
 	n.follower.StaleCallSpacing = n.agent.StaleCallSpacing
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -164,6 +164,8 @@
 	return batch, nil
 }
 
+func (s staticSource) Decode([]byte) (*fleet.Configuration, error) { return s.site, nil }
+
 func (s staticSource) Changes(ctx context.Context, _ fleet.Table, since int64, wait time.Duration) (follow.Batch, error) {
 	if wait == 0 {
 		return follow.Batch{Revision: since}, nil
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -116,6 +116,8 @@
 	KeysRequired bool
 	// MaxBodyBytes is the largest request body.
 	MaxBodyBytes int64
+	// Encoded is the document as the operator wrote it, for other nodes.
+	Encoded []byte
 
 	byHost map[string][]*Route
 }
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -28,8 +28,10 @@
 
 // Change is one changed row. Exactly one group of fields is set.
 type Change struct {
-	// Configuration is a new document.
+	// Configuration is a new document; Document is one that another node sent and that is not
+	// decoded yet.
 	Configuration *Configuration
+	Document      []byte
 	// Zone was taken out of service or, if InService, put back.
 	Zone      string
 	InService bool
@@ -60,13 +62,25 @@
 	failed [tableCount]bool
 	// lastChange is the version of the last change of a table that is known.
 	lastChange [tableCount]int64
+	// era is the store's era in which a table was read.
+	era [tableCount]int64
+	// eraBeganAt is when this process saw a later era begin; 0 is never.
+	eraBeganAt [tableCount]time.Duration
+	// zonesSaid are the zones of which the store has spoken in this era.
+	zonesSaid map[string]bool
+	// departures are the upstreams that drained or were removed, by ID.
+	departures map[string]departure
+	held       eraHolds
 	// graceEndsAt is the end of the time in which lapsed entries may come back.
 	graceEndsAt time.Duration
 }
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{view: View{ZonesOutOfService: map[string]bool{}, Upstreams: map[string]*Upstream{}}}
+	return &Replica{
+		departures: map[string]departure{}, zonesSaid: map[string]bool{},
+		held: eraHolds{zones: map[string]time.Duration{}, departed: map[string]departure{}}, view: View{ZonesOutOfService: map[string]bool{}, Upstreams: map[string]*Upstream{}},
+	}
 }
 
 // View returns the current view. Later changes don't modify a returned view.
@@ -101,6 +115,7 @@
 	r.recordContact(table, now)
 	if table == OperatorTable {
 		r.view.ZonesOutOfService = map[string]bool{}
+		r.holdZones()
 	} else {
 		r.replaceUpstreams(changes, now)
 	}
@@ -179,6 +194,8 @@
 				r.view.Configuration = change.Configuration
 			}
 		case change.Zone != "":
+			delete(r.held.zones, change.Zone)
+			r.zonesSaid[change.Zone] = true
 			if change.InService {
 				delete(r.view.ZonesOutOfService, change.Zone)
 			} else {
@@ -187,6 +204,12 @@
 		case change.Upstream != nil:
 			entry := *change.Upstream
 			entry.SeenAt = now
+			r.holdBack(&entry)
+			if entry.Draining && entry.heldUntil == 0 {
+				r.recordDeparture(&entry, now)
+			} else if !entry.Draining {
+				delete(r.departures, entry.ID)
+			}
 			r.view.Upstreams[entry.ID] = &entry
 		case change.Removed != "":
 			r.remove(change.Removed, now)
@@ -201,6 +224,9 @@
 		return
 	}
 	if now >= r.graceEndsAt || entry.Draining {
+		if entry.heldUntil == 0 {
+			r.recordDeparture(entry, now)
+		}
 		delete(r.view.Upstreams, id)
 		return
 	}
@@ -209,8 +235,8 @@
 	r.view.Upstreams[id] = &missing
 }
 
-// RemoveExpired removes the entries that did not come back within the grace time. It reports
-// whether there were any.
+// RemoveExpired removes the entries that did not come back within the grace time, and ends
+// what was held after a new era of the store began. It reports whether the view changed.
 func (r *Replica) RemoveExpired(now time.Duration) bool {
 	var expired []string
 	for id, entry := range r.view.Upstreams {
@@ -218,8 +244,9 @@
 			expired = append(expired, id)
 		}
 	}
+	released := r.expireHolds(now)
 	if len(expired) == 0 {
-		return false
+		return released
 	}
 	r.view.Upstreams = maps.Clone(r.view.Upstreams)
 	for _, id := range expired {
--- a/fleet/update.go
+++ b/fleet/update.go
@@ -8,6 +8,8 @@
 // Watermark is how far a node knows a table: the version of the last change, and the store's
 // version and the time up to which there was no other change.
 type Watermark struct {
+	// Era is the store's era in which the versions were given out.
+	Era                  int64
 	LastChange, Revision int64
 	FreshAt              time.Duration
 }
@@ -17,7 +19,7 @@
 func (r *Replica) Watermarks() [2]Watermark {
 	var watermarks [2]Watermark
 	for table := range tableCount {
-		watermarks[table] = Watermark{LastChange: r.lastChange[table], Revision: r.revision[table], FreshAt: r.ownAt[table]}
+		watermarks[table] = Watermark{Era: r.era[table], LastChange: r.lastChange[table], Revision: r.revision[table], FreshAt: r.ownAt[table]}
 	}
 	return watermarks
 }
@@ -28,6 +30,10 @@
 	if !r.known[table] {
 		return false
 	}
+	if watermark.Era != r.era[table] {
+		// Versions of two eras can't be compared.
+		return watermark.Era > r.era[table]
+	}
 	if watermark.LastChange > r.revision[table] {
 		return true
 	}
@@ -39,6 +45,12 @@
 
 // Update is one answer of the store with changes, as one node sends it to another.
 type Update struct {
+	Table Table
+	// Era is the store's era in which the versions were given out.
+	Era int64
+	// Holds is true if Changes are what the sender knows better than the store after a new era
+	// began; its versions are then not set.
+	Holds bool
 	// PreviousChange is the version of the last change before Changes, LastChange that of the last of
 	// Changes, and Revision the store's version, up to which there was no other change.
 	PreviousChange, LastChange, Revision int64
@@ -50,7 +62,13 @@
 // ApplyUpdate applies another node's update of a table, its time converted to this node's
 // clock. It returns false, and changes nothing, if this node lacks an earlier change.
 func (r *Replica) ApplyUpdate(table Table, update Update, now time.Duration) bool {
-	if !r.known[table] || r.revision[table] < update.PreviousChange {
+	if !r.known[table] || update.Era > r.era[table] {
+		return false
+	}
+	if update.Era < r.era[table] {
+		return true
+	}
+	if r.revision[table] < update.PreviousChange {
 		return false
 	}
 	r.startGraceAfterOutage(table, now)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -43,8 +43,13 @@
 	sweepInterval = 100 * time.Millisecond
 )
 
+// errEraChanged is returned for changes of a later era of the store than the known one.
+var errEraChanged = eris.New("store came back from a copy")
+
 // Batch is the response to one request.
 type Batch struct {
+	// Era is the store's era; 0 is not stated.
+	Era     int64
 	Changes []fleet.Change
 	// Last is the version of the last change; it is set by Changes only.
 	Last int64
@@ -57,6 +62,8 @@
 type Source interface {
 	Read(ctx context.Context, kind fleet.Table) (Batch, error)
 	Changes(ctx context.Context, kind fleet.Table, since int64, wait time.Duration) (Batch, error)
+	// Decode decodes a document that another node sent as it had received it.
+	Decode(document []byte) (*fleet.Configuration, error)
 }
 
 // Follower holds the current view. It is safe for concurrent use.
@@ -75,7 +82,7 @@
 	// confirms its view to the other nodes, which use long polls. It is set before Run.
 	IsPublisher func() bool
 	// OnStoreResponse is called after a response of the store, under no lock, with its
-	// changes of upstreams, or nil if it has none. It is set before Run.
+	// changes, or nil if it has none. It is set before Run.
 	OnStoreResponse func(update *fleet.Update)
 
 	// StaleCallSpacing returns the mean time between requests of this node for a table that
@@ -83,6 +90,10 @@
 	// they get; 0 is no spacing. It is set before Run.
 	StaleCallSpacing func() time.Duration
 
+	// OnEra is called when the store came back from a copy, under no lock, so that this
+	// system's own rows are written again. It is set before Run.
+	OnEra func()
+
 	// polls holds the state of the long polls, by table.
 	polls [2]longPoll
 }
@@ -158,8 +169,8 @@
 		if errors.Is(err, errPollAgain) {
 			continue
 		}
-		if errors.Is(err, ErrHistoryGone) && synced {
-			f.logger.Info().Int("table", int(kind)).Msg("store history gone, reading the table again")
+		if (errors.Is(err, ErrHistoryGone) || errors.Is(err, errEraChanged)) && synced {
+			f.logger.Info().Int("table", int(kind)).Err(err).Msg("reading the table again")
 			synced = false
 			continue
 		}
@@ -224,7 +235,7 @@
 		f.polls[kind].cancel = cancel
 	}
 	f.mutex.Unlock()
-	if long && kind == fleet.UpstreamTable {
+	if long && (kind == fleet.UpstreamTable || spaced) {
 		// The publishers forward changes of this table.
 		<-ctx.Done()
 		return false, errPollAgain
@@ -240,6 +251,9 @@
 	if err != nil {
 		return false, err
 	}
+	if batch.Era > f.era(kind) {
+		return false, errEraChanged
+	}
 	if f.merge(kind, batch, requestedAt, false) {
 		return true, nil
 	}
@@ -268,9 +282,32 @@
 	if err != nil {
 		return false, err
 	}
+	if since.Era != batch.Era {
+		return false, errEraChanged
+	}
 	return f.merge(kind, batch, requestedAt, true) && f.merge(kind, since, requestedAt, false), nil
 }
 
+// era returns the store's era in which a table was read.
+func (f *Follower) era(kind fleet.Table) int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.replica.Era(kind)
+}
+
+// beginEra prepares a table for a whole read of a later era of the store. It reports whether
+// an earlier one was known; the mutex is held.
+func (f *Follower) beginEra(kind fleet.Table, era int64) bool {
+	before := f.replica.Era(kind)
+	f.replica.BeginEra(kind, era, f.now())
+	if before == 0 {
+		return false
+	}
+	f.metrics.Count("wigeontiller_store_eras_total", 1)
+	f.logger.Warn().Int("table", int(kind)).Int64("era", era).Int64("era_before", before).Msg(telemetry.LogStoreEra)
+	return true
+}
+
 // Claims returns how far this node's own store responses cover each table.
 func (f *Follower) Claims() [2]fleet.Watermark {
 	f.mutex.Lock()
@@ -297,12 +334,46 @@
 	}
 }
 
-// ApplyUpdate merges another node's update of the upstreams, whose time is on this
-// node's clock.
+// ApplyUpdate merges another node's update of a table, whose time is on this node's clock.
 func (f *Follower) ApplyUpdate(update *fleet.Update) {
-	const kind = fleet.UpstreamTable
+	kind := update.Table
+	f.mutex.Lock()
+	applied := !update.Holds && update.Era == f.replica.Era(kind) && update.Revision <= f.replica.Revision(kind)
+	f.mutex.Unlock()
+	known := f.current.Load().Configuration
+	for i := range update.Changes {
+		if applied {
+			// Two nodes publish each change; its document is decoded once.
+			break
+		}
+		change := &update.Changes[i]
+		if change.Document == nil {
+			continue
+		}
+		document, err := f.source.Decode(change.Document)
+		switch {
+		case err != nil:
+			// The store's own copy is read instead.
+			f.logger.Warn().Err(err).Msg("invalid document from another node")
+			f.mutex.Lock()
+			f.markBehind(kind)
+			f.mutex.Unlock()
+			return
+		case known == nil || document.Version > known.Version:
+			change.Configuration = document
+		}
+	}
 	f.mutex.Lock()
 	before, last := f.replica.View(), f.replica.LastChange(kind)
+	if update.Holds {
+		changed := f.replica.ApplyHolds(*update, f.now())
+		snapshot := f.publish()
+		f.mutex.Unlock()
+		if changed {
+			f.notifyChange(kind, before, snapshot, Batch{Era: update.Era, Changes: update.Changes}, true)
+		}
+		return
+	}
 	if !f.replica.ApplyUpdate(kind, *update, f.now()) {
 		f.markBehind(kind)
 		f.mutex.Unlock()
@@ -313,7 +384,7 @@
 	snapshot := f.publish()
 	f.mutex.Unlock()
 	if changed {
-		f.notifyChange(kind, before, snapshot, Batch{Changes: update.Changes, Revision: update.Revision}, true)
+		f.notifyChange(kind, before, snapshot, Batch{Era: update.Era, Changes: update.Changes, Revision: update.Revision}, true)
 	}
 }
 
@@ -349,6 +420,11 @@
 func (f *Follower) merge(kind fleet.Table, batch Batch, requestedAt time.Duration, full bool) bool {
 	f.mutex.Lock()
 	now := f.now()
+	if batch.Era != 0 && batch.Era < f.replica.Era(kind) {
+		f.mutex.Unlock()
+		return false
+	}
+	newEra := full && batch.Era > f.replica.Era(kind) && f.beginEra(kind, batch.Era)
 	before, last := f.replica.View(), f.replica.LastChange(kind)
 	merge := f.replica.Apply
 	if full {
@@ -365,16 +441,30 @@
 	if ok && (full || len(batch.Changes) > 0) {
 		f.notifyChange(kind, before, snapshot, batch, false)
 	}
+	if newEra && f.OnEra != nil {
+		f.OnEra()
+	}
 	if ok {
 		var update *fleet.Update
-		if kind == fleet.UpstreamTable && !full && len(batch.Changes) > 0 {
-			update = &fleet.Update{PreviousChange: last, LastChange: batch.Last, Revision: batch.Revision, Changes: batch.Changes, FreshAt: requestedAt}
+		if !full && len(batch.Changes) > 0 {
+			update = &fleet.Update{Table: kind, Era: batch.Era, PreviousChange: last, LastChange: batch.Last, Revision: batch.Revision, Changes: batch.Changes, FreshAt: requestedAt}
+		}
+		if update == nil {
+			update = f.holds(kind)
 		}
 		f.OnStoreResponse(update)
 	}
 	return ok
 }
 
+// holds returns what this node knows better than the store, after the store came back from a
+// copy; nil is nothing.
+func (f *Follower) holds(kind fleet.Table) *fleet.Update {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.replica.Holds(kind, f.now())
+}
+
 // notifyChange logs changes and calls OnChange. fromPeer is true for another node's update.
 func (f *Follower) notifyChange(kind fleet.Table, before fleet.View, after *Snapshot, batch Batch, fromPeer bool) {
 	f.logChanges(kind, before, after, batch, fromPeer)
@@ -400,7 +490,7 @@
 }
 
 func (f *Follower) logChanges(kind fleet.Table, before fleet.View, after *Snapshot, batch Batch, fromPeer bool) {
-	event := f.logger.Info().Int("table", int(kind)).Bool("told", fromPeer).Int64("revision", batch.Revision).
+	event := f.logger.Info().Int("table", int(kind)).Bool("told", fromPeer).Int64("era", batch.Era).Int64("revision", batch.Revision).
 		Int("changes", len(batch.Changes)).Int("upstreams", len(after.Upstreams)).Int("zones_out", len(after.ZonesOutOfService))
 	if after.Configuration != nil {
 		event = event.Int64("site_version", after.Configuration.Version)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -58,6 +58,8 @@
 	return s.batch(kind), nil
 }
 
+func (s *scriptedSource) Decode([]byte) (*fleet.Configuration, error) { return nil, errUnavailable }
+
 func (s *scriptedSource) Changes(ctx context.Context, kind fleet.Table, since int64, wait time.Duration) (Batch, error) {
 	for start := time.Now(); ; {
 		s.mutex.Lock()
@@ -214,7 +216,7 @@
 		confirmRepeatedly(f, 1, 6)
 		source.set(func(s *scriptedSource) { s.calls = 0 })
 		for revision := int64(2); revision < 50; revision++ {
-			update := &fleet.Update{PreviousChange: revision - 1, LastChange: revision, Revision: revision, FreshAt: f.now()}
+			update := &fleet.Update{Table: fleet.UpstreamTable, PreviousChange: revision - 1, LastChange: revision, Revision: revision, FreshAt: f.now()}
 			update.Changes = []fleet.Change{{Upstream: &fleet.Upstream{ID: "u", StartedMs: revision}}}
 			f.ApplyUpdate(update)
 			is.Equal(f.Current().Upstreams["u"].StartedMs, revision)
@@ -234,7 +236,7 @@
 		f.mutex.Unlock()
 		confirmRepeatedly(f, 1, 6)
 		source.set(func(s *scriptedSource) { s.revision = 9 })
-		f.ApplyUpdate(&fleet.Update{PreviousChange: 5, LastChange: 9, Revision: 9, FreshAt: f.now()})
+		f.ApplyUpdate(&fleet.Update{Table: fleet.UpstreamTable, PreviousChange: 5, LastChange: 9, Revision: 9, FreshAt: f.now()})
 		is.Equal(f.replica.LastChange(fleet.UpstreamTable), int64(1))
 		time.Sleep(behindTimeout + 2*sweepInterval)
 		f.mutex.Lock()
@@ -334,7 +336,9 @@
 	f := New(source, func() time.Duration { return time.Second }, zerolog.Nop(), telemetry.NewMetrics())
 	_, err := f.poll(t.Context(), fleet.UpstreamTable, false)
 	is.NoErr(err)
-	source.hook = func() { f.ApplyUpdate(&fleet.Update{PreviousChange: 1, LastChange: 9, Revision: 9}) }
+	source.hook = func() {
+		f.ApplyUpdate(&fleet.Update{Table: fleet.UpstreamTable, PreviousChange: 1, LastChange: 9, Revision: 9})
+	}
 	_, err = f.poll(t.Context(), fleet.UpstreamTable, true)
 	is.True(errors.Is(err, errPollAgain))
 	source.hook = func() {}
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -44,7 +44,7 @@
 	Claims() [2]fleet.Watermark
 	// Confirm merges another node's claims, whose times are on this node's clock.
 	Confirm(claims [2]fleet.Watermark)
-	// ApplyUpdate merges another node's update of upstreams, whose time is on this node's clock.
+	// ApplyUpdate merges another node's update of a table, whose time is on this node's clock.
 	ApplyUpdate(update *fleet.Update)
 }
 
@@ -110,6 +110,8 @@
 	conn        packetConn
 	incarnation uint64
 	started     time.Time
+	// registerAgain is signaled when the directory may have lost this node's entry.
+	registerAgain chan struct{}
 	// OnNodeCount is called with the number of nodes that share limits, at each change.
 	OnNodeCount func(nodes int)
 	// View is the source of the claims in each datagram. It is set before Run.
@@ -140,7 +142,7 @@
 func newAgent(self Node, gate Gate, clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) *Agent {
 	a := &Agent{
 		self: self, gate: gate, clock: clock, logger: logger, metrics: metrics, incarnation: uint64(time.Now().UnixNano()),
-		started: time.Now(), peers: map[string]*peer{}, relay: newRelayState(time.Now()), OnNodeCount: func(int) {},
+		started: time.Now(), registerAgain: make(chan struct{}, 1), peers: map[string]*peer{}, relay: newRelayState(time.Now()), OnNodeCount: func(int) {},
 	}
 	a.rank()
 	return a
--- a/loadshare/directory.go
+++ b/loadshare/directory.go
@@ -36,6 +36,15 @@
 	Nodes(ctx context.Context) ([]Node, error)
 }
 
+// Register makes this node write its entry of the directory again, which the directory may
+// have lost.
+func (a *Agent) Register() {
+	select {
+	case a.registerAgain <- struct{}{}:
+	default:
+	}
+}
+
 // runDirectory registers this node and reads the directory at each directoryInterval.
 func (a *Agent) runDirectory(ctx context.Context) {
 	registered, synced, retry := false, false, directoryRetryDelay
@@ -52,6 +61,8 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
+		case <-a.registerAgain:
+			registered = false
 		}
 	}
 }
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -118,6 +118,7 @@
 	b = binary.AppendUvarint(b, uint64(m.SentAt.Microseconds()))
 	if m.HasClaims {
 		for _, claim := range m.Claims {
+			b = binary.AppendUvarint(b, uint64(max(0, claim.Era)))
 			b = binary.AppendUvarint(b, uint64(max(0, claim.LastChange)))
 			b = binary.AppendUvarint(b, uint64(max(0, claim.Revision-claim.LastChange)))
 			b = binary.AppendUvarint(b, uint64(max(0, (m.SentAt-claim.FreshAt).Microseconds())))
@@ -208,6 +209,7 @@
 	m.SentAt = time.Duration(r.microseconds()) * time.Microsecond
 	if m.HasClaims {
 		for i := range m.Claims {
+			m.Claims[i].Era = r.version()
 			m.Claims[i].LastChange = r.version()
 			m.Claims[i].Revision = m.Claims[i].LastChange + int64(r.count())
 			m.Claims[i].FreshAt = m.SentAt - time.Duration(r.microseconds())*time.Microsecond
--- a/loadshare/message_test.go
+++ b/loadshare/message_test.go
@@ -19,7 +19,7 @@
 			{Hash: 1, Totals: placement.Totals{Running: 3, MemoryTokens: 150_000, HelperPrompts: 2}, AddedPrefillMs: 110.5, SpeedFactor: 1, Unattributed: 2},
 			{Hash: 0xffffffff, AddedPrefillMs: -20, AvoidFor: time.Second},
 		},
-		Update: &fleet.Update{PreviousChange: 10, LastChange: 12, Revision: 15, FreshAt: 89 * time.Second, Changes: []fleet.Change{
+		Update: &fleet.Update{Table: fleet.UpstreamTable, PreviousChange: 10, LastChange: 12, Revision: 15, FreshAt: 89 * time.Second, Changes: []fleet.Change{
 			{Removed: "i-1"},
 			{Upstream: &fleet.Upstream{
 				ID: "i-2", Service: "llm", Address: "10.1.0.4:80", Zone: "z0", Slots: 16, Draining: true,
--- a/loadshare/publisher.go
+++ b/loadshare/publisher.go
@@ -82,11 +82,31 @@
 	a.mutex.Lock()
 	relayed, targets := a.relayed(), a.allTargets()
 	a.mutex.Unlock()
+	if update != nil && update.Table == fleet.OperatorTable && (!relayed && !update.Holds || documentBytes(update) > maxSentDocumentBytes) {
+		// In a small fleet each node waits for the operator's table itself; a long document
+		// does not fit into a datagram.
+		update = nil
+	}
 	m := &message{Update: update, Relayed: relayed}
 	a.addClaims(m)
 	a.send(m, targets)
 }
 
+// maxSentDocumentBytes is the maximum compressed size of a document that is sent to the
+// other nodes: with it a datagram stays below maxDatagramBytes.
+const maxSentDocumentBytes = 48 << 10
+
+// documentBytes returns the compressed size of the documents of an update.
+func documentBytes(update *fleet.Update) int {
+	total := 0
+	for i := range update.Changes {
+		if document := update.Changes[i].Configuration; document != nil {
+			total += len(compress(document.Encoded))
+		}
+	}
+	return total
+}
+
 // StaleCallSpacing returns the mean time between calls to the store of a node whose view is
 // old although it hears other nodes: all nodes together then make about one call per
 // fleetCallSpacing.
--- a/standin/fleetstore/store.go
+++ b/standin/fleetstore/store.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -32,6 +34,8 @@
 	Stale bool
 	// LoseWrites applies this many transactions and closes the connection without an answer.
 	LoseWrites int
+	// NoEra leaves the header with the store's era out.
+	NoEra bool
 }
 
 // Store holds the rows. It is safe for concurrent use.
@@ -39,6 +43,8 @@
 	mutex   sync.Mutex
 	changed chan struct{}
 	version int64
+	// era is the number of times that the store came back from a copy, plus 1.
+	era     int64
 	rows    map[string]Row
 	history []Row
 	// compactedTo is the version up to which the history was dropped.
@@ -52,7 +58,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{changed: make(chan struct{}), rows: map[string]Row{}, started: time.Now(), calls: map[string]int{}}
+	return &Store{era: 1, changed: make(chan struct{}), rows: map[string]Row{}, started: time.Now(), calls: map[string]int{}}
 }
 
 // Set replaces the knobs.
@@ -109,6 +115,30 @@
 	s.notifyWatchers()
 }
 
+// Backup is a copy of the store at one moment.
+type Backup struct {
+	version int64
+	rows    map[string]Row
+	history []Row
+}
+
+// Backup returns a copy of the store.
+func (s *Store) Backup() Backup {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Backup{version: s.version, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
+}
+
+// Restore brings the store back from a copy: what was written since is lost, versions go back,
+// and a new era begins.
+func (s *Store) Restore(backup Backup) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version, s.rows, s.history = backup.version, maps.Clone(backup.rows), slices.Clone(backup.history)
+	s.era++
+	s.notifyWatchers()
+}
+
 // write applies one row at the current version. The caller holds the mutex.
 func (s *Store) write(row Row) {
 	row.Version = s.version
@@ -132,8 +162,11 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
 	s.calls[r.URL.Path]++
-	knobs := s.knobs
+	knobs, era := s.knobs, s.era
 	s.mutex.Unlock()
+	if !knobs.NoEra {
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+	}
 	if knobs.Unresponsive {
 		<-r.Context().Done()
 		return
@@ -202,7 +235,10 @@
 	for {
 		s.mutex.Lock()
 		body, changed := response{Version: s.version}, s.changed
-		isCompacted, knobs := since < s.compactedTo, s.knobs
+		isCompacted, knobs := since < s.compactedTo || since > s.version, s.knobs
+		if !knobs.NoEra {
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+		}
 		for _, row := range s.history {
 			if row.Table == query.Get("tableName") && row.Version > since {
 				body.Rows = append(body.Rows, row)
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -13,6 +13,7 @@
 	LogNodeStopped          = "node ends"
 	LogStoreUnreachable     = "store lost"
 	LogStoreReachable       = "store regained"
+	LogStoreEra             = "store came back from a copy"
 	LogViewChanged          = "beliefs changed"
 	LogRequestsWaiting      = "requests wait"
 	LogNoRequestWaiting     = "no request waits"
