--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -20,12 +20,12 @@
 	maxDirectNodes = 24
 	// relayInterval is how often a relay sends. Placement sees the load of another zone at
 	// most two intervals late.
-	relayInterval = 20 * time.Millisecond
+	relayInterval = 40 * time.Millisecond
 	// relayedFlushDelay is flushDelay where a relay collects the changes anyway.
 	relayedFlushDelay = 4 * time.Millisecond
 	// fullEvery is the number of bundles from one with all totals to the next: 2 s, so that
 	// a lost datagram is made good.
-	fullEvery = 100
+	fullEvery = 50
 	// relayTimeout is the time without a bundle after which a relay counts as gone.
 	relayTimeout = 500 * time.Millisecond
 	// takeoverStep is the additional time that each further node in the ranking waits before
