A lane for the longest prompts in fleets of 100 engines or more; passes by the pause target

Cause: on the large site a pass takes 70 ms, so that parts of 200 ms made each stream of 17 engines late (pause 266 ms at the third quartile, aim 250); prompts too long for that were read by two engines in parts of 2 s, which held up all that came to these engines in the pass before, other long prompts too, as nodes hear of each other some 50 ms late. The longest pass and part follow from the routes' pause targets now.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -33,6 +33,8 @@
 	// minBackoff is the delay after a failed request; it doubles up to maxBackoff.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+	// firstPollDelay is the time from the first read of a table to the first poll.
+	firstPollDelay = 250 * time.Millisecond
 	// callInterval is the mean time between requests for the table of upstreams after a
 	// burst of callBurst, so that many upstreams that start at once cause few requests.
 	// It is a small part of the time within which a node must learn that an upstream
@@ -146,7 +148,7 @@
 
 func (f *Follower) followTable(ctx context.Context, kind fleet.Table) {
 	backoff := minBackoff
-	synced, lost := false, false
+	started, synced, lost := false, false, false
 	calls := rate.NewLimiter(rate.Every(callInterval), callBurst)
 	for ctx.Err() == nil {
 		if kind == fleet.UpstreamTable && calls.Wait(ctx) != nil {
@@ -163,7 +165,11 @@
 			if lost {
 				f.logger.Info().Int("table", int(kind)).Msg(telemetry.LogStoreReachable)
 			}
-			synced, lost, backoff = true, false, minBackoff
+			if !started {
+				// Until the other nodes are known, each would take itself for a publisher.
+				sleep(ctx, firstPollDelay)
+			}
+			started, synced, lost, backoff = true, true, false, minBackoff
 			continue
 		}
 		if errors.Is(err, errPollAgain) {
--- a/loadshare/directory.go
+++ b/loadshare/directory.go
@@ -9,9 +9,9 @@
 const (
 	// directoryInterval is how often the directory is read. New nodes announce themselves.
 	directoryInterval = time.Minute
-	// secondSyncDelay is the delay of the second reading after the start: many nodes may
-	// start at the same time, and an announcement may be lost.
-	secondSyncDelay = 3 * time.Second
+	// announceAgainDelay is the delay of this node's second announcement after the start, as
+	// the first may be lost.
+	announceAgainDelay = 3 * time.Second
 	// directoryRetryDelay is the delay after a failed request to the directory; it doubles up
 	// to maxDirectoryRetryDelay.
 	directoryRetryDelay    = 500 * time.Millisecond
@@ -47,16 +47,16 @@
 
 // runDirectory registers this node and reads the directory at each directoryInterval.
 func (a *Agent) runDirectory(ctx context.Context) {
-	registered, synced, retry := false, false, directoryRetryDelay
+	registered, retry := false, directoryRetryDelay
+	again := time.AfterFunc(announceAgainDelay, a.announce)
+	defer again.Stop()
 	for ctx.Err() == nil {
 		pause := directoryInterval
-		err := a.syncDirectory(ctx, &registered)
-		switch {
-		case err != nil:
+		if err := a.syncDirectory(ctx, &registered); err != nil {
 			a.logger.Warn().Err(err).Msg("list of nodes not reached")
 			pause, retry = retry, min(2*retry, maxDirectoryRetryDelay)
-		case !synced:
-			pause, synced, retry = secondSyncDelay, true, directoryRetryDelay
+		} else {
+			retry = directoryRetryDelay
 		}
 		select {
 		case <-ctx.Done():
@@ -82,11 +82,16 @@
 	}
 	a.addNodes(nodes)
 	a.updateNodeCount()
+	a.announce()
+	return nil
+}
+
+// announce tells all known nodes of this one.
+func (a *Agent) announce() {
 	a.mutex.Lock()
 	targets := a.allTargets()
 	a.mutex.Unlock()
 	a.send(&message{Announced: &a.self, Relayed: a.isRelayed()}, targets)
-	return nil
 }
 
 // addNodes merges the directory's entries.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -68,24 +68,26 @@
 func (s *Scheduler) placeEngine(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
 	engine := service.Engine
 	promptMs := prefillMs(engine, request.PromptTokens)
+	laneStart := s.laneStart(now, service)
 	if promptMs <= maxUnsplitChunks*s.config.PrefillChunkMs {
-		lead := s.selectLead(now, service, s.scoreEngines(now, eligible), request)
+		lead := s.selectLead(now, service, s.scoreEngines(now, eligible, laneStart), request)
 		if lead == nil {
 			return Decision{}, false
 		}
 		return s.place(now, request, service, lead, nil, nil), true
 	}
-	return s.placeLong(now, request, service, eligible, promptMs)
+	if laneStart < noLane && promptMs > float64(s.config.MaxPrefillEngines)*s.config.PrefillChunkMs {
+		if lane := s.laneEngines(now, service, eligible, laneStart); len(lane) > 1 {
+			return s.placeInLane(now, request, service, lane, promptMs)
+		}
+	}
+	return s.placeLong(now, request, service, eligible, promptMs, laneStart)
 }
 
 const (
 	// maxUnsplitChunks is the prompt length, in chunks of Config.PrefillChunkMs, up to which
 	// one engine prefills the whole prompt.
 	maxUnsplitChunks = 1.5
-	// longChunkMs is the longest prefill chunk that, together with a pass, stays within
-	// a stream's pause target. Prompts whose chunks would be longer even on the most
-	// engines are split over fewer.
-	longChunkMs = 200
 	// prefillTimeShare is the share of the time left until Request.AnswerDue that the prefill
 	// of a long prompt may take.
 	prefillTimeShare = 0.8
@@ -94,17 +96,18 @@
 // placeLong chooses the engines that prefill a long prompt: enough that each chunk
 // fits between the events of other streams. Where the chunks would still be long,
 // it takes the fewest engines that finish on time, so that fewer streams pause.
-func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, promptMs float64) (Decision, bool) {
+func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, promptMs, laneStart float64) (Decision, bool) {
 	engine := service.Engine
-	engines := s.prefillCandidates(now, engine, eligible)
+	engines := s.prefillCandidates(now, engine, eligible, laneStart)
 	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
 	limit := min(s.config.MaxPrefillEngines, len(engines))
 	count := min(limit, chunkCount(engine, request.PromptTokens, s.config.PrefillChunkMs, limit))
 	count = s.fastestCount(now, engines, count, promptMs)
 	switch {
-	case s.canWaitForNextPass(now, request, engines[:count], promptMs):
+	case s.canWaitForNextPass(now, request, engines[:count], promptMs, s.maxPassMs(service)):
 		return Decision{}, false
-	case promptMs/float64(limit) > longChunkMs:
+	case promptMs/float64(limit) > s.maxChunkMs(now, service, engines):
+		// Prompts whose chunks would be too long even on the most engines are split over fewer.
 		s.sortByFewestStreams(now, engines)
 		for count = 2; count < limit && s.prefillTimeMs(now, engines, count, promptMs) > budgetMs; {
 			count++
@@ -114,6 +117,13 @@
 	if need > engine.MemoryTokens {
 		return s.placeDistributed(now, request, service, engines, count)
 	}
+	return s.placeOn(now, request, service, engines, count)
+}
+
+// placeOn places a prompt on the first count engines, with the first one that has room as the
+// lead.
+func (s *Scheduler) placeOn(now time.Duration, request *Request, service *fleet.Service, engines []*load, count int) (Decision, bool) {
+	engine, need := service.Engine, request.PromptTokens+request.AnswerTokens
 	for i, l := range engines {
 		if l.occupied(now) < engine.Slots && l.totalMemoryTokens()+need <= engine.MemoryTokens && s.coldRateAllows(now, l, service) {
 			helpers := slices.Clone(engines[:min(count, len(engines))])
@@ -131,7 +141,7 @@
 // prefillCandidates returns the engines that may prefill a chunk: first those that
 // finish it earliest and delay the fewest streams. If none may, it returns all
 // eligible engines.
-func (s *Scheduler) prefillCandidates(now time.Duration, engine *fleet.Engine, eligible []*load) []*load {
+func (s *Scheduler) prefillCandidates(now time.Duration, engine *fleet.Engine, eligible []*load, laneStart float64) []*load {
 	var engines []*load
 	for _, l := range eligible {
 		if s.canPrefill(now, engine, l) {
@@ -142,7 +152,7 @@
 		engines = slices.Clone(eligible)
 	}
 	slices.SortFunc(engines, func(a, b *load) int {
-		return compare(s.prefillScore(now, a), s.prefillScore(now, b))
+		return compare(s.prefillScore(now, a)+laneCost(a, laneStart), s.prefillScore(now, b)+laneCost(b, laneStart))
 	})
 	return engines
 }
@@ -187,15 +197,15 @@
 // canWaitForNextPass reports whether a long prompt would make the next pass of one of
 // the engines too long for the engine's streams, and would still be on time in the
 // pass after that.
-func (s *Scheduler) canWaitForNextPass(now time.Duration, request *Request, engines []*load, promptMs float64) bool {
+func (s *Scheduler) canWaitForNextPass(now time.Duration, request *Request, engines []*load, promptMs, maxPassMs float64) bool {
 	chunkMs := promptMs / float64(len(engines))
 	crowded, latest := false, 0.0
 	for _, l := range engines {
 		after := l.msUntilPrefilled(now, chunkMs)
-		crowded = crowded || l.passes.pendingMs > negligibleBacklogMs && l.nextPass(now).duration(l.passes.pendingMs+chunkMs) > milliseconds(s.config.MaxPassMs)
+		crowded = crowded || l.passes.pendingMs > negligibleBacklogMs && l.nextPass(now).duration(l.passes.pendingMs+chunkMs) > milliseconds(maxPassMs)
 		latest = max(latest, after)
 	}
-	return crowded && now+milliseconds(latest+s.config.MaxPassMs)+firstEventSlack < request.AnswerDue
+	return crowded && now+milliseconds(latest+maxPassMs)+firstEventSlack < request.AnswerDue
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -222,10 +232,10 @@
 
 // scoreEngines scores engines for a short prompt, lowest first: the time in ms until
 // an engine has worked off its prefill backlog, plus the cost of failures.
-func (s *Scheduler) scoreEngines(now time.Duration, eligible []*load) []scoredLoad {
+func (s *Scheduler) scoreEngines(now time.Duration, eligible []*load, laneStart float64) []scoredLoad {
 	list := make([]scoredLoad, 0, len(eligible))
 	for _, l := range eligible {
-		score := l.msUntilPrefilled(now, 0) + l.currentFailureShare(now)*failureCostMs + s.config.Random.Float64()*jitterMs
+		score := l.msUntilPrefilled(now, 0) + l.currentFailureShare(now)*failureCostMs + s.config.Random.Float64()*jitterMs + laneCost(l, laneStart)
 		list = append(list, scoredLoad{load: l, score: score})
 	}
 	slices.SortFunc(list, func(a, b scoredLoad) int { return compare(a.score, b.score) })
--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -83,8 +83,8 @@
 	// targetHolderTokens is the part of a prompt that one engine holds where enough
 	// engines have room: a long context slows all decoding streams of its engine.
 	targetHolderTokens = 80_000
-	// maxHolders is the most engines that hold one prompt.
-	maxHolders = 8
+	// minHolders and maxHolders are the fewest and the most engines that hold one prompt.
+	minHolders, maxHolders = 2, 8
 )
 
 // selectHolders returns the engines that are to hold a prompt together, the lead first,
--- /dev/null
+++ b/placement/lane.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+// In a large fleet the longest prompts are prefilled on engines of their own, the lane: a part of
+// such a prompt holds up everything that its engine has to prefill in the same pass, and nodes
+// hear of each other's placements too late to avoid it. The lane is the end of an order of the
+// engines that all nodes share, so that they need not agree on it; its size follows the share of
+// the engines' time that goes to prefill.
+const (
+	// minLaneEngines is the number of engines from which there is a lane: in smaller fleets a
+	// part of the engines is too few for one long prompt.
+	minLaneEngines = 100
+	// laneSizeFactor is the size of the lane for each unit of load above baseLoad, which short
+	// prompts cause; the lane is then busy for a half to two thirds of the time.
+	laneSizeFactor, baseLoad = 2, 0.08
+	// minLane and maxLane bound the lane's share of the engines.
+	minLane, maxLane = 0.2, 0.6
+	// laneChunkMs is the longest part of a prompt in the lane, below the pause target of the
+	// streams there.
+	laneChunkMs = 250
+	// laneCostMs is the cost of an engine of the lane for other prompts.
+	laneCostMs = 400
+	// laneStreamCostMs is the cost of each stream on an engine of the lane, and
+	// outsideStreamCostMs that of one on another engine, for a prompt of the lane.
+	laneStreamCostMs, outsideStreamCostMs = 20, 100
+)
+
+// position is the engine's place in the common order, from 0 to 1.
+func (l *load) position() float64 { return float64(l.hash) / math.MaxUint32 }
+
+// noLane is a position behind all engines.
+const noLane = 2
+
+// laneStart returns the position from which the engines of a service belong to the lane, or
+// noLane.
+func (s *Scheduler) laneStart(now time.Duration, service *fleet.Service) float64 {
+	engines, share := 0, 0.0
+	for _, l := range s.loads {
+		if l.entry.Service == service.Name {
+			engines++
+			share += l.prefillShare(now)
+		}
+	}
+	if engines < minLaneEngines {
+		return noLane
+	}
+	return 1 - max(minLane, min(maxLane, laneSizeFactor*(share/float64(engines)-baseLoad)))
+}
+
+// placeInLane places a prompt on the fewest engines that prefill it in time, and if there are
+// none, on those that prefill it first. Engines outside of the lane are used when it is busy.
+func (s *Scheduler) placeInLane(now time.Duration, request *Request, service *fleet.Service, engines []*load, promptMs float64) (Decision, bool) {
+	engine := service.Engine
+	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
+	limit := min(s.config.MaxPrefillEngines, len(engines))
+	distributed := request.PromptTokens+request.AnswerTokens > engine.MemoryTokens
+	count := min(limit, max(1, int(math.Ceil(promptMs/laneChunkMs))))
+	if distributed {
+		count = min(limit, minHolders)
+	}
+	for count < limit && s.prefillTimeMs(now, engines, count, promptMs) > budgetMs {
+		count++
+	}
+	if s.prefillTimeMs(now, engines, count, promptMs) > budgetMs {
+		count = s.fastestCount(now, engines, limit, promptMs)
+	}
+	if distributed {
+		return s.placeDistributed(now, request, service, engines, count)
+	}
+	return s.placeOn(now, request, service, engines, count)
+}
+
+// laneEngines returns the engines that may prefill a part of a prompt of the lane, the best first.
+func (s *Scheduler) laneEngines(now time.Duration, service *fleet.Service, eligible []*load, start float64) []*load {
+	scored := make([]scoredLoad, 0, len(eligible))
+	for _, l := range eligible {
+		if !s.canPrefill(now, service.Engine, l) {
+			continue
+		}
+		streamCostMs := float64(laneStreamCostMs)
+		if l.position() < start {
+			streamCostMs = outsideStreamCostMs
+		}
+		score := l.msUntilPrefilled(now, 0) + l.currentFailureShare(now)*failureCostMs + float64(1+l.totalRunning())*streamCostMs
+		scored = append(scored, scoredLoad{load: l, score: score})
+	}
+	slices.SortFunc(scored, func(a, b scoredLoad) int { return compare(a.score, b.score) })
+	engines := make([]*load, len(scored))
+	for i := range scored {
+		engines[i] = scored[i].load
+	}
+	return engines
+}
+
+// laneCost is the cost of an engine of the lane for a prompt that does not belong there.
+func laneCost(l *load, start float64) float64 {
+	if l.position() >= start {
+		return laneCostMs
+	}
+	return 0
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -28,7 +28,8 @@
 	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
 	// before long ones, so that their prefill does not wait behind them.
 	Urgency int
-	// MaxPassMs is the longest pass that long prompts may cause: the gap between two events
+	// MaxPassMs is the longest pass that long prompts may cause where no route has a pause
+	// target: the gap between two events
 	// that streams on the same engine tolerate.
 	MaxPassMs float64
 	// ColdRateFactor is the factor on the rate that cold upstreams take; all nodes together use
@@ -129,6 +130,8 @@
 	queue         []*Request
 	nodeCount     int
 	changed       map[*load]struct{}
+	// pauseTargets are in ms, by service.
+	pauseTargets map[string]float64
 	// holds are by the upstream's ID.
 	holds map[string]*hold
 }
@@ -149,6 +152,9 @@
 
 // UpdateView takes a new view. The load of an upstream that was restarted begins at zero.
 func (s *Scheduler) UpdateView(view fleet.View) {
+	if view.Configuration != s.configuration {
+		s.pauseTargets = pauseTargets(view.Configuration)
+	}
 	s.configuration, s.view = view.Configuration, view
 	for id, known := range s.loads {
 		entry, ok := view.Upstreams[id]
