--- a/edge/node.go
+++ b/edge/node.go
@@ -84,6 +84,9 @@
 	// maxPassMs is the longest pass that prefill of long prompts may cause: the tightest
 	// gap target of the users' sites, 250 ms, less the prefill of a short prompt.
 	maxPassMs = 220
+	// firstPollDelay is the time in which a node that starts reads the list of nodes; until
+	// then each would take itself for a publisher.
+	firstPollDelay = 250 * time.Millisecond
 	// warmupRateShare is the used fraction of the allowed request rate of cold upstreams.
 	warmupRateShare = 0.85
 )
@@ -135,6 +138,7 @@
 	n.agent.View = n.follower
 	n.follower.IsPublisher = n.agent.IsPublisher
 	n.follower.OnStoreResponse = n.agent.PublishView
+	n.follower.FirstPollDelay = firstPollDelay
 	n.follower.OnEra = n.agent.Register
 	n.follower.StaleCallSpacing = n.agent.StaleCallSpacing
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -33,8 +33,6 @@
 	// minBackoff is the delay after a failed request; it doubles up to maxBackoff.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
-	// firstPollDelay is the time from the first read of a table to the first poll.
-	firstPollDelay = 250 * time.Millisecond
 	// callInterval is the mean time between requests for the table of upstreams after a
 	// burst of callBurst, so that many upstreams that start at once cause few requests.
 	// It is a small part of the time within which a node must learn that an upstream
@@ -92,6 +90,9 @@
 	// they get; 0 is no spacing. It is set before Run.
 	StaleCallSpacing func() time.Duration
 
+	// FirstPollDelay is the time from the first read of a table to the first poll, in which the
+	// node learns of the others and of whether it is a publisher. It is set before Run.
+	FirstPollDelay time.Duration
 	// OnEra is called when the store came back from a copy, under no lock, so that this
 	// system's own rows are written again. It is set before Run.
 	OnEra func()
@@ -166,8 +167,7 @@
 				f.logger.Info().Int("table", int(kind)).Msg(telemetry.LogStoreReachable)
 			}
 			if !started {
-				// Until the other nodes are known, each would take itself for a publisher.
-				sleep(ctx, firstPollDelay)
+				sleep(ctx, f.FirstPollDelay)
 			}
 			started, synced, lost, backoff = true, true, false, minBackoff
 			continue
