Drills, leaving and pauses through whole nodes; late answers on control connections

Cause: the stand-ins did not play the new promises, and a report that came late on a reused connection was taken for the answer to an order: memory counted as reserved.

--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -26,6 +26,10 @@
 	BreakAfter int
 	// Extra sends an unrequested second answer after each answer that is not a stream.
 	Extra bool
+	// Leaving marks every answer as that of a process that leaves.
+	Leaving bool
+	// RetryAfter, with Full, is the value of the header by which the engine asks for a pause.
+	RetryAfter string
 	// Unsigned omits the signature header.
 	Unsigned bool
 }
@@ -108,6 +112,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mutex.Lock()
+	if e.knobs.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	e.mutex.Unlock()
 	switch r.URL.Path {
 	case "/v1/report":
 		e.report(w)
@@ -123,7 +132,7 @@
 	active := e.active
 	e.mutex.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"pace": 1, "queued": 0, "active": active, "kvUsedTokens": e.ReservedTokens()})
+	_ = json.NewEncoder(w).Encode(map[string]any{"pace": 1, "queued": 0, "active": active, "kvUsedTokens": e.ReservedTokens(), "phase": "unified"})
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -145,6 +154,8 @@
 			return
 		}
 		e.reservations[order.ID] = order.Tokens
+		// Fails only if the caller has disconnected.
+		_ = json.NewEncoder(w).Encode(map[string]int{"freeCapacity": e.MemoryTokens - reserved - order.Tokens})
 	case "release":
 		delete(e.reservations, order.ID)
 	default:
@@ -163,6 +174,9 @@
 	if knobs.Full {
 		e.mutex.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
+		if knobs.RetryAfter != "" {
+			w.Header().Set("Retry-After", knobs.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/standin/fleetstore/store.go
+++ b/standin/fleetstore/store.go
@@ -86,6 +86,19 @@
 	return calls
 }
 
+// Rows returns the number of rows of a table.
+func (s *Store) Rows(table string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	rows := 0
+	for _, row := range s.rows {
+		if row.Table == table {
+			rows++
+		}
+	}
+	return rows
+}
+
 // Put writes a row, as the operator or an upstream does, and returns the new version.
 func (s *Store) Put(table, key string, value any) int64 {
 	data, err := json.Marshal(value)
