--- /dev/null
+++ b/loadshare/send.go
@@ -0,0 +1,100 @@
+package loadshare
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/placement"
+)
+
+// ScheduleFlush sends the changed shares to the peers after a short delay. It never blocks.
+func (a *Agent) ScheduleFlush() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.flushPending {
+		return
+	}
+	a.flushPending = true
+	delay := flushDelay
+	if a.relayed() {
+		delay = relayedFlushDelay
+	}
+	time.AfterFunc(delay, a.flush)
+}
+
+func (a *Agent) flush() {
+	a.mutex.Lock()
+	a.flushPending = false
+	acting := a.relay.acting
+	a.mutex.Unlock()
+	if acting {
+		// The next bundle takes the changes along.
+		return
+	}
+	var shares []placement.LoadUpdate
+	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, false) })
+	if len(shares) > 0 {
+		a.sendShares(shares, false)
+	}
+}
+
+// sendShares sends this node's totals to those that need them: all peers, or this zone's relay
+// and its deputy.
+func (a *Agent) sendShares(shares []placement.LoadUpdate, full bool) {
+	a.mutex.Lock()
+	relayed := a.relayed()
+	targets := a.allTargets()
+	if relayed {
+		targets = a.relayTargets(time.Now())
+	}
+	a.mutex.Unlock()
+	m := &message{Full: full, Shares: shares, Relayed: relayed}
+	if !relayed {
+		a.addClaims(m)
+	}
+	a.send(m, targets)
+}
+
+// addClaims adds this node's claims.
+func (a *Agent) addClaims(m *message) {
+	m.HasClaims, m.Claims = true, a.View.Claims()
+}
+
+// send completes the message's head and sends it as one datagram to each target.
+func (a *Agent) send(m *message, targets []netip.AddrPort) {
+	a.mutex.Lock()
+	a.sequence++
+	m.Node, m.Incarnation, m.Sequence = a.self.Name, a.incarnation, a.sequence
+	m.SentAt, m.ShuttingDown = a.clock(), a.shuttingDown
+	a.mutex.Unlock()
+	data := m.encode()
+	for _, address := range targets {
+		if _, err := a.conn.WriteToUDPAddrPort(data, address); err != nil {
+			a.metrics.Count("wigeontiller_datagrams_unsent_total", 1)
+		}
+	}
+	a.metrics.Count("wigeontiller_datagrams_sent_total", int64(len(targets)))
+	a.metrics.Count("wigeontiller_datagram_bytes_sent_total", int64(len(targets)*len(data)))
+}
+
+// allTargets returns the addresses of all known nodes; the mutex is held.
+func (a *Agent) allTargets() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(a.peers))
+	for _, p := range a.peers {
+		addresses = append(addresses, p.node.Address)
+	}
+	return addresses
+}
+
+// heartbeat sends all of this node's totals and checks the peers.
+func (a *Agent) heartbeat() {
+	a.mutex.Lock()
+	acting := a.relay.acting
+	a.mutex.Unlock()
+	if !acting {
+		var shares []placement.LoadUpdate
+		a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, true) })
+		a.sendShares(shares, true)
+	}
+	a.checkPeers()
+}
