--- a/edge/node.go
+++ b/edge/node.go
@@ -81,8 +81,9 @@
 	minPrefillChunkMs = 50
 	// maxPrefillEngines bounds the engines that prefill one prompt: the lead and 16 helpers.
 	maxPrefillEngines = 17
-	// maxPassMs is the longest pass that prefill of long prompts may cause: the tightest
-	// gap target of the users' sites, 250 ms, less the prefill of a short prompt.
+	// maxPassMs is the longest pass that prefill of long prompts may cause where routes have no
+	// pause target: the tightest one of the users' first sites, 250 ms, less the prefill of a
+	// short prompt.
 	maxPassMs = 220
 	// firstPollDelay is the time in which a node that starts reads the list of nodes; until
 	// then each would take itself for a publisher.
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -172,7 +172,7 @@
 		if !p.receivedAt.IsZero() && now.Sub(p.receivedAt) > unresponsiveAfter && !p.unresponsive {
 			p.unresponsive = true
 			a.relay.totals.remove(nodeHash(name))
-			if !p.relayed || a.relay.acting {
+			if !p.relayed || a.relay.acting && p.node.Zone == a.self.Zone {
 				unresponsive = append(unresponsive, name)
 			}
 		}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -31,8 +31,7 @@
 	// before long ones, so that their prefill does not wait behind them.
 	Urgency int
 	// MaxPassMs is the longest pass that long prompts may cause where no route has a pause
-	// target: the gap between two events
-	// that streams on the same engine tolerate.
+	// target: the gap between two events that streams on the same engine tolerate.
 	MaxPassMs float64
 	// ColdRateFactor is the factor on the rate that cold upstreams take; all nodes together use
 	// the product.
