--- a/edge/promises_test.go
+++ b/edge/upstream_state_test.go
@@ -11,9 +11,9 @@
 	"github.com/wigeontiller/wigeontiller/standin/fleetstore"
 )
 
-// TestDrillTakesNothingBack lets the store come back from a copy that lacks a document that took
+// TestRestoredStoreRevertsNothing restores the store from a backup that lacks a document that took
 // a key away, an order to empty a zone, and an upstream's word that it drains.
-func TestDrillTakesNothingBack(t *testing.T) {
+func TestRestoredStoreRevertsNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 2)
 	is.Equal(f.call(0, "look", "key-b", nil).status, http.StatusOK)
@@ -45,7 +45,7 @@
 	f.eventually("the nodes' list was not written again", func() bool { return f.store.Rows("wigeontiller-nodes") == 2 })
 }
 
-func TestNodeStartedFromTheCopyLearnsWhatOthersKnow(t *testing.T) {
+func TestNodeStartedAfterRestoreLearnsNewerState(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1)
 	backup := f.store.Backup()
@@ -54,7 +54,7 @@
 	f.store.Restore(backup)
 	time.Sleep(time.Second)
 	f.startNode("edge-late")
-	f.eventually("the late node went back to the copy", func() bool { return f.call(1, "look", "key-b", nil).status == http.StatusUnauthorized })
+	f.eventually("the late node kept the backup's state", func() bool { return f.call(1, "look", "key-b", nil).status == http.StatusUnauthorized })
 	is.Equal(f.call(1, "look", "key-a", nil).status, http.StatusOK)
 }
 
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return r.onSendError(ctx, decision, err)
 	}
-	r.recordWishes(decision, reply)
+	r.recordUpstreamState(decision, reply)
 	switch reply.Verdict() {
 	case NotExecuted:
 		return r.onNotExecuted(ctx, decision, reply, placement.Refused)
@@ -206,9 +206,9 @@
 	return r.deliverResponse(ctx, decision, reply)
 }
 
-// recordWishes records, before the response is used, that an upstream leaves or wants nothing
+// recordUpstreamState records, before the response is used, that an upstream is leaving or wants no requests
 // from this node for a time.
-func (r *requestHandler) recordWishes(decision *placement.Decision, reply Reply) {
+func (r *requestHandler) recordUpstreamState(decision *placement.Decision, reply Reply) {
 	leaving, pause := reply.Leaving(), time.Duration(0)
 	if reply.Status() == http.StatusServiceUnavailable {
 		pause = reply.Pause()
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// An era of the store ends when it comes back from a copy that lacks its last seconds. What the
-// operator and the upstreams wrote in them is written again a little later; until then this node
-// knows better than the store that a zone is out of service, and that an upstream drains or is
-// gone. (A document is never replaced by one with a lower version, in any era.)
+// The store begins a new era when it is restored from a backup that lacks its last seconds. What the
+// operator and the upstreams wrote in them is written again a little later. Until then this node's
+// state is newer than the store's: zones out of service, and upstreams that drain or are gone, are
+// held. (A document is never replaced by one with a lower version, in any era.)
 const (
-	// eraHold is how long a zone that the copy has in service stays out of service: much
-	// longer than the operator takes to write again. After that the store is right.
+	// eraHold is how long a zone that the backup has in service stays out of service: much
+	// longer than the operator takes to write again. After that the store's state applies.
 	eraHold = 30 * time.Second
-	// goneHold is how long an upstream that had gone, and is in the copy again, gets nothing:
+	// goneHold is how long an upstream that had gone, and is in the backup again, gets nothing:
 	// three heartbeats, after which the store itself drops an entry without them.
 	goneHold = 6 * time.Second
 	// departureTTL is how long departures are remembered.
@@ -27,7 +27,7 @@
 	at        time.Duration
 }
 
-// eraHolds is what a node knows better than the copy with which the store's era began.
+// eraHolds is the state of a node that is newer than the backup with which the store's era began.
 type eraHolds struct {
 	// zones are out of service, by the end of the hold.
 	zones map[string]time.Duration
@@ -53,12 +53,12 @@
 		}
 		return
 	}
-	// Entries that the copy lacks are written again, as after an outage.
+	// Entries that the backup lacks are written again, as after an outage.
 	r.graceEndsAt = now + returnGrace
 	before := r.held.departed
 	r.held.departed, r.held.upstreamsAt = map[string]departure{}, now
 	for id, entry := range r.view.Upstreams {
-		// The copy may have an earlier incarnation.
+		// The backup may have an earlier incarnation.
 		r.held.departed[id] = departure{startedMs: entry.StartedMs - 1}
 	}
 	for id, gone := range before {
@@ -97,14 +97,14 @@
 	}
 }
 
-// holdZones puts the zones out of service that the store's copy may have wrongly in service.
+// holdZones puts the zones out of service that the backup may have wrongly in service.
 func (r *Replica) holdZones() {
 	for zone := range r.held.zones {
 		r.view.ZonesOutOfService[zone] = true
 	}
 }
 
-// expireHolds ends what this node held back for long enough, if it has heard the store since.
+// expireHolds ends the holds that have lasted long enough, if the store has answered since.
 // It reports whether that changed the view; the maps of the view are then copies.
 func (r *Replica) expireHolds(now time.Duration) bool {
 	changed := false
@@ -136,8 +136,8 @@
 	return true
 }
 
-// Holds returns, as an update for nodes that start from the copy, what this node knows better than
-// the store in the first eraHold of an era; nil is nothing.
+// Holds returns, as an update for nodes that have read the backup only, this node's newer state in
+// the first eraHold of an era; nil is nothing.
 func (r *Replica) Holds(table Table, now time.Duration) *Update {
 	if r.eraBeganAt[table] == 0 || now-r.eraBeganAt[table] > eraHold {
 		return nil
@@ -174,7 +174,7 @@
 				r.view.Configuration, changed = change.Configuration, true
 			}
 		case change.Zone != "":
-			// A zone that the store has said to be back is not held again.
+			// A zone of which the store has spoken in this era is not held again.
 			if _, held := r.held.zones[change.Zone]; !held && !r.zonesSaid[change.Zone] {
 				r.held.zones[change.Zone] = now + eraHold
 				r.view.ZonesOutOfService = maps.Clone(r.view.ZonesOutOfService)
--- a/fleet/era_random_test.go
+++ b/fleet/era_random_test.go
@@ -11,7 +11,7 @@
 // seeds can be raised for a long run: go test ./fleet -run Random -seeds 500.
 var seeds = flag.Uint64("seeds", 40, "number of random runs")
 
-// modelStore is the platform's store, with copies from which it may come back.
+// modelStore is the platform's store, with backups from which it is restored.
 type modelStore struct {
 	era, version int64
 	rows         [tableCount]map[string]modelRow
@@ -64,16 +64,16 @@
 	now    time.Duration
 	store  *modelStore
 	copies []*modelStore
-	// copiedAt is the time of the last copy.
+	// copiedAt is the time of the last backup.
 	copiedAt time.Duration
 	nodes    []*modelNode
 	// truth is what the operator and the upstreams have said last; they write it again.
 	document  int64
 	zoneOut   bool
 	upstreams map[string]*Upstream
-	// drilledAt is when the store last came back; rewritten is false until all is written again.
-	drilledAt time.Duration
-	rewritten bool
+	// restoredAt is when the store was last restored; rewritten is false until all is written again.
+	restoredAt time.Duration
+	rewritten  bool
 }
 
 func newEraRun(t *testing.T, seed uint64) *eraRun {
@@ -172,7 +172,7 @@
 	case 5:
 		r.copies, r.copiedAt = append(r.copies, r.store.copyOf()), r.now
 	case 6:
-		r.drill()
+		r.restore()
 	case 7:
 		n := r.nodes[r.random.IntN(len(r.nodes))]
 		n.cut = !n.cut
@@ -183,8 +183,8 @@
 	}
 }
 
-// drill brings the store back from a copy that is some seconds old.
-func (r *eraRun) drill() {
+// restore restores the store from a backup that is some seconds old.
+func (r *eraRun) restore() {
 	const maxCopyAge = 10 * time.Second
 	if len(r.copies) == 0 || !r.rewritten || r.now-r.copiedAt > maxCopyAge {
 		return
@@ -193,12 +193,12 @@
 	r.store = r.copies[len(r.copies)-1].copyOf()
 	r.store.era = era + 1
 	r.copies = nil
-	r.drilledAt, r.rewritten = r.now, false
+	r.restoredAt, r.rewritten = r.now, false
 }
 
-// rewrite writes the truth again some time after a drill, as the operator and the upstreams do.
+// rewrite writes the present state again some time after a restore, as the operator and the upstreams do.
 func (r *eraRun) rewrite() {
-	if r.rewritten || r.now-r.drilledAt < 2*time.Second {
+	if r.rewritten || r.now-r.restoredAt < 2*time.Second {
 		return
 	}
 	r.rewritten = true
@@ -221,7 +221,7 @@
 	r.checkHolds(from, to)
 }
 
-// checkHolds checks that a node that starts from the copy is not behind one that told it more.
+// checkHolds checks that a node that has read the backup only is not behind one that told it more.
 func (r *eraRun) checkHolds(from, to *modelNode) {
 	if !to.replica.Synced() || from.replica.eraBeganAt[OperatorTable] == 0 || r.now-from.replica.eraBeganAt[OperatorTable] > eraHold ||
 		from.replica.Era(OperatorTable) != to.replica.Era(OperatorTable) {
@@ -292,9 +292,9 @@
 	}
 }
 
-// TestRandomDrillsTakeNothingBack plays several nodes, a store that comes back from copies,
+// TestRandomRestoresRevertNothing plays several nodes, a store that is restored from backups,
 // cuts, restarts, and an operator and upstreams that write again.
-func TestRandomDrillsTakeNothingBack(t *testing.T) {
+func TestRandomRestoresRevertNothing(t *testing.T) {
 	for seed := range *seeds {
 		r := newEraRun(t, seed)
 		for range 300 {
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -41,7 +41,7 @@
 	is.True(r.View().Upstreams["c"] != nil)
 }
 
-func TestNothingGoesBackWithTheStore(t *testing.T) {
+func TestRestoredStoreDoesNotRevertNewerState(t *testing.T) {
 	is := is.New(t)
 	r := NewReplica()
 	readEra(r, 1, 100, 0, []Change{document(5), {Zone: "z"}}, []Change{upstreamState("drains", 7, true), upstreamState("gone", 7, false)})
@@ -67,7 +67,7 @@
 	is.True(!r.View().Upstreams["gone"].Draining)
 }
 
-func TestZoneThatTheCopyHasInServiceReturnsAfterTheHold(t *testing.T) {
+func TestZoneReturnsToServiceAfterTheHold(t *testing.T) {
 	is := is.New(t)
 	r := NewReplica()
 	readEra(r, 1, 100, 0, []Change{document(5), {Zone: "z"}}, nil)
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -66,7 +66,7 @@
 	era [tableCount]int64
 	// eraBeganAt is when this process saw a later era begin; 0 is never.
 	eraBeganAt [tableCount]time.Duration
-	// zonesSaid are the zones of which the store has spoken in this era.
+	// zonesSaid are the zones that the store has mentioned in this era.
 	zonesSaid map[string]bool
 	// departures are the upstreams that drained or were removed, by ID.
 	departures map[string]departure
--- a/fleet/update.go
+++ b/fleet/update.go
@@ -48,8 +48,8 @@
 	Table Table
 	// Era is the store's era in which the versions were given out.
 	Era int64
-	// Holds is true if Changes are what the sender knows better than the store after a new era
-	// began; its versions are then not set.
+	// Holds is true if Changes are the sender's state that is newer than the store's after a new
+	// era began; its versions are then not set.
 	Holds bool
 	// PreviousChange is the version of the last change before Changes, LastChange that of the last of
 	// Changes, and Revision the store's version, up to which there was no other change.
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -20,8 +20,8 @@
 	// removeAt is when an entry that went missing in an outage of the store is removed; 0 is
 	// not missing.
 	removeAt time.Duration
-	// heldUntil is when an entry counts as ready again that a copy of the store brought back; 0
-	// is not held.
+	// heldUntil is when an entry counts as ready again that a restored store brought back; 0 is
+	// not held.
 	heldUntil time.Duration
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -44,7 +44,7 @@
 )
 
 // errEraChanged is returned for changes of a later era of the store than the known one.
-var errEraChanged = eris.New("store came back from a copy")
+var errEraChanged = eris.New("store was restored from a backup")
 
 // Batch is the response to one request.
 type Batch struct {
@@ -93,7 +93,7 @@
 	// FirstPollDelay is the time from the first read of a table to the first poll, in which the
 	// node learns of the others and of whether it is a publisher. It is set before Run.
 	FirstPollDelay time.Duration
-	// OnEra is called when the store came back from a copy, under no lock, so that this
+	// OnEra is called when the store was restored from a backup, under no lock, so that this
 	// system's own rows are written again. It is set before Run.
 	OnEra func()
 
--- a/follow/peers.go
+++ b/follow/peers.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// holds returns what this node knows better than the store, after the store came back from a
-// copy; nil is nothing.
+// holds returns this node's state that is newer than the store's, after the store was restored
+// from a backup; nil is nothing.
 func (f *Follower) holds(kind fleet.Table) *fleet.Update {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -68,20 +68,20 @@
 func (s *Scheduler) placeEngine(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
 	engine := service.Engine
 	promptMs := prefillMs(engine, request.PromptTokens)
-	laneStart := s.laneStart(now, service)
+	longPoolStart := s.longPoolStart(now, service)
 	if promptMs <= maxUnsplitChunks*s.config.PrefillChunkMs {
-		lead := s.selectLead(now, service, s.scoreEngines(now, eligible, laneStart), request)
+		lead := s.selectLead(now, service, s.scoreEngines(now, eligible, longPoolStart), request)
 		if lead == nil {
 			return Decision{}, false
 		}
 		return s.place(now, request, service, lead, nil, nil), true
 	}
-	if laneStart < noLane && promptMs > float64(s.config.MaxPrefillEngines)*s.config.PrefillChunkMs {
-		if lane := s.laneEngines(now, service, eligible, laneStart); len(lane) > 1 {
-			return s.placeInLane(now, request, service, lane, promptMs)
+	if longPoolStart < noLongPool && promptMs > float64(s.config.MaxPrefillEngines)*s.config.PrefillChunkMs {
+		if pool := s.longPoolEngines(now, service, eligible, longPoolStart); len(pool) > 1 {
+			return s.placeInLongPool(now, request, service, pool, promptMs)
 		}
 	}
-	return s.placeLong(now, request, service, eligible, promptMs, laneStart)
+	return s.placeLong(now, request, service, eligible, promptMs, longPoolStart)
 }
 
 const (
@@ -96,9 +96,9 @@
 // placeLong chooses the engines that prefill a long prompt: enough that each chunk
 // fits between the events of other streams. Where the chunks would still be long,
 // it takes the fewest engines that finish on time, so that fewer streams pause.
-func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, promptMs, laneStart float64) (Decision, bool) {
+func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, promptMs, longPoolStart float64) (Decision, bool) {
 	engine := service.Engine
-	engines := s.prefillCandidates(now, engine, eligible, laneStart)
+	engines := s.prefillCandidates(now, engine, eligible, longPoolStart)
 	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
 	limit := min(s.config.MaxPrefillEngines, len(engines))
 	count := min(limit, chunkCount(engine, request.PromptTokens, s.config.PrefillChunkMs, limit))
@@ -141,7 +141,7 @@
 // prefillCandidates returns the engines that may prefill a chunk: first those that
 // finish it earliest and delay the fewest streams. If none may, it returns all
 // eligible engines.
-func (s *Scheduler) prefillCandidates(now time.Duration, engine *fleet.Engine, eligible []*load, laneStart float64) []*load {
+func (s *Scheduler) prefillCandidates(now time.Duration, engine *fleet.Engine, eligible []*load, longPoolStart float64) []*load {
 	var engines []*load
 	for _, l := range eligible {
 		if s.canPrefill(now, engine, l) {
@@ -152,7 +152,7 @@
 		engines = slices.Clone(eligible)
 	}
 	slices.SortFunc(engines, func(a, b *load) int {
-		return compare(s.prefillScore(now, a)+laneCost(a, laneStart), s.prefillScore(now, b)+laneCost(b, laneStart))
+		return compare(s.prefillScore(now, a)+longPoolCost(a, longPoolStart), s.prefillScore(now, b)+longPoolCost(b, longPoolStart))
 	})
 	return engines
 }
@@ -232,14 +232,14 @@
 
 // scoreEngines scores engines for a short prompt, lowest first: the time in ms until
 // an engine has worked off its prefill backlog, plus the cost of failures.
-func (s *Scheduler) scoreEngines(now time.Duration, eligible []*load, laneStart float64) []scoredLoad {
+func (s *Scheduler) scoreEngines(now time.Duration, eligible []*load, longPoolStart float64) []scoredLoad {
 	list := make([]scoredLoad, 0, len(eligible))
 	jitter := float64(jitterMs)
-	if laneStart < noLane {
-		jitter = laneJitterMs
+	if longPoolStart < noLongPool {
+		jitter = longPoolJitterMs
 	}
 	for _, l := range eligible {
-		score := l.msUntilPrefilled(now, 0) + l.currentFailureShare(now)*failureCostMs + s.config.Random.Float64()*jitter + laneCost(l, laneStart)
+		score := l.msUntilPrefilled(now, 0) + l.currentFailureShare(now)*failureCostMs + s.config.Random.Float64()*jitter + longPoolCost(l, longPoolStart)
 		list = append(list, scoredLoad{load: l, score: score})
 	}
 	slices.SortFunc(list, func(a, b scoredLoad) int { return compare(a.score, b.score) })
--- a/placement/hold_test.go
+++ b/placement/hold_test.go
@@ -32,7 +32,7 @@
 	f.MarkLeaving(now, "e0", 100)
 	is.True(!f.InService(now, &placed)) // a placed request is not sent any more
 	is.Equal(f.Submit(now, f.request(now, 5_000)).Reason, NoUpstream)
-	// The store may come back from a copy with an older entry, and then with the same again.
+	// The store may be restored with an older entry, and then with the same again.
 	for _, started := range []int64{50, 100} {
 		f.withEntry("e0", func(entry *fleet.Upstream) { entry.StartedMs = started })
 		is.Equal(f.Submit(now, f.request(now, 5_000)).Reason, NoUpstream)
--- a/placement/lane.go
+++ b/placement/long_pool.go
@@ -8,46 +8,46 @@
 	"github.com/wigeontiller/wigeontiller/fleet"
 )
 
-// In a large fleet the longest prompts are prefilled on engines of their own, the lane: a part of
+// In a large fleet the longest prompts are prefilled on engines of their own, the pool: a part of
 // such a prompt holds up everything that its engine has to prefill in the same pass, and nodes
-// hear of each other's placements too late to avoid it. The lane is the end of an order of the
+// hear of each other's placements too late to avoid it. The pool is the end of an order of the
 // engines that all nodes share, so that they need not agree on it; its size follows the share of
 // the engines' time that goes to prefill.
 const (
-	// minLaneEngines is the number of engines from which there is a lane: in smaller fleets a
+	// minLongPoolEngines is the number of engines from which there is a pool: in smaller fleets a
 	// part of the engines is too few for one long prompt.
-	minLaneEngines = 100
-	// laneSizeFactor is the size of the lane for each unit of load above baseLoad, which short
-	// prompts cause; the lane is then busy for a half to two thirds of the time.
-	laneSizeFactor, baseLoad = 2, 0.08
-	// minLane and maxLane bound the lane's share of the engines.
-	minLane, maxLane = 0.35, 0.7
+	minLongPoolEngines = 100
+	// longPoolSizeFactor is the size of the pool for each unit of load above baseLoad, which short
+	// prompts cause; the pool is then busy for a half to two thirds of the time.
+	longPoolSizeFactor, baseLoad = 2, 0.08
+	// minLongPool and maxLongPool bound the pool's share of the engines.
+	minLongPool, maxLongPool = 0.35, 0.7
 	// frontOccupancy is the share of the slots of the other engines that streams may occupy
-	// before the lane gives way to them.
+	// before the pool gives way to them.
 	frontOccupancy = 0.75
-	// laneChunkMs is the prefill time of a part of a prompt in the lane: what arrives during a
+	// longPoolChunkMs is the prefill time of a part of a prompt in the pool: what arrives during a
 	// pass waits for its end, so that long parts make each other late.
-	laneChunkMs = 150
-	// laneCostMs is the cost of an engine of the lane for other prompts.
-	laneCostMs = 1000
-	// laneStreamCostMs is the cost of each stream on an engine of the lane, and
-	// outsideStreamCostMs that of one on another engine, for a prompt of the lane: it goes
+	longPoolChunkMs = 150
+	// longPoolCostMs is the cost of an engine of the pool for other prompts.
+	longPoolCostMs = 1000
+	// longPoolStreamCostMs is the cost of each stream on an engine of the pool, and
+	// outsideStreamCostMs that of one on another engine, for a prompt of the pool: it goes
 	// outside only where there is no stream.
-	laneStreamCostMs, outsideStreamCostMs = 20, 1000
-	// laneJitterMs is the random part of the score of a short prompt's engine where there is a
-	// lane: the nodes of a large fleet hear of each other late and would choose the same one.
-	laneJitterMs = 60
+	longPoolStreamCostMs, outsideStreamCostMs = 20, 1000
+	// longPoolJitterMs is the random part of the score of a short prompt's engine where there is a
+	// pool: the nodes of a large fleet hear of each other late and would choose the same one.
+	longPoolJitterMs = 60
 )
 
 // position is the engine's place in the common order, from 0 to 1.
 func (l *load) position() float64 { return float64(l.hash) / math.MaxUint32 }
 
-// noLane is a position behind all engines.
-const noLane = 2
+// noLongPool is a position behind all engines.
+const noLongPool = 2
 
-// laneStart returns the position from which the engines of a service belong to the lane, or
-// noLane.
-func (s *Scheduler) laneStart(now time.Duration, service *fleet.Service) float64 {
+// longPoolStart returns the position from which the engines of a service belong to the pool, or
+// noLongPool.
+func (s *Scheduler) longPoolStart(now time.Duration, service *fleet.Service) float64 {
 	engines, share, streams := 0, 0.0, 0
 	for _, l := range s.ordered {
 		if l.entry.Service == service.Name {
@@ -56,22 +56,22 @@
 			streams += l.totalRunning()
 		}
 	}
-	if engines < minLaneEngines {
-		return noLane
+	if engines < minLongPoolEngines {
+		return noLongPool
 	}
-	lane := max(minLane, min(maxLane, laneSizeFactor*(share/float64(engines)-baseLoad)))
+	pool := max(minLongPool, min(maxLongPool, longPoolSizeFactor*(share/float64(engines)-baseLoad)))
 	front := float64(streams) / (frontOccupancy * float64(service.Engine.Slots*engines))
-	return max(1-lane, min(front, 1-minLane/2))
+	return max(1-pool, min(front, 1-minLongPool/2))
 }
 
-// placeInLane places a prompt on the fewest engines that prefill it in time, and if there are
-// none, on those that prefill it first. Engines outside of the lane are used when it is busy.
-func (s *Scheduler) placeInLane(now time.Duration, request *Request, service *fleet.Service, engines []*load, promptMs float64) (Decision, bool) {
+// placeInLongPool places a prompt on the fewest engines that prefill it in time, and if there are
+// none, on those that prefill it first. Engines outside of the pool are used when it is busy.
+func (s *Scheduler) placeInLongPool(now time.Duration, request *Request, service *fleet.Service, engines []*load, promptMs float64) (Decision, bool) {
 	engine := service.Engine
 	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
 	limit := min(s.config.MaxPrefillEngines, len(engines))
 	distributed := request.PromptTokens+request.AnswerTokens > engine.MemoryTokens
-	count := min(limit, max(1, int(math.Ceil(promptMs/laneChunkMs))))
+	count := min(limit, max(1, int(math.Ceil(promptMs/longPoolChunkMs))))
 	if distributed {
 		count = min(limit, minHolders)
 	}
@@ -87,14 +87,14 @@
 	return s.placeOn(now, request, service, engines, count)
 }
 
-// laneEngines returns the engines that may prefill a part of a prompt of the lane, the best first.
-func (s *Scheduler) laneEngines(now time.Duration, service *fleet.Service, eligible []*load, start float64) []*load {
+// longPoolEngines returns the engines that may prefill a part of a prompt of the pool, the best first.
+func (s *Scheduler) longPoolEngines(now time.Duration, service *fleet.Service, eligible []*load, start float64) []*load {
 	scored := make([]scoredLoad, 0, len(eligible))
 	for _, l := range eligible {
 		if !s.canPrefill(now, service.Engine, l) {
 			continue
 		}
-		streamCostMs := float64(laneStreamCostMs)
+		streamCostMs := float64(longPoolStreamCostMs)
 		if l.position() < start {
 			streamCostMs = outsideStreamCostMs
 		}
@@ -109,10 +109,10 @@
 	return engines
 }
 
-// laneCost is the cost of an engine of the lane for a prompt that does not belong there.
-func laneCost(l *load, start float64) float64 {
+// longPoolCost is the cost of an engine of the pool for a prompt that does not belong there.
+func longPoolCost(l *load, start float64) float64 {
 	if l.position() >= start {
-		return laneCostMs
+		return longPoolCostMs
 	}
 	return 0
 }
--- a/placement/lane_test.go
+++ b/placement/long_pool_test.go
@@ -46,19 +46,19 @@
 	done         bool
 }
 
-// laneLoad plays the load of the large site on its engines, with decisions of several nodes that
+// longPoolLoad plays the load of the large site on its engines, with decisions of several nodes that
 // hear of each other's placements late.
-type laneLoad struct {
+type longPoolLoad struct {
 	random  *rand.Rand
 	nodes   []*fixture
 	engines map[string]*simulatedEngine
 	model   *fleet.Engine
-	events  []laneEvent
+	events  []longPoolEvent
 	next    int
 	all     []*simulatedRequest
 }
 
-type laneEvent struct {
+type longPoolEvent struct {
 	at  time.Duration
 	run func(now time.Duration)
 }
@@ -69,8 +69,8 @@
 	nodesInLoad = 12
 )
 
-func newLaneLoad(engines int, seed uint64) *laneLoad {
-	l := &laneLoad{random: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*simulatedEngine{}, model: largeEngine()}
+func newLongPoolLoad(engines int, seed uint64) *longPoolLoad {
+	l := &longPoolLoad{random: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*simulatedEngine{}, model: largeEngine()}
 	configuration := &fleet.Configuration{
 		Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: l.model}},
 		Routes:   []fleet.Route{{Kind: fleet.Stream, PauseTarget: 250 * time.Millisecond, Targets: []fleet.Target{{Service: "llm", Weight: 1}}}},
@@ -89,14 +89,14 @@
 	return l
 }
 
-func (l *laneLoad) at(t time.Duration, run func(now time.Duration)) {
+func (l *longPoolLoad) at(t time.Duration, run func(now time.Duration)) {
 	i := sort.Search(len(l.events), func(i int) bool { return l.events[i].at > t })
-	l.events = append(l.events, laneEvent{})
+	l.events = append(l.events, longPoolEvent{})
 	copy(l.events[i+1:], l.events[i:])
-	l.events[i] = laneEvent{at: t, run: run}
+	l.events[i] = longPoolEvent{at: t, run: run}
 }
 
-func (l *laneLoad) run(until time.Duration) {
+func (l *longPoolLoad) run(until time.Duration) {
 	for len(l.events) > 0 && l.events[0].at <= until {
 		event := l.events[0]
 		l.events = l.events[1:]
@@ -105,7 +105,7 @@
 }
 
 // arrive lets requests of a kind arrive at a mean rate until the end.
-func (l *laneLoad) arrive(perSecond float64, end time.Duration, aim time.Duration, tokens func() int) {
+func (l *longPoolLoad) arrive(perSecond float64, end time.Duration, aim time.Duration, tokens func() int) {
 	var arrival func(now time.Duration)
 	arrival = func(now time.Duration) {
 		if now > end {
@@ -117,7 +117,7 @@
 	l.at(time.Duration(l.random.ExpFloat64()/perSecond*float64(time.Second)), arrival)
 }
 
-func (l *laneLoad) submit(now time.Duration, tokens int, aim time.Duration) {
+func (l *longPoolLoad) submit(now time.Duration, tokens int, aim time.Duration) {
 	l.next++
 	node := l.random.IntN(len(l.nodes))
 	request := &simulatedRequest{node: node, tokens: tokens, aim: aim, arrived: now, events: 12}
@@ -131,7 +131,7 @@
 }
 
 // advance decides on a queued request again, as the node's timer does.
-func (l *laneLoad) advance(now time.Duration, node int, request *simulatedRequest, decision Decision) {
+func (l *longPoolLoad) advance(now time.Duration, node int, request *simulatedRequest, decision Decision) {
 	if decision.Lead != nil || decision.Reason != "" {
 		return
 	}
@@ -149,7 +149,7 @@
 	})
 }
 
-func (l *laneLoad) decided(now time.Duration, request *simulatedRequest, decision Decision) {
+func (l *longPoolLoad) decided(now time.Duration, request *simulatedRequest, decision Decision) {
 	if decision.Lead == nil {
 		return
 	}
@@ -168,7 +168,7 @@
 	}
 }
 
-func (l *laneLoad) tell(now time.Duration, from int, updates []LoadUpdate) {
+func (l *longPoolLoad) tell(now time.Duration, from int, updates []LoadUpdate) {
 	l.at(now+hearDelay, func(now time.Duration) {
 		for i, node := range l.nodes {
 			if i != from {
@@ -178,7 +178,7 @@
 	})
 }
 
-func (l *laneLoad) startPass(now time.Duration, engine *simulatedEngine) {
+func (l *longPoolLoad) startPass(now time.Duration, engine *simulatedEngine) {
 	engine.reading, engine.waiting = engine.waiting, nil
 	if len(engine.reading) == 0 && len(engine.decoding) == 0 {
 		return
@@ -197,7 +197,7 @@
 	l.at(engine.passEnd, func(now time.Duration) { l.endPass(now, engine) })
 }
 
-func (l *laneLoad) endPass(now time.Duration, engine *simulatedEngine) {
+func (l *longPoolLoad) endPass(now time.Duration, engine *simulatedEngine) {
 	for request := range engine.decoding {
 		request.longestPause = max(request.longestPause, now-request.lastEventAt)
 		request.lastEventAt = now
@@ -227,7 +227,7 @@
 
 // onTime returns the share of the requests with an aim that had their first event within it and no
 // pause over the target.
-func (l *laneLoad) onTime(aim, pause time.Duration) float64 {
+func (l *longPoolLoad) onTime(aim, pause time.Duration) float64 {
 	good, count := 0, 0
 	for _, request := range l.all {
 		if request.aim != aim {
@@ -242,15 +242,15 @@
 }
 
 // length returns a random prompt length, log-normal like those of the users' large site.
-func (l *laneLoad) length(mean, spread, most float64) int {
+func (l *longPoolLoad) length(mean, spread, most float64) int {
 	v := mean * math.Exp(spread*l.random.NormFloat64()-spread*spread/2)
 	return int(max(100, min(most, v)))
 }
 
 // playLargeSite plays the rates of the users' large site, times a factor for each kind.
-func playLargeSite(seed uint64, short, middle, long float64) *laneLoad {
+func playLargeSite(seed uint64, short, middle, long float64) *longPoolLoad {
 	const engines, end = 150, 8 * time.Second
-	l := newLaneLoad(engines, seed)
+	l := newLongPoolLoad(engines, seed)
 	l.arrive(213*short, end, shortAim, func() int { return l.length(4960, 0.9, 23_800) })
 	l.arrive(16.8*middle, end, middleAim, func() int { return l.length(45_000, 0.5, 110_000) })
 	l.arrive(8*long, end, longAim, func() int { return l.length(190_000, 0.55, 600_000) })
@@ -260,10 +260,10 @@
 
 const shortAim, middleAim, longAim = 400 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second
 
-// TestLaneKeepsShortStreamsSmoothWhileHugePromptsAreRead plays the load of the large site: short
-// prompts are answered while huge ones run, and huge ones are finished. Without the lane 0.84 to
+// TestLongPoolKeepsShortStreamsSmoothWhileHugePromptsAreRead plays the load of the large site: short
+// prompts are answered while huge ones run, and huge ones are finished. Without the pool 0.84 to
 // 0.92 of the short streams are on time.
-func TestLaneKeepsShortStreamsSmoothWhileHugePromptsAreRead(t *testing.T) {
+func TestLongPoolKeepsShortStreamsSmoothWhileHugePromptsAreRead(t *testing.T) {
 	const seeds = 4
 	var short, middle, long float64
 	for seed := range uint64(seeds) {
@@ -283,9 +283,9 @@
 	}
 }
 
-// TestLaneGivesWayToManyShortStreams plays a burst of short prompts, whose streams need the slots
-// of more engines than a lane of fixed size leaves.
-func TestLaneGivesWayToManyShortStreams(t *testing.T) {
+// TestLongPoolGivesWayToManyShortStreams plays a burst of short prompts, whose streams need the slots
+// of more engines than a pool of fixed size leaves.
+func TestLongPoolGivesWayToManyShortStreams(t *testing.T) {
 	l := playLargeSite(2, 2.4, 1.5, 1.05)
 	if short := l.onTime(shortAim, 250*time.Millisecond); short < 0.75 {
 		t.Errorf("%.3f of the short streams are on time", short)
--- a/standin/fleetstore/store.go
+++ b/standin/fleetstore/store.go
@@ -43,7 +43,7 @@
 	mutex   sync.Mutex
 	changed chan struct{}
 	version int64
-	// era is the number of times that the store came back from a copy, plus 1.
+	// era is the number of times that the store was restored, plus 1.
 	era     int64
 	rows    map[string]Row
 	history []Row
@@ -128,7 +128,7 @@
 	s.notifyWatchers()
 }
 
-// Backup is a copy of the store at one moment.
+// Backup is the state of the store at one moment.
 type Backup struct {
 	version int64
 	rows    map[string]Row
@@ -142,7 +142,7 @@
 	return Backup{version: s.version, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
 }
 
-// Restore brings the store back from a copy: what was written since is lost, versions go back,
+// Restore restores the store from a backup: what was written since is lost, versions go back,
 // and a new era begins.
 func (s *Store) Restore(backup Backup) {
 	s.mutex.Lock()
