An engine that returns cold is not met by a whole permit of each node

A node's part of the rate came with a first permit of 1, so that 295 nodes could send 295 at once to an engine that appears; the random score of the long-prompt pool made enough of them do so. Ruled out: the rate itself (17.9 a second of all nodes). A node begins with a random part of a permit for an upstream that appears while it runs or says that it is cold, and above 24 nodes all use 0.7 of the rate, as their sum varies like independent events.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -60,9 +60,21 @@
 }
 
 func (s *Scheduler) coldRatePerSecond(service *fleet.Service) float64 {
-	return service.ColdRatePerSecond * s.config.ColdRateFactor / float64(s.nodeCount)
+	rate := service.ColdRatePerSecond * s.config.ColdRateFactor / float64(s.nodeCount)
+	if s.nodeCount > manyNodes {
+		rate *= manyNodesRateShare
+	}
+	return rate
 }
 
+const (
+	// manyNodes is the number of nodes above which each has so small a part of a cold upstream's
+	// rate that the sum varies like that of independent events; manyNodesRateShare then leaves
+	// room for more than three standard deviations below the allowed rate.
+	manyNodes          = 24
+	manyNodesRateShare = 0.7
+)
+
 // placeEngine places a short prompt on one engine, and a long one on several
 // engines that prefill it, and hold it in memory, together.
 func (s *Scheduler) placeEngine(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
--- a/placement/load.go
+++ b/placement/load.go
@@ -213,6 +213,12 @@
 }
 
 func (l *load) refillColdPermits(now time.Duration, rate float64) {
+	if l.coldPermitsAt == 0 {
+		l.coldPermitsAt = now
+		if l.entry.SeenAt > 0 {
+			l.coldPermitsAt = min(now, l.entry.SeenAt)
+		}
+	}
 	burst := max(1, rate/2)
 	l.coldPermits = min(burst, l.coldPermits+rate*(now-l.coldPermitsAt).Seconds())
 	l.coldPermitsAt = now
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -158,6 +158,7 @@
 	if view.Configuration != s.configuration {
 		s.pauseTargets = pauseTargets(view.Configuration)
 	}
+	started := s.configuration == nil
 	s.configuration, s.view = view.Configuration, view
 	for id, known := range s.loads {
 		entry, ok := view.Upstreams[id]
@@ -172,12 +173,24 @@
 	for id, entry := range view.Upstreams {
 		if s.loads[id] == nil {
 			made := &load{entry: entry, engine: engineOf(view.Configuration, entry), hash: Hash(id), totalsByNode: map[string]Totals{}}
+			made.coldPermits = s.firstColdPermit(entry, started)
 			s.loads[id], s.byHash[made.hash] = made, made
 		}
 	}
 	s.order()
 }
 
+// firstColdPermit returns this node's first part of the rate of an upstream that is new to it. An
+// upstream that appears while the node runs, or says that it is cold, may be met by all nodes at
+// once: each then begins with another part of a permit, so that their permits are spread over the
+// time in which a node gets one. At the node's start, warm upstreams can be used at once.
+func (s *Scheduler) firstColdPermit(entry *fleet.Upstream, started bool) float64 {
+	if started && entry.ColdFor <= 0 || s.config.Random == nil {
+		return 1
+	}
+	return s.config.Random.Float64()
+}
+
 // order sorts the loads for iteration.
 func (s *Scheduler) order() {
 	s.ordered = slices.SortedFunc(maps.Values(s.loads), func(a, b *load) int { return strings.Compare(a.entry.ID, b.entry.ID) })
