--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -186,7 +187,8 @@
 // time in which a node gets one. At the node's start, warm upstreams can be used at once.
 func (s *Scheduler) firstColdPermit(entry *fleet.Upstream, started bool) float64 {
 	if started && entry.ColdFor <= 0 || s.config.Random == nil {
-		return 1
+		// The first refill cuts it to the burst.
+		return math.Inf(1)
 	}
 	return s.config.Random.Float64()
 }
