--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -46,6 +46,9 @@
 	// PromptTokens is the length of the prompt and AnswerTokens the maximum number
 	// of generated tokens; both are 0 for a plain service.
 	PromptTokens, AnswerTokens int
+	// PromptParts identify the parts of the prompt that other requests may share, in order. The
+	// last part, which belongs to the request itself, is left out.
+	PromptParts []uint64
 	// After is the number of the last event that the caller has received; 0 is none.
 	After int64
 	// Encoded is the front end's form of the request, which the Sender reads.
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -45,6 +45,10 @@
 	// lastEventNumber is the number of the last event that the caller has received.
 	lastEventNumber int64
 	begun           atomic.Bool
+	// headerReceived is true after the response header of the current attempt has arrived, and
+	// attemptEvents counts the events of its stream.
+	headerReceived bool
+	attemptEvents  int
 
 	outcome, reason string
 	// status is the status of an upstream's complete response that was forwarded.
@@ -187,10 +191,12 @@
 	watch := r.newWatchdog(ctx, decision)
 	defer watch.stop()
 	config.Metrics.Attempt()
+	r.headerReceived, r.attemptEvents = false, 0
 	reply, err := config.Sender.Send(watch.ctx, attempt)
 	if err != nil {
 		return r.onSendError(ctx, decision, err)
 	}
+	r.headerReceived = true
 	r.recordUpstreamState(decision, reply)
 	switch reply.Verdict() {
 	case NotExecuted:
@@ -322,7 +328,20 @@
 func (r *requestHandler) logFailedAttempt(decision *placement.Decision, cause string, status int) {
 	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
-		Int64("last_event", r.lastEventNumber).Str("error", cause).Msg(telemetry.LogAttemptFailed)
+		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
+		Strs("prompt_parts", formatParts(r.request.PromptParts)).Str("error", cause).Msg(telemetry.LogAttemptFailed)
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// formatParts returns the first maxLoggedParts parts in hexadecimal.
+func formatParts(parts []uint64) []string {
+	list := make([]string, min(len(parts), maxLoggedParts))
+	for i := range list {
+		list[i] = strconv.FormatUint(parts[i], 16)
+	}
+	return list
 }
 
 // fail ends the request with a failure response, or aborts a response that has begun. Its
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -37,6 +37,7 @@
 		}
 		if number != 0 || events.hasData {
 			watch.recordEvent()
+			r.attemptEvents++
 		}
 		if failed := r.relayEvent(reply, data, number); failed != nil {
 			reply.Abort()
@@ -87,6 +88,8 @@
 	outcome := placement.Unresponsive
 	if ctx.Err() != nil {
 		outcome = placement.Neutral
+	} else if r.attemptEvents == 0 {
+		r.exchange.config.Metrics.Count("wigeontiller_streams_lost_before_first_event_total", 1)
 	}
 	scheduler.End(decision.ID, outcome, "")
 	r.avoid = append(r.avoid, decision.Lead.ID)
