--- /dev/null
+++ b/edge/crash_test.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/standin/fleetengine"
+)
+
+// crashFixture runs nodes before engines that end when they begin to answer a prompt with badPart.
+func crashFixture(t *testing.T, nodes int) *fixture {
+	f := newFixture(t, nodes)
+	for i := 4; i <= 8; i++ {
+		f.addEngine(fmt.Sprintf("llm-%d", i))
+	}
+	for id := range f.engines {
+		f.engines[id].Set(fleetengine.Knobs{CrashPart: badPart})
+	}
+	f.eventually("the nodes do not know the engines", func() bool { return f.prompt(0, sharedPart, "f00d").status == http.StatusOK })
+	return f
+}
+
+const (
+	sharedPart = "5eed"
+	badPart    = "bad"
+)
+
+// prompt sends a prompt of the parts, and of one of its own, to a node.
+func (f *fixture) prompt(node int, parts ...string) callResult {
+	return f.call(node, "chat", "key-a", func(r *http.Request) {
+		prefix := ""
+		for _, part := range parts {
+			prefix += part + ":40,"
+		}
+		r.Header.Set("X-Prefix-Hash", prefix+fmt.Sprintf("%x:900", requestCount))
+	})
+}
+
+func (f *fixture) crashes() int {
+	total := 0
+	for _, engine := range f.engines {
+		total += engine.Crashes()
+	}
+	return total
+}
+
+// TestPartThatCrashesEnginesIsBlockedOnAllNodes guards against nodes that send each request with
+// a part that crashes engines to one engine after the other.
+func TestPartThatCrashesEnginesIsBlockedOnAllNodes(t *testing.T) {
+	is := is.New(t)
+	const nodes, requests, maxCrashes, interval = 3, 30, 4, 150 * time.Millisecond
+	f := crashFixture(t, nodes)
+	served := 0
+	for i := range requests {
+		f.prompt(i%nodes, sharedPart, badPart)
+		if f.prompt(i%nodes, sharedPart, "f00d").status == http.StatusOK {
+			served++
+		}
+		time.Sleep(interval)
+	}
+	if f.crashes() > maxCrashes {
+		t.Errorf("%d engines crashed, at most %d expected", f.crashes(), maxCrashes)
+	}
+	is.True(served >= requests*95/100) // sound prompts that share a part
+}
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -97,12 +97,14 @@
 		server.Close()
 	})
 	f.engines[id], f.servers[id] = engine, server
+	engine.OnRestart = func() { f.register(id, "ready") }
 	f.register(id, "ready")
 }
 
 func (f *fixture) register(id, state string) {
 	f.store.Put("servers", id, map[string]any{
 		"service": strings.Split(id, "-")[0], "address": strings.TrimPrefix(f.servers[id].URL, "http://"), "zone": "z", "slots": 6, "state": state,
+		"born": 1 + f.engines[id].Crashes(),
 	})
 }
 
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -32,6 +32,9 @@
 	RetryAfter string
 	// Unsigned omits the signature header.
 	Unsigned bool
+	// CrashPart, if not empty, is the ID of a prompt part, other than the last one, that crashes
+	// the engine when it begins to write the answer.
+	CrashPart string
 }
 
 // Run is one request that the engine executed.
@@ -54,8 +57,14 @@
 	Events        int
 	EventInterval time.Duration
 	MemoryTokens  int
+	// DownTime is how long the engine is down after a crash; it then calls OnRestart, if set.
+	DownTime  time.Duration
+	OnRestart func()
 
 	mutex        sync.Mutex
+	crashes      int
+	down         bool
+	crashed      chan struct{}
 	knobs        Knobs
 	runs         []*Run
 	reservations map[string]int
@@ -65,8 +74,11 @@
 // New returns an engine whose streams have 8 events, 5 ms apart, and with memory for
 // 232,000 tokens.
 func New(id string) *Engine {
-	const events, memory, pause = 8, 232_000, 5 * time.Millisecond
-	return &Engine{ID: id, Events: events, EventInterval: pause, MemoryTokens: memory, reservations: map[string]int{}}
+	const events, memory, pause, downTime = 8, 232_000, 5 * time.Millisecond, 100 * time.Millisecond
+	return &Engine{
+		ID: id, Events: events, EventInterval: pause, MemoryTokens: memory, DownTime: downTime,
+		reservations: map[string]int{}, crashed: make(chan struct{}),
+	}
 }
 
 // Set replaces the knobs.
@@ -117,6 +129,9 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	e.mutex.Unlock()
+	if e.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case "/v1/report":
 		e.report(w)
@@ -228,11 +243,21 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, knobs Knobs, afterEvent int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	e.mutex.Lock()
+	crashed := e.crashed
+	e.mutex.Unlock()
+	if hasPart(r.Header.Get("X-Prefix-Hash"), knobs.CrashPart) {
+		time.Sleep(e.EventInterval)
+		_ = control.Flush()
+		e.Crash()
+	}
 	for event := afterEvent + 1; event <= e.Events; event++ {
 		select {
 		case <-time.After(e.EventInterval):
 		case <-r.Context().Done():
 			return
+		case <-crashed:
+			panic(http.ErrAbortHandler)
 		}
 		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event)
 		if knobs.BreakAfter > 0 && event > knobs.BreakAfter {
