--- a/edge/node.go
+++ b/edge/node.go
@@ -100,6 +100,7 @@
 	follower     *follow.Follower
 	gate         *exchange.SchedulerRunner
 	retries      *exchange.RetryBudget
+	quarantine   *exchange.QuarantineRunner
 	agent        *loadshare.Agent
 	pool         *directhttp.Pool
 	exchange     *exchange.Exchange
@@ -126,6 +127,7 @@
 		ColdRateFactor: settings.WarmOvershoot * warmupRateShare, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.gate = exchange.NewSchedulerRunner(scheduler, bootClock, func() { n.agent.ScheduleFlush() })
+	n.quarantine = exchange.NewQuarantineRunner(bootClock, n.logger, n.metrics, func() { n.agent.ScheduleFlush() })
 	n.retries = &exchange.RetryBudget{Ratio: settings.RetryRatio, Extra: settings.RetryExtra, Window: seconds(settings.RetryWindowSeconds)}
 	address, err := settings.peerAddress()
 	if err != nil {
@@ -136,7 +138,7 @@
 		return nil, eris.Wrap(ErrListen, err.Error())
 	}
 	n.agent.OnNodeCount = n.setNodeCount
-	n.agent.View = n.follower
+	n.agent.View, n.agent.Evidence = n.follower, n.quarantine
 	n.follower.IsPublisher = n.agent.IsPublisher
 	n.follower.OnStoreResponse = n.agent.PublishView
 	n.follower.FirstPollDelay = firstPollDelay
@@ -146,7 +148,7 @@
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	control := directhttp.NewPool(dialTimeout, nil)
 	n.exchange = exchange.New(exchange.Config{
-		Scheduler: n.gate, Retries: n.retries, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
+		Scheduler: n.gate, Retries: n.retries, Quarantine: n.quarantine, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
 		Memory:   platform.NewReservationClient(control),
 		Follower: n.follower, Logger: n.logger, Metrics: n.metrics, Now: bootClock,
 		Freshness: fleet.AgeLimits{
--- /dev/null
+++ b/exchange/blocked_test.go
@@ -0,0 +1,125 @@
+package exchange
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/quarantine"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// endedEngine is an attempt whose engine ends as the answer begins.
+var endedEngine = attemptStep{status: 200, bodyErr: errReset}
+
+func (f *fixture) prompt(id string, parts ...uint64) *Request {
+	request := f.request("stream")
+	request.ID, request.PromptParts = id, parts
+	return request
+}
+
+// answeredAttempt is an attempt with a complete stream.
+var answeredAttempt = attemptStep{status: 200, body: eventText(1, 3)}
+
+func TestRequestIsNotSentAgainAfterTwoEngineEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, endedEngine, endedEngine, answeredAttempt)
+	request := f.prompt("r", 1)
+	request.Route.MaxAttempts = 5
+	got := f.serve(t, request)
+	is.Equal(got.failure.Code, UpstreamFailed) // it has run
+	is.Equal(got.failure.RetryAfter, time.Duration(0))
+	is.Equal(len(f.sender.attempts), 2)
+}
+
+func TestBlockedPromptIsRefusedAsNotExecuted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, endedEngine, endedEngine, endedEngine, answeredAttempt)
+	f.serve(t, f.prompt("a", 1, 2))
+	got := f.serve(t, f.prompt("b", 1, 3))
+	is.Equal(got.failure.Code, UpstreamFailed) // the third end blocks its own repeat
+	is.Equal(len(f.sender.attempts), 3)
+	got = f.serve(t, f.prompt("c", 4, 1))
+	is.Equal(got.failure.Code, PromptBlocked)
+	is.Equal(got.failure.Reason, ReasonPromptBlocked)
+	is.True(got.failure.RetryAfter > 50*time.Second) // not before the first trial
+	is.Equal(len(f.sender.attempts), 3)
+	is.True(f.serve(t, f.prompt("d", 2, 3)).ended) // the other parts are not blocked
+}
+
+func TestBlockForbidsSendOfPlacedRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.sender.steps = []attemptStep{{before: func() { f.blockPart(1) }, status: 200, body: eventText(1, 3)}}
+	got := f.serve(t, f.prompt("a", 1))
+	is.Equal(got.failure.Code, PromptBlocked)
+}
+
+func TestBlockEndsAttemptWithoutEvent(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	f := newFixture(t, attemptStep{status: 200, stream: reader})
+	time.AfterFunc(50*time.Millisecond, func() { f.blockPart(1) })
+	defer func() { _ = writer.Close() }()
+	started := time.Now()
+	got := f.serve(t, f.prompt("a", 1))
+	is.Equal(got.failure.Code, UpstreamFailed) // it may have run
+	is.True(time.Since(started) < time.Second)
+}
+
+func TestBlockDoesNotEndStreamWithEvents(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	f := newFixture(t, attemptStep{status: 200, stream: reader})
+	go func() {
+		_, _ = io.WriteString(writer, eventText(1, 1))
+		time.Sleep(20 * time.Millisecond)
+		f.blockPart(1)
+		_, _ = io.WriteString(writer, eventText(2, 3))
+		_ = writer.Close()
+	}()
+	got := f.serve(t, f.prompt("a", 1))
+	is.True(got.ended)
+	is.Equal(got.events, eventText(1, 3))
+	is.True(f.exchange.config.Quarantine.Blocking([]uint64{1}) != nil) // the answer began before the ends
+}
+
+func TestTrialIsSentOnceAndItsAnswerReleasesPart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, endedEngine, answeredAttempt, answeredAttempt)
+	now := time.Hour
+	runner := NewQuarantineRunner(func() time.Duration { return now }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
+	f.exchange.config.Quarantine = runner
+	for _, engine := range []string{"x", "y", "z"} {
+		now += time.Second
+		runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
+	}
+	var due []string
+	runner.Trial = func(block *quarantine.Block) { due = append(due, block.Key) }
+	f.serve(t, f.prompt("a", 1))
+	is.Equal(len(due), 0)
+	now += time.Minute
+	is.Equal(f.serve(t, f.prompt("b", 1)).failure.Code, PromptBlocked)
+	is.Equal(len(due), 1)
+	runner.GrantTrial(due[0])
+	is.Equal(f.serve(t, f.prompt("c", 1)).failure.Code, UpstreamFailed) // the trial ends an engine and is not repeated
+	is.Equal(f.serve(t, f.prompt("d", 1)).failure.Code, PromptBlocked)
+	is.Equal(len(f.sender.attempts), 1)
+	now += 2 * time.Minute
+	runner.GrantTrial(due[0])
+	is.True(f.serve(t, f.prompt("e", 1)).ended)
+	is.True(f.serve(t, f.prompt("f", 1)).ended)
+}
+
+// blockPart records three ends.
+func (f *fixture) blockPart(part uint64) {
+	for i, engine := range []string{"x", "y", "z"} {
+		f.exchange.config.Quarantine.RecordEnd(engine, engine, []uint64{part}, time.Now())
+		if i < 2 {
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -152,6 +152,8 @@
 	// UpstreamFailed and Expired guarantee nothing: the request may have run.
 	UpstreamFailed Code = "upstream_failed"
 	Expired        Code = "deadline_exceeded"
+	// PromptBlocked guarantees that the request was not executed; a part of its prompt crashes engines.
+	PromptBlocked Code = "prompt_blocked"
 	// ExpiredNotExecuted guarantees that the request was not executed.
 	ExpiredNotExecuted Code = "deadline_exceeded_unrun"
 )
@@ -167,11 +169,13 @@
 type Config struct {
 	Scheduler *SchedulerRunner
 	Retries   *RetryBudget
-	Sender    Sender
-	Memory    MemoryReserver
-	Follower  *follow.Follower
-	Logger    zerolog.Logger
-	Metrics   *telemetry.Metrics
+	// Quarantine knows the parts of prompts that crash engines.
+	Quarantine *QuarantineRunner
+	Sender     Sender
+	Memory     MemoryReserver
+	Follower   *follow.Follower
+	Logger     zerolog.Logger
+	Metrics    *telemetry.Metrics
 	// Freshness bounds the age of the view by which requests are admitted and sent.
 	Freshness fleet.AgeLimits
 	// Now reads a monotonic clock that also counts time while the machine is suspended.
--- /dev/null
+++ b/exchange/quarantine_runner.go
@@ -0,0 +1,210 @@
+package exchange
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/quarantine"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// QuarantineRunner runs the tracker of parts that crash engines for concurrent requests: it holds
+// the lock and the clock, and logs each block.
+type QuarantineRunner struct {
+	mutex   sync.Mutex
+	tracker *quarantine.Tracker
+	clock   func() time.Duration
+	logger  zerolog.Logger
+	metrics *telemetry.Metrics
+	// onEvidence is called without the lock when other nodes are to be told.
+	onEvidence func()
+	// Trial is called without the lock when a request is refused whose block is due for a trial. It
+	// must return at once. It is set before the first request.
+	Trial func(block *quarantine.Block)
+	// running holds the attempts that end if their prompt is blocked, by their cancel function.
+	running map[*blockableAttempt]struct{}
+	// granted holds until when one request may be sent as a trial, by block.
+	granted map[string]time.Duration
+	// changed is signaled when blocks began or ended.
+	changed chan struct{}
+}
+
+// blockableAttempt is an attempt whose answer has not begun.
+type blockableAttempt struct {
+	parts  []uint64
+	cancel func()
+}
+
+// NewQuarantineRunner returns a runner without evidence.
+func NewQuarantineRunner(clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics, onEvidence func()) *QuarantineRunner {
+	return &QuarantineRunner{
+		tracker: quarantine.New(), clock: clock, logger: logger, metrics: metrics, onEvidence: onEvidence, Trial: func(*quarantine.Block) {},
+		running: map[*blockableAttempt]struct{}{}, granted: map[string]time.Duration{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// Blocking returns the block that forbids to send a prompt with the parts, or nil.
+func (q *QuarantineRunner) Blocking(parts []uint64) *quarantine.Block {
+	if len(parts) == 0 {
+		return nil
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.tracker.Blocking(q.clock(), parts)
+}
+
+// RetryAfter returns the time until a request that the block covers may be served again.
+func (q *QuarantineRunner) RetryAfter(block *quarantine.Block) time.Duration {
+	return block.RetryAfter(q.clock())
+}
+
+// TakeTrial reports whether this request may be sent although it is blocked, and takes the grant. If
+// a trial is due and not granted, it asks for it.
+func (q *QuarantineRunner) TakeTrial(block *quarantine.Block) bool {
+	q.mutex.Lock()
+	now := q.clock()
+	until, granted := q.granted[block.Key]
+	delete(q.granted, block.Key)
+	due := block.TrialDue(now)
+	q.mutex.Unlock()
+	if granted && now < until {
+		q.logger.Info().Str("block", block.Key).Msg(telemetry.LogTrialSent)
+		return true
+	}
+	if due {
+		q.Trial(block)
+	}
+	return false
+}
+
+// trialValidity is how long a granted trial waits for a request.
+const trialValidity = 10 * time.Second
+
+// GrantTrial lets one blocked request pass.
+func (q *QuarantineRunner) GrantTrial(key string) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.granted[key] = q.clock() + trialValidity
+}
+
+// RecordEnd records that an engine ended as it began to answer a prompt.
+// The attempt was sent at a time.
+func (q *QuarantineRunner) RecordEnd(engine, attempt string, parts []uint64, sent time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	q.update(func(now time.Duration) bool {
+		q.tracker.RecordEnd(now, quarantine.End{
+			Engine: quarantine.Hash(engine), Attempt: quarantine.Hash(attempt), Parts: parts, SentAt: now - time.Since(sent), At: now,
+		})
+		return true
+	})
+}
+
+// RecordAnswer records that the answer to a prompt began at a time and went on.
+func (q *QuarantineRunner) RecordAnswer(parts []uint64, began time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	q.update(func(now time.Duration) bool { return q.tracker.RecordAnswer(now, parts, now-time.Since(began)) })
+}
+
+// Apply merges evidence of another node.
+func (q *QuarantineRunner) Apply(evidence *quarantine.Evidence, forward bool) {
+	q.update(func(now time.Duration) bool { return q.tracker.Apply(now, evidence, forward) && forward })
+}
+
+// Evidence returns the evidence to tell.
+func (q *QuarantineRunner) Evidence(scope quarantine.Scope) quarantine.Evidence {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if !q.tracker.Suspects() || scope == quarantine.Untold && !q.tracker.HasUntold() {
+		return quarantine.Evidence{}
+	}
+	return q.tracker.Evidence(q.clock(), scope)
+}
+
+// Blocks returns the blocks in force.
+func (q *QuarantineRunner) Blocks() []*quarantine.Block {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.tracker.Blocks()
+}
+
+// Changed is signaled when blocks began or ended.
+func (q *QuarantineRunner) Changed() <-chan struct{} { return q.changed }
+
+// update changes the evidence, logs the blocks that begin and end, and cancels the attempts that a
+// new block covers. change reports whether other nodes are to be told.
+func (q *QuarantineRunner) update(change func(now time.Duration) bool) {
+	q.mutex.Lock()
+	now := q.clock()
+	before := q.tracker.Blocks()
+	tell := change(now)
+	after := q.tracker.Blocks()
+	var cancel []func()
+	changed := q.logChanges(now, before, after)
+	if changed {
+		for attempt := range q.running {
+			if q.tracker.Blocking(now, attempt.parts) != nil {
+				cancel = append(cancel, attempt.cancel)
+			}
+		}
+	}
+	q.mutex.Unlock()
+	for _, f := range cancel {
+		f()
+	}
+	if changed {
+		select {
+		case q.changed <- struct{}{}:
+		default:
+		}
+	}
+	if tell {
+		q.onEvidence()
+	}
+}
+
+// logChanges logs the blocks that differ and reports whether there are any; the mutex is held.
+func (q *QuarantineRunner) logChanges(now time.Duration, before, after []*quarantine.Block) bool {
+	changed := false
+	known := make(map[string]int, len(before))
+	for _, block := range before {
+		known[block.Key] = len(block.Witnesses)
+	}
+	for _, block := range after {
+		witnesses, found := known[block.Key]
+		delete(known, block.Key)
+		if found && witnesses == len(block.Witnesses) {
+			continue
+		}
+		changed = true
+		q.logger.Warn().Str("block", block.Key).Strs("prompt_parts", formatParts(block.Parts)).Int("engines_ended", len(block.Witnesses)).
+			Dur("last_end_age_ms", now-block.LastEnd()).Dur("next_trial_ms", block.RetryAfter(now)).Msg(telemetry.LogPartsBlocked)
+	}
+	for key := range known {
+		changed = true
+		q.logger.Info().Str("block", key).Msg(telemetry.LogPartsReleased)
+	}
+	q.metrics.Gauge("wigeontiller_blocked_prompt_parts", int64(len(after)))
+	return changed
+}
+
+// watch calls cancel if the prompt of an attempt is blocked before the returned function is called.
+func (q *QuarantineRunner) watch(parts []uint64, cancel func()) (stop func()) {
+	if len(parts) == 0 {
+		return func() {}
+	}
+	attempt := &blockableAttempt{parts: parts, cancel: cancel}
+	q.mutex.Lock()
+	q.running[attempt] = struct{}{}
+	q.mutex.Unlock()
+	return func() {
+		q.mutex.Lock()
+		delete(q.running, attempt)
+		q.mutex.Unlock()
+	}
+}
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 	"github.com/wigeontiller/wigeontiller/retry"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -49,6 +50,16 @@
 	// attemptEvents counts the events of its stream.
 	headerReceived bool
 	attemptEvents  int
+	// attemptSent is when it was sent, and attemptBegan when its first event arrived.
+	attemptSent, attemptBegan time.Time
+	// stopBlockWatch keeps the attempt from being canceled when its prompt is blocked.
+	stopBlockWatch func()
+	// enginesEnded counts the attempts whose engine ended as the answer began.
+	enginesEnded int
+	// isTrial is true for a request that is sent to learn whether its prompt still crashes engines.
+	isTrial bool
+	// block is why the request must not be sent; nil is no block.
+	block *quarantine.Block
 
 	outcome, reason string
 	// status is the status of an upstream's complete response that was forwarded.
@@ -71,6 +82,8 @@
 	actionRetry
 	// actionFail means that the request may not be placed again.
 	actionFail
+	// actionBlocked means the same, because of its prompt.
+	actionBlocked
 )
 
 func (r *requestHandler) serve(ctx context.Context) {
@@ -82,7 +95,15 @@
 			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonViewTooOld, RetryAfter: config.RetryAfter})
 			return
 		}
+		if r.isBlocked() {
+			r.failBlocked(ctx)
+			return
+		}
 		decision, ok := r.place(ctx)
+		if !ok && ctx.Err() == nil {
+			// The prompt was blocked while the request waited.
+			continue
+		}
 		if !ok {
 			r.fail(ctx, Failure{Code: ExpiredNotExecuted, Reason: "expired_waiting"})
 			return
@@ -106,6 +127,9 @@
 		case actionFail:
 			r.fail(ctx, Failure{Code: UpstreamFailed, Reason: r.reason, RetryAfter: config.RetryAfter})
 			return
+		case actionBlocked:
+			r.failBlocked(ctx)
+			return
 		case actionRetry:
 		}
 	}
@@ -165,6 +189,12 @@
 	if maxWait := r.request.Route.CallerTimeout; maxWait > 0 && !r.begun.Load() {
 		request.CallerTimeoutAt = scheduler.ToClock(r.request.Arrived.Add(maxWait))
 	}
+	if !r.isTrial {
+		blockable, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer r.exchange.config.Quarantine.watch(r.request.PromptParts, cancel)()
+		ctx = blockable
+	}
 	return scheduler.Place(ctx, request)
 }
 
@@ -178,8 +208,10 @@
 	attempt := &Attempt{
 		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
 		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
-		Urgency:   decision.Urgency,
-		Permitted: func() bool { return !r.exchange.stale() && config.Scheduler.InService(decision) },
+		Urgency: decision.Urgency,
+		Permitted: func() bool {
+			return !r.exchange.stale() && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
+		},
 	}
 	if reserved != nil {
 		attempt.Reservations = reserved.list
@@ -190,11 +222,16 @@
 		Int64("after", r.lastEventNumber).Msg(telemetry.LogAttemptPlaced)
 	watch := r.newWatchdog(ctx, decision)
 	defer watch.stop()
+	r.stopBlockWatch = func() {}
+	if !r.isTrial {
+		r.stopBlockWatch = config.Quarantine.watch(r.request.PromptParts, func() { watch.cancelCause(errPromptBlocked) })
+		defer r.stopBlockWatch()
+	}
 	config.Metrics.Attempt()
-	r.headerReceived, r.attemptEvents = false, 0
+	r.headerReceived, r.attemptEvents, r.attemptSent = false, 0, time.Now()
 	reply, err := config.Sender.Send(watch.ctx, attempt)
 	if err != nil {
-		return r.onSendError(ctx, decision, err)
+		return r.onSendError(ctx, decision, err, watch)
 	}
 	r.headerReceived = true
 	r.recordUpstreamState(decision, reply)
@@ -244,7 +281,7 @@
 }
 
 // onSendError handles an attempt without a response.
-func (r *requestHandler) onSendError(ctx context.Context, decision *placement.Decision, err error) nextAction {
+func (r *requestHandler) onSendError(ctx context.Context, decision *placement.Decision, err error, watch *watchdog) nextAction {
 	if errors.Is(err, ErrNotPermitted) {
 		// The next placement is by the current view, or finds that it is too old.
 		r.exchange.config.Scheduler.End(decision.ID, placement.Neutral, "")
@@ -252,7 +289,7 @@
 		return actionRetry
 	}
 	outcome := placement.Unresponsive
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || watch.blocked() {
 		outcome = placement.Neutral
 	}
 	r.exchange.config.Scheduler.End(decision.ID, outcome, "")
@@ -264,6 +301,9 @@
 	}
 	r.history.RecordMayHaveRun()
 	r.reason = "upstream_broke_off"
+	if watch.blocked() && r.isBlocked() {
+		return actionBlocked
+	}
 	return r.retryOrFail(ctx)
 }
 
@@ -373,6 +413,9 @@
 	if failure.Code == UpstreamFailed && (r.history.NotExecuted() || r.request.Route.Repeatable()) {
 		failure.Code = Overloaded
 	}
+	if failure.Code == PromptBlocked && !r.history.NotExecuted() {
+		failure.Code = UpstreamFailed
+	}
 	failure = r.withVerifiedCode(failure)
 	r.outcome = string(failure.Code)
 	r.exchange.config.Metrics.Refusal(r.outcome)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -24,20 +24,20 @@
 	for first := true; ; first = false {
 		data, number, err := events.next()
 		if err != nil {
-			return r.onStreamEnd(ctx, decision, reply, data, err)
+			return r.onStreamEnd(ctx, decision, reply, data, err, watch)
 		}
 		if number != 0 && number <= r.lastEventNumber {
 			continue
 		}
 		if number > r.lastEventNumber+1 {
-			return r.onStreamEnd(ctx, decision, reply, data, errMissingEvent)
+			return r.onStreamEnd(ctx, decision, reply, data, errMissingEvent, watch)
 		}
 		if first {
 			scheduler.FirstEvent(decision.ID)
 		}
 		if number != 0 || events.hasData {
 			watch.recordEvent()
-			r.attemptEvents++
+			r.recordEvent()
 		}
 		if failed := r.relayEvent(reply, data, number); failed != nil {
 			reply.Abort()
@@ -72,11 +72,12 @@
 
 // onStreamEnd handles the end of a stream's body. remainder holds the bytes after the last
 // complete event; a stream is complete only if there are none.
-func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error) nextAction {
+func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
 	scheduler := r.exchange.config.Scheduler
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && len(remainder) == 0 {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Answered, "")
+		r.recordWholeStream()
 		if r.begun.CompareAndSwap(false, true) {
 			r.writer.BeginStream(reply)
 		}
@@ -86,14 +87,18 @@
 	}
 	reply.Abort()
 	outcome := placement.Unresponsive
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || watch.blocked() {
 		outcome = placement.Neutral
-	} else if r.attemptEvents == 0 {
-		r.exchange.config.Metrics.Count("wigeontiller_streams_lost_before_first_event_total", 1)
 	}
 	scheduler.End(decision.ID, outcome, "")
 	r.avoid = append(r.avoid, decision.Lead.ID)
 	r.reason = "stream_broke_off"
 	r.logFailedAttempt(decision, err.Error(), reply.Status())
+	if watch.ctx.Err() == nil && !errors.Is(err, errMissingEvent) && !errors.Is(err, errEventTooLong) {
+		r.recordBrokenStream(decision)
+	}
+	if (watch.blocked() || r.enginesEnded > 0) && r.isBlocked() {
+		return actionBlocked
+	}
 	return r.retryOrFail(ctx)
 }
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -32,16 +33,17 @@
 	handler  *requestHandler
 	decision *placement.Decision
 	ctx      context.Context
-	cancel   context.CancelFunc
-	mutex    sync.Mutex
-	timer    *time.Timer
+	// cancelCause ends the attempt.
+	cancelCause context.CancelCauseFunc
+	mutex       sync.Mutex
+	timer       *time.Timer
 	// lastEventAt is when the last event arrived, or when the attempt started.
 	lastEventAt time.Time
 }
 
 func (r *requestHandler) newWatchdog(ctx context.Context, decision *placement.Decision) *watchdog {
 	w := &watchdog{handler: r, decision: decision}
-	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.ctx, w.cancelCause = context.WithCancelCause(ctx)
 	if r.request.Route.Repeatable() && r.history.PossibleExecutions()+1 < r.request.Route.MaxAttempts {
 		w.lastEventAt = time.Now()
 		w.mutex.Lock()
@@ -86,12 +88,15 @@
 	w.handler.exchange.config.Logger.Info().Str("request_id", w.handler.request.ID).Str("upstream", w.decision.Lead.ID).
 		Msg(telemetry.LogUpstreamUnresponsive)
 	w.handler.exchange.config.Metrics.Count("wigeontiller_silent_upstreams_total", 1)
-	w.cancel()
+	w.cancelCause(nil)
 }
 
+// blocked reports whether the attempt was canceled because its prompt was blocked.
+func (w *watchdog) blocked() bool { return errors.Is(context.Cause(w.ctx), errPromptBlocked) }
+
 func (w *watchdog) stop() {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	w.cancel()
+	w.cancelCause(nil)
 }
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -116,6 +116,8 @@
 	OnNodeCount func(nodes int)
 	// View is the source of the claims in each datagram. It is set before Run.
 	View View
+	// Evidence is exchanged with the load; nil is none. It is set before Run.
+	Evidence EvidenceGate
 
 	mutex        sync.Mutex
 	peers        map[string]*peer
@@ -245,6 +247,7 @@
 	if !older && m.HasClaims {
 		p.freshAt = min(m.Claims[0].FreshAt, m.Claims[1].FreshAt) + p.clockOffset
 	}
+	offset := p.clockOffset
 	claims, trusted := m.Claims, time.Since(p.firstReceivedAt) > trustAfter
 	for i := range claims {
 		claims[i].FreshAt += p.clockOffset
@@ -262,6 +265,7 @@
 	if trusted && m.HasClaims {
 		a.View.Confirm(claims)
 	}
+	a.applyEvidence(m.Evidence, offset, trusted)
 	a.applyTotals(m, restarted, older)
 }
 
--- /dev/null
+++ b/loadshare/evidence.go
@@ -0,0 +1,98 @@
+package loadshare
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/quarantine"
+)
+
+// EvidenceGate holds the evidence about the parts of prompts that crash engines.
+type EvidenceGate interface {
+	// Evidence returns the evidence of a scope, with times on this node's clock.
+	Evidence(scope quarantine.Scope) quarantine.Evidence
+	// Apply merges evidence whose times are on this node's clock. With forward, what is new is
+	// told to further nodes.
+	Apply(evidence *quarantine.Evidence, forward bool)
+}
+
+// evidenceToSend returns the evidence for a message, or nil if there is none.
+func (a *Agent) evidenceToSend(scope quarantine.Scope) *quarantine.Evidence {
+	if a.Evidence == nil {
+		return nil
+	}
+	evidence := a.Evidence.Evidence(scope)
+	if evidence.Empty() {
+		return nil
+	}
+	return &evidence
+}
+
+// applyEvidence merges the evidence of a message, whose times are on the clock of a node with this
+// offset. Answers count only if the offset is trusted: one that seems later than it was would clear
+// a part that crashed an engine after it.
+func (a *Agent) applyEvidence(evidence *quarantine.Evidence, offset time.Duration, trusted bool) {
+	if evidence == nil || a.Evidence == nil {
+		return
+	}
+	for i := range evidence.Ends {
+		evidence.Ends[i].SentAt += offset
+		evidence.Ends[i].At += offset
+	}
+	for i := range evidence.Answers {
+		evidence.Answers[i].At += offset
+	}
+	if !trusted {
+		evidence.Answers = nil
+	}
+	a.mutex.Lock()
+	acting := a.relay.acting
+	a.mutex.Unlock()
+	a.Evidence.Apply(evidence, acting)
+}
+
+func appendEvidence(b []byte, evidence *quarantine.Evidence, sentAt time.Duration) []byte {
+	age := func(at time.Duration) uint64 { return uint64(max(0, (sentAt - at).Microseconds())) }
+	b = binary.AppendUvarint(b, uint64(len(evidence.Ends)))
+	for i := range evidence.Ends {
+		end := &evidence.Ends[i]
+		b = binary.BigEndian.AppendUint32(b, end.Engine)
+		b = binary.BigEndian.AppendUint32(b, end.Attempt)
+		b = binary.AppendUvarint(b, age(end.SentAt))
+		b = binary.AppendUvarint(b, age(end.At))
+		b = binary.AppendUvarint(b, uint64(len(end.Parts)))
+		for _, part := range end.Parts {
+			b = binary.BigEndian.AppendUint64(b, part)
+		}
+	}
+	b = binary.AppendUvarint(b, uint64(len(evidence.Answers)))
+	for _, answer := range evidence.Answers {
+		b = binary.BigEndian.AppendUint64(b, answer.Part)
+		b = binary.AppendUvarint(b, age(answer.At))
+	}
+	return b
+}
+
+func (r *fieldReader) evidence(sentAt time.Duration) *quarantine.Evidence {
+	evidence := &quarantine.Evidence{}
+	at := func() time.Duration { return sentAt - time.Duration(r.microseconds())*time.Microsecond }
+	for n := r.uvarint(); n > 0 && !r.failed; n-- {
+		end := quarantine.End{Engine: r.hash(), Attempt: r.hash(), SentAt: at(), At: at()}
+		for parts := r.uvarint(); parts > 0 && !r.failed; parts-- {
+			end.Parts = append(end.Parts, r.part())
+		}
+		evidence.Ends = append(evidence.Ends, end)
+	}
+	for n := r.uvarint(); n > 0 && !r.failed; n-- {
+		evidence.Answers = append(evidence.Answers, quarantine.Answer{Part: r.part(), At: at()})
+	}
+	return evidence
+}
+
+func (r *fieldReader) part() uint64 {
+	b := r.bytes(8)
+	if r.failed {
+		return 0
+	}
+	return binary.BigEndian.Uint64(b)
+}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -13,13 +13,14 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
 // errMalformed is returned for a datagram that is not in this format.
 var errMalformed = eris.New("malformed datagram")
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 3
+const formatVersion = 4
 
 // message is one datagram.
 type message struct {
@@ -50,6 +51,9 @@
 	Bundle *bundle
 	// Zones are the sums of zones, as their relays sent them.
 	Zones []zoneLoad
+	// Evidence is about the parts of prompts that crash engines, with times on the sender's clock;
+	// nil is none.
+	Evidence *quarantine.Evidence
 }
 
 // bundle is the load of the nodes of one zone, by node.
@@ -90,18 +94,20 @@
 	flagClaims       = 32
 	flagBundle       = 64
 	flagZones        = 128
+	flagEvidence     = 256
 	// fixedPointScale encodes prefill time in tenths of a ms and speed factors in tenths.
 	fixedPointScale = 10
 	// capacityScale encodes the processor share of a machine in thousandths.
 	capacityScale = 1000
 )
 
-// flags returns the second byte of the datagram.
-func (m *message) flags() byte {
-	var flags byte
-	for flag, set := range map[byte]bool{
+// flags returns the second and third byte of the datagram.
+func (m *message) flags() uint16 {
+	var flags uint16
+	for flag, set := range map[uint16]bool{
 		flagFull: m.Full, flagShuttingDown: m.ShuttingDown, flagUpdate: m.Update != nil, flagRelayed: m.Relayed,
 		flagAnnounced: m.Announced != nil, flagClaims: m.HasClaims, flagBundle: m.Bundle != nil, flagZones: len(m.Zones) > 0,
+		flagEvidence: m.Evidence != nil,
 	} {
 		if set {
 			flags |= flag
@@ -111,7 +117,7 @@
 }
 
 func (m *message) encode() []byte {
-	b := []byte{formatVersion, m.flags()}
+	b := binary.BigEndian.AppendUint16([]byte{formatVersion}, m.flags())
 	b = appendText(b, m.Node)
 	b = binary.AppendUvarint(b, m.Incarnation)
 	b = binary.AppendUvarint(b, m.Sequence)
@@ -138,6 +144,9 @@
 	if len(m.Zones) > 0 {
 		b = appendZones(b, m.Zones)
 	}
+	if m.Evidence != nil {
+		b = appendEvidence(b, m.Evidence, m.SentAt)
+	}
 	return b
 }
 
@@ -195,12 +204,12 @@
 func (r *fieldReader) count() int { return int(min(r.uvarint(), maxCount)) }
 
 func decode(data []byte) (*message, error) {
-	const fixed = 2
+	const fixed = 3
 	if len(data) < fixed || data[0] != formatVersion {
 		return nil, errMalformed
 	}
-	m := &message{Full: data[1]&flagFull != 0, ShuttingDown: data[1]&flagShuttingDown != 0}
-	flags := data[1]
+	flags := binary.BigEndian.Uint16(data[1:])
+	m := &message{Full: flags&flagFull != 0, ShuttingDown: flags&flagShuttingDown != 0}
 	m.Relayed, m.HasClaims = flags&flagRelayed != 0, flags&flagClaims != 0
 	r := &fieldReader{data: data[fixed:]}
 	m.Node = r.text()
@@ -228,6 +237,9 @@
 	if flags&flagZones != 0 {
 		m.Zones = r.zones()
 	}
+	if flags&flagEvidence != 0 {
+		m.Evidence = r.evidence(m.SentAt)
+	}
 	if r.failed || m.Node == "" {
 		return nil, errMalformed
 	}
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
 // In a fleet of more than maxDirectNodes, a node sends its load to the relay of its zone and
@@ -220,13 +221,18 @@
 		others = append(others, a.zoneTargets(zone, ranked)...)
 	}
 	a.mutex.Unlock()
-	m := &message{Full: full, Relayed: true, Bundle: content, Zones: zones}
+	scope := quarantine.Untold
+	if full {
+		scope = quarantine.All
+	}
+	evidence := a.evidenceToSend(scope)
+	m := &message{Full: full, Relayed: true, Bundle: content, Zones: zones, Evidence: evidence}
 	if full {
 		m.Announced = &a.self
 	}
 	a.send(m, inZone)
 	a.metrics.Count("wigeontiller_bundles_sent_total", 1)
-	toZones := &message{Relayed: true, Zones: []zoneLoad{sums}, Announced: &a.self}
+	toZones := &message{Relayed: true, Zones: []zoneLoad{sums}, Announced: &a.self, Evidence: evidence}
 	a.addClaims(toZones)
 	a.send(toZones, others)
 }
--- a/loadshare/send.go
+++ b/loadshare/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
 // ScheduleFlush sends the changed shares to the peers after a short delay. It never blocks.
@@ -33,14 +34,15 @@
 	}
 	var shares []placement.LoadUpdate
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, false) })
-	if len(shares) > 0 {
-		a.sendShares(shares, false)
+	evidence := a.evidenceToSend(quarantine.Untold)
+	if len(shares) > 0 || evidence != nil {
+		a.sendShares(shares, evidence, false)
 	}
 }
 
 // sendShares sends this node's totals to those that need them: all peers, or this zone's relay
 // and its deputy.
-func (a *Agent) sendShares(shares []placement.LoadUpdate, full bool) {
+func (a *Agent) sendShares(shares []placement.LoadUpdate, evidence *quarantine.Evidence, full bool) {
 	a.mutex.Lock()
 	relayed := a.relayed()
 	targets := a.allTargets()
@@ -48,7 +50,7 @@
 		targets = a.relayTargets(time.Now())
 	}
 	a.mutex.Unlock()
-	m := &message{Full: full, Shares: shares, Relayed: relayed}
+	m := &message{Full: full, Shares: shares, Evidence: evidence, Relayed: relayed}
 	if !relayed {
 		a.addClaims(m)
 	}
@@ -94,7 +96,12 @@
 	if !acting {
 		var shares []placement.LoadUpdate
 		a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, true) })
-		a.sendShares(shares, true)
+		scope := quarantine.All
+		if a.isRelayed() {
+			// The relay's bundles hold the rest.
+			scope = quarantine.Own
+		}
+		a.sendShares(shares, a.evidenceToSend(scope), true)
 	}
 	a.checkPeers()
 }
--- a/loadshare/simulation_test.go
+++ b/loadshare/simulation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -108,7 +109,9 @@
 	agent *Agent
 	gate  *lockedScheduler
 	view  *freshView
-	stop  func()
+	// evidence is about prompts that crash engines.
+	evidence *lockedTracker
+	stop     func()
 }
 
 // simulatedFleet has zones of equal size.
@@ -165,7 +168,8 @@
 	f.network.mutex.Unlock()
 	view := &freshView{}
 	agent := newAgent(node, g, clock, zerolog.Nop(), telemetry.NewMetrics())
-	agent.directory, agent.View = f.directory, view
+	evidence := &lockedTracker{tracker: quarantine.New(), agent: agent}
+	agent.directory, agent.View, agent.Evidence = f.directory, view, evidence
 	agent.conn = &simulatedConn{network: f.network, address: node.Address, inbox: inbox, closed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -173,7 +177,7 @@
 		defer close(done)
 		agent.Run(ctx)
 	}()
-	f.nodes[i] = &simulatedNode{agent: agent, gate: g, view: view, stop: func() { cancel(); <-done }}
+	f.nodes[i] = &simulatedNode{agent: agent, gate: g, view: view, evidence: evidence, stop: func() { cancel(); <-done }}
 }
 
 // place places one request of a node on the only engine and returns what frees it.
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,279 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	bad, shared, rare = uint64(0xbad), uint64(0x5eed), uint64(0x4a4e)
+	second            = time.Second
+)
+
+// end is the end of another engine at each call, by an attempt that was sent 200 ms before.
+func end(at time.Duration, parts ...uint64) End {
+	id := uint32(at / time.Millisecond)
+	return End{Engine: id, Attempt: id, Parts: parts, SentAt: at - 200*time.Millisecond, At: at}
+}
+
+func (t *Tracker) blocksNow(parts ...uint64) bool { return t.Blocking(time.Minute, parts) != nil }
+
+func TestPartIsBlockedAfterThirdEnd(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range blockAfter {
+		is.True(!tracker.blocksNow(bad))
+		tracker.RecordEnd(second*time.Duration(i), end(second*time.Duration(i), bad))
+	}
+	is.True(tracker.blocksNow(rare, bad))
+	is.True(!tracker.blocksNow(rare))
+	is.Equal(tracker.Blocks()[0].Parts, []uint64{bad})
+	is.True(tracker.Blocks()[0].OwnLast)
+}
+
+func TestAnswerAfterEndsClearsPart(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 3 {
+		tracker.RecordEnd(second*time.Duration(i+1), end(second*time.Duration(i+1), bad, shared))
+	}
+	is.True(!tracker.RecordAnswer(4*second, []uint64{shared}, 500*time.Millisecond)) // it began before the ends
+	is.Equal(tracker.Blocks()[0].Parts, []uint64{bad, shared})
+	is.True(!tracker.blocksNow(shared)) // not without the other part
+	is.True(tracker.RecordAnswer(4*second, []uint64{shared}, 3500*time.Millisecond))
+	is.Equal(tracker.Blocks()[0].Parts, []uint64{bad})
+	is.True(!tracker.RecordAnswer(5*second, []uint64{shared}, 4*second)) // nothing left to clear
+	is.True(tracker.RecordAnswer(6*second, []uint64{bad}, 5*second))
+	is.Equal(len(tracker.Blocks()), 0)
+}
+
+func TestEnginesThatFailTogetherCountOnce(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 5 {
+		at := second + time.Duration(i)*10*time.Millisecond
+		tracker.RecordEnd(at, end(at, bad))
+	}
+	is.Equal(len(tracker.Blocks()), 0)
+	for i := range 2 {
+		// Sent after the engine before had ended.
+		at := second + time.Duration(i+10)*10*time.Millisecond
+		later := end(at, bad)
+		later.SentAt = at - 5*time.Millisecond
+		tracker.RecordEnd(at, later)
+	}
+	is.Equal(len(tracker.Blocks()), 1)
+}
+
+func TestEngineCountsOnceForAllItsAttempts(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 5 {
+		e := end(second*time.Duration(i), bad)
+		e.Engine = 1
+		tracker.RecordEnd(e.At, e)
+	}
+	is.Equal(len(tracker.Blocks()), 0)
+}
+
+func TestPartsBesideBlockedOneAreNotBlocked(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 6 {
+		parts := []uint64{rare, bad}
+		if i%3 == 0 {
+			parts = []uint64{bad}
+		}
+		tracker.RecordEnd(second*time.Duration(i), end(second*time.Duration(i), parts...))
+	}
+	is.Equal(len(tracker.Blocks()), 1)
+	is.True(!tracker.blocksNow(rare))
+	is.True(tracker.blocksNow(bad))
+}
+
+func TestTwoPartsAreBlockedIndependently(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 8 {
+		part := bad
+		if i%2 == 0 {
+			part = 0xbad2
+		}
+		tracker.RecordEnd(second*time.Duration(i), end(second*time.Duration(i), part))
+	}
+	is.True(tracker.blocksNow(bad) && tracker.blocksNow(0xbad2))
+}
+
+func TestSuspicionEndsAndBlockLasts(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	tracker.RecordEnd(second, end(second, rare))
+	for i := range 3 {
+		tracker.RecordEnd(2*second+second*time.Duration(i), end(2*second+second*time.Duration(i), bad))
+	}
+	later := suspicionTTL + 10*second
+	evidence := tracker.Evidence(later, All)
+	is.Equal(len(evidence.Ends), 3)
+	is.True(tracker.Blocking(later, []uint64{bad}) != nil)
+	fresh := New()
+	is.True(fresh.Apply(later, &evidence, false)) // a node that starts learns the block
+	is.True(fresh.Blocking(later, []uint64{bad}) != nil)
+	is.True(tracker.Blocking(blockTTL+10*second, []uint64{bad}) == nil)
+	is.True(!New().Apply(maxEndAge+20*second, &evidence, false))
+}
+
+func TestTrialsAreSpacedExponentially(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	at := time.Duration(0)
+	for range 3 {
+		at += second
+		tracker.RecordEnd(at, end(at, bad))
+	}
+	delays := []time.Duration{}
+	for range 9 {
+		block := tracker.Blocks()[0]
+		is.True(!block.TrialDue(at + block.TrialDelay() - second))
+		at += block.TrialDelay()
+		is.True(block.TrialDue(at))
+		is.True(block.RetryAfter(at) > 0)
+		delays = append(delays, block.TrialDelay())
+		tracker.RecordEnd(at, end(at, bad))
+	}
+	is.Equal(delays[:3], []time.Duration{time.Minute, 2 * time.Minute, 4 * time.Minute})
+	is.Equal(delays[8], maxTrialDelay)
+}
+
+// TestEvidenceMergesInAnyOrder gives the same evidence to nodes in other orders, in parts and more
+// than once.
+func TestEvidenceMergesInAnyOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var messages []Evidence
+		for i := range 12 {
+			at := time.Duration(i+1) * time.Duration(50+random.IntN(500)) * time.Millisecond
+			e := end(at, uint64(random.IntN(3)), uint64(3+random.IntN(3)))
+			e.Engine = uint32(random.IntN(9))
+			messages = append(messages, Evidence{Ends: []End{e}})
+			if random.IntN(4) == 0 {
+				messages = append(messages, Evidence{Answers: []Answer{{Part: uint64(random.IntN(6)), At: at + time.Millisecond}}})
+			}
+		}
+		want := ""
+		for node := range 4 {
+			tracker := New()
+			// Answers count for ends that are known, and are told again with them.
+			for round := range 2 {
+				for _, i := range random.Perm(len(messages)) {
+					if round == 0 && random.IntN(3) == 0 {
+						continue
+					}
+					tracker.Apply(time.Minute, &messages[i], false)
+				}
+			}
+			for i := range messages {
+				tracker.Apply(time.Minute, &messages[i], false)
+			}
+			got := ""
+			for _, block := range tracker.Blocks() {
+				got += fmt.Sprint(block.Parts, len(block.Witnesses), " ")
+			}
+			if node == 0 {
+				want = got
+			} else if got != want {
+				t.Fatalf("seed %d: node %d blocks %q, another one %q", seed, node, got, want)
+			}
+		}
+	}
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 3 {
+		tracker.RecordEnd(second*time.Duration(i), end(second*time.Duration(i), bad))
+	}
+	for i := range 2000 {
+		at := 10*second + time.Duration(i)*10*time.Millisecond
+		parts := make([]uint64, 100)
+		for p := range parts {
+			parts[p] = uint64(i*1000 + p)
+		}
+		tracker.RecordEnd(at, end(at, parts...))
+	}
+	is.True(len(tracker.ends) <= maxEnds)
+	is.True(len(tracker.byPart) <= maxEnds*maxParts)
+	is.True(tracker.Blocking(second*20, []uint64{bad}) != nil) // other evidence does not displace a block
+	is.True(len(tracker.Evidence(time.Minute, All).Ends) <= maxToldEnds)
+}
+
+func TestSoundPromptsBesideCrashingOnesAreNotBlocked(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for i := range 8 {
+		at := second * time.Duration(i)
+		tracker.RecordEnd(at, end(at, bad))
+		// Another prompt had no event yet at each engine.
+		beside := end(at, rare)
+		beside.Attempt += 1 << 20
+		if i > 0 {
+			tracker.RecordEnd(at, beside)
+		}
+	}
+	is.True(tracker.blocksNow(bad))
+	is.True(!tracker.blocksNow(rare))
+}
+
+// TestNoSoundPartIsBlockedByCrashes plays days on which engines end alone, by turns and by racks,
+// without a part that crashes them. The parts are as unevenly spread as on the users' sites.
+func TestNoSoundPartIsBlockedByCrashes(t *testing.T) {
+	const days, engines, racks, dayLength, requestsPerSecond, zipfParts = 200, 26, 6, 90 * time.Second, 54, 200
+	blocked, ends := 0, 0
+	for seed := range uint64(days) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		zipf := rand.NewZipf(random, 1.2, 4, zipfParts-1)
+		tracker := New()
+		upAt := make([]time.Duration, engines)
+		incarnation := uint32(0)
+		crash := func(now time.Duration, engine int) {
+			upAt[engine] = now + 3*second
+			incarnation++
+			// Of the 3 or so streams at an engine one in four may be between header and first event.
+			for attempt := range random.IntN(5) {
+				if random.IntN(4) == 0 {
+					ends++
+					tracker.RecordEnd(now, End{
+						Engine: incarnation, Attempt: incarnation*16 + uint32(attempt), Parts: []uint64{zipf.Uint64()},
+						SentAt: now - time.Duration(random.IntN(500))*time.Millisecond, At: now,
+					})
+				}
+			}
+		}
+		for now := time.Duration(0); now < dayLength; now += second / requestsPerSecond {
+			if random.IntN(requestsPerSecond*5) == 0 {
+				crash(now, random.IntN(engines))
+			}
+			if random.IntN(requestsPerSecond*30) == 0 {
+				rack := random.IntN(racks)
+				for engine := rack; engine < engines; engine += racks {
+					crash(now+time.Duration(random.IntN(30))*time.Millisecond, engine)
+				}
+			}
+			if now > upAt[random.IntN(engines)] {
+				part := zipf.Uint64()
+				if tracker.Blocking(now, []uint64{part}) != nil {
+					blocked++
+				}
+				tracker.RecordAnswer(now, []uint64{part}, now)
+			}
+		}
+	}
+	t.Logf("%d ends of sound prompts, %d requests blocked", ends, blocked)
+	if blocked > 0 {
+		t.Errorf("%d sound requests were blocked", blocked)
+	}
+}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -17,6 +17,9 @@
 	LogViewChanged          = "beliefs changed"
 	LogRequestsWaiting      = "requests wait"
 	LogNoRequestWaiting     = "no request waits"
+	LogPartsBlocked         = "prompt parts blocked"
+	LogPartsReleased        = "prompt parts released"
+	LogTrialSent            = "blocked prompt sent as a trial"
 	LogReportFailed         = "engine does not report"
 	LogReportRecovered      = "engine reports again"
 )
