Blocked prompt parts outlive all nodes; one trial at a time over the fleet

A node that started after all others were gone had to see three engines end again, and nothing ever lifted a block but its age. The node that sees the last end of a block now stores the ends beside the list of nodes, which each node reads at its start anyway (no further call), and the one that sees an answer deletes them. A trial is claimed by a conditional write, one minute after the last end and then at doubled intervals, by the node that rendezvous hashing names; the next request with the parts is sent there.

Seen before: TestBlockedPartOutlivesAllNodes red (nothing stored). Now 3 engines end before and none after all nodes were stopped and started.

--- /dev/null
+++ b/edge/blocks_test.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/wigeontiller/wigeontiller/exchange"
+	"github.com/wigeontiller/wigeontiller/quarantine"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// fakeBlockStore fails while down.
+type fakeBlockStore struct {
+	mutex  sync.Mutex
+	down   bool
+	blocks map[string]int
+	claims int
+}
+
+func (s *fakeBlockStore) do(f func()) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return errors.New("store is down")
+	}
+	f()
+	return nil
+}
+
+func (s *fakeBlockStore) SaveBlock(_ context.Context, key string, ends []quarantine.End) error {
+	return s.do(func() { s.blocks[key] = len(ends) })
+}
+
+func (s *fakeBlockStore) ClaimTrial(context.Context, string, time.Duration) (bool, error) {
+	err := s.do(func() { s.claims++ })
+	return err == nil, err
+}
+
+func (s *fakeBlockStore) DeleteBlock(_ context.Context, key string) error {
+	return s.do(func() { delete(s.blocks, key) })
+}
+
+func (s *fakeBlockStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+func TestBlockIsStoredAndDeletedAfterStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		store := &fakeBlockStore{blocks: map[string]int{}, down: true}
+		runner := exchange.NewQuarantineRunner(func() time.Duration { return time.Since(started) }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
+		keeper := newBlockKeeper(store, runner, func(string, string) bool { return true }, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { keeper.run(ctx) })
+		for _, engine := range []string{"x", "y", "z"} {
+			time.Sleep(time.Second)
+			runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(len(store.blocks), 0)
+		store.setDown(false)
+		time.Sleep(3 * time.Second)
+		is.Equal(len(store.blocks), 1)
+		block := runner.Blocking([]uint64{1})
+		is.True(!runner.TakeTrial(block))
+		synctest.Wait()
+		is.Equal(store.claims, 0) // not due
+		time.Sleep(time.Minute)
+		is.True(!runner.TakeTrial(block)) // due; claimed for a later request
+		is.True(!runner.TakeTrial(block))
+		synctest.Wait()
+		is.Equal(store.claims, 1)
+		is.True(runner.TakeTrial(block))
+		is.True(!runner.TakeTrial(block)) // one request only
+		store.setDown(true)
+		time.Sleep(time.Second)
+		runner.RecordAnswer([]uint64{1}, time.Now())
+		is.True(runner.Blocking([]uint64{1}) == nil)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(store.blocks), 1)
+		store.setDown(false)
+		time.Sleep(3 * time.Second)
+		is.Equal(len(store.blocks), 0)
+		cancel()
+		group.Wait()
+	})
+}
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -67,3 +67,32 @@
 	}
 	is.True(served >= requests*95/100) // sound prompts that share a part
 }
+
+// TestBlockedPartOutlivesAllNodes guards against nodes that learn by new crashes what nodes that
+// are gone knew.
+func TestBlockedPartOutlivesAllNodes(t *testing.T) {
+	is := is.New(t)
+	const nodes = 3
+	f := crashFixture(t, nodes)
+	for i := range 6 {
+		f.prompt(i%nodes, sharedPart, badPart)
+		time.Sleep(120 * time.Millisecond)
+	}
+	before := f.crashes()
+	is.Equal(before, 3)
+	f.eventually("the block was not stored", func() bool { return f.store.Rows("wigeontiller-nodes") > nodes })
+	for _, node := range f.nodes {
+		node.stop()
+	}
+	for _, node := range f.nodes {
+		is.NoErr(<-node.done)
+	}
+	for i := range nodes {
+		f.startNode(fmt.Sprintf("edge-%d", i))
+	}
+	for i := range 6 {
+		f.prompt(nodes+i%nodes, sharedPart, badPart)
+	}
+	is.Equal(f.crashes(), before)
+	is.Equal(f.prompt(nodes, sharedPart, "f00d").status, http.StatusOK)
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -105,6 +105,7 @@
 	pool         *directhttp.Pool
 	exchange     *exchange.Exchange
 	reportPoller *reportPoller
+	blocks       *blockKeeper
 	callerServer *http.Server
 	readyServer  *http.Server
 	// metricsServer is nil if the settings name no metrics address.
@@ -157,6 +158,7 @@
 		},
 		MaxResponseBytes: maxAnswerBytes, MaxBufferedBytes: maxBufferedBytes, RetryAfter: retryAfter,
 	})
+	n.blocks = newBlockKeeper(store, n.quarantine, n.agent.IsOwner, n.logger)
 	n.reportPoller = &reportPoller{
 		fetcher:  platform.NewReportClient(control),
 		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger,
@@ -246,6 +248,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { n.follower.Run(runCtx) })
 	group.Go(func() { n.agent.Run(runCtx) })
+	group.Go(func() { n.blocks.run(runCtx) })
 	group.Go(func() { periodic.Run(runCtx, sweepInterval, func() { n.pool.Sweep(maxIdleTime) }) })
 	group.Go(func() { periodic.Run(runCtx, reportInterval, func() { n.reportPoller.pollAll(runCtx) }) })
 	monitor := &queueMonitor{gate: n.gate, logger: n.logger, metrics: n.metrics, consecutive: map[string]int{}}
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	running map[*blockableAttempt]struct{}
 	// granted holds until when one request may be sent as a trial, by block.
 	granted map[string]time.Duration
+	// released are the blocks that ended by an answer to this node, until TakeReleased.
+	released []string
 	// changed is signaled when blocks began or ended.
 	changed chan struct{}
 }
@@ -108,7 +111,18 @@
 	if len(parts) == 0 {
 		return
 	}
-	q.update(func(now time.Duration) bool { return q.tracker.RecordAnswer(now, parts, now-time.Since(began)) })
+	q.update(func(now time.Duration) bool {
+		before := q.tracker.Blocks()
+		if !q.tracker.RecordAnswer(now, parts, now-time.Since(began)) {
+			return false
+		}
+		for _, block := range before {
+			if !slices.ContainsFunc(q.tracker.Blocks(), func(b *quarantine.Block) bool { return b.Key == block.Key }) {
+				q.released = append(q.released, block.Key)
+			}
+		}
+		return true
+	})
 }
 
 // Apply merges evidence of another node.
@@ -126,11 +140,31 @@
 	return q.tracker.Evidence(q.clock(), scope)
 }
 
-// Blocks returns the blocks in force.
-func (q *QuarantineRunner) Blocks() []*quarantine.Block {
+// OwnBlocks returns the blocks whose last witness this node saw, with times relative to now.
+func (q *QuarantineRunner) OwnBlocks() []quarantine.Block {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.clock()
+	var own []quarantine.Block
+	for _, block := range q.tracker.Blocks() {
+		if !block.OwnLast {
+			continue
+		}
+		evidence := quarantine.Evidence{Ends: slices.Clone(block.Witnesses)}
+		evidence.Shift(-now)
+		own = append(own, quarantine.Block{Key: block.Key, Parts: block.Parts, Witnesses: evidence.Ends})
+	}
+	return own
+}
+
+// TakeReleased returns the keys of the blocks that an answer to this node has ended since the last
+// call.
+func (q *QuarantineRunner) TakeReleased() []string {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.tracker.Blocks()
+	released := q.released
+	q.released = nil
+	return released
 }
 
 // Changed is signaled when blocks began or ended.
--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -29,10 +29,10 @@
 	return nil
 }
 
-func (d *memoryDirectory) Nodes(context.Context) ([]Node, error) {
+func (d *memoryDirectory) ReadDirectory(context.Context) (Entries, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return append([]Node(nil), d.nodes...), nil
+	return Entries{Nodes: append([]Node(nil), d.nodes...)}, nil
 }
 
 // lockedScheduler runs a scheduler under a lock.
--- a/loadshare/directory.go
+++ b/loadshare/directory.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
 const (
@@ -30,10 +32,18 @@
 	Capacity float64
 }
 
-// Directory holds the list of the fleet's nodes.
+// Directory holds the list of the fleet's nodes, and what must outlive them.
 type Directory interface {
 	Register(ctx context.Context, node Node) error
-	Nodes(ctx context.Context) ([]Node, error)
+	ReadDirectory(ctx context.Context) (Entries, error)
+}
+
+// Entries is the content of the directory.
+type Entries struct {
+	Nodes []Node
+	// Evidence is that of the parts of prompts that are blocked; its times are relative to the
+	// time of the reading.
+	Evidence quarantine.Evidence
 }
 
 // Register makes this node write its entry of the directory again, which the directory may
@@ -76,11 +86,15 @@
 		}
 		*registered = true
 	}
-	nodes, err := a.directory.Nodes(ctx)
+	entries, err := a.directory.ReadDirectory(ctx)
 	if err != nil {
 		return err
 	}
-	a.addNodes(nodes)
+	a.addNodes(entries.Nodes)
+	if a.Evidence != nil && !entries.Evidence.Empty() {
+		entries.Evidence.Shift(a.clock())
+		a.Evidence.Apply(&entries.Evidence, false)
+	}
 	a.updateNodeCount()
 	a.announce()
 	return nil
--- a/loadshare/evidence.go
+++ b/loadshare/evidence.go
@@ -35,13 +35,7 @@
 	if evidence == nil || a.Evidence == nil {
 		return
 	}
-	for i := range evidence.Ends {
-		evidence.Ends[i].SentAt += offset
-		evidence.Ends[i].At += offset
-	}
-	for i := range evidence.Answers {
-		evidence.Answers[i].At += offset
-	}
+	evidence.Shift(offset)
 	if !trusted {
 		evidence.Answers = nil
 	}
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -40,7 +40,7 @@
 // Blocking returns the block that keeps a request with the parts from being sent, or nil.
 func (t *Tracker) Blocking(now time.Duration, parts []uint64) *Block {
 	for _, block := range t.blocks {
-		if now-block.LastEnd() < blockTTL && block.covers(parts) {
+		if now-block.LastEnd() < BlockTTL && block.covers(parts) {
 			return block
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -27,8 +27,8 @@
 	simultaneousWithin = 100 * time.Millisecond
 	// suspicionTTL is how long an end is kept that is not part of a block.
 	suspicionTTL = 10 * time.Minute
-	// blockTTL is how long a block is kept after its last end. It is longer than maxTrialDelay.
-	blockTTL = 2 * time.Hour
+	// BlockTTL is how long a block is kept after its last end. It is longer than maxTrialDelay.
+	BlockTTL = 2 * time.Hour
 	// maxEndAge is the age from which evidence of other nodes is ignored.
 	maxEndAge = 24 * time.Hour
 	// maxEnds bounds the ends that are kept, and maxParts the parts of each.
@@ -59,6 +59,17 @@
 	Answers []Answer
 }
 
+// Shift moves all times by an offset between two clocks.
+func (e *Evidence) Shift(offset time.Duration) {
+	for i := range e.Ends {
+		e.Ends[i].SentAt += offset
+		e.Ends[i].At += offset
+	}
+	for i := range e.Answers {
+		e.Answers[i].At += offset
+	}
+}
+
 // Empty reports whether there is nothing to tell.
 func (e *Evidence) Empty() bool { return len(e.Ends)+len(e.Answers) == 0 }
 
@@ -250,7 +261,7 @@
 	for _, end := range t.ends {
 		lastAt, ttl := end.At, suspicionTTL
 		if end.block != nil {
-			lastAt, ttl = end.block.LastEnd(), blockTTL
+			lastAt, ttl = end.block.LastEnd(), BlockTTL
 		}
 		if now-lastAt > ttl {
 			t.removeEnd(end)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -122,7 +122,7 @@
 	fresh := New()
 	is.True(fresh.Apply(later, &evidence, false)) // a node that starts learns the block
 	is.True(fresh.Blocking(later, []uint64{bad}) != nil)
-	is.True(tracker.Blocking(blockTTL+10*second, []uint64{bad}) == nil)
+	is.True(tracker.Blocking(BlockTTL+10*second, []uint64{bad}) == nil)
 	is.True(!New().Apply(maxEndAge+20*second, &evidence, false))
 }
 
--- a/standin/fleetstore/store.go
+++ b/standin/fleetstore/store.go
@@ -227,7 +227,8 @@
 		body.Version, rows = s.staleVersion, s.staleRows
 	}
 	for _, row := range rows {
-		if row.Table == query.Get("tableName") && row.Part == query.Get("part") && row.Key >= query.Get("source") {
+		if row.Table == query.Get("tableName") && row.Part == query.Get("part") && row.Key >= query.Get("source") &&
+			(query.Get("target") == "" || row.Key < query.Get("target")) {
 			body.Rows = append(body.Rows, row)
 		}
 	}
