A stream that ends with its connection before any event is broken off

A stream with neither length nor chunks whose engine ended before its first event was passed on as a complete, empty answer: its end is the end of the connection, with no bytes after the last event. Such a stream is now resumed at another engine, and its end counts as evidence. TestCloseDelimitedStreamWithoutEventsIsBrokenOff failed before. The end inside an event was handled already; it has a test now.

--- a/exchange/blocked_test.go
+++ b/exchange/blocked_test.go
@@ -114,6 +114,28 @@
 	is.True(f.serve(t, f.prompt("f", 1)).ended)
 }
 
+// TestCloseDelimitedStreamWithoutEventsIsBrokenOff guards against an engine that ends before its
+// first event and whose closed connection passes for the end of a stream.
+func TestCloseDelimitedStreamWithoutEventsIsBrokenOff(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, attemptStep{status: 200, closeDelimited: true}, attemptStep{status: 200, closeDelimited: true, body: eventText(1, 3)})
+	got := f.serve(t, f.prompt("a", 1))
+	is.True(got.ended)
+	is.Equal(got.events, eventText(1, 3))
+	is.Equal(len(f.sender.attempts), 2)
+}
+
+func TestCloseDelimitedStreamThatEndsInsideEventIsResumed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t,
+		attemptStep{status: 200, closeDelimited: true, body: eventText(1, 2) + "id: 3\ndata: "},
+		attemptStep{status: 200, closeDelimited: true, body: eventText(3, 4)})
+	got := f.serve(t, f.prompt("a", 1))
+	is.True(got.ended)
+	is.Equal(got.events, eventText(1, 4))
+	is.Equal(f.sender.attempts[1].After, int64(2))
+}
+
 // blockPart records three ends.
 func (f *fixture) blockPart(part uint64) {
 	for i, engine := range []string{"x", "y", "z"} {
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -37,6 +37,8 @@
 	stream io.ReadCloser
 	// before runs before the attempt asks for permission.
 	before func()
+	// closeDelimited is true if the body ends with its connection.
+	closeDelimited bool
 	// hang withholds the response until the context ends.
 	hang bool
 }
@@ -123,7 +125,7 @@
 func (r *fakeReply) Leaving() bool          { return r.leaving }
 func (r *fakeReply) Pause() time.Duration   { return r.pause }
 func (r *fakeReply) Authentic() bool        { return !r.unsigned }
-func (r *fakeReply) CloseDelimited() bool   { return false }
+func (r *fakeReply) CloseDelimited() bool   { return r.closeDelimited }
 func (r *fakeReply) Body() io.Reader        { return r.body }
 func (r *fakeReply) Finish()                {}
 func (r *fakeReply) Abort()                 {}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -74,7 +74,9 @@
 // complete event; a stream is complete only if there are none.
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
 	scheduler := r.exchange.config.Scheduler
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && len(remainder) == 0 {
+	// A closed connection does not tell the end of an empty stream from that of its engine.
+	empty := reply.CloseDelimited() && r.attemptEvents == 0
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && len(remainder) == 0 && !empty {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Answered, "")
 		r.recordWholeStream()
