Log the request limits that upstreams state, count polls and orders to engines

The logs of second1 don't show that an engine states a limit, in which kind of answer, nor how many requests reach it besides attempts. Nothing is decided by it yet.

--- a/edge/node.go
+++ b/edge/node.go
@@ -161,7 +161,7 @@
 	n.blocks = newBlockKeeper(store, n.quarantine, n.agent.IsOwner, n.logger)
 	n.reportPoller = &reportPoller{
 		fetcher:  platform.NewReportClient(control),
-		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger,
+		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger, metrics: n.metrics,
 		failing: map[string]bool{},
 	}
 	if err := n.listen(); err != nil {
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -37,6 +37,7 @@
 	// notifyPeers schedules a broadcast of the changed load to the peers.
 	notifyPeers func()
 	logger      zerolog.Logger
+	metrics     *telemetry.Metrics
 
 	mutex sync.Mutex
 	// failing holds the IDs of the engines whose last poll failed.
@@ -62,7 +63,11 @@
 func (r *reportPoller) poll(ctx context.Context, entry *fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	r.metrics.Count("wigeontiller_reports_requested_total", 1)
 	report, err := r.fetcher.Report(ctx, entry)
+	if report.Limit.Stated {
+		r.logger.Info().Str("upstream", entry.ID).Str("source", "report").Float64("requests_per_second", report.Limit.PerSecond).Msg(telemetry.LogLimitStated)
+	}
 	r.gate.Do(func(s *placement.Scheduler, now time.Duration) { s.ApplyReport(now, entry.ID, report, err == nil) })
 	r.notifyPeers()
 	r.mutex.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,7 @@
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/retry"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -106,6 +107,9 @@
 	Leaving() bool
 	// Pause is how long the upstream wants nothing from this node; 0 is not stated.
 	Pause() time.Duration
+	// RequestLimit returns the rate of requests that the upstream takes from all nodes, and false if
+	// the response's statement can't be read.
+	RequestLimit() (placement.StatedLimit, bool)
 	// FaultyUpstream returns the ID of another upstream that caused the failure, or "".
 	FaultyUpstream() string
 	// Authentic reports whether a successful response carries proof that the upstream sent it.
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -37,6 +37,8 @@
 	stream io.ReadCloser
 	// before runs before the attempt asks for permission.
 	before func()
+	// limit is what the upstream states.
+	limit placement.StatedLimit
 	// closeDelimited is true if the body ends with its connection.
 	closeDelimited bool
 	// hang withholds the response until the context ends.
@@ -119,16 +121,17 @@
 	body io.Reader
 }
 
-func (r *fakeReply) Status() int            { return r.status }
-func (r *fakeReply) Verdict() Verdict       { return r.verdict }
-func (r *fakeReply) FaultyUpstream() string { return r.faulty }
-func (r *fakeReply) Leaving() bool          { return r.leaving }
-func (r *fakeReply) Pause() time.Duration   { return r.pause }
-func (r *fakeReply) Authentic() bool        { return !r.unsigned }
-func (r *fakeReply) CloseDelimited() bool   { return r.closeDelimited }
-func (r *fakeReply) Body() io.Reader        { return r.body }
-func (r *fakeReply) Finish()                {}
-func (r *fakeReply) Abort()                 {}
+func (r *fakeReply) Status() int                                 { return r.status }
+func (r *fakeReply) Verdict() Verdict                            { return r.verdict }
+func (r *fakeReply) FaultyUpstream() string                      { return r.faulty }
+func (r *fakeReply) Leaving() bool                               { return r.leaving }
+func (r *fakeReply) Pause() time.Duration                        { return r.pause }
+func (r *fakeReply) RequestLimit() (placement.StatedLimit, bool) { return r.limit, true }
+func (r *fakeReply) Authentic() bool                             { return !r.unsigned }
+func (r *fakeReply) CloseDelimited() bool                        { return r.closeDelimited }
+func (r *fakeReply) Body() io.Reader                             { return r.body }
+func (r *fakeReply) Finish()                                     {}
+func (r *fakeReply) Abort()                                      {}
 
 // recordingWriter records the response.
 type recordingWriter struct {
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -78,6 +78,7 @@
 	var group sync.WaitGroup
 	for i := range t.list {
 		group.Go(func() {
+			t.handler.exchange.config.Metrics.Count("wigeontiller_memory_orders_total", 1)
 			ok, err := t.handler.exchange.config.Memory.Reserve(ctx, &t.list[i], reservationLease)
 			if err != nil || !ok {
 				t.log("memory not reserved", &t.list[i], err)
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -102,6 +102,9 @@
 	StartedMs int64
 	// Leaving is true if the upstream said that it leaves.
 	Leaving bool
+	// Limit is the rate of requests that it takes from all nodes, if LimitValid.
+	Limit      StatedLimit
+	LimitValid bool
 }
 
 // ApplyReport applies a report that this node requested, or, with ok false, its failure.
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -20,6 +20,7 @@
 	LogPartsBlocked         = "prompt parts blocked"
 	LogPartsReleased        = "prompt parts released"
 	LogTrialSent            = "blocked prompt sent as a trial"
+	LogLimitStated          = "upstream states a request limit"
 	LogReportFailed         = "engine does not report"
 	LogReportRecovered      = "engine reports again"
 )
