--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -36,7 +36,7 @@
 		for _, part := range parts {
 			prefix += part + ":40,"
 		}
-		r.Header.Set("X-Prefix-Hash", prefix+fmt.Sprintf("%x:900", requestCount))
+		r.Header.Set("X-Prefix-Hash", prefix+fmt.Sprintf("%x:900", requestCount.Load()))
 	})
 }
 
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,18 +174,18 @@
 	err    error
 }
 
-var requestCount int
+var requestCount atomic.Int64
 
 // call sends a request with a new ID to a node.
 func (f *fixture) call(node int, route, key string, change func(r *http.Request)) callResult {
 	f.t.Helper()
-	requestCount++
+	number := requestCount.Add(1)
 	r, err := http.NewRequest(http.MethodPost, f.nodes[node].url+"/"+route+"/x?y=1", strings.NewReader("body"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	r.Host = "h.example"
-	r.Header.Set("X-Attempt-Id", fmt.Sprintf("id%d", requestCount))
+	r.Header.Set("X-Attempt-Id", fmt.Sprintf("id%d", number))
 	r.Header.Set("X-Deadline-Ms", "2000")
 	r.Header.Set("Authorization", "Token "+key)
 	if route == "chat" {
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -35,6 +35,8 @@
 	// CrashPart, if not empty, is the ID of a prompt part, other than the last one, that crashes
 	// the engine when it begins to write the answer.
 	CrashPart string
+	// RequestLimit, if not empty, is the rate of requests that every answer states.
+	RequestLimit string
 }
 
 // Run is one request that the engine executed.
@@ -67,6 +69,7 @@
 	crashed      chan struct{}
 	knobs        Knobs
 	runs         []*Run
+	arrivals     []time.Time
 	reservations map[string]int
 	active       int
 }
@@ -99,6 +102,13 @@
 	return runs
 }
 
+// Arrivals returns when requests of all kinds arrived, also for reports and orders, oldest first.
+func (e *Engine) Arrivals() []time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return append([]time.Time(nil), e.arrivals...)
+}
+
 // ReservedTokens returns the reserved memory, in tokens.
 func (e *Engine) ReservedTokens() int {
 	e.mutex.Lock()
@@ -125,6 +135,10 @@
 		return
 	}
 	e.mutex.Lock()
+	e.arrivals = append(e.arrivals, time.Now())
+	if e.knobs.RequestLimit != "" {
+		w.Header().Set("Server-Limit", e.knobs.RequestLimit)
+	}
 	if e.knobs.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
