--- a/edge/reports.go
+++ b/edge/reports.go
@@ -63,12 +63,23 @@
 func (r *reportPoller) poll(ctx context.Context, entry *fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	allowed := true
+	r.gate.Do(func(s *placement.Scheduler, now time.Duration) { allowed = s.AllowPoll(now, entry.ID) })
+	if !allowed {
+		return
+	}
 	r.metrics.Count("wigeontiller_reports_requested_total", 1)
 	report, err := r.fetcher.Report(ctx, entry)
-	if report.Limit.Stated {
-		r.logger.Info().Str("upstream", entry.ID).Str("source", "report").Float64("requests_per_second", report.Limit.PerSecond).Msg(telemetry.LogLimitStated)
+	limitChanged := false
+	r.gate.Do(func(s *placement.Scheduler, now time.Duration) {
+		before := s.Limited(entry.ID)
+		s.ApplyReport(now, entry.ID, report, err == nil)
+		limitChanged = s.Limited(entry.ID) != before
+	})
+	if limitChanged {
+		r.logger.Info().Str("upstream", entry.ID).Str("source", "report").Bool("stated", report.Limit.Stated).
+			Float64("requests_per_second", report.Limit.PerSecond).Msg(telemetry.LogLimitStated)
 	}
-	r.gate.Do(func(s *placement.Scheduler, now time.Duration) { s.ApplyReport(now, entry.ID, report, err == nil) })
 	r.notifyPeers()
 	r.mutex.Lock()
 	wasFailing := r.failing[entry.ID]
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -4,7 +4,8 @@
 // decides what may be retried, when a failure may state that the request was not
 // executed, and when a response is complete.
 //
-// Lock order: SchedulerRunner.mutex is a leaf.
+// Lock order: SchedulerRunner.mutex before loadshare.Agent.mutex, which the scheduler takes for the
+// order of senders; QuarantineRunner.mutex is a leaf.
 package exchange
 
 import (
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -252,9 +252,9 @@
 // recordUpstreamState records, before the response is used, that an upstream is leaving or wants no requests
 // from this node for a time.
 func (r *requestHandler) recordUpstreamState(decision *placement.Decision, reply Reply) {
-	if limit, ok := reply.RequestLimit(); ok && limit.Stated {
+	if limit, ok := reply.RequestLimit(); ok && reply.Verdict() != WrongUpstream && r.exchange.config.Scheduler.RecordLimit(decision.Lead, limit) {
 		r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).Str("source", "response").
-			Float64("requests_per_second", limit.PerSecond).Msg(telemetry.LogLimitStated)
+			Bool("stated", limit.Stated).Float64("requests_per_second", limit.PerSecond).Msg(telemetry.LogLimitStated)
 	}
 	leaving, pause := reply.Leaving(), time.Duration(0)
 	if reply.Status() == http.StatusServiceUnavailable {
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -17,6 +17,10 @@
 	reservationLease = 1900 * time.Millisecond
 	// renewInterval lets two renewals fail before a lease ends.
 	renewInterval = 600 * time.Millisecond
+	// limitedReservationLease and limitedRenewInterval are the same for engines that state a limit of
+	// requests.
+	limitedReservationLease = 12 * time.Second
+	limitedRenewInterval    = 5 * time.Second
 	// reserveTimeout bounds one order to an engine: a few round trips between data centres.
 	reserveTimeout = 300 * time.Millisecond
 	// reserveRetryDelay is the mean delay before a prompt whose memory was not free is
@@ -44,8 +48,12 @@
 type reservations struct {
 	handler *requestHandler
 	list    []Reservation
-	cancel  context.CancelFunc
-	group   sync.WaitGroup
+	// renewedAt is when each was reserved or renewed last.
+	renewedAt []time.Time
+	// longLease is true for those with limitedReservationLease.
+	longLease []bool
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
 }
 
 // reserve reserves the memory that a placement needs, all of it or none, and renews the
@@ -60,6 +68,7 @@
 			ID: decision.ID + "/" + strconv.Itoa(i), Upstream: reservation.Upstream, Tokens: reservation.Tokens,
 		})
 	}
+	t.renewedAt, t.longLease = make([]time.Time, len(t.list)), make([]bool, len(t.list))
 	if !t.reserveAll(ctx) {
 		t.release()
 		return nil, false
@@ -76,10 +85,20 @@
 	defer cancel()
 	held := make([]bool, len(t.list))
 	var group sync.WaitGroup
+	scheduler := t.handler.exchange.config.Scheduler
 	for i := range t.list {
+		lease := reservationLease
+		if scheduler.Limited(t.list[i].Upstream.ID) {
+			lease = limitedReservationLease
+			if time.Since(t.renewedAt[i]) < limitedRenewInterval && t.longLease[i] {
+				held[i] = true
+				continue
+			}
+		}
+		t.renewedAt[i], t.longLease[i] = time.Now(), lease == limitedReservationLease
 		group.Go(func() {
 			t.handler.exchange.config.Metrics.Count("wigeontiller_memory_orders_total", 1)
-			ok, err := t.handler.exchange.config.Memory.Reserve(ctx, &t.list[i], reservationLease)
+			ok, err := t.handler.exchange.config.Memory.Reserve(ctx, &t.list[i], lease)
 			if err != nil || !ok {
 				t.log("memory not reserved", &t.list[i], err)
 			}
--- a/exchange/scheduler_runner.go
+++ b/exchange/scheduler_runner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
 	"github.com/wigeontiller/wigeontiller/placement"
 )
@@ -55,6 +56,24 @@
 	g.advance()
 }
 
+// RecordLimit records the limit that an answer states, and reports whether it changed.
+func (g *SchedulerRunner) RecordLimit(entry *fleet.Upstream, limit placement.StatedLimit) bool {
+	g.mutex.Lock()
+	changed := g.scheduler.RecordLimit(g.now(), entry, limit, false)
+	g.mutex.Unlock()
+	if changed {
+		g.onChange()
+	}
+	return changed
+}
+
+// Limited reports whether an upstream states a limit of requests.
+func (g *SchedulerRunner) Limited(id string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.scheduler.Limited(id)
+}
+
 func (g *SchedulerRunner) tick() {
 	g.mutex.Lock()
 	placed := g.advance()
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -82,6 +82,8 @@
 		return "no number of engines that may share a prompt had the memory for it"
 	case placement.Busy:
 		return "the prompt needs several engines' memory, and the engines read too much to take it"
+	case placement.LimitReached:
+		return "all upstreams that might run it state request limits that were used up"
 	case placement.TooLate:
 		return fmt.Sprintf("it waited %v for a place, until its caller would have left", rounded(end.Millis("taken_ms")))
 	}
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -266,6 +266,7 @@
 		a.View.Confirm(claims)
 	}
 	a.applyEvidence(m.Evidence, offset, trusted)
+	a.applyLimits(m.Limits, offset)
 	a.applyTotals(m, restarted, older)
 }
 
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -2,7 +2,7 @@
 // each has placed on the upstreams. A lost datagram costs little: all totals are sent
 // again, and pending prefill time decreases by itself.
 //
-// Lock order: Agent.mutex is a leaf.
+// Lock order: Agent.mutex is a leaf; the scheduler takes it under its own lock, for SenderRank.
 package loadshare
 
 import (
@@ -54,6 +54,8 @@
 	// Evidence is about the parts of prompts that crash engines, with times on the sender's clock;
 	// nil is none.
 	Evidence *quarantine.Evidence
+	// Limits are what upstreams stated, with times on the sender's clock.
+	Limits []placement.LimitUpdate
 }
 
 // bundle is the load of the nodes of one zone, by node.
@@ -95,6 +97,7 @@
 	flagBundle       = 64
 	flagZones        = 128
 	flagEvidence     = 256
+	flagLimits       = 512
 	// fixedPointScale encodes prefill time in tenths of a ms and speed factors in tenths.
 	fixedPointScale = 10
 	// capacityScale encodes the processor share of a machine in thousandths.
@@ -107,7 +110,7 @@
 	for flag, set := range map[uint16]bool{
 		flagFull: m.Full, flagShuttingDown: m.ShuttingDown, flagUpdate: m.Update != nil, flagRelayed: m.Relayed,
 		flagAnnounced: m.Announced != nil, flagClaims: m.HasClaims, flagBundle: m.Bundle != nil, flagZones: len(m.Zones) > 0,
-		flagEvidence: m.Evidence != nil,
+		flagEvidence: m.Evidence != nil, flagLimits: len(m.Limits) > 0,
 	} {
 		if set {
 			flags |= flag
@@ -147,6 +150,9 @@
 	if m.Evidence != nil {
 		b = appendEvidence(b, m.Evidence, m.SentAt)
 	}
+	if len(m.Limits) > 0 {
+		b = appendLimits(b, m.Limits, m.SentAt)
+	}
 	return b
 }
 
@@ -240,6 +246,9 @@
 	if flags&flagEvidence != 0 {
 		m.Evidence = r.evidence(m.SentAt)
 	}
+	if flags&flagLimits != 0 {
+		m.Limits = r.limits(m.SentAt)
+	}
 	if r.failed || m.Node == "" {
 		return nil, errMalformed
 	}
--- a/loadshare/owner.go
+++ b/loadshare/owner.go
@@ -8,31 +8,59 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// IsOwner reports whether this node is the one that polls an upstream for its load, by
-// rendezvous hashing: in a small fleet over all live nodes, in a larger one over the live nodes
-// of the upstream's zone, or, if that zone has none, of another one.
+// IsOwner reports whether this node is the one that polls an upstream for its load: the first of
+// the order of SenderRank.
 func (a *Agent) IsOwner(id, zone string) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	rank, _ := a.rankAt(id, zone)
+	return rank == 0
+}
+
+// SenderRank returns this node's place in the order of rendezvous hashing for an upstream, and the
+// number of nodes in it: in a small fleet all live ones, in a larger one those of the upstream's zone,
+// or, if that zone has none, of another one. A node that is not among them, or that shuts down, comes
+// after the last one.
+func (a *Agent) SenderRank(id, zone string) (rank, nodes int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	rank, nodes = a.rankAt(id, zone)
+	if a.shuttingDown {
+		rank = nodes
+	}
+	return rank, nodes
+}
+
+// rankAt is SenderRank for a node that does not shut down; the mutex is held.
+func (a *Agent) rankAt(id, zone string) (rank, nodes int) {
 	now := time.Now()
-	own := weight(nodeHash(a.self.Name), id)
+	self := nodeHash(a.self.Name)
+	own := weight(self, id)
+	nodes = 1
+	count := func(node uint32) {
+		if node == self {
+			return
+		}
+		nodes++
+		if weight(node, id) > own {
+			rank++
+		}
+	}
 	if !a.relayed() {
 		for name, p := range a.peers {
-			if p.live(now) && weight(nodeHash(name), id) > own {
-				return false
+			if p.live(now) {
+				count(nodeHash(name))
 			}
 		}
-		return true
-	}
-	if a.homeZone(id, zone, now) != a.self.Zone {
-		return false
+		return rank, nodes
 	}
 	for _, member := range a.relay.members {
-		if weight(member, id) > own {
-			return false
-		}
+		count(member)
+	}
+	if a.homeZone(id, zone, now) != a.self.Zone {
+		rank = nodes
 	}
-	return true
+	return rank, nodes
 }
 
 func weight(node uint32, id string) uint64 {
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -221,18 +221,18 @@
 		others = append(others, a.zoneTargets(zone, ranked)...)
 	}
 	a.mutex.Unlock()
-	scope := quarantine.Untold
+	evidenceScope, limitScope := quarantine.Untold, placement.Untold
 	if full {
-		scope = quarantine.All
+		evidenceScope, limitScope = quarantine.All, placement.All
 	}
-	evidence := a.evidenceToSend(scope)
-	m := &message{Full: full, Relayed: true, Bundle: content, Zones: zones, Evidence: evidence}
+	evidence, limits := a.evidenceToSend(evidenceScope), a.limitsToSend(limitScope)
+	m := &message{Full: full, Relayed: true, Bundle: content, Zones: zones, Evidence: evidence, Limits: limits}
 	if full {
 		m.Announced = &a.self
 	}
 	a.send(m, inZone)
 	a.metrics.Count("wigeontiller_bundles_sent_total", 1)
-	toZones := &message{Relayed: true, Zones: []zoneLoad{sums}, Announced: &a.self, Evidence: evidence}
+	toZones := &message{Relayed: true, Zones: []zoneLoad{sums}, Announced: &a.self, Evidence: evidence, Limits: limits}
 	a.addClaims(toZones)
 	a.send(toZones, others)
 }
--- a/loadshare/send.go
+++ b/loadshare/send.go
@@ -34,15 +34,15 @@
 	}
 	var shares []placement.LoadUpdate
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, false) })
-	evidence := a.evidenceToSend(quarantine.Untold)
-	if len(shares) > 0 || evidence != nil {
-		a.sendShares(shares, evidence, false)
+	evidence, limits := a.evidenceToSend(quarantine.Untold), a.limitsToSend(placement.Untold)
+	if len(shares)+len(limits) > 0 || evidence != nil {
+		a.sendShares(&message{Shares: shares, Evidence: evidence, Limits: limits})
 	}
 }
 
 // sendShares sends this node's totals to those that need them: all peers, or this zone's relay
 // and its deputy.
-func (a *Agent) sendShares(shares []placement.LoadUpdate, evidence *quarantine.Evidence, full bool) {
+func (a *Agent) sendShares(m *message) {
 	a.mutex.Lock()
 	relayed := a.relayed()
 	targets := a.allTargets()
@@ -50,7 +50,7 @@
 		targets = a.relayTargets(time.Now())
 	}
 	a.mutex.Unlock()
-	m := &message{Full: full, Shares: shares, Evidence: evidence, Relayed: relayed}
+	m.Relayed = relayed
 	if !relayed {
 		a.addClaims(m)
 	}
@@ -96,12 +96,12 @@
 	if !acting {
 		var shares []placement.LoadUpdate
 		a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, true) })
-		scope := quarantine.All
+		evidenceScope, limitScope := quarantine.All, placement.All
 		if a.isRelayed() {
 			// The relay's bundles hold the rest.
-			scope = quarantine.Own
+			evidenceScope, limitScope = quarantine.Own, placement.Own
 		}
-		a.sendShares(shares, a.evidenceToSend(scope), true)
+		a.sendShares(&message{Full: true, Shares: shares, Evidence: a.evidenceToSend(evidenceScope), Limits: a.limitsToSend(limitScope)})
 	}
 	a.checkPeers()
 }
--- a/loadshare/simulation_test.go
+++ b/loadshare/simulation_test.go
@@ -156,7 +156,10 @@
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1),
 	}
 	started := time.Now()
-	g := &lockedScheduler{scheduler: placement.New(placement.Config{Random: rand.New(rand.NewPCG(1, uint64(i)))}), started: started}
+	var agent *Agent
+	g := &lockedScheduler{started: started, scheduler: placement.New(placement.Config{
+		Random: rand.New(rand.NewPCG(1, uint64(i))), SenderRank: func(id, zone string) (rank, nodes int) { return agent.SenderRank(id, zone) },
+	})}
 	engine := &fleet.Engine{Slots: 1, MemoryTokens: 1000, PrefillTokensPerMs: 100, StepsPerPass: 10, StepMs: 1}
 	g.scheduler.UpdateView(fleet.View{
 		Configuration: &fleet.Configuration{Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: engine}}},
@@ -167,7 +170,7 @@
 	f.network.inboxes[node.Address] = inbox
 	f.network.mutex.Unlock()
 	view := &freshView{}
-	agent := newAgent(node, g, clock, zerolog.Nop(), telemetry.NewMetrics())
+	agent = newAgent(node, g, clock, zerolog.Nop(), telemetry.NewMetrics())
 	evidence := &lockedTracker{tracker: quarantine.New(), agent: agent}
 	agent.directory, agent.View, agent.Evidence = f.directory, view, evidence
 	agent.conn = &simulatedConn{network: f.network, address: node.Address, inbox: inbox, closed: make(chan struct{})}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -224,7 +224,8 @@
 
 // canPrefill reports whether an engine may prefill a chunk of another engine's prompt.
 func (s *Scheduler) canPrefill(now time.Duration, engine *fleet.Engine, l *load) bool {
-	return l.totalHelperPrompts() < engine.Slots-1 && now >= l.avoidUntil && !l.entry.Cold(now)
+	_, limited := s.limited(l)
+	return !limited && l.totalHelperPrompts() < engine.Slots-1 && now >= l.avoidUntil && !l.entry.Cold(now)
 }
 
 type scoredLoad struct {
@@ -275,6 +276,7 @@
 	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.backlogMs(now)}
 	running := &runningRequest{lead: lead}
 	lead.takeColdPermit(now, s.coldRatePerSecond(service))
+	lead.limitPermits--
 	if service.Engine != nil && request.PromptTokens > 0 {
 		running.memoryTokens = request.PromptTokens + request.AnswerTokens
 		running.chunkMs = prefillMs(service.Engine, request.PromptTokens) / float64(1+len(helpers))
--- a/placement/hold_test.go
+++ b/placement/hold_test.go
@@ -9,8 +9,9 @@
 	"github.com/wigeontiller/wigeontiller/fleet"
 )
 
-// withEntry replaces one upstream's entry in the view.
-func (f *fixture) withEntry(id string, change func(entry *fleet.Upstream)) {
+// withEntry replaces the entry of e0 in the view.
+func (f *fixture) withEntry(change func(entry *fleet.Upstream)) {
+	const id = "e0"
 	entry := *f.view.Upstreams[id]
 	change(&entry)
 	upstreams := map[string]*fleet.Upstream{}
@@ -26,7 +27,7 @@
 	is := is.New(t)
 	now := time.Second
 	f := newFixture(1, 0)
-	f.withEntry("e0", func(entry *fleet.Upstream) { entry.StartedMs, entry.SeenAt = 100, time.Millisecond })
+	f.withEntry(func(entry *fleet.Upstream) { entry.StartedMs, entry.SeenAt = 100, time.Millisecond })
 	placed := f.Submit(now, f.request(now, 5_000))
 	is.Equal(placed.Lead.ID, "e0")
 	f.MarkLeaving(now, "e0", 100)
@@ -34,10 +35,10 @@
 	is.Equal(f.Submit(now, f.request(now, 5_000)).Reason, NoUpstream)
 	// The store may be restored with an older entry, and then with the same again.
 	for _, started := range []int64{50, 100} {
-		f.withEntry("e0", func(entry *fleet.Upstream) { entry.StartedMs = started })
+		f.withEntry(func(entry *fleet.Upstream) { entry.StartedMs = started })
 		is.Equal(f.Submit(now, f.request(now, 5_000)).Reason, NoUpstream)
 	}
-	f.withEntry("e0", func(entry *fleet.Upstream) { entry.StartedMs, entry.SeenAt = 200, now })
+	f.withEntry(func(entry *fleet.Upstream) { entry.StartedMs, entry.SeenAt = 200, now })
 	later := now + time.Second // a permit for an upstream that has just started takes some ms
 	is.Equal(f.Submit(later, f.request(later, 5_000)).Lead.ID, "e0")
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -70,6 +70,17 @@
 	// takes, as of coldPermitsAt.
 	coldPermits   float64
 	coldPermitsAt time.Duration
+	// incarnation identifies the upstream's process in statements of limits.
+	incarnation uint32
+	// limitPermits is the token bucket for this node's part of the rate that the upstream states, as
+	// of limitPermitsAt.
+	limitPermits   float64
+	limitPermitsAt time.Duration
+	// senderRank and senderNodes are the results of Config.SenderRank as of senderRankAt.
+	senderRank, senderNodes int
+	senderRankAt            time.Duration
+	// polledAt is when this node last polled the upstream for its load.
+	polledAt time.Duration
 }
 
 // Totals are one node's requests at one upstream.
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -114,6 +114,9 @@
 		return
 	}
 	s.changed[l] = struct{}{}
+	if ok && report.LimitValid {
+		s.RecordLimit(now, l.entry, report.Limit, true)
+	}
 	if !ok {
 		l.avoid(now)
 		return
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -112,7 +112,9 @@
 	}
 	latest, responsive := 0.0, false
 	if l := s.loads[decision.Lead.ID]; l != nil {
-		responsive = l.reportedRecently(now)
+		_, limited := s.limited(l)
+		// An engine that states a limit is polled seldom.
+		responsive = limited || l.reportedRecently(now)
 	}
 	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
 		if l := s.loads[entry.ID]; l != nil {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -37,7 +37,10 @@
 	// ColdRateFactor is the factor on the rate that cold upstreams take; all nodes together use
 	// the product.
 	ColdRateFactor float64
-	Random         *rand.Rand
+	// SenderRank returns this node's place in the order of the nodes that may send to an upstream of
+	// a zone which states a limit, and their number. Nil is a node without others.
+	SenderRank func(id, zone string) (rank, nodes int)
+	Random     *rand.Rand
 }
 
 // Request is what the scheduler needs to know of a request.
@@ -69,6 +72,8 @@
 	NoUpstream Reason = "no_upstream"
 	TooLarge   Reason = "too_large"
 	TooLate    Reason = "too_late"
+	// LimitReached means that all upstreams that may run the request state limits which are used up.
+	LimitReached Reason = "request_limit"
 	// Busy means that the request would make too many others late.
 	Busy Reason = "busy"
 )
@@ -138,12 +143,17 @@
 	pauseTargets map[string]float64
 	// holds are by the upstream's ID.
 	holds map[string]*hold
+	// limits are by the upstream's incarnation.
+	limits map[uint32]*knownLimit
 }
 
 // New returns a scheduler without upstreams.
 func New(config Config) *Scheduler {
+	if config.SenderRank == nil {
+		config.SenderRank = func(string, string) (rank, nodes int) { return 0, 1 }
+	}
 	return &Scheduler{
-		config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
+		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
 		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{},
 	}
 }
@@ -173,7 +183,7 @@
 	}
 	for id, entry := range view.Upstreams {
 		if s.loads[id] == nil {
-			made := &load{entry: entry, engine: engineOf(view.Configuration, entry), hash: Hash(id), totalsByNode: map[string]Totals{}}
+			made := &load{entry: entry, engine: engineOf(view.Configuration, entry), hash: Hash(id), incarnation: incarnationOf(entry), totalsByNode: map[string]Totals{}}
 			made.coldPermits = s.firstColdPermit(entry, started)
 			s.loads[id], s.byHash[made.hash] = made, made
 		}
@@ -271,6 +281,9 @@
 	service := s.configuration.Services[request.Service]
 	eligible := s.eligible(now, request, service)
 	if len(eligible) == 0 {
+		if wait := s.earliestPermit(now, request.Service); wait > 0 {
+			return refuse(request, LimitReached, wait), true
+		}
 		return refuse(request, NoUpstream, max(defaultRetryAfter, s.earliestResume(now, request.Service))), true
 	}
 	var decision Decision
@@ -333,7 +346,7 @@
 		if entry.Service != service.Name || entry.Draining || s.view.ZonesOutOfService[entry.Zone] || !s.inAllowedRegion(request, entry.Zone) {
 			continue
 		}
-		if _, held := s.held(now, l); held {
+		if _, held := s.held(now, l); held || !s.limitAllows(now, l) {
 			continue
 		}
 		if slices.Contains(request.Avoid, entry.ID) || now < l.avoidUntil || entry.Missing() {
