--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -105,7 +105,7 @@
 func (f *fixture) register(id, state string) {
 	f.store.Put("servers", id, map[string]any{
 		"service": strings.Split(id, "-")[0], "address": strings.TrimPrefix(f.servers[id].URL, "http://"), "zone": "z", "slots": 6, "state": state,
-		"born": 1 + f.engines[id].Crashes(),
+		"born": f.engines[id].Incarnation(),
 	})
 }
 
--- a/standin/fleetengine/crash.go
+++ b/standin/fleetengine/crash.go
@@ -7,7 +7,9 @@
 
 // Crash breaks off all streams and keeps the engine down for DownTime. A crash of an engine that
 // is down has no effect.
-func (e *Engine) Crash() {
+func (e *Engine) Crash() { e.crash(false) }
+
+func (e *Engine) crash(byPart bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.down {
@@ -15,6 +17,9 @@
 	}
 	e.down = true
 	e.crashes++
+	if byPart {
+		e.partCrashes = append(e.partCrashes, time.Now())
+	}
 	clear(e.reservations)
 	close(e.crashed)
 	time.AfterFunc(e.DownTime, e.restart)
@@ -29,11 +34,18 @@
 	}
 }
 
-// Crashes returns how often the engine has crashed.
-func (e *Engine) Crashes() int {
+// Incarnation is 1, and increases with each crash.
+func (e *Engine) Incarnation() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return 1 + e.crashes
+}
+
+// PartCrashes returns when the engine crashed because of Knobs.CrashPart, oldest first.
+func (e *Engine) PartCrashes() []time.Time {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.crashes
+	return append([]time.Time(nil), e.partCrashes...)
 }
 
 func (e *Engine) isDown() bool {
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -65,6 +65,7 @@
 
 	mutex        sync.Mutex
 	crashes      int
+	partCrashes  []time.Time
 	down         bool
 	crashed      chan struct{}
 	knobs        Knobs
@@ -263,7 +264,7 @@
 	if hasPart(r.Header.Get("X-Prefix-Hash"), knobs.CrashPart) {
 		time.Sleep(e.EventInterval)
 		_ = control.Flush()
-		e.Crash()
+		e.crash(true)
 	}
 	for event := afterEvent + 1; event <= e.Events; event++ {
 		select {
--- /dev/null
+++ b/test/processes/edge_fleet_test.go
@@ -0,0 +1,219 @@
+package processes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/standin/fleetengine"
+	"github.com/wigeontiller/wigeontiller/standin/fleetstore"
+)
+
+// edgeFleet is a fleet of edge processes before stand-ins of the users' platform.
+type edgeFleet struct {
+	t       *testing.T
+	store   *fleetstore.Store
+	address string
+	engines []*fleetengine.Engine
+	servers []*httptest.Server
+	mutex   sync.Mutex
+	nodes   []*edgeNode
+	// requests numbers the callers' requests.
+	requests atomic.Int64
+}
+
+type edgeNode struct {
+	*process
+	name, settings, callers, ready string
+}
+
+const (
+	edgeNodes, edgeEngines, edgeZones = 7, 12, 3
+	// contactTime is the time in which the nodes of a fleet must have heard of each other's news.
+	contactTime = 3 * time.Second
+)
+
+func startEdgeFleet(t *testing.T) *edgeFleet {
+	f := &edgeFleet{t: t, store: fleetstore.New()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	runtime := map[string]any{
+		"slots": 16, "kvCapacityTokens": 232000, "stride": 43, "step_ms": 1.02, "read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048,
+	}
+	f.store.Put("op", "config", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "chat", "host": "h.example", "prefix": "/chat/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000,
+			"targetLatencyMs": 300, "maxAttempts": 2, "streamResume": true, "gapTargetMs": 250,
+		}},
+		"services": []any{map[string]any{"name": "llm", "runtime": runtime}},
+		"limits":   map[string]any{"maxBodyBytes": 1000},
+	})
+	for i := range edgeEngines {
+		f.addEngine(i)
+	}
+	for i := range edgeNodes {
+		f.nodes = append(f.nodes, f.newNode(i))
+		f.startNode(i)
+	}
+	for i := range edgeNodes {
+		f.waitReady(i)
+	}
+	return f
+}
+
+func (f *edgeFleet) addEngine(i int) {
+	engine := fleetengine.New(fmt.Sprintf("llm-%d", i))
+	engine.EventInterval, engine.DownTime = 20*time.Millisecond, time.Second
+	server := httptest.NewServer(engine)
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.engines, f.servers = append(f.engines, engine), append(f.servers, server)
+	register := func() {
+		f.store.Put("servers", engine.ID, map[string]any{
+			"service": "llm", "address": strings.TrimPrefix(server.URL, "http://"), "zone": fmt.Sprintf("z%d", i%edgeZones), "slots": 16, "state": "ready",
+			"born": engine.Incarnation(),
+		})
+	}
+	engine.OnRestart = register
+	register()
+}
+
+func (f *edgeFleet) newNode(i int) *edgeNode {
+	n := &edgeNode{name: fmt.Sprintf("edge-%d", i), callers: freeAddress(f.t), ready: freeAddress(f.t)}
+	_, port, err := net.SplitHostPort(freeAddress(f.t))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.settings = filepath.Join(f.t.TempDir(), n.name+".yaml")
+	text := fmt.Sprintf(`name: %s
+zone: z%d
+caller_address: %s
+ready_address: %s
+peer_ip: 127.0.0.1
+peer_ports: [%s]
+store_address: %s
+grace_seconds: 6
+revoke_ms: 5000
+apply_ms: 2000
+retry_ratio: 0.2
+retry_window_seconds: 10
+retry_extra: 100
+warm_overshoot: 1.5
+`, n.name, i%edgeZones, n.callers, n.ready, port, f.address)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return n
+}
+
+// startNode starts a node's process, or starts it again.
+func (f *edgeFleet) startNode(i int) {
+	f.t.Helper()
+	started := start(f.t, "wigeontiller", "edge", f.nodes[i].settings)
+	f.mutex.Lock()
+	f.nodes[i].process = started
+	f.mutex.Unlock()
+}
+
+func (f *edgeFleet) waitReady(i int) {
+	f.t.Helper()
+	eventually(f.t, f.nodes[i].name+" is ready", func() bool {
+		return call(context.Background(), http.MethodGet, "http://"+f.nodes[i].ready+"/v1/readyz", "", nil).status == http.StatusOK
+	})
+}
+
+// restart ends a node by a signal and starts it again.
+func (f *edgeFleet) restart(i int, signal syscall.Signal) {
+	f.nodes[i].signal(f.t, signal)
+	f.nodes[i].waitExit(f.t)
+	f.startNode(i)
+	f.waitReady(i)
+}
+
+// prompt sends a prompt of the parts, and of one of its own, to a node. A caller whose node fails without
+// an answer tries another one.
+func (f *edgeFleet) prompt(node int, parts ...string) reply {
+	number := f.requests.Add(1)
+	var got reply
+	for try := range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		got = call(ctx, http.MethodPost, "http://"+f.nodes[(node+try)%edgeNodes].callers+"/chat/x", "body", map[string]string{
+			"Host": "h.example", "X-Attempt-Id": fmt.Sprintf("id%d-%d", number, try), "X-Deadline-Ms": "4000", "X-Token-Usage": "1000,300",
+			"X-Prefix-Hash": strings.Join(parts, ":40,") + fmt.Sprintf(":40,%x:900", number<<16),
+		})
+		cancel()
+		if got.err == nil && got.status != http.StatusServiceUnavailable {
+			return got
+		}
+	}
+	return got
+}
+
+// served reports whether a stream is complete.
+func served(r reply) bool {
+	return r.err == nil && r.status == http.StatusOK && strings.Count(r.body, "data: piece") == 8
+}
+
+// load sends sound prompts, and with bad parts others beside them, for a time. It returns the share of the
+// sound ones that were served.
+func (f *edgeFleet) load(length time.Duration, bad ...string) float64 {
+	const interval = 8 * time.Millisecond
+	var group sync.WaitGroup
+	var sent, complete atomic.Int64
+	for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+		group.Go(func() {
+			sent.Add(1)
+			if served(f.prompt(i%edgeNodes, "5eed", fmt.Sprintf("f%d", i%20))) {
+				complete.Add(1)
+			}
+		})
+		if len(bad) > 0 && i%15 == 0 {
+			group.Go(func() { f.prompt((i/15)%edgeNodes, "5eed", bad[i/15%len(bad)], fmt.Sprintf("f%d", i%20)) })
+		}
+		time.Sleep(interval)
+	}
+	group.Wait()
+	return float64(complete.Load()) / float64(max(1, sent.Load()))
+}
+
+func (f *edgeFleet) crashes() int {
+	total := 0
+	for _, engine := range f.engines {
+		total += len(engine.PartCrashes())
+	}
+	return total
+}
+
+// crashTimes returns when engines crashed, oldest first.
+func (f *edgeFleet) crashTimes() []time.Time {
+	var times []time.Time
+	for _, engine := range f.engines {
+		times = append(times, engine.PartCrashes()...)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+func (f *edgeFleet) crashOn(part string) {
+	for _, engine := range f.engines {
+		engine.Set(fleetengine.Knobs{CrashPart: part})
+	}
+}
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -310,6 +310,9 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	if host := header["Host"]; host != "" {
+		request.Host = host
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return reply{err: err}
