A stream that the network gives up on is no end of its engine

Found in the review of the quarantine: a link that is cut ends streams by time-outs, on many engines one after the other, and each counted as an engine that had ended as it began to answer. Time-outs, streams that this node rejects and its own cancellations do not count now.

--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"strconv"
 	"time"
 
@@ -71,6 +73,16 @@
 	}
 }
 
+// isUpstreamEnd reports whether a stream's error tells that the upstream closed its connection: not
+// that this node rejects the stream, or that the network gave up on it.
+func isUpstreamEnd(err error) bool {
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() {
+		return false
+	}
+	return !errors.Is(err, errMissingEvent) && !errors.Is(err, errEventTooLong)
+}
+
 // recordBrokenStream records that the engine ended a stream, if it had no event yet.
 func (r *requestHandler) recordBrokenStream(decision *placement.Decision) {
 	if r.attemptEvents > 0 {
--- a/exchange/blocked_test.go
+++ b/exchange/blocked_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -136,6 +138,15 @@
 	is.Equal(f.sender.attempts[1].After, int64(2))
 }
 
+func TestTimeoutIsNoEngineEnd(t *testing.T) {
+	is := is.New(t)
+	timedOut := attemptStep{status: 200, bodyErr: &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}}
+	f := newFixture(t, timedOut, timedOut, timedOut, timedOut, answeredAttempt)
+	f.serve(t, f.prompt("a", 1))
+	f.serve(t, f.prompt("b", 1))
+	is.True(f.serve(t, f.prompt("c", 1)).ended)
+}
+
 // blockPart records three ends.
 func (f *fixture) blockPart(part uint64) {
 	for i, engine := range []string{"x", "y", "z"} {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -96,7 +96,7 @@
 	r.avoid = append(r.avoid, decision.Lead.ID)
 	r.reason = "stream_broke_off"
 	r.logFailedAttempt(decision, err.Error(), reply.Status())
-	if watch.ctx.Err() == nil && !errors.Is(err, errMissingEvent) && !errors.Is(err, errEventTooLong) {
+	if watch.ctx.Err() == nil && isUpstreamEnd(err) {
 		r.recordBrokenStream(decision)
 	}
 	if (watch.blocked() || r.enginesEnded > 0) && r.isBlocked() {
