Blocks that are too old end by themselves; outcomes of attempts in a file of their own

A block whose ends had expired stayed in the list, and its gauge up, until the next evidence. Evidence is not looked at for answers while there is none.

--- /dev/null
+++ b/exchange/attempt_outcome.go
@@ -0,0 +1,115 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// onSendError handles an attempt without a response.
+func (r *requestHandler) onSendError(ctx context.Context, decision *placement.Decision, err error, watch *watchdog) nextAction {
+	if errors.Is(err, ErrNotPermitted) {
+		// The next placement is by the current view, or finds that it is too old.
+		r.exchange.config.Scheduler.End(decision.ID, placement.Neutral, "")
+		r.logFailedAttempt(decision, err.Error(), 0)
+		return actionRetry
+	}
+	outcome := placement.Unresponsive
+	if ctx.Err() != nil || watch.blocked() {
+		outcome = placement.Neutral
+	}
+	r.exchange.config.Scheduler.End(decision.ID, outcome, "")
+	r.avoid = append(r.avoid, decision.Lead.ID)
+	r.logFailedAttempt(decision, err.Error(), 0)
+	if errors.Is(err, ErrNotSent) {
+		r.reason = "upstream_unreachable"
+		return r.retryOrFail(ctx)
+	}
+	r.history.RecordMayHaveRun()
+	r.reason = "upstream_broke_off"
+	if watch.blocked() && r.isBlocked() {
+		return actionBlocked
+	}
+	return r.retryOrFail(ctx)
+}
+
+// onNotExecuted handles a response which states that the attempt was not executed.
+func (r *requestHandler) onNotExecuted(ctx context.Context, decision *placement.Decision, reply Reply, outcome placement.Outcome) nextAction {
+	faulty := reply.FaultyUpstream()
+	r.logFailedAttempt(decision, "not run", reply.Status())
+	if discard(reply.Body(), maxRefusalBytes) {
+		reply.Finish()
+	} else {
+		reply.Abort()
+	}
+	if faulty != "" && faulty != decision.Lead.ID {
+		outcome = placement.Unresponsive
+	} else {
+		r.avoid = append(r.avoid, decision.Lead.ID)
+	}
+	r.exchange.config.Scheduler.End(decision.ID, outcome, faulty)
+	r.reason = "upstream_refused"
+	return r.retryOrFail(ctx)
+}
+
+// maxRefusalBytes is the maximum body size of a response that states that the upstream did
+// not run the request, if its connection is to be used again.
+const maxRefusalBytes = 64 << 10
+
+// deliverResponse forwards a response that is not a stream.
+func (r *requestHandler) deliverResponse(ctx context.Context, decision *placement.Decision, reply Reply) nextAction {
+	scheduler := r.exchange.config.Scheduler
+	body, release, err := r.exchange.buffers.read(reply.Body(), r.exchange.config.MaxResponseBytes)
+	defer release()
+	if err != nil || !reply.Authentic() {
+		reply.Abort()
+		outcome := placement.Unresponsive
+		if ctx.Err() != nil {
+			outcome = placement.Neutral
+		}
+		scheduler.End(decision.ID, outcome, "")
+		r.avoid = append(r.avoid, decision.Lead.ID)
+		r.reason = "answer_not_whole"
+		r.logFailedAttempt(decision, r.reason, reply.Status())
+		return r.retryOrFail(ctx)
+	}
+	reply.Finish()
+	if reply.Status() >= http.StatusInternalServerError {
+		scheduler.End(decision.ID, placement.Failed, "")
+		r.logFailedAttempt(decision, "upstream failed", reply.Status())
+		r.avoid = append(r.avoid, decision.Lead.ID)
+		if r.takeRetry(ctx) {
+			return actionRetry
+		}
+	} else {
+		scheduler.End(decision.ID, placement.Answered, "")
+	}
+	r.status = reply.Status()
+	r.writer.WriteResponse(reply, body)
+	r.outcome = Answered
+	return actionDone
+}
+
+// logFailedAttempt logs an attempt that failed or was not executed.
+func (r *requestHandler) logFailedAttempt(decision *placement.Decision, cause string, status int) {
+	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).
+		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
+		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
+		Strs("prompt_parts", formatParts(r.request.PromptParts)).Str("error", cause).Msg(telemetry.LogAttemptFailed)
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// formatParts returns the first maxLoggedParts parts in hexadecimal.
+func formatParts(parts []uint64) []string {
+	list := make([]string, min(len(parts), maxLoggedParts))
+	for i := range list {
+		list[i] = strconv.FormatUint(parts[i], 16)
+	}
+	return list
+}
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -92,8 +92,7 @@
 	q.granted[key] = q.clock() + trialValidity
 }
 
-// RecordEnd records that an engine ended as it began to answer a prompt.
-// The attempt was sent at a time.
+// RecordEnd records that an engine ended as it began to answer a prompt; sent is when the attempt was.
 func (q *QuarantineRunner) RecordEnd(engine, attempt string, parts []uint64, sent time.Time) {
 	if len(parts) == 0 {
 		return
@@ -113,7 +112,7 @@
 	}
 	q.update(func(now time.Duration) bool {
 		before := q.tracker.Blocks()
-		if !q.tracker.RecordAnswer(now, parts, now-time.Since(began)) {
+		if !q.tracker.Suspects() || !q.tracker.RecordAnswer(now, parts, now-time.Since(began)) {
 			return false
 		}
 		for _, block := range before {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -224,7 +224,9 @@
 // Evidence returns the evidence of a scope: of the ends first those that support blocks, and then
 // the latest ones.
 func (t *Tracker) Evidence(now time.Duration, scope Scope) Evidence {
-	t.expire(now)
+	if t.expire(now) {
+		t.evaluate(now)
+	}
 	var told []*knownEnd
 	for _, end := range t.ends {
 		if end.untold || scope == All || scope == Own && end.own {
@@ -256,25 +258,29 @@
 	return 0
 }
 
-// expire drops evidence that is too old, or too much.
-func (t *Tracker) expire(now time.Duration) {
+// expire drops evidence that is too old, or too much. It reports whether a block has lost some.
+func (t *Tracker) expire(now time.Duration) bool {
+	blockChanged := false
 	for _, end := range t.ends {
 		lastAt, ttl := end.At, suspicionTTL
 		if end.block != nil {
 			lastAt, ttl = end.block.LastEnd(), BlockTTL
 		}
 		if now-lastAt > ttl {
+			blockChanged = blockChanged || end.block != nil
 			t.removeEnd(end)
 		}
 	}
 	excess := len(t.ends) - maxEnds
 	if excess <= 0 {
-		return
+		return blockChanged
 	}
 	list := slices.SortedFunc(maps.Values(t.ends), func(a, b *knownEnd) int {
 		return cmp.Or(cmp.Compare(a.priority(), b.priority()), cmp.Compare(a.At, b.At))
 	})
 	for _, end := range list[:excess] {
+		blockChanged = blockChanged || end.block != nil
 		t.removeEnd(end)
 	}
+	return blockChanged
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -123,6 +123,9 @@
 	is.True(fresh.Apply(later, &evidence, false)) // a node that starts learns the block
 	is.True(fresh.Blocking(later, []uint64{bad}) != nil)
 	is.True(tracker.Blocking(BlockTTL+10*second, []uint64{bad}) == nil)
+	gone := tracker.Evidence(BlockTTL+10*second, All)
+	is.True(gone.Empty())
+	is.Equal(len(tracker.Blocks()), 0)
 	is.True(!New().Apply(maxEndAge+20*second, &evidence, false))
 }
 
