--- a/loadshare/evidence_test.go
+++ b/loadshare/evidence_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
@@ -125,6 +126,32 @@
 	})
 }
 
+// TestNodeLearnsWhatItMissed cuts a node of a small fleet off while another one tells its news and ends.
+func TestNodeLearnsWhatItMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSimulatedFleet(t, 7)
+		time.Sleep(settleTime)
+		const cut, teller = 5, 3
+		address := f.nodes[cut].agent.self.Address
+		f.network.block(func(from, to netip.AddrPort) bool { return from == address || to == address })
+		for i := range 3 {
+			f.nodes[teller].evidence.recordEnd(uint32(i))
+			time.Sleep(150 * time.Millisecond)
+		}
+		f.nodes[teller].gate.Do(func(s *placement.Scheduler, now time.Duration) {
+			s.RecordLimit(now, engineOfTest, placement.StatedLimit{Stated: true, PerSecond: 1}, false)
+		})
+		f.nodes[teller].agent.ScheduleFlush()
+		time.Sleep(spreadTime)
+		f.nodes[teller].stop()
+		f.network.block(nil)
+		time.Sleep(2 * heartbeatInterval)
+		f.expectWitnesses(3)
+		f.nodes[cut].gate.Do(func(s *placement.Scheduler, _ time.Duration) { is.True(s.Limited(engineOfTest.ID)) })
+	})
+}
+
 // TestEvidenceOfNodeWithAnotherClock guards against answers that seem to come after an end because
 // the clocks differ, or because the first datagram was late.
 func TestEvidenceOfNodeWithAnotherClock(t *testing.T) {
