--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -96,3 +96,23 @@
 	is.True(before.View().Upstreams["a"] != nil)
 	is.True(after.View().Upstreams["a"] != nil)
 }
+
+// TestUpdateOfAnEarlierEraChangesNothing guards against a node that has not seen the restore yet, whose
+// revisions are higher.
+func TestUpdateOfAnEarlierEraChangesNothing(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	readEra(r, 1, 100, 0, []Change{document(5)}, []Change{upstreamState("a", 1, false)})
+	readEra(r, 2, 60, time.Second, []Change{document(5)}, []Change{upstreamState("a", 2, false)})
+	is.True(r.Apply(UpstreamTable, []Change{upstreamState("b", 2, true)}, 61, 61, 2*time.Second, 2*time.Second))
+	late := Update{
+		Table: UpstreamTable, Era: 1, PreviousChange: 50, LastChange: 120, Revision: 120, FreshAt: 9 * time.Second,
+		Changes: []Change{upstreamState("a", 1, false), upstreamState("b", 1, false), upstreamState("old", 1, false)},
+	}
+	is.True(r.ApplyUpdate(UpstreamTable, late, 9*time.Second))
+	is.Equal(r.Revision(UpstreamTable), int64(61))
+	is.Equal(r.TableFreshAt(UpstreamTable), 2*time.Second)
+	is.Equal(r.View().Upstreams["a"].StartedMs, int64(2))
+	is.True(r.View().Upstreams["b"].Draining)
+	is.True(r.View().Upstreams["old"] == nil)
+}
--- a/loadshare/relay_test.go
+++ b/loadshare/relay_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/placement"
 )
 
 const (
@@ -124,6 +126,48 @@
 	}
 }
 
+// TestLoadOfNodeThatIsGoneIsRemoved stops a node with a request in flight; its relay no longer lists it.
+func TestLoadOfNodeThatIsGoneIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, fleetOfTest)
+		time.Sleep(settleTime)
+		const gone = 50
+		f.nodes[gone].place()
+		time.Sleep(spreadTime)
+		f.expectOccupied(1)
+		f.nodes[gone].stop()
+		time.Sleep(unresponsiveAfter + heartbeatInterval + fullEvery*relayInterval + spreadTime)
+		f.expectOccupied(0, gone)
+	})
+}
+
+// TestBundleOfAnotherRelayIsNotCounted sends a node a bundle of a node that is not its relay.
+func TestBundleOfAnotherRelayIsNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSimulatedFleet(t, fleetOfTest)
+		time.Sleep(settleTime)
+		const receiver, deputy, other = 50, 5, 53 // one zone
+		agent := f.nodes[receiver].agent
+		load := []placement.LoadUpdate{{Hash: placement.Hash("u"), Totals: placement.Totals{Running: 1}}}
+		for _, sender := range []int{deputy, other} {
+			from := f.nodes[sender].agent
+			from.mutex.Lock()
+			from.sequence += 100
+			m := &message{
+				Node: from.self.Name, Incarnation: from.incarnation, Sequence: from.sequence, SentAt: clock(), Relayed: true, Full: true,
+				Bundle: &bundle{Nodes: 1, Members: []memberLoad{{Hash: nodeHash("node-047"), Shares: load}}},
+			}
+			from.mutex.Unlock()
+			agent.handle(m, from.self.Address)
+			is.Equal(f.nodes[receiver].occupied(), 0)
+		}
+		agent.mutex.Lock()
+		defer agent.mutex.Unlock()
+		is.True(agent.zoneSize(time.Now()) > 1)
+	})
+}
+
 func TestOtherRelaysPublishWhenTheFirstCanNot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, fleetOfTest)
