--- a/loadshare/evidence_test.go
+++ b/loadshare/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"testing"
@@ -36,18 +37,25 @@
 	}
 }
 
-func (l *lockedTracker) recordEnd(engine uint32) {
+func (l *lockedTracker) record(end quarantine.End) {
 	l.mutex.Lock()
-	l.tracker.RecordEnd(clock(), quarantine.End{Engine: engine, Attempt: engine, Parts: []uint64{1, uint64(engine) + 10}, SentAt: clock() - time.Second, At: clock()})
+	l.tracker.RecordEnd(clock(), end)
 	l.mutex.Unlock()
 	l.agent.ScheduleFlush()
 }
 
-func (l *lockedTracker) recordAnswer() {
+func (l *lockedTracker) recordEnd(engine uint32) {
+	l.record(quarantine.End{Engine: engine, Attempt: engine, Parts: []uint64{1, uint64(engine) + 10}, SentAt: clock() - time.Second, At: clock()})
+}
+
+// answer records that an engine went on after the first event of a prompt with the parts.
+func (l *lockedTracker) answer(parts []uint64) {
 	l.mutex.Lock()
-	l.tracker.RecordAnswer(clock(), []uint64{1}, clock())
+	cleared := l.tracker.RecordAnswer(clock(), parts, clock())
 	l.mutex.Unlock()
-	l.agent.ScheduleFlush()
+	if cleared {
+		l.agent.ScheduleFlush()
+	}
 }
 
 // witnesses returns the number of engines that the block of part 1 counts, or 0 without a block.
@@ -91,7 +99,7 @@
 				f.expectWitnesses(3)
 				time.Sleep(settleTime)
 				f.expectWitnesses(3) // what is told again does not count again
-				f.nodes[nodes-2].evidence.recordAnswer()
+				f.nodes[nodes-2].evidence.answer([]uint64{1})
 				time.Sleep(spreadTime)
 				f.expectWitnesses(0)
 			})
@@ -126,6 +134,103 @@
 	})
 }
 
+// crashLoad sends prompts to random nodes: some with a part that ends each engine that begins to answer
+// it, and sound ones that share its other parts.
+type crashLoad struct {
+	mutex sync.Mutex
+	// ends counts the engines that ended.
+	ends int
+	// sentLate counts the prompts with the part that were sent after the third end.
+	sentLate int
+	// sound and refused count the sound prompts.
+	sound, refused int
+}
+
+const (
+	crashingPart, sharedPart = uint64(0xbad), uint64(0x5eed)
+	// firstEventTime is the time from a send to the first event.
+	firstEventTime = 150 * time.Millisecond
+)
+
+func (l *lockedTracker) blocks(parts []uint64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.tracker.Blocking(clock(), parts) != nil
+}
+
+// crash sends a prompt with the part, once more after its engine has ended.
+func (c *crashLoad) crash(node *simulatedNode, own uint64) {
+	parts := []uint64{sharedPart, crashingPart, own % 40}
+	for range quarantine.MaxEndsPerRequest {
+		if node.evidence.blocks(parts) {
+			return
+		}
+		sent := clock()
+		c.mutex.Lock()
+		if c.ends >= 3 {
+			c.sentLate++
+		}
+		c.mutex.Unlock()
+		time.Sleep(firstEventTime)
+		if node.evidence.blocks(parts) {
+			return // canceled before the answer began
+		}
+		c.mutex.Lock()
+		c.ends++
+		engine := uint32(c.ends)
+		c.mutex.Unlock()
+		node.evidence.record(quarantine.End{Engine: engine, Attempt: engine, Parts: parts, SentAt: sent, At: clock()})
+	}
+}
+
+func (c *crashLoad) answer(node *simulatedNode, own uint64) {
+	parts := []uint64{sharedPart, own % 40}
+	blocked := node.evidence.blocks(parts)
+	c.mutex.Lock()
+	c.sound++
+	if blocked {
+		c.refused++
+	}
+	c.mutex.Unlock()
+	if !blocked {
+		time.Sleep(firstEventTime)
+		node.evidence.answer(parts)
+	}
+}
+
+// TestCrashingPartIsBlockedAfterThirdEnd plays the traffic of the incident, 2.5 prompts with the part
+// and 25 sound ones a second, on fleets of several sizes.
+func TestCrashingPartIsBlockedAfterThirdEnd(t *testing.T) {
+	for _, nodes := range []int{7, 78, 295} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimulatedFleet(t, nodes)
+				time.Sleep(settleTime)
+				load := &crashLoad{}
+				random := rand.New(rand.NewPCG(uint64(nodes), 1))
+				var group sync.WaitGroup
+				for i := range 400 {
+					node, own := f.nodes[random.IntN(nodes)], random.Uint64()
+					if i%10 == 0 {
+						group.Go(func() { load.crash(node, own) })
+					}
+					other := f.nodes[random.IntN(nodes)]
+					group.Go(func() { load.answer(other, own) })
+					time.Sleep(40 * time.Millisecond)
+				}
+				group.Wait()
+				t.Logf("%d engines ended, %d prompts with the part sent after the third end, %d of %d sound ones refused", load.ends, load.sentLate, load.refused, load.sound)
+				if load.ends > 4 || load.sentLate > 1 {
+					t.Errorf("%d engines ended, target 3 and one more; %d prompts sent after the third, target 1", load.ends, load.sentLate)
+				}
+				if load.refused*20 > load.sound {
+					t.Errorf("%d of %d sound prompts were refused, target 5 in 100", load.refused, load.sound)
+				}
+			})
+		})
+	}
+}
+
 // TestNodeLearnsWhatItMissed cuts a node of a small fleet off while another one tells its news and ends.
 func TestNodeLearnsWhatItMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
