Ends before the first trial of a block do not delay it

Each end beyond the third doubled the time to the next trial, also those of requests that were in flight when the block began: nine ends within 3 s put the first trial off for an hour. Only ends 30 s or more after the one before count as those of trials. TestEndsBeforeFirstTrialDoNotDelayIt failed before.

--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -160,15 +160,19 @@
 	// learn whether the parts still crash engines. It doubles with each failed trial.
 	firstTrialDelay = time.Minute
 	maxTrialDelay   = time.Hour
+	minTrialGap     = firstTrialDelay / 2
 	// minRetryAfter is the retry hint while a trial is due.
 	minRetryAfter = 10 * time.Second
 )
 
-// TrialDelay is the time from the last end, or the last trial, to the next trial.
+// TrialDelay is the time from the last end, or the last trial, to the next trial. An end that comes
+// minTrialGap or more after the one before is that of a trial.
 func (b *Block) TrialDelay() time.Duration {
 	delay := firstTrialDelay
-	for range min(len(b.Witnesses), maxEnds) - blockAfter {
-		delay = min(2*delay, maxTrialDelay)
+	for i := 1; i < len(b.Witnesses); i++ {
+		if b.Witnesses[i].At-b.Witnesses[i-1].At >= minTrialGap {
+			delay = min(2*delay, maxTrialDelay)
+		}
 	}
 	return delay
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -151,6 +151,19 @@
 	is.Equal(delays[8], maxTrialDelay)
 }
 
+// TestEndsBeforeFirstTrialDoNotDelayIt guards against a burst of requests that were in flight when the
+// block began, each of which would count as a failed trial.
+func TestEndsBeforeFirstTrialDoNotDelayIt(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	at := time.Duration(0)
+	for range 9 {
+		at += 300 * time.Millisecond
+		tracker.RecordEnd(at, end(at, bad))
+	}
+	is.Equal(tracker.Blocks()[0].TrialDelay(), firstTrialDelay)
+}
+
 // TestEvidenceMergesInAnyOrder gives the same evidence to nodes in other orders, in parts and more
 // than once.
 func TestEvidenceMergesInAnyOrder(t *testing.T) {
