A block that no node stored is stored with the claim of its first trial

If the node that saw the last end was gone before it had stored the block, no row was there to claim a trial by, and the block lasted its two hours. TestTrialOfBlockThatNobodyStored failed before.

--- a/edge/blocks.go
+++ b/edge/blocks.go
@@ -88,11 +88,12 @@
 	for _, block := range own {
 		witnesses := len(block.Witnesses)
 		current[block.Key] = k.stored[block.Key]
-		last := block.Witnesses[max(0, witnesses-maxStoredWitnesses):]
 		if k.stored[block.Key] == witnesses {
 			continue
 		}
-		if attempt(block.Key, "save", func(ctx context.Context) error { return k.store.SaveBlock(ctx, block.Key, last) }) {
+		if attempt(block.Key, "save", func(ctx context.Context) error {
+			return k.store.SaveBlock(ctx, block.Key, lastWitnesses(block.Witnesses))
+		}) {
 			current[block.Key] = witnesses
 		}
 	}
@@ -107,6 +108,10 @@
 	return done
 }
 
+func lastWitnesses(witnesses []quarantine.End) []quarantine.End {
+	return witnesses[max(0, len(witnesses)-maxStoredWitnesses):]
+}
+
 // claimTrial claims a trial of a block in the background, if this node is the one to do so.
 func (k *blockKeeper) claimTrial(block *quarantine.Block) {
 	if !k.isOwner(keyOfTrial+block.Key, "") {
@@ -126,7 +131,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), blockStoreTimeout)
 		defer cancel()
-		granted, err := k.store.ClaimTrial(ctx, block.Key, block.TrialDelay())
+		// The node that was to store the block may be gone.
+		err := k.store.SaveBlock(ctx, block.Key, lastWitnesses(k.runner.Witnesses(block)))
+		granted := false
+		if err == nil {
+			granted, err = k.store.ClaimTrial(ctx, block.Key, block.TrialDelay())
+		}
 		k.logger.Info().Err(err).Str("block", block.Key).Bool("granted", granted).Msg("trial of blocked prompt parts claimed")
 		if granted {
 			k.runner.GrantTrial(block.Key)
--- a/edge/blocks_test.go
+++ b/edge/blocks_test.go
@@ -38,9 +38,13 @@
 	return s.do(func() { s.blocks[key] = len(ends) })
 }
 
-func (s *fakeBlockStore) ClaimTrial(context.Context, string, time.Duration) (bool, error) {
-	err := s.do(func() { s.claims++ })
-	return err == nil, err
+func (s *fakeBlockStore) ClaimTrial(_ context.Context, key string, _ time.Duration) (bool, error) {
+	granted := false
+	err := s.do(func() {
+		s.claims++
+		granted = s.blocks[key] > 0
+	})
+	return granted, err
 }
 
 func (s *fakeBlockStore) DeleteBlock(_ context.Context, key string) error {
@@ -96,3 +100,28 @@
 		group.Wait()
 	})
 }
+
+// TestTrialOfBlockThatNobodyStored guards against a block without trials, whose last witness was seen by
+// a node that is gone.
+func TestTrialOfBlockThatNobodyStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		store := &fakeBlockStore{blocks: map[string]int{}}
+		runner := exchange.NewQuarantineRunner(func() time.Duration { return time.Since(started) }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
+		newBlockKeeper(store, runner, func(string, string) bool { return true }, zerolog.Nop())
+		var told quarantine.Evidence
+		for i := range uint32(3) {
+			at := time.Duration(i+1) * time.Second
+			told.Ends = append(told.Ends, quarantine.End{Engine: i, Attempt: i, Parts: []uint64{1}, SentAt: at, At: at})
+		}
+		time.Sleep(5 * time.Second)
+		runner.Apply(&told, false)
+		block := runner.Blocking([]uint64{1})
+		time.Sleep(time.Minute)
+		is.True(!runner.TakeTrial(block))
+		synctest.Wait()
+		is.Equal(len(store.blocks), 1)
+		is.True(runner.TakeTrial(block))
+	})
+}
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -143,19 +143,22 @@
 func (q *QuarantineRunner) OwnBlocks() []quarantine.Block {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	now := q.clock()
 	var own []quarantine.Block
 	for _, block := range q.tracker.Blocks() {
-		if !block.OwnLast {
-			continue
+		if block.OwnLast {
+			own = append(own, quarantine.Block{Key: block.Key, Parts: block.Parts, Witnesses: q.Witnesses(block)})
 		}
-		evidence := quarantine.Evidence{Ends: slices.Clone(block.Witnesses)}
-		evidence.Shift(-now)
-		own = append(own, quarantine.Block{Key: block.Key, Parts: block.Parts, Witnesses: evidence.Ends})
 	}
 	return own
 }
 
+// Witnesses returns the witnesses of a block, with times relative to now.
+func (q *QuarantineRunner) Witnesses(block *quarantine.Block) []quarantine.End {
+	evidence := quarantine.Evidence{Ends: slices.Clone(block.Witnesses)}
+	evidence.Shift(-q.clock())
+	return evidence.Ends
+}
+
 // TakeReleased returns the keys of the blocks that an answer to this node has ended since the last
 // call.
 func (q *QuarantineRunner) TakeReleased() []string {
