A stored block holds its own parts only, and takes the place of a wider one

Witnesses are stored without the parts that the block leaves out, and the row of a wider block that another node's answer has narrowed is deleted. TestStoredBlockHasNoOtherParts failed without either.

--- a/edge/blocks.go
+++ b/edge/blocks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +32,8 @@
 	DeleteBlock(ctx context.Context, key string) error
 }
 
-// blockKeeper stores the blocks whose last witness this node saw, deletes those that an answer to
-// this node has ended, and claims trials.
+// blockKeeper stores the blocks whose last witness this node saw, deletes those that it has stored or
+// that an answer to it has ended, and claims trials.
 type blockKeeper struct {
 	store  BlockStore
 	runner *exchange.QuarantineRunner
@@ -97,8 +98,14 @@
 			current[block.Key] = witnesses
 		}
 	}
-	k.stored = current
 	outdated := append(k.outdated, k.runner.TakeReleased()...)
+	for key := range k.stored {
+		// A block that other parts have taken the place of.
+		if _, still := current[key]; !still && !k.runner.HasBlock(key) && !slices.Contains(outdated, key) {
+			outdated = append(outdated, key)
+		}
+	}
+	k.stored = current
 	k.outdated = nil
 	for _, key := range outdated {
 		if !attempt(key, "delete", func(ctx context.Context) error { return k.store.DeleteBlock(ctx, key) }) {
--- a/edge/blocks_test.go
+++ b/edge/blocks_test.go
@@ -21,6 +21,8 @@
 	mutex  sync.Mutex
 	down   bool
 	blocks map[string]int
+	// ends are those of the last block that was stored.
+	ends   []quarantine.End
 	claims int
 }
 
@@ -35,7 +37,7 @@
 }
 
 func (s *fakeBlockStore) SaveBlock(_ context.Context, key string, ends []quarantine.End) error {
-	return s.do(func() { s.blocks[key] = len(ends) })
+	return s.do(func() { s.blocks[key], s.ends = len(ends), ends })
 }
 
 func (s *fakeBlockStore) ClaimTrial(_ context.Context, key string, _ time.Duration) (bool, error) {
@@ -125,3 +127,31 @@
 		is.True(runner.TakeTrial(block))
 	})
 }
+
+// TestStoredBlockHasNoOtherParts guards against a node that starts without the answers which cleared the
+// parts that the witnesses have in common.
+func TestStoredBlockHasNoOtherParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		clock := func() time.Duration { return time.Since(started) }
+		store := &fakeBlockStore{blocks: map[string]int{}}
+		runner := exchange.NewQuarantineRunner(clock, zerolog.Nop(), telemetry.NewMetrics(), func() {})
+		keeper := newBlockKeeper(store, runner, func(string, string) bool { return true }, zerolog.Nop())
+		for _, engine := range []string{"x", "y", "z"} {
+			time.Sleep(time.Second)
+			runner.RecordEnd(engine, engine, []uint64{1, 2}, time.Now())
+		}
+		is.True(keeper.synchronize(t.Context())) // both parts
+		time.Sleep(time.Second)
+		runner.Apply(&quarantine.Evidence{Answers: []quarantine.Answer{{Part: 2, At: clock()}}}, false) // another node's
+		is.True(keeper.synchronize(t.Context()))
+		is.Equal(len(store.blocks), 1)
+		fresh := exchange.NewQuarantineRunner(clock, zerolog.Nop(), telemetry.NewMetrics(), func() {})
+		stored := quarantine.Evidence{Ends: store.ends}
+		stored.Shift(clock())
+		fresh.Apply(&stored, false)
+		is.Equal(fresh.Blocking([]uint64{1, 3}).Parts, []uint64{1})
+		is.True(fresh.Blocking([]uint64{2}) == nil)
+	})
+}
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -152,10 +152,21 @@
 	return own
 }
 
-// Witnesses returns the witnesses of a block, with times relative to now.
+// HasBlock reports whether a block is in force.
+func (q *QuarantineRunner) HasBlock(key string) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return slices.ContainsFunc(q.tracker.Blocks(), func(b *quarantine.Block) bool { return b.Key == key })
+}
+
+// Witnesses returns the witnesses of a block, with times relative to now and without the parts that
+// the block leaves out.
 func (q *QuarantineRunner) Witnesses(block *quarantine.Block) []quarantine.End {
 	evidence := quarantine.Evidence{Ends: slices.Clone(block.Witnesses)}
 	evidence.Shift(-q.clock())
+	for i := range evidence.Ends {
+		evidence.Ends[i].Parts = block.Parts
+	}
 	return evidence.Ends
 }
 
