--- a/edge/blocks.go
+++ b/edge/blocks.go
@@ -32,9 +32,9 @@
 	DeleteBlock(ctx context.Context, key string) error
 }
 
-// blockKeeper stores the blocks whose last witness this node saw, deletes those that it has stored or
+// blockSynchronizer stores the blocks whose last witness this node saw, deletes those that it has stored or
 // that an answer to it has ended, and claims trials.
-type blockKeeper struct {
+type blockSynchronizer struct {
 	store  BlockStore
 	runner *exchange.QuarantineRunner
 	// isOwner reports whether this node claims the trials of a block.
@@ -50,66 +50,66 @@
 	claimedAt map[string]time.Time
 }
 
-func newBlockKeeper(store BlockStore, runner *exchange.QuarantineRunner, isOwner func(id, zone string) bool, logger zerolog.Logger) *blockKeeper {
-	k := &blockKeeper{store: store, runner: runner, isOwner: isOwner, logger: logger, stored: map[string]int{}, claimedAt: map[string]time.Time{}}
-	runner.Trial = k.claimTrial
-	return k
+func newBlockSynchronizer(store BlockStore, runner *exchange.QuarantineRunner, isOwner func(id, zone string) bool, logger zerolog.Logger) *blockSynchronizer {
+	b := &blockSynchronizer{store: store, runner: runner, isOwner: isOwner, logger: logger, stored: map[string]int{}, claimedAt: map[string]time.Time{}}
+	runner.Trial = b.claimTrial
+	return b
 }
 
 // run stores and deletes blocks until the context is done.
-func (k *blockKeeper) run(ctx context.Context) {
+func (b *blockSynchronizer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		var retry <-chan time.Time
-		if !k.synchronize(ctx) {
+		if !b.synchronize(ctx) {
 			retry = time.After(blockRetryInterval)
 		}
 		select {
 		case <-ctx.Done():
-		case <-k.runner.Changed():
+		case <-b.runner.Changed():
 		case <-retry:
 		}
 	}
 }
 
 // synchronize reports whether all is stored.
-func (k *blockKeeper) synchronize(ctx context.Context) bool {
+func (b *blockSynchronizer) synchronize(ctx context.Context) bool {
 	done := true
 	attempt := func(key, action string, call func(ctx context.Context) error) bool {
 		ctx, cancel := context.WithTimeout(ctx, blockStoreTimeout)
 		defer cancel()
 		if err := call(ctx); err != nil {
-			k.logger.Warn().Err(err).Str("block", key).Str("action", action).Msg("block not stored, trying again")
+			b.logger.Warn().Err(err).Str("block", key).Str("action", action).Msg("block not stored, trying again")
 			done = false
 			return false
 		}
 		return true
 	}
-	own := k.runner.OwnBlocks()
+	own := b.runner.OwnBlocks()
 	current := make(map[string]int, len(own))
 	for _, block := range own {
 		witnesses := len(block.Witnesses)
-		current[block.Key] = k.stored[block.Key]
-		if k.stored[block.Key] == witnesses {
+		current[block.Key] = b.stored[block.Key]
+		if b.stored[block.Key] == witnesses {
 			continue
 		}
 		if attempt(block.Key, "save", func(ctx context.Context) error {
-			return k.store.SaveBlock(ctx, block.Key, lastWitnesses(block.Witnesses))
+			return b.store.SaveBlock(ctx, block.Key, lastWitnesses(block.Witnesses))
 		}) {
 			current[block.Key] = witnesses
 		}
 	}
-	outdated := append(k.outdated, k.runner.TakeReleased()...)
-	for key := range k.stored {
+	outdated := append(b.outdated, b.runner.TakeReleased()...)
+	for key := range b.stored {
 		// A block that other parts have taken the place of.
-		if _, still := current[key]; !still && !k.runner.HasBlock(key) && !slices.Contains(outdated, key) {
+		if _, still := current[key]; !still && !b.runner.HasBlock(key) && !slices.Contains(outdated, key) {
 			outdated = append(outdated, key)
 		}
 	}
-	k.stored = current
-	k.outdated = nil
+	b.stored = current
+	b.outdated = nil
 	for _, key := range outdated {
-		if !attempt(key, "delete", func(ctx context.Context) error { return k.store.DeleteBlock(ctx, key) }) {
-			k.outdated = append(k.outdated, key)
+		if !attempt(key, "delete", func(ctx context.Context) error { return b.store.DeleteBlock(ctx, key) }) {
+			b.outdated = append(b.outdated, key)
 		}
 	}
 	return done
@@ -120,33 +120,33 @@
 }
 
 // claimTrial claims a trial of a block in the background, if this node is the one to do so.
-func (k *blockKeeper) claimTrial(block *quarantine.Block) {
-	if !k.isOwner(keyOfTrial+block.Key, "") {
+func (b *blockSynchronizer) claimTrial(block *quarantine.Block) {
+	if !b.isOwner(keyOfTrial+block.Key, "") {
 		return
 	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if time.Since(k.claimedAt[block.Key]) < trialClaimInterval {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if time.Since(b.claimedAt[block.Key]) < trialClaimInterval {
 		return
 	}
-	for key, at := range k.claimedAt {
+	for key, at := range b.claimedAt {
 		if time.Since(at) > quarantine.BlockTTL {
-			delete(k.claimedAt, key)
+			delete(b.claimedAt, key)
 		}
 	}
-	k.claimedAt[block.Key] = time.Now()
+	b.claimedAt[block.Key] = time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), blockStoreTimeout)
 		defer cancel()
 		// The node that was to store the block may be gone.
-		err := k.store.SaveBlock(ctx, block.Key, lastWitnesses(k.runner.Witnesses(block)))
+		err := b.store.SaveBlock(ctx, block.Key, lastWitnesses(b.runner.Witnesses(block)))
 		granted := false
 		if err == nil {
-			granted, err = k.store.ClaimTrial(ctx, block.Key, block.TrialDelay())
+			granted, err = b.store.ClaimTrial(ctx, block.Key, block.TrialDelay())
 		}
-		k.logger.Info().Err(err).Str("block", block.Key).Bool("granted", granted).Msg("trial of blocked prompt parts claimed")
+		b.logger.Info().Err(err).Str("block", block.Key).Bool("granted", granted).Msg("trial of blocked prompt parts claimed")
 		if granted {
-			k.runner.GrantTrial(block.Key)
+			b.runner.GrantTrial(block.Key)
 		}
 	}()
 }
--- a/edge/blocks_test.go
+++ b/edge/blocks_test.go
@@ -65,10 +65,10 @@
 		started := time.Now()
 		store := &fakeBlockStore{blocks: map[string]int{}, down: true}
 		runner := exchange.NewQuarantineRunner(func() time.Duration { return time.Since(started) }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
-		keeper := newBlockKeeper(store, runner, func(string, string) bool { return true }, zerolog.Nop())
+		synchronizer := newBlockSynchronizer(store, runner, func(string, string) bool { return true }, zerolog.Nop())
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
-		group.Go(func() { keeper.run(ctx) })
+		group.Go(func() { synchronizer.run(ctx) })
 		for _, engine := range []string{"x", "y", "z"} {
 			time.Sleep(time.Second)
 			runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
@@ -111,14 +111,14 @@
 		started := time.Now()
 		store := &fakeBlockStore{blocks: map[string]int{}}
 		runner := exchange.NewQuarantineRunner(func() time.Duration { return time.Since(started) }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
-		newBlockKeeper(store, runner, func(string, string) bool { return true }, zerolog.Nop())
-		var told quarantine.Evidence
+		newBlockSynchronizer(store, runner, func(string, string) bool { return true }, zerolog.Nop())
+		var evidence quarantine.Evidence
 		for i := range uint32(3) {
 			at := time.Duration(i+1) * time.Second
-			told.Ends = append(told.Ends, quarantine.End{Engine: i, Attempt: i, Parts: []uint64{1}, SentAt: at, At: at})
+			evidence.Ends = append(evidence.Ends, quarantine.End{Engine: i, Attempt: i, Parts: []uint64{1}, SentAt: at, At: at})
 		}
 		time.Sleep(5 * time.Second)
-		runner.Apply(&told, false)
+		runner.Apply(&evidence, false)
 		block := runner.Blocking([]uint64{1})
 		time.Sleep(time.Minute)
 		is.True(!runner.TakeTrial(block))
@@ -137,15 +137,15 @@
 		clock := func() time.Duration { return time.Since(started) }
 		store := &fakeBlockStore{blocks: map[string]int{}}
 		runner := exchange.NewQuarantineRunner(clock, zerolog.Nop(), telemetry.NewMetrics(), func() {})
-		keeper := newBlockKeeper(store, runner, func(string, string) bool { return true }, zerolog.Nop())
+		synchronizer := newBlockSynchronizer(store, runner, func(string, string) bool { return true }, zerolog.Nop())
 		for _, engine := range []string{"x", "y", "z"} {
 			time.Sleep(time.Second)
 			runner.RecordEnd(engine, engine, []uint64{1, 2}, time.Now())
 		}
-		is.True(keeper.synchronize(t.Context())) // both parts
+		is.True(synchronizer.synchronize(t.Context())) // both parts
 		time.Sleep(time.Second)
 		runner.Apply(&quarantine.Evidence{Answers: []quarantine.Answer{{Part: 2, At: clock()}}}, false) // another node's
-		is.True(keeper.synchronize(t.Context()))
+		is.True(synchronizer.synchronize(t.Context()))
 		is.Equal(len(store.blocks), 1)
 		fresh := exchange.NewQuarantineRunner(clock, zerolog.Nop(), telemetry.NewMetrics(), func() {})
 		stored := quarantine.Evidence{Ends: store.ends}
--- a/edge/node.go
+++ b/edge/node.go
@@ -105,7 +105,7 @@
 	pool         *directhttp.Pool
 	exchange     *exchange.Exchange
 	reportPoller *reportPoller
-	blocks       *blockKeeper
+	blocks       *blockSynchronizer
 	callerServer *http.Server
 	readyServer  *http.Server
 	// metricsServer is nil if the settings name no metrics address.
@@ -159,7 +159,7 @@
 		},
 		MaxResponseBytes: maxAnswerBytes, MaxBufferedBytes: maxBufferedBytes, RetryAfter: retryAfter,
 	})
-	n.blocks = newBlockKeeper(store, n.quarantine, n.agent.IsOwner, n.logger)
+	n.blocks = newBlockSynchronizer(store, n.quarantine, n.agent.IsOwner, n.logger)
 	n.reportPoller = &reportPoller{
 		fetcher:  platform.NewReportClient(control),
 		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger, metrics: n.metrics,
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -19,7 +19,7 @@
 	clock   func() time.Duration
 	logger  zerolog.Logger
 	metrics *telemetry.Metrics
-	// onEvidence is called without the lock when other nodes are to be told.
+	// onEvidence is called without the lock when there is evidence to send to other nodes.
 	onEvidence func()
 	// Trial is called without the lock when a request is refused whose block is due for a trial. It
 	// must return at once. It is set before the first request.
@@ -129,11 +129,11 @@
 	q.update(func(now time.Duration) bool { return q.tracker.Apply(now, evidence, forward) && forward })
 }
 
-// Evidence returns the evidence to tell.
+// Evidence returns the evidence to send.
 func (q *QuarantineRunner) Evidence(scope quarantine.Scope) quarantine.Evidence {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if !q.tracker.Suspects() || scope == quarantine.Untold && !q.tracker.HasUntold() {
+	if !q.tracker.Suspects() || scope == quarantine.Unsent && !q.tracker.HasUnsent() {
 		return quarantine.Evidence{}
 	}
 	return q.tracker.Evidence(q.clock(), scope)
@@ -184,12 +184,12 @@
 func (q *QuarantineRunner) Changed() <-chan struct{} { return q.changed }
 
 // update changes the evidence, logs the blocks that begin and end, and cancels the attempts that a
-// new block covers. change reports whether other nodes are to be told.
+// new block covers. change reports whether there is evidence to send to other nodes.
 func (q *QuarantineRunner) update(change func(now time.Duration) bool) {
 	q.mutex.Lock()
 	now := q.clock()
 	before := q.tracker.Blocks()
-	tell := change(now)
+	send := change(now)
 	after := q.tracker.Blocks()
 	var cancel []func()
 	changed := q.logChanges(now, before, after)
@@ -210,7 +210,7 @@
 		default:
 		}
 	}
-	if tell {
+	if send {
 		q.onEvidence()
 	}
 }
--- a/loadshare/evidence.go
+++ b/loadshare/evidence.go
@@ -12,7 +12,7 @@
 	// Evidence returns the evidence of a scope, with times on this node's clock.
 	Evidence(scope quarantine.Scope) quarantine.Evidence
 	// Apply merges evidence whose times are on this node's clock. With forward, what is new is
-	// told to further nodes.
+	// sent on to further nodes.
 	Apply(evidence *quarantine.Evidence, forward bool)
 }
 
--- a/loadshare/evidence_test.go
+++ b/loadshare/evidence_test.go
@@ -99,7 +99,7 @@
 				}
 				f.expectWitnesses(3)
 				time.Sleep(fullEvery * relayInterval)
-				f.expectWitnesses(3) // what is told again does not count again
+				f.expectWitnesses(3) // what is sent again does not count again
 				f.nodes[nodes-2].evidence.answer([]uint64{1})
 				time.Sleep(spreadTime)
 				f.expectWitnesses(0)
@@ -109,7 +109,7 @@
 }
 
 // TestEvidenceSurvivesLostRelaysAndCuts loses the relay that would pass an end on, and cuts off a
-// node while ends are told.
+// node while ends are sent.
 func TestEvidenceSurvivesLostRelaysAndCuts(t *testing.T) {
 	const contactTime = 4 * time.Second
 	synctest.Test(t, func(t *testing.T) {
@@ -238,25 +238,25 @@
 	}
 }
 
-// TestNodeLearnsWhatItMissed cuts a node of a small fleet off while another one tells its news and ends.
+// TestNodeLearnsWhatItMissed cuts a node of a small fleet off while another one sends its evidence and ends.
 func TestNodeLearnsWhatItMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newSimulatedFleet(t, 7)
 		time.Sleep(settleTime)
-		const cut, teller = 5, 3
+		const cut, source = 5, 3
 		address := f.nodes[cut].agent.self.Address
 		f.network.block(func(from, to netip.AddrPort) bool { return from == address || to == address })
 		for i := range 3 {
-			f.nodes[teller].evidence.recordEnd(uint32(i))
+			f.nodes[source].evidence.recordEnd(uint32(i))
 			time.Sleep(150 * time.Millisecond)
 		}
-		f.nodes[teller].gate.Do(func(s *placement.Scheduler, now time.Duration) {
+		f.nodes[source].gate.Do(func(s *placement.Scheduler, now time.Duration) {
 			s.RecordLimit(now, engineOfTest, placement.StatedLimit{Stated: true, PerSecond: 1}, false)
 		})
-		f.nodes[teller].agent.ScheduleFlush()
+		f.nodes[source].agent.ScheduleFlush()
 		time.Sleep(spreadTime)
-		f.nodes[teller].stop()
+		f.nodes[source].stop()
 		f.network.block(nil)
 		time.Sleep(2 * heartbeatInterval)
 		f.expectWitnesses(3)
--- a/loadshare/limits_test.go
+++ b/loadshare/limits_test.go
@@ -137,9 +137,9 @@
 			f := newSimulatedFleet(t, nodes)
 			time.Sleep(settleTime)
 			for _, limit := range []placement.StatedLimit{{Stated: true, PerSecond: 1.5}, {}} {
-				teller := f.nodes[nodes-1]
-				teller.gate.Do(func(s *placement.Scheduler, now time.Duration) { s.RecordLimit(now, engineOfTest, limit, false) })
-				teller.agent.ScheduleFlush()
+				source := f.nodes[nodes-1]
+				source.gate.Do(func(s *placement.Scheduler, now time.Duration) { s.RecordLimit(now, engineOfTest, limit, false) })
+				source.agent.ScheduleFlush()
 				time.Sleep(spreadTime)
 				for _, node := range f.nodes {
 					node.gate.Do(func(s *placement.Scheduler, _ time.Duration) { is.Equal(s.Limited(engineOfTest.ID), limit.Stated) })
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -221,7 +221,7 @@
 		others = append(others, a.zoneTargets(zone, ranked)...)
 	}
 	a.mutex.Unlock()
-	evidenceScope, limitScope := quarantine.Untold, placement.Untold
+	evidenceScope, limitScope := quarantine.Unsent, placement.Unsent
 	if full {
 		evidenceScope, limitScope = quarantine.All, placement.All
 	}
--- a/loadshare/send.go
+++ b/loadshare/send.go
@@ -34,7 +34,7 @@
 	}
 	var shares []placement.LoadUpdate
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { shares = s.LoadUpdates(now, false) })
-	evidence, limits := a.evidenceToSend(quarantine.Untold), a.limitsToSend(placement.Untold)
+	evidence, limits := a.evidenceToSend(quarantine.Unsent), a.limitsToSend(placement.Unsent)
 	if len(shares)+len(limits) > 0 || evidence != nil {
 		a.sendShares(&message{Shares: shares, Evidence: evidence, Limits: limits})
 	}
--- a/placement/stated_limit.go
+++ b/placement/stated_limit.go
@@ -30,8 +30,8 @@
 type knownLimit struct {
 	limit StatedLimit
 	at    time.Duration
-	// own is true if it was an answer to this node, and untold until it was sent to other nodes.
-	own, untold bool
+	// own is true if it was an answer to this node, and unsent until it was sent to the other nodes.
+	own, unsent bool
 	// inReports is true if a report stated it: reports without it then end it.
 	inReports bool
 }
@@ -64,7 +64,7 @@
 }
 
 // RecordLimit records what an answer of an upstream to this node states. It reports whether the
-// other nodes are to be told.
+// other nodes need an update.
 func (s *Scheduler) RecordLimit(now time.Duration, entry *fleet.Upstream, limit StatedLimit, isReport bool) bool {
 	id := incarnationOf(entry)
 	known := s.limits[id]
@@ -78,7 +78,7 @@
 	}
 	known.limit, known.at, known.own = limit, now, true
 	known.inReports = limit.Stated && (known.inReports || isReport)
-	known.untold = known.untold || changed
+	known.unsent = known.unsent || changed
 	s.dropOldLimits(now)
 	return changed
 }
@@ -98,7 +98,7 @@
 		}
 		known.limit, known.at, known.own = update.Limit, min(update.At, now), false
 		known.inReports = known.inReports && update.Limit.Stated
-		known.untold = known.untold || changed && forward
+		known.unsent = known.unsent || changed && forward
 	}
 	s.dropOldLimits(now)
 }
@@ -108,8 +108,8 @@
 	s.dropOldLimits(now)
 	var updates []LimitUpdate
 	for id, known := range s.limits {
-		if known.untold || scope == All || scope == Own && known.own {
-			known.untold = false
+		if known.unsent || scope == All || scope == Own && known.own {
+			known.unsent = false
 			updates = append(updates, LimitUpdate{Incarnation: id, Limit: known.limit, At: known.at})
 		}
 	}
@@ -122,7 +122,7 @@
 
 // The scopes: what was not sent yet, all that upstreams stated to this node, and all that it knows.
 const (
-	Untold Scope = iota
+	Unsent Scope = iota
 	Own
 	All
 )
--- a/placement/stated_limit_test.go
+++ b/placement/stated_limit_test.go
@@ -71,14 +71,14 @@
 	stated := StatedLimit{Stated: true, PerSecond: 3}
 	f.ApplyLimits(9*time.Second, update(5*time.Second, stated), true)
 	is.True(f.Limited("e0"))
-	is.Equal(len(f.LimitUpdates(9*time.Second, Untold)), 1) // passed on
-	is.Equal(len(f.LimitUpdates(9*time.Second, Untold)), 0)
+	is.Equal(len(f.LimitUpdates(9*time.Second, Unsent)), 1) // passed on
+	is.Equal(len(f.LimitUpdates(9*time.Second, Unsent)), 0)
 	is.Equal(len(f.LimitUpdates(9*time.Second, Own)), 0)
 	is.Equal(len(f.LimitUpdates(9*time.Second, All)), 1)
 	f.ApplyLimits(9*time.Second, update(4*time.Second, StatedLimit{}), true)
 	is.True(f.Limited("e0"))
 	f.ApplyLimits(9*time.Second, update(6*time.Second, stated), true)
-	is.Equal(len(f.LimitUpdates(9*time.Second, Untold)), 0) // a repeat is not passed on
+	is.Equal(len(f.LimitUpdates(9*time.Second, Unsent)), 0) // a repeat is not passed on
 	f.ApplyLimits(9*time.Second, update(7*time.Second, StatedLimit{}), true)
 	is.True(!f.Limited("e0"))
 	is.Equal(len(f.LimitUpdates(9*time.Second+limitTTL+7*time.Second, All)), 0)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -53,7 +53,7 @@
 	At   time.Duration
 }
 
-// Evidence is what nodes tell each other. Times are on the owner's clock.
+// Evidence is what nodes send each other. Times are on the clock of the node that holds it.
 type Evidence struct {
 	Ends    []End
 	Answers []Answer
@@ -70,7 +70,7 @@
 	}
 }
 
-// Empty reports whether there is nothing to tell.
+// Empty reports whether there are neither ends nor answers.
 func (e *Evidence) Empty() bool { return len(e.Ends)+len(e.Answers) == 0 }
 
 // Hash identifies an engine's incarnation or an attempt.
@@ -82,15 +82,15 @@
 	End
 	// own is true if this node had the attempt.
 	own bool
-	// untold is true until the end is part of an Evidence.
-	untold bool
+	// unsent is true until the end is part of an Evidence.
+	unsent bool
 	// block is the block that the end supports; nil is none.
 	block *Block
 }
 
 type knownAnswer struct {
 	at          time.Duration
-	own, untold bool
+	own, unsent bool
 }
 
 // Tracker holds the evidence that a node knows and the blocks that follow from it.
@@ -128,7 +128,7 @@
 }
 
 // Apply merges evidence of another node, and reports whether any was new. With forward, what is
-// new is told to further nodes.
+// new is sent on to further nodes.
 func (t *Tracker) Apply(now time.Duration, evidence *Evidence, forward bool) bool {
 	changed := false
 	for i := range evidence.Ends {
@@ -143,7 +143,7 @@
 	return changed
 }
 
-func (t *Tracker) addEnd(now time.Duration, end End, own, tell bool) bool {
+func (t *Tracker) addEnd(now time.Duration, end End, own, send bool) bool {
 	id := endID{end.Engine, end.Attempt}
 	if known := t.ends[id]; known != nil {
 		known.own = known.own || own
@@ -157,7 +157,7 @@
 	end.Parts = slices.Compact(end.Parts)
 	end.At = min(end.At, now)
 	end.SentAt = min(end.SentAt, end.At)
-	known := &knownEnd{End: end, own: own, untold: tell}
+	known := &knownEnd{End: end, own: own, unsent: send}
 	t.ends[id] = known
 	for _, part := range end.Parts {
 		t.byPart[part] = append(t.byPart[part], known)
@@ -177,7 +177,7 @@
 }
 
 // addAnswer merges an answer, if it clears a part of a known end.
-func (t *Tracker) addAnswer(answer Answer, own, tell bool) bool {
+func (t *Tracker) addAnswer(answer Answer, own, send bool) bool {
 	known := t.answers[answer.Part]
 	clears := false
 	for _, end := range t.byPart[answer.Part] {
@@ -186,40 +186,40 @@
 	if !clears {
 		return false
 	}
-	t.answers[answer.Part] = &knownAnswer{at: answer.At, own: own, untold: tell}
+	t.answers[answer.Part] = &knownAnswer{at: answer.At, own: own, unsent: send}
 	return true
 }
 
 // Suspects reports whether there is any evidence; without, answers need not be recorded.
 func (t *Tracker) Suspects() bool { return len(t.ends) > 0 }
 
-// HasUntold reports whether there is evidence that was not yet part of an Evidence.
-func (t *Tracker) HasUntold() bool {
+// HasUnsent reports whether there is evidence that was not yet part of an Evidence.
+func (t *Tracker) HasUnsent() bool {
 	for _, end := range t.ends {
-		if end.untold {
+		if end.unsent {
 			return true
 		}
 	}
 	for _, answer := range t.answers {
-		if answer.untold {
+		if answer.unsent {
 			return true
 		}
 	}
 	return false
 }
 
-// Scope says which evidence is told.
+// Scope says which evidence is sent.
 type Scope int
 
-// The scopes: what was not told yet, all that this node has seen itself, and all that it knows.
+// The scopes: what was not sent yet, all that this node has seen itself, and all that it knows.
 const (
-	Untold Scope = iota
+	Unsent Scope = iota
 	Own
 	All
 )
 
-// maxToldEnds bounds the ends in one message.
-const maxToldEnds = 24
+// maxEndsPerMessage bounds the ends in one message.
+const maxEndsPerMessage = 24
 
 // Evidence returns the evidence of a scope: of the ends first those that support blocks, and then
 // the latest ones.
@@ -227,30 +227,30 @@
 	if t.expire(now) {
 		t.evaluate(now)
 	}
-	var told []*knownEnd
+	var selected []*knownEnd
 	for _, end := range t.ends {
-		if end.untold || scope == All || scope == Own && end.own {
-			told = append(told, end)
+		if end.unsent || scope == All || scope == Own && end.own {
+			selected = append(selected, end)
 		}
 	}
-	slices.SortFunc(told, func(a, b *knownEnd) int {
+	slices.SortFunc(selected, func(a, b *knownEnd) int {
 		return cmp.Or(cmp.Compare(b.priority(), a.priority()), cmp.Compare(b.At, a.At), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Attempt, b.Attempt))
 	})
 	var evidence Evidence
-	for _, end := range told[:min(len(told), maxToldEnds)] {
-		end.untold = false
+	for _, end := range selected[:min(len(selected), maxEndsPerMessage)] {
+		end.unsent = false
 		evidence.Ends = append(evidence.Ends, end.End)
 	}
 	for part, answer := range t.answers {
-		if answer.untold || scope == All || scope == Own && answer.own {
-			answer.untold = false
+		if answer.unsent || scope == All || scope == Own && answer.own {
+			answer.unsent = false
 			evidence.Answers = append(evidence.Answers, Answer{Part: part, At: answer.at})
 		}
 	}
 	return evidence
 }
 
-// priority ranks ends to be told: witnesses of blocks come first.
+// priority ranks the ends for a message: witnesses of blocks come first.
 func (e *knownEnd) priority() int {
 	if e.block != nil && slices.ContainsFunc(e.block.Witnesses, func(w End) bool { return w.Engine == e.Engine && w.Attempt == e.Attempt }) {
 		return 1
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -182,7 +182,7 @@
 		want := ""
 		for node := range 4 {
 			tracker := New()
-			// Answers count for ends that are known, and are told again with them.
+			// Answers count for ends that are known, and are sent again with them.
 			for round := range 2 {
 				for _, i := range random.Perm(len(messages)) {
 					if round == 0 && random.IntN(3) == 0 {
@@ -224,7 +224,7 @@
 	is.True(len(tracker.ends) <= maxEnds)
 	is.True(len(tracker.byPart) <= maxEnds*maxParts)
 	is.True(tracker.Blocking(second*20, []uint64{bad}) != nil) // other evidence does not displace a block
-	is.True(len(tracker.Evidence(time.Minute, All).Ends) <= maxToldEnds)
+	is.True(len(tracker.Evidence(time.Minute, All).Ends) <= maxEndsPerMessage)
 }
 
 func TestSoundPromptsBesideCrashingOnesAreNotBlocked(t *testing.T) {
