--- a/edge/blocks_test.go
+++ b/edge/blocks_test.go
@@ -53,6 +53,19 @@
 	return s.do(func() { delete(s.blocks, key) })
 }
 
+// stored returns the number of blocks, and claimed that of claims.
+func (s *fakeBlockStore) stored() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.blocks)
+}
+
+func (s *fakeBlockStore) claimed() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.claims
+}
+
 func (s *fakeBlockStore) setDown(down bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -74,19 +87,19 @@
 			runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
 		}
 		time.Sleep(10 * time.Second)
-		is.Equal(len(store.blocks), 0)
+		is.Equal(store.stored(), 0)
 		store.setDown(false)
 		time.Sleep(3 * time.Second)
-		is.Equal(len(store.blocks), 1)
+		is.Equal(store.stored(), 1)
 		block := runner.Blocking([]uint64{1})
 		is.True(!runner.TakeTrial(block))
 		synctest.Wait()
-		is.Equal(store.claims, 0) // not due
+		is.Equal(store.claimed(), 0) // not due
 		time.Sleep(time.Minute)
 		is.True(!runner.TakeTrial(block)) // due; claimed for a later request
 		is.True(!runner.TakeTrial(block))
 		synctest.Wait()
-		is.Equal(store.claims, 1)
+		is.Equal(store.claimed(), 1)
 		is.True(runner.TakeTrial(block))
 		is.True(!runner.TakeTrial(block)) // one request only
 		store.setDown(true)
@@ -94,10 +107,10 @@
 		runner.RecordAnswer([]uint64{1}, time.Now())
 		is.True(runner.Blocking([]uint64{1}) == nil)
 		time.Sleep(10 * time.Second)
-		is.Equal(len(store.blocks), 1)
+		is.Equal(store.stored(), 1)
 		store.setDown(false)
 		time.Sleep(3 * time.Second)
-		is.Equal(len(store.blocks), 0)
+		is.Equal(store.stored(), 0)
 		cancel()
 		group.Wait()
 	})
@@ -123,7 +136,7 @@
 		time.Sleep(time.Minute)
 		is.True(!runner.TakeTrial(block))
 		synctest.Wait()
-		is.Equal(len(store.blocks), 1)
+		is.Equal(store.stored(), 1)
 		is.True(runner.TakeTrial(block))
 	})
 }
@@ -146,7 +159,7 @@
 		time.Sleep(time.Second)
 		runner.Apply(&quarantine.Evidence{Answers: []quarantine.Answer{{Part: 2, At: clock()}}}, false) // another node's
 		is.True(synchronizer.synchronize(t.Context()))
-		is.Equal(len(store.blocks), 1)
+		is.Equal(store.stored(), 1)
 		fresh := exchange.NewQuarantineRunner(clock, zerolog.Nop(), telemetry.NewMetrics(), func() {})
 		stored := quarantine.Evidence{Ends: store.ends}
 		stored.Shift(clock())
--- a/loadshare/evidence_test.go
+++ b/loadshare/evidence_test.go
@@ -89,7 +89,6 @@
 func TestEvidenceReachesAllNodesOnce(t *testing.T) {
 	for _, nodes := range []int{7, 78} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
-			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newSimulatedFleet(t, nodes)
 				time.Sleep(settleTime)
@@ -111,7 +110,6 @@
 // TestEvidenceSurvivesLostRelaysAndCuts loses the relay that would pass an end on, and cuts off a
 // node while ends are sent.
 func TestEvidenceSurvivesLostRelaysAndCuts(t *testing.T) {
-	const contactTime = 4 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newSimulatedFleet(t, 78)
@@ -125,7 +123,7 @@
 			f.nodes[at].evidence.recordEnd(uint32(i))
 			time.Sleep(150 * time.Millisecond)
 		}
-		time.Sleep(contactTime - 450*time.Millisecond)
+		time.Sleep(contactTime)
 		f.expectWitnesses(3, cut, relay)
 		is.Equal(f.nodes[cut].evidence.witnesses(), 0)
 		f.network.block(nil)
@@ -199,45 +197,70 @@
 	}
 }
 
-// TestCrashingPartIsBlockedAfterThirdEnd plays the traffic of the incident, 2.5 prompts with the part
-// and 25 sound ones a second, on fleets of several sizes.
+// run sends 2.5 prompts with the part and 25 sound ones a second, the traffic of the incident, for 10 s.
+func (c *crashLoad) run(f *simulatedFleet) {
+	random := rand.New(rand.NewPCG(uint64(len(f.nodes)), 1))
+	var group sync.WaitGroup
+	for i := range 250 {
+		node, own := f.nodes[random.IntN(len(f.nodes))], random.Uint64()
+		if i%10 == 0 {
+			group.Go(func() { c.crash(node, own) })
+		}
+		other := f.nodes[random.IntN(len(f.nodes))]
+		group.Go(func() { c.answer(other, own) })
+		time.Sleep(40 * time.Millisecond)
+	}
+	group.Wait()
+}
+
+// check checks what came of the load: all nodes block the part, after the third end and one request more.
+func (c *crashLoad) check(f *simulatedFleet) {
+	f.t.Helper()
+	f.t.Logf("%d engines ended, %d prompts with the part sent after the third end, %d of %d sound ones refused", c.ends, c.sentLate, c.refused, c.sound)
+	for i, node := range f.nodes {
+		if !node.evidence.blocks([]uint64{crashingPart}) {
+			f.t.Errorf("node %d does not block the part", i)
+		}
+	}
+	if c.ends > 4 || c.sentLate > 1 {
+		f.t.Errorf("%d engines ended, target 3 and one more; %d prompts sent after the third, target 1", c.ends, c.sentLate)
+	}
+	if c.refused*20 > c.sound {
+		f.t.Errorf("%d of %d sound prompts were refused, target 5 in 100", c.refused, c.sound)
+	}
+}
+
 func TestCrashingPartIsBlockedAfterThirdEnd(t *testing.T) {
-	for _, nodes := range []int{7, 78, 295} {
+	for _, nodes := range []int{7, 78} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
-			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newSimulatedFleet(t, nodes)
 				time.Sleep(settleTime)
 				load := &crashLoad{}
-				random := rand.New(rand.NewPCG(uint64(nodes), 1))
-				var group sync.WaitGroup
-				for i := range 250 {
-					node, own := f.nodes[random.IntN(nodes)], random.Uint64()
-					if i%10 == 0 {
-						group.Go(func() { load.crash(node, own) })
-					}
-					other := f.nodes[random.IntN(nodes)]
-					group.Go(func() { load.answer(other, own) })
-					time.Sleep(40 * time.Millisecond)
-				}
-				group.Wait()
-				t.Logf("%d engines ended, %d prompts with the part sent after the third end, %d of %d sound ones refused", load.ends, load.sentLate, load.refused, load.sound)
-				for i, node := range f.nodes {
-					if !node.evidence.blocks([]uint64{crashingPart}) {
-						t.Errorf("node %d does not block the part", i)
-					}
-				}
-				if load.ends > 4 || load.sentLate > 1 {
-					t.Errorf("%d engines ended, target 3 and one more; %d prompts sent after the third, target 1", load.ends, load.sentLate)
-				}
-				if load.refused*20 > load.sound {
-					t.Errorf("%d of %d sound prompts were refused, target 5 in 100", load.refused, load.sound)
-				}
+				load.run(f)
+				load.check(f)
 			})
 		})
 	}
 }
 
+// TestLargeFleetBlocksPartAndKeepsLimit does so at 295 nodes, while an engine states a limit.
+func TestLargeFleetBlocksPartAndKeepsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, 295)
+		time.Sleep(settleTime)
+		load, log, stated := &crashLoad{}, &arrivalLog{}, time.Now()
+		var group sync.WaitGroup
+		group.Go(func() { load.run(f) })
+		group.Go(func() {
+			f.drive(log, placement.StatedLimit{Stated: true, PerSecond: 1}, 500*time.Millisecond, 10*time.Second)
+		})
+		group.Wait()
+		load.check(f)
+		log.check(t, stated.Add(contactTime), 1)
+	})
+}
+
 // TestNodeLearnsWhatItMissed cuts a node of a small fleet off while another one sends its evidence and ends.
 func TestNodeLearnsWhatItMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/loadshare/limits_test.go
+++ b/loadshare/limits_test.go
@@ -90,15 +90,30 @@
 
 func targetIn4s(perSecond float64) int { return int(4*perSecond) + 5 }
 
+// contactTime is the time after which the platform judges what nodes do with another one's news.
+const contactTime = 3 * time.Second
+
+// check checks the arrivals after from, in any 4 s and from the start on.
+func (l *arrivalLog) check(t *testing.T, from time.Time, perSecond float64) {
+	t.Helper()
+	if got := l.most(from, 4*time.Second); got > targetIn4s(perSecond) {
+		t.Errorf("%d requests in 4 s, target %d", got, targetIn4s(perSecond))
+	}
+	used := 0
+	for _, at := range l.times {
+		if at.After(from) {
+			used++
+		}
+	}
+	if float64(used) < 0.5*perSecond*7 {
+		t.Errorf("%d requests in 7 s: less than half of the limit is used", used)
+	}
+}
+
 func TestStatedLimitHoldsOverAllNodes(t *testing.T) {
-	const contactTime = 3 * time.Second
-	for _, nodes := range []int{7, 78, 295} {
+	for _, nodes := range []int{7, 78} {
 		for _, perSecond := range []float64{0, 1, 7.5} {
-			if nodes > 100 && perSecond != 1 {
-				continue // they take long
-			}
 			t.Run(fmt.Sprint(nodes, "/", perSecond), func(t *testing.T) {
-				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					f := newSimulatedFleet(t, nodes)
@@ -106,19 +121,7 @@
 					log := &arrivalLog{}
 					stated := time.Now()
 					f.drive(log, placement.StatedLimit{Stated: true, PerSecond: perSecond}, 500*time.Millisecond, 10*time.Second)
-					if got := log.most(stated.Add(contactTime), 4*time.Second); got > targetIn4s(perSecond) {
-						t.Errorf("%d requests in 4 s, target %d", got, targetIn4s(perSecond))
-					}
-					used := 0
-					for _, at := range log.times {
-						if at.Sub(stated) > contactTime {
-							used++
-						}
-					}
-					is.True(float64(used) >= 0.5*perSecond*7) // the limit is used, too
-					if nodes > 100 {
-						return
-					}
+					log.check(t, stated.Add(contactTime), perSecond)
 					log.times = nil
 					f.drive(log, placement.StatedLimit{}, 500*time.Millisecond, 13*time.Second)
 					ended := time.Now()
@@ -154,7 +157,6 @@
 	for _, nodes := range []int{7, 78} {
 		for _, perSecond := range []float64{1, 3} {
 			t.Run(fmt.Sprint(nodes, "/", perSecond), func(t *testing.T) {
-				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newSimulatedFleet(t, nodes)
 					time.Sleep(settleTime)
