--- a/exchange/blocked_test.go
+++ b/exchange/blocked_test.go
@@ -116,6 +116,25 @@
 	is.True(f.serve(t, f.prompt("f", 1)).ended)
 }
 
+func TestUnusedTrialLapses(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	runner := NewQuarantineRunner(func() time.Duration { return now }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
+	for _, engine := range []string{"x", "y", "z"} {
+		now += time.Second
+		runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
+	}
+	block := runner.Blocking([]uint64{1})
+	runner.GrantTrial(block.Key)
+	now += trialValidity
+	is.True(!runner.TakeTrial(block))
+	runner.GrantTrial("gone")
+	now += trialValidity
+	runner.GrantTrial(block.Key)
+	is.Equal(len(runner.granted), 1)
+	is.True(runner.TakeTrial(block))
+}
+
 // TestCloseDelimitedStreamWithoutEventsIsBrokenOff guards against an engine that ends before its
 // first event and whose closed connection passes for the end of a stream.
 func TestCloseDelimitedStreamWithoutEventsIsBrokenOff(t *testing.T) {
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -89,7 +90,9 @@
 func (q *QuarantineRunner) GrantTrial(key string) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.granted[key] = q.clock() + trialValidity
+	now := q.clock()
+	maps.DeleteFunc(q.granted, func(_ string, until time.Duration) bool { return now >= until })
+	q.granted[key] = now + trialValidity
 }
 
 // RecordEnd records that an engine ended as it began to answer a prompt; sent is when the attempt was.
