Bound the answers in one message of evidence

Ends hold up to 64 parts, so that a caller who sends many parts could make the answers of one datagram longer than a datagram may be; all were sent in each. Now 256 at most, those not sent yet first. TestAnswersInOneMessageAreBounded.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -218,8 +218,11 @@
 	All
 )
 
-// maxEndsPerMessage bounds the ends in one message.
-const maxEndsPerMessage = 24
+// maxEndsPerMessage and maxAnswersPerMessage bound one message: it fits into a datagram with the load.
+const (
+	maxEndsPerMessage    = 24
+	maxAnswersPerMessage = 256
+)
 
 // Evidence returns the evidence of a scope: of the ends first those that support blocks, and then
 // the latest ones.
@@ -241,13 +244,34 @@
 		end.unsent = false
 		evidence.Ends = append(evidence.Ends, end.End)
 	}
+	evidence.Answers = t.answersOf(scope)
+	return evidence
+}
+
+// answersOf returns the answers of a scope: those that were not sent yet first, and the latest ones.
+func (t *Tracker) answersOf(scope Scope) []Answer {
+	var selected []uint64
 	for part, answer := range t.answers {
 		if answer.unsent || scope == All || scope == Own && answer.own {
-			answer.unsent = false
-			evidence.Answers = append(evidence.Answers, Answer{Part: part, At: answer.at})
+			selected = append(selected, part)
 		}
 	}
-	return evidence
+	slices.SortFunc(selected, func(a, b uint64) int {
+		x, y := t.answers[a], t.answers[b]
+		if x.unsent != y.unsent {
+			if x.unsent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(y.at, x.at), cmp.Compare(a, b))
+	})
+	var answers []Answer
+	for _, part := range selected[:min(len(selected), maxAnswersPerMessage)] {
+		t.answers[part].unsent = false
+		answers = append(answers, Answer{Part: part, At: t.answers[part].at})
+	}
+	return answers
 }
 
 // priority ranks the ends for a message: witnesses of blocks come first.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -244,6 +244,29 @@
 	is.True(!tracker.blocksNow(rare))
 }
 
+// TestAnswersInOneMessageAreBounded guards against a message that does not fit into a datagram.
+func TestAnswersInOneMessageAreBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	total := 0
+	for i := range 40 {
+		at := second * time.Duration(i+1)
+		var parts []uint64
+		for p := range maxParts {
+			parts = append(parts, uint64(i*maxParts+p))
+		}
+		tracker.RecordEnd(at, end(at, parts...))
+		tracker.RecordAnswer(at+second/2, parts, at+second/4)
+	}
+	for range 40 {
+		evidence := tracker.Evidence(time.Minute, Unsent)
+		is.True(len(evidence.Answers) <= maxAnswersPerMessage)
+		total += len(evidence.Answers)
+	}
+	is.Equal(total, 40*maxParts) // each is sent
+	is.Equal(len(tracker.Evidence(time.Minute, All).Answers), maxAnswersPerMessage)
+}
+
 // TestNoSoundPartIsBlockedByCrashes plays days on which engines end alone, by turns and by racks,
 // without a part that crashes them. The parts are as unevenly spread as on the users' sites.
 func TestNoSoundPartIsBlockedByCrashes(t *testing.T) {
