--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -31,6 +31,9 @@
 	}
 	r.history.RecordMayHaveRun()
 	r.reason = "upstream_broke_off"
+	if watch.ctx.Err() == nil {
+		r.exchange.config.Metrics.Count("wigeontiller_attempts_cut_without_response_total", 1)
+	}
 	if watch.blocked() && r.isBlocked() {
 		return actionBlocked
 	}
@@ -96,7 +99,7 @@
 
 // logFailedAttempt logs an attempt that failed or was not executed.
 func (r *requestHandler) logFailedAttempt(decision *placement.Decision, cause string, status int) {
-	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).
+	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.digest()).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
 		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
 		Strs("prompt_parts", formatParts(r.request.PromptParts)).Str("error", cause).Msg(telemetry.LogAttemptFailed)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -51,6 +51,8 @@
 	// PromptParts identify the parts of the prompt that other requests may share, in order. The
 	// last part, which belongs to the request itself, is left out.
 	PromptParts []uint64
+	// Identity is the result of the function Identity.
+	Identity []uint64
 	// After is the number of the last event that the caller has received; 0 is none.
 	After int64
 	// Encoded is the front end's form of the request, which the Sender reads.
@@ -261,7 +263,7 @@
 	if r.outcome != Answered && r.outcome != CallerDisconnected {
 		event = e.config.Logger.Warn()
 	}
-	event = event.Str("request_id", r.request.ID).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
+	event = event.Str("request_id", r.request.ID).Str("request_digest", r.request.digest()).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
 		Dur("taken_ms", taken).Dur("latency_target_ms", r.request.Route.LatencyTarget).Int("attempts", r.history.Attempts()).Int64("site_version", r.request.ConfigurationVersion)
 	if r.firstEventDelay > 0 {
 		event = event.Dur("first_event_ms", r.firstEventDelay).Dur("longest_pause_ms", r.longestPause).
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -216,7 +216,7 @@
 	if reserved != nil {
 		attempt.Reservations = reserved.list
 	}
-	config.Logger.Info().Str("request_id", r.request.ID).Str("upstream", decision.Lead.ID).Str("service", r.service).
+	config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.digest()).Str("upstream", decision.Lead.ID).Str("service", r.service).
 		Int("prompt_tokens", r.request.PromptTokens).Strs("helpers", upstreamIDs(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
 		Dur("expected_first_ms", decision.ExpectedFirstEvent).Dur("waited_ms", time.Since(r.request.Arrived)).
 		Int64("after", r.lastEventNumber).Msg(telemetry.LogAttemptPlaced)
