--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -43,7 +43,7 @@
 func (f *fixture) crashes() int {
 	total := 0
 	for _, engine := range f.engines {
-		total += len(engine.PartCrashes())
+		total += len(engine.RequestCrashes())
 	}
 	return total
 }
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -26,7 +26,7 @@
 	store   *fleetstore.Store
 	address string
 	engines map[string]*fleetengine.Engine
-	servers map[string]*httptest.Server
+	servers map[string]*fleetengine.Server
 	nodes   []*runningNode
 	version int
 	// graceSeconds is the grace period of nodes that are started from now on.
@@ -51,7 +51,7 @@
 
 func newFixture(t *testing.T, nodes int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: fleetstore.New(), engines: map[string]*fleetengine.Engine{}, servers: map[string]*httptest.Server{}, graceSeconds: 8}
+	f := &fixture{t: t, store: fleetstore.New(), engines: map[string]*fleetengine.Engine{}, servers: map[string]*fleetengine.Server{}, graceSeconds: 8}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		f.store.Set(fleetstore.Knobs{})
@@ -92,11 +92,11 @@
 
 func (f *fixture) addEngine(id string) {
 	engine := fleetengine.New(id)
-	server := httptest.NewServer(engine)
-	f.t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
+	server, err := fleetengine.Serve(engine)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(server.Close)
 	f.engines[id], f.servers[id] = engine, server
 	engine.OnRestart = func() { f.register(id, "ready") }
 	f.register(id, "ready")
@@ -104,7 +104,7 @@
 
 func (f *fixture) register(id, state string) {
 	f.store.Put("servers", id, map[string]any{
-		"service": strings.Split(id, "-")[0], "address": strings.TrimPrefix(f.servers[id].URL, "http://"), "zone": "z", "slots": 6, "state": state,
+		"service": strings.Split(id, "-")[0], "address": f.servers[id].Address(), "zone": "z", "slots": 6, "state": state,
 		"born": f.engines[id].Incarnation(),
 	})
 }
--- a/standin/fleetengine/crash.go
+++ b/standin/fleetengine/crash.go
@@ -5,30 +5,39 @@
 	"time"
 )
 
-// Crash breaks off all streams and keeps the engine down for DownTime. A crash of an engine that
+// Crash breaks off all responses and keeps the engine down for DownTime. A crash of an engine that
 // is down has no effect.
 func (e *Engine) Crash() { e.crash(false) }
 
-func (e *Engine) crash(byPart bool) {
+func (e *Engine) crash(byRequest bool) {
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
 	if e.down {
+		e.mutex.Unlock()
 		return
 	}
 	e.down = true
 	e.crashes++
-	if byPart {
-		e.partCrashes = append(e.partCrashes, time.Now())
+	if byRequest {
+		e.requestCrashes = append(e.requestCrashes, time.Now())
 	}
 	clear(e.reservations)
 	close(e.crashed)
+	server := e.server
+	e.mutex.Unlock()
+	if server != nil {
+		server.stop()
+	}
 	time.AfterFunc(e.DownTime, e.restart)
 }
 
 func (e *Engine) restart() {
 	e.mutex.Lock()
 	e.down, e.crashed = false, make(chan struct{})
+	server := e.server
 	e.mutex.Unlock()
+	if server != nil {
+		server.start()
+	}
 	if e.OnRestart != nil {
 		e.OnRestart()
 	}
@@ -41,11 +50,12 @@
 	return 1 + e.crashes
 }
 
-// PartCrashes returns when the engine crashed because of Knobs.CrashPart, oldest first.
-func (e *Engine) PartCrashes() []time.Time {
+// RequestCrashes returns when the engine crashed because of Knobs.CrashPart or Knobs.CrashTarget,
+// oldest first.
+func (e *Engine) RequestCrashes() []time.Time {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return append([]time.Time(nil), e.partCrashes...)
+	return append([]time.Time(nil), e.requestCrashes...)
 }
 
 func (e *Engine) isDown() bool {
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -35,6 +35,11 @@
 	// CrashPart, if not empty, is the ID of a prompt part, other than the last one, that crashes
 	// the engine when it begins to write the answer.
 	CrashPart string
+	// CrashTarget, if not empty, is the path and query of requests that crash the engine CrashDelay
+	// after it has begun to run one.
+	CrashTarget string
+	// RunTime is how long requests that are not streams run.
+	RunTime time.Duration
 	// RequestLimit, if not empty, is the rate of requests that every answer states.
 	RequestLimit string
 }
@@ -63,16 +68,17 @@
 	DownTime  time.Duration
 	OnRestart func()
 
-	mutex        sync.Mutex
-	crashes      int
-	partCrashes  []time.Time
-	down         bool
-	crashed      chan struct{}
-	knobs        Knobs
-	runs         []*Run
-	arrivals     []time.Time
-	reservations map[string]int
-	active       int
+	mutex          sync.Mutex
+	server         *Server
+	crashes        int
+	requestCrashes []time.Time
+	down           bool
+	crashed        chan struct{}
+	knobs          Knobs
+	runs           []*Run
+	arrivals       []time.Time
+	reservations   map[string]int
+	active         int
 }
 
 // New returns an engine whose streams have 8 events, 5 ms apart, and with memory for
@@ -226,6 +232,9 @@
 	if !knobs.Unsigned {
 		w.Header().Set("X-Origin-Signature", e.ID+"."+id)
 	}
+	if knobs.CrashTarget != "" && r.URL.RequestURI() == knobs.CrashTarget {
+		e.crashByRequest(r)
+	}
 	switch {
 	case knobs.Unresponsive:
 		<-r.Context().Done()
@@ -234,6 +243,7 @@
 	case r.Header.Get("X-Token-Usage") != "":
 		e.stream(w, r, knobs, after)
 	default:
+		e.runFor(r, knobs.RunTime)
 		answer := fmt.Sprintf("%s ran %s", e.ID, r.URL.RequestURI())
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 		_, _ = w.Write([]byte(answer))
@@ -243,6 +253,34 @@
 	}
 }
 
+// CrashDelay is how long a request runs before it crashes the engine.
+const CrashDelay = 50 * time.Millisecond
+
+// crashByRequest crashes the engine, unless the caller leaves before.
+func (e *Engine) crashByRequest(r *http.Request) {
+	e.runFor(r, CrashDelay)
+	e.crash(true)
+	panic(http.ErrAbortHandler)
+}
+
+// runFor waits for a time. It ends the request without an answer if the caller leaves or the engine
+// crashes.
+func (e *Engine) runFor(r *http.Request, length time.Duration) {
+	if length == 0 {
+		return
+	}
+	e.mutex.Lock()
+	crashed := e.crashed
+	e.mutex.Unlock()
+	select {
+	case <-time.After(length):
+		return
+	case <-r.Context().Done():
+	case <-crashed:
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeExtraAnswer writes an answer on the connection that belongs to no request.
 func (e *Engine) writeExtraAnswer(w http.ResponseWriter, id string) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -26,7 +26,6 @@
 	store   *fleetstore.Store
 	address string
 	engines []*fleetengine.Engine
-	servers []*httptest.Server
 	mutex   sync.Mutex
 	nodes   []*edgeNode
 	// requests numbers the callers' requests.
@@ -80,15 +79,15 @@
 func (f *edgeFleet) addEngine(i int) {
 	engine := fleetengine.New(fmt.Sprintf("llm-%d", i))
 	engine.EventInterval, engine.DownTime = 20*time.Millisecond, time.Second
-	server := httptest.NewServer(engine)
-	f.t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
-	f.engines, f.servers = append(f.engines, engine), append(f.servers, server)
+	server, err := fleetengine.Serve(engine)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(server.Close)
+	f.engines = append(f.engines, engine)
 	register := func() {
 		f.store.Put("servers", engine.ID, map[string]any{
-			"service": "llm", "address": strings.TrimPrefix(server.URL, "http://"), "zone": fmt.Sprintf("z%d", i%edgeZones), "slots": 16, "state": "ready",
+			"service": "llm", "address": server.Address(), "zone": fmt.Sprintf("z%d", i%edgeZones), "slots": 16, "state": "ready",
 			"born": engine.Incarnation(),
 		})
 	}
@@ -198,7 +197,7 @@
 func (f *edgeFleet) crashes() int {
 	total := 0
 	for _, engine := range f.engines {
-		total += len(engine.PartCrashes())
+		total += len(engine.RequestCrashes())
 	}
 	return total
 }
@@ -207,7 +206,7 @@
 func (f *edgeFleet) crashTimes() []time.Time {
 	var times []time.Time
 	for _, engine := range f.engines {
-		times = append(times, engine.PartCrashes()...)
+		times = append(times, engine.RequestCrashes()...)
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	return times
