--- a/edge/blocks.go
+++ b/edge/blocks.go
@@ -23,7 +23,7 @@
 	maxStoredWitnesses = 16
 )
 
-// BlockStore stores what must outlive all nodes of the blocks of prompts.
+// BlockStore stores what must outlive all nodes of the blocks of requests.
 type BlockStore interface {
 	// SaveBlock stores ends whose times are relative to now.
 	SaveBlock(ctx context.Context, key string, ends []quarantine.End) error
@@ -144,7 +144,7 @@
 		if err == nil {
 			granted, err = b.store.ClaimTrial(ctx, block.Key, block.TrialDelay())
 		}
-		b.logger.Info().Err(err).Str("block", block.Key).Bool("granted", granted).Msg("trial of blocked prompt parts claimed")
+		b.logger.Info().Err(err).Str("block", block.Key).Bool("granted", granted).Msg("trial of blocked requests claimed")
 		if granted {
 			b.runner.GrantTrial(block.Key)
 		}
--- a/edge/blocks_test.go
+++ b/edge/blocks_test.go
@@ -84,7 +84,7 @@
 		group.Go(func() { synchronizer.run(ctx) })
 		for _, engine := range []string{"x", "y", "z"} {
 			time.Sleep(time.Second)
-			runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
+			runner.RecordEnd(engine, engine, []uint64{1}, time.Now(), time.Now())
 		}
 		time.Sleep(10 * time.Second)
 		is.Equal(store.stored(), 0)
@@ -128,7 +128,7 @@
 		var evidence quarantine.Evidence
 		for i := range uint32(3) {
 			at := time.Duration(i+1) * time.Second
-			evidence.Ends = append(evidence.Ends, quarantine.End{Engine: i, Attempt: i, Parts: []uint64{1}, SentAt: at, At: at})
+			evidence.Ends = append(evidence.Ends, quarantine.End{Engine: i, Attempt: i, Features: []uint64{1}, SentAt: at, At: at})
 		}
 		time.Sleep(5 * time.Second)
 		runner.Apply(&evidence, false)
@@ -153,18 +153,18 @@
 		synchronizer := newBlockSynchronizer(store, runner, func(string, string) bool { return true }, zerolog.Nop())
 		for _, engine := range []string{"x", "y", "z"} {
 			time.Sleep(time.Second)
-			runner.RecordEnd(engine, engine, []uint64{1, 2}, time.Now())
+			runner.RecordEnd(engine, engine, []uint64{1, 2}, time.Now(), time.Now())
 		}
 		is.True(synchronizer.synchronize(t.Context())) // both parts
 		time.Sleep(time.Second)
-		runner.Apply(&quarantine.Evidence{Answers: []quarantine.Answer{{Part: 2, At: clock()}}}, false) // another node's
+		runner.Apply(&quarantine.Evidence{Answers: []quarantine.Answer{{Feature: 2, At: clock()}}}, false) // another node's
 		is.True(synchronizer.synchronize(t.Context()))
 		is.Equal(store.stored(), 1)
 		fresh := exchange.NewQuarantineRunner(clock, zerolog.Nop(), telemetry.NewMetrics(), func() {})
 		stored := quarantine.Evidence{Ends: store.ends}
 		stored.Shift(clock())
 		fresh.Apply(&stored, false)
-		is.Equal(fresh.Blocking([]uint64{1, 3}).Parts, []uint64{1})
+		is.Equal(fresh.Blocking([]uint64{1, 3}).Features, []uint64{1})
 		is.True(fresh.Blocking([]uint64{2}) == nil)
 	})
 }
--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -33,8 +33,9 @@
 	r.reason = "upstream_broke_off"
 	if watch.ctx.Err() == nil {
 		r.exchange.config.Metrics.Count("wigeontiller_attempts_cut_without_response_total", 1)
+		r.recordLostAttempt(ctx, decision)
 	}
-	if watch.blocked() && r.isBlocked() {
+	if (watch.blocked() || r.upstreamsEnded > 0) && r.isBlocked() {
 		return actionBlocked
 	}
 	return r.retryOrFail(ctx)
@@ -64,7 +65,8 @@
 const maxRefusalBytes = 64 << 10
 
 // deliverResponse forwards a response that is not a stream.
-func (r *requestHandler) deliverResponse(ctx context.Context, decision *placement.Decision, reply Reply) nextAction {
+func (r *requestHandler) deliverResponse(ctx context.Context, decision *placement.Decision, reply Reply, watch *watchdog) nextAction {
+	r.stopBlockWatch()
 	scheduler := r.exchange.config.Scheduler
 	body, release, err := r.exchange.buffers.read(reply.Body(), r.exchange.config.MaxResponseBytes)
 	defer release()
@@ -78,9 +80,16 @@
 		r.avoid = append(r.avoid, decision.Lead.ID)
 		r.reason = "answer_not_whole"
 		r.logFailedAttempt(decision, r.reason, reply.Status())
+		if err != nil && watch.ctx.Err() == nil && isUpstreamEnd(err) {
+			r.recordLostAttempt(ctx, decision)
+			if r.isBlocked() {
+				return actionBlocked
+			}
+		}
 		return r.retryOrFail(ctx)
 	}
 	reply.Finish()
+	r.recordWholeResponse(reply.Status())
 	if reply.Status() >= http.StatusInternalServerError {
 		scheduler.End(decision.ID, placement.Failed, "")
 		r.logFailedAttempt(decision, "upstream failed", reply.Status())
@@ -99,20 +108,20 @@
 
 // logFailedAttempt logs an attempt that failed or was not executed.
 func (r *requestHandler) logFailedAttempt(decision *placement.Decision, cause string, status int) {
-	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.digest()).Str("upstream", decision.Lead.ID).
+	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
 		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
-		Strs("prompt_parts", formatParts(r.request.PromptParts)).Str("error", cause).Msg(telemetry.LogAttemptFailed)
+		Strs("prompt_parts", formatFeatures(r.request.PromptParts)).Str("error", cause).Msg(telemetry.LogAttemptFailed)
 }
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
-const maxLoggedParts = 16
+// maxLoggedFeatures bounds the features, and parts of a prompt, in a log line.
+const maxLoggedFeatures = 16
 
-// formatParts returns the first maxLoggedParts parts in hexadecimal.
-func formatParts(parts []uint64) []string {
-	list := make([]string, min(len(parts), maxLoggedParts))
+// formatFeatures returns the first maxLoggedFeatures features, or parts of a prompt, in hexadecimal.
+func formatFeatures(features []uint64) []string {
+	list := make([]string, min(len(features), maxLoggedFeatures))
 	for i := range list {
-		list[i] = strconv.FormatUint(parts[i], 16)
+		list[i] = strconv.FormatUint(features[i], 16)
 	}
 	return list
 }
--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -9,26 +9,32 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/quarantine"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
-// errPromptBlocked is the cancellation cause of attempts whose prompt was blocked.
-var errPromptBlocked = eris.New("a part of the prompt crashes engines")
+// errRequestBlocked is the cancellation cause of attempts whose request was blocked.
+var errRequestBlocked = eris.New("the request crashes upstreams")
 
-// ReasonPromptBlocked is the reason of failures because of a prompt that crashes engines.
-const ReasonPromptBlocked = "prompt_blocked"
+// ReasonRequestBlocked is the reason of failures because of a request that crashes upstreams.
+const ReasonRequestBlocked = "request_blocked"
 
-// isBlocked reports whether the request must not be sent, or sent again, because of its prompt, and
-// keeps the block. The first call that finds a granted trial takes it.
+// endProbeTimeout bounds the check whether an upstream's process has ended: a round trip between
+// distant data centres. A retry waits for it.
+const endProbeTimeout = 150 * time.Millisecond
+
+// isBlocked reports whether the request must not be sent, or sent again, because it crashes upstreams,
+// and keeps the block. The first call that finds a granted trial takes it.
 func (r *requestHandler) isBlocked() bool {
-	if r.enginesEnded >= quarantine.MaxEndsPerRequest || r.isTrial && r.enginesEnded > 0 {
+	if r.upstreamsEnded >= quarantine.MaxEndsPerRequest || r.isTrial && r.history.PossibleExecutions() > 0 {
 		return true
 	}
 	if r.isTrial {
 		return false
 	}
-	r.block = r.exchange.config.Quarantine.Blocking(r.request.PromptParts)
+	r.block = r.exchange.config.Quarantine.Blocking(r.features)
 	if r.block == nil {
 		return false
 	}
@@ -41,12 +47,21 @@
 
 // blockedBeforeSend is isBlocked just before the first byte of an attempt.
 func (r *requestHandler) blockedBeforeSend() bool {
-	return !r.isTrial && r.exchange.config.Quarantine.Blocking(r.request.PromptParts) != nil
+	return !r.isTrial && r.exchange.config.Quarantine.Blocking(r.features) != nil
+}
+
+// watchForBlock cancels the attempt if its request is blocked before the upstream has answered. An
+// attempt that must not be repeated goes on: its caller could not try again either.
+func (r *requestHandler) watchForBlock(watch *watchdog) {
+	r.stopBlockWatch = func() {}
+	if !r.isTrial && (r.request.Route.Kind == fleet.Stream || r.request.Route.Repeatable()) {
+		r.stopBlockWatch = r.exchange.config.Quarantine.watch(r.features, func() { watch.cancelCause(errRequestBlocked) })
+	}
 }
 
 // failBlocked ends a request that is blocked.
 func (r *requestHandler) failBlocked(ctx context.Context) {
-	failure := Failure{Code: PromptBlocked, Reason: ReasonPromptBlocked}
+	failure := Failure{Code: RequestBlocked, Reason: ReasonRequestBlocked}
 	if r.block != nil {
 		failure.RetryAfter = r.exchange.config.Quarantine.RetryAfter(r.block)
 	}
@@ -62,34 +77,61 @@
 		r.stopBlockWatch()
 		r.attemptBegan = time.Now()
 	case 2:
-		r.exchange.config.Quarantine.RecordAnswer(r.request.PromptParts, r.attemptBegan)
+		r.exchange.config.Quarantine.RecordAnswer(r.features, r.attemptBegan)
 	}
 }
 
 // recordWholeStream records a complete stream.
 func (r *requestHandler) recordWholeStream() {
 	if r.attemptEvents == 1 {
-		r.exchange.config.Quarantine.RecordAnswer(r.request.PromptParts, r.attemptBegan)
+		r.exchange.config.Quarantine.RecordAnswer(r.features, r.attemptBegan)
+	}
+}
+
+// recordWholeResponse records a complete response that is not a stream. A failure tells nothing: an
+// upstream may fail before it runs the request.
+func (r *requestHandler) recordWholeResponse(status int) {
+	if status < 500 {
+		r.exchange.config.Quarantine.RecordAnswer(r.request.Identity.features(), time.Now())
 	}
 }
 
-// isUpstreamEnd reports whether a stream's error tells that the upstream closed its connection: not
-// that this node rejects the stream, or that the network gave up on it.
+// isUpstreamEnd reports whether the error of a response's body tells that the upstream closed its
+// connection: not that this node rejects the response, or that the network gave up on it.
 func isUpstreamEnd(err error) bool {
 	var network net.Error
 	if errors.As(err, &network) && network.Timeout() {
 		return false
 	}
-	return !errors.Is(err, errMissingEvent) && !errors.Is(err, errEventTooLong)
+	return !errors.Is(err, errMissingEvent) && !errors.Is(err, errEventTooLong) && !errors.Is(err, errBodyTooLong) && !errors.Is(err, errNoBuffer)
 }
 
-// recordBrokenStream records that the engine ended a stream, if it had no event yet.
-func (r *requestHandler) recordBrokenStream(decision *placement.Decision) {
+// recordLostAttempt records that an upstream cut the connection of an attempt before its answer had
+// begun. Parts of prompts are suspected if the response's header had arrived, so that the upstream had
+// begun to answer; the request as a whole if the upstream's process has ended, as a connection can be
+// lost for other reasons.
+func (r *requestHandler) recordLostAttempt(ctx context.Context, decision *placement.Decision) {
 	if r.attemptEvents > 0 {
 		return
 	}
-	r.enginesEnded++
-	r.exchange.config.Metrics.Count("wigeontiller_streams_lost_before_first_event_total", 1)
-	engine := decision.Lead.ID + "/" + strconv.FormatInt(decision.Lead.StartedMs, 10)
-	r.exchange.config.Quarantine.RecordEnd(engine, decision.ID, r.request.PromptParts, r.attemptSent)
+	lostAt := time.Now()
+	var features []uint64
+	if r.request.Route.Kind == fleet.Stream && r.headerReceived {
+		r.exchange.config.Metrics.Count("wigeontiller_streams_lost_before_first_event_total", 1)
+		features = r.request.partFeatures()
+	}
+	probe, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	ended := r.exchange.config.Sender.HasEnded(probe, decision.Lead)
+	cancel()
+	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
+		Dur("ran_ms", lostAt.Sub(r.attemptSent)).Bool("process_ended", ended).Msg(telemetry.LogAttemptLost)
+	if ended {
+		r.exchange.config.Metrics.Count("wigeontiller_attempts_lost_with_their_upstream_total", 1)
+		features = append(features, r.request.Identity.features()...)
+	}
+	if ended || r.request.Route.Kind == fleet.Stream && r.headerReceived {
+		r.upstreamsEnded++
+	}
+	upstream := decision.Lead.ID + "/" + strconv.FormatInt(decision.Lead.StartedMs, 10)
+	r.exchange.config.Quarantine.RecordEnd(upstream, decision.ID, features, r.attemptSent, lostAt)
 }
--- a/exchange/blocked_test.go
+++ b/exchange/blocked_test.go
@@ -45,8 +45,8 @@
 	is.Equal(got.failure.Code, UpstreamFailed) // the third end blocks its own repeat
 	is.Equal(len(f.sender.attempts), 3)
 	got = f.serve(t, f.prompt("c", 4, 1))
-	is.Equal(got.failure.Code, PromptBlocked)
-	is.Equal(got.failure.Reason, ReasonPromptBlocked)
+	is.Equal(got.failure.Code, RequestBlocked)
+	is.Equal(got.failure.Reason, ReasonRequestBlocked)
 	is.True(got.failure.RetryAfter > 50*time.Second) // not before the first trial
 	is.Equal(len(f.sender.attempts), 3)
 	is.True(f.serve(t, f.prompt("d", 2, 3)).ended) // the other parts are not blocked
@@ -55,16 +55,16 @@
 func TestBlockForbidsSendOfPlacedRequest(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.sender.steps = []attemptStep{{before: func() { f.blockPart(1) }, status: 200, body: eventText(1, 3)}}
+	f.sender.steps = []attemptStep{{before: func() { f.blockFeature(1) }, status: 200, body: eventText(1, 3)}}
 	got := f.serve(t, f.prompt("a", 1))
-	is.Equal(got.failure.Code, PromptBlocked)
+	is.Equal(got.failure.Code, RequestBlocked)
 }
 
 func TestBlockEndsAttemptWithoutEvent(t *testing.T) {
 	is := is.New(t)
 	reader, writer := io.Pipe()
 	f := newFixture(t, attemptStep{status: 200, stream: reader})
-	time.AfterFunc(50*time.Millisecond, func() { f.blockPart(1) })
+	time.AfterFunc(50*time.Millisecond, func() { f.blockFeature(1) })
 	defer func() { _ = writer.Close() }()
 	started := time.Now()
 	got := f.serve(t, f.prompt("a", 1))
@@ -79,7 +79,7 @@
 	go func() {
 		_, _ = io.WriteString(writer, eventText(1, 1))
 		time.Sleep(20 * time.Millisecond)
-		f.blockPart(1)
+		f.blockFeature(1)
 		_, _ = io.WriteString(writer, eventText(2, 3))
 		_ = writer.Close()
 	}()
@@ -97,18 +97,18 @@
 	f.exchange.config.Quarantine = runner
 	for _, engine := range []string{"x", "y", "z"} {
 		now += time.Second
-		runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
+		runner.RecordEnd(engine, engine, []uint64{1}, time.Now(), time.Now())
 	}
 	var due []string
 	runner.Trial = func(block *quarantine.Block) { due = append(due, block.Key) }
 	f.serve(t, f.prompt("a", 1))
 	is.Equal(len(due), 0)
 	now += time.Minute
-	is.Equal(f.serve(t, f.prompt("b", 1)).failure.Code, PromptBlocked)
+	is.Equal(f.serve(t, f.prompt("b", 1)).failure.Code, RequestBlocked)
 	is.Equal(len(due), 1)
 	runner.GrantTrial(due[0])
 	is.Equal(f.serve(t, f.prompt("c", 1)).failure.Code, UpstreamFailed) // the trial ends an engine and is not repeated
-	is.Equal(f.serve(t, f.prompt("d", 1)).failure.Code, PromptBlocked)
+	is.Equal(f.serve(t, f.prompt("d", 1)).failure.Code, RequestBlocked)
 	is.Equal(len(f.sender.attempts), 1)
 	now += 2 * time.Minute
 	runner.GrantTrial(due[0])
@@ -122,7 +122,7 @@
 	runner := NewQuarantineRunner(func() time.Duration { return now }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
 	for _, engine := range []string{"x", "y", "z"} {
 		now += time.Second
-		runner.RecordEnd(engine, engine, []uint64{1}, time.Now())
+		runner.RecordEnd(engine, engine, []uint64{1}, time.Now(), time.Now())
 	}
 	block := runner.Blocking([]uint64{1})
 	runner.GrantTrial(block.Key)
@@ -167,9 +167,9 @@
 }
 
 // blockPart records three ends.
-func (f *fixture) blockPart(part uint64) {
+func (f *fixture) blockFeature(feature uint64) {
 	for i, engine := range []string{"x", "y", "z"} {
-		f.exchange.config.Quarantine.RecordEnd(engine, engine, []uint64{part}, time.Now())
+		f.exchange.config.Quarantine.RecordEnd(engine, engine, []uint64{feature}, time.Now(), time.Now())
 		if i < 2 {
 			time.Sleep(2 * time.Millisecond)
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -51,8 +51,7 @@
 	// PromptParts identify the parts of the prompt that other requests may share, in order. The
 	// last part, which belongs to the request itself, is left out.
 	PromptParts []uint64
-	// Identity is the result of the function Identity.
-	Identity []uint64
+	Identity    Identity
 	// After is the number of the last event that the caller has received; 0 is none.
 	After int64
 	// Encoded is the front end's form of the request, which the Sender reads.
@@ -128,6 +127,9 @@
 // Sender sends attempts to upstreams. Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Reply, error)
+	// HasEnded reports whether an upstream's process is known to have ended: its address refuses
+	// connections. It is false if that can't be told before the context ends.
+	HasEnded(ctx context.Context, upstream *fleet.Upstream) bool
 }
 
 // ResponseWriter writes the response to the caller. Exactly one of
@@ -159,8 +161,8 @@
 	// UpstreamFailed and Expired guarantee nothing: the request may have run.
 	UpstreamFailed Code = "upstream_failed"
 	Expired        Code = "deadline_exceeded"
-	// PromptBlocked guarantees that the request was not executed; a part of its prompt crashes engines.
-	PromptBlocked Code = "prompt_blocked"
+	// RequestBlocked guarantees that the request was not executed; it crashes upstreams.
+	RequestBlocked Code = "request_blocked"
 	// ExpiredNotExecuted guarantees that the request was not executed.
 	ExpiredNotExecuted Code = "deadline_exceeded_unrun"
 )
@@ -176,7 +178,7 @@
 type Config struct {
 	Scheduler *SchedulerRunner
 	Retries   *RetryBudget
-	// Quarantine knows the parts of prompts that crash engines.
+	// Quarantine knows the features of requests that crash upstreams.
 	Quarantine *QuarantineRunner
 	Sender     Sender
 	Memory     MemoryReserver
@@ -245,6 +247,7 @@
 func (e *Exchange) newHandler(request *Request, writer ResponseWriter) *requestHandler {
 	rules := retry.Rules{Repeatable: request.Route.Repeatable(), MaxExecutions: request.Route.MaxAttempts}
 	r := &requestHandler{exchange: e, request: request, history: retry.NewHistory(rules), lastEventNumber: request.After}
+	r.features = append(request.partFeatures(), request.Identity.features()...)
 	r.writer = &singleResponse{ResponseWriter: writer, handler: r}
 	return r
 }
@@ -263,7 +266,7 @@
 	if r.outcome != Answered && r.outcome != CallerDisconnected {
 		event = e.config.Logger.Warn()
 	}
-	event = event.Str("request_id", r.request.ID).Str("request_digest", r.request.digest()).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
+	event = event.Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("route", r.request.Route.Name).Str("outcome", r.outcome).
 		Dur("taken_ms", taken).Dur("latency_target_ms", r.request.Route.LatencyTarget).Int("attempts", r.history.Attempts()).Int64("site_version", r.request.ConfigurationVersion)
 	if r.firstEventDelay > 0 {
 		event = event.Dur("first_event_ms", r.firstEventDelay).Dur("longest_pause_ms", r.longestPause).
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -53,6 +53,14 @@
 	reservedTokens     map[string]int
 	leases             []time.Duration
 	refuseReservations int
+	// ended is what HasEnded returns.
+	ended bool
+}
+
+func (u *fakeSender) HasEnded(context.Context, *fleet.Upstream) bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.ended
 }
 
 func (u *fakeSender) Send(ctx context.Context, attempt *Attempt) (Reply, error) {
--- a/exchange/identity.go
+++ b/exchange/identity.go
@@ -5,17 +5,26 @@
 	"encoding/binary"
 	"strconv"
 	"strings"
+
+	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
-// Identity returns digests that are equal, at all nodes, for requests with the same method, host,
-// target, caller and body: the first with the target's query, the second, if there is a query,
-// without. caller is the organisation's name, or "". The digest is cryptographic so that no caller
-// can make a request that is taken for another caller's.
-func Identity(method, host, target, caller string, body []byte) []uint64 {
+// Identity holds digests of a request that are the same at all nodes. They are cryptographic, so that
+// no caller can make a request that is taken for another caller's.
+type Identity struct {
+	// Whole is of the method, host, target, caller, prompt and body.
+	Whole uint64
+	// Path is the same without the target's query and the prompt; 0 if there is neither.
+	Path uint64
+}
+
+// NewIdentity returns the identity of a request. caller is the organisation's name and prompt the list
+// of the prompt's parts; both may be "".
+func NewIdentity(method, host, target, caller, prompt string, body []byte) Identity {
 	content := sha256.Sum256(body)
-	digest := func(target string) uint64 {
+	digest := func(target, prompt string) uint64 {
 		h := sha256.New()
-		for _, field := range []string{method, strings.ToLower(host), target, caller} {
+		for _, field := range []string{method, strings.ToLower(host), target, caller, prompt} {
 			// A hash's Write returns no error.
 			_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field))))
 			_, _ = h.Write([]byte(field))
@@ -23,17 +32,39 @@
 		_, _ = h.Write(content[:])
 		return binary.BigEndian.Uint64(h.Sum(nil))
 	}
-	identity := []uint64{digest(target)}
-	if path, _, hasQuery := strings.Cut(target, "?"); hasQuery {
-		identity = append(identity, digest(path))
+	identity := Identity{Whole: digest(target, prompt)}
+	if path, _, hasQuery := strings.Cut(target, "?"); hasQuery || prompt != "" {
+		identity.Path = digest(path, "")
 	}
 	return identity
 }
 
-// digest is the request's identity as it is logged, or "".
-func (r *Request) digest() string {
-	if len(r.Identity) == 0 {
+// String is the identity as it is logged, or "" for the zero value.
+func (i Identity) String() string {
+	if i.Whole == 0 {
 		return ""
 	}
-	return strconv.FormatUint(r.Identity[0], 16)
+	return strconv.FormatUint(i.Whole, 16)
+}
+
+// features are those by which a request with the identity can be blocked. Requests that share only
+// Path may differ in what matters, so that it counts like a part of a prompt.
+func (i Identity) features() []uint64 {
+	var features []uint64
+	if i.Whole != 0 {
+		features = append(features, quarantine.RequestFeature(i.Whole))
+	}
+	if i.Path != 0 {
+		features = append(features, quarantine.PartFeature(i.Path))
+	}
+	return features
+}
+
+// partFeatures are those of the parts of the request's prompt.
+func (r *Request) partFeatures() []uint64 {
+	features := make([]uint64, len(r.PromptParts))
+	for i, part := range r.PromptParts {
+		features[i] = quarantine.PartFeature(part)
+	}
+	return features
 }
--- a/exchange/identity_test.go
+++ b/exchange/identity_test.go
@@ -8,27 +8,34 @@
 
 func TestIdentityTellsRequestsApart(t *testing.T) {
 	is := is.New(t)
-	base := Identity("POST", "h", "/a/b?q=1", "works", []byte("body"))
-	is.Equal(len(base), 2)
-	is.Equal(base, Identity("POST", "H", "/a/b?q=1", "works", []byte("body")))
-	without := Identity("POST", "h", "/a/b", "works", []byte("body"))
-	is.Equal(without, base[1:])
-	other := Identity("POST", "h", "/a/b?q=2", "works", []byte("body"))
-	is.True(other[0] != base[0])
-	is.Equal(other[1], base[1])
-	seen := map[uint64]bool{base[0]: true, base[1]: true}
-	for _, identity := range [][]uint64{
-		Identity("GET", "h", "/a/b", "works", []byte("body")),
-		Identity("POST", "g", "/a/b", "works", []byte("body")),
-		Identity("POST", "h", "/a/c", "works", []byte("body")),
-		Identity("POST", "h", "/a/b", "club", []byte("body")),
-		Identity("POST", "h", "/a/b", "works", nil),
+	identity := func(method, host, target, caller, prompt, body string) Identity {
+		return NewIdentity(method, host, target, caller, prompt, []byte(body))
+	}
+	base := identity("POST", "h", "/a/b?q=1", "works", "1:2,3:4", "body")
+	is.Equal(base, identity("POST", "H", "/a/b?q=1", "works", "1:2,3:4", "body"))
+	plain := identity("POST", "h", "/a/b", "works", "", "body")
+	is.Equal(plain, Identity{Whole: base.Path})
+	for _, other := range []Identity{
+		identity("POST", "h", "/a/b?q=2", "works", "1:2,3:4", "body"),
+		identity("POST", "h", "/a/b?q=1", "works", "1:2,3:5", "body"),
+		identity("POST", "h", "/a/b", "works", "1:2", "body"),
+	} {
+		is.True(other.Whole != base.Whole)
+		is.Equal(other.Path, base.Path)
+	}
+	seen := map[uint64]bool{base.Whole: true, base.Path: true}
+	for _, other := range []Identity{
+		identity("GET", "h", "/a/b", "works", "", "body"),
+		identity("POST", "g", "/a/b", "works", "", "body"),
+		identity("POST", "h", "/a/c", "works", "", "body"),
+		identity("POST", "h", "/a/b", "club", "", "body"),
+		identity("POST", "h", "/a/b", "works", "", ""),
 		// A field does not run into the next one.
-		Identity("POST", "h/a", "/b", "works", []byte("body")),
-		Identity("POST", "h", "/a/bworks", "", []byte("body")),
+		identity("POST", "h/a", "/b", "works", "", "body"),
+		identity("POST", "h", "/a/bworks", "", "", "body"),
 	} {
-		is.Equal(len(identity), 1)
-		is.True(!seen[identity[0]])
-		seen[identity[0]] = true
+		is.Equal(other.Path, uint64(0))
+		is.True(!seen[other.Whole])
+		seen[other.Whole] = true
 	}
 }
--- a/exchange/invariants.go
+++ b/exchange/invariants.go
@@ -31,7 +31,7 @@
 // withVerifiedCode returns the failure, with the code UpstreamFailed if its own would
 // wrongly guarantee that a request that must not be retried was not executed.
 func (r *requestHandler) withVerifiedCode(failure Failure) Failure {
-	claimsNotExecuted := failure.Code == Unavailable || failure.Code == Overloaded || failure.Code == PromptBlocked || failure.Code == ExpiredNotExecuted
+	claimsNotExecuted := failure.Code == Unavailable || failure.Code == Overloaded || failure.Code == RequestBlocked || failure.Code == ExpiredNotExecuted
 	if !claimsNotExecuted || r.history.NotExecuted() || r.request.Route.Repeatable() {
 		return failure
 	}
--- a/exchange/quarantine_runner.go
+++ b/exchange/quarantine_runner.go
@@ -12,7 +12,7 @@
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
-// QuarantineRunner runs the tracker of parts that crash engines for concurrent requests: it holds
+// QuarantineRunner runs the tracker of features that crash upstreams for concurrent requests: it holds
 // the lock and the clock, and logs each block.
 type QuarantineRunner struct {
 	mutex   sync.Mutex
@@ -25,7 +25,7 @@
 	// Trial is called without the lock when a request is refused whose block is due for a trial. It
 	// must return at once. It is set before the first request.
 	Trial func(block *quarantine.Block)
-	// running holds the attempts that end if their prompt is blocked, by their cancel function.
+	// running holds the attempts that end if their request is blocked, by their cancel function.
 	running map[*blockableAttempt]struct{}
 	// granted holds until when one request may be sent as a trial, by block.
 	granted map[string]time.Duration
@@ -37,8 +37,8 @@
 
 // blockableAttempt is an attempt whose answer has not begun.
 type blockableAttempt struct {
-	parts  []uint64
-	cancel func()
+	features []uint64
+	cancel   func()
 }
 
 // NewQuarantineRunner returns a runner without evidence.
@@ -49,14 +49,14 @@
 	}
 }
 
-// Blocking returns the block that forbids to send a prompt with the parts, or nil.
-func (q *QuarantineRunner) Blocking(parts []uint64) *quarantine.Block {
-	if len(parts) == 0 {
+// Blocking returns the block that forbids to send a request with the features, or nil.
+func (q *QuarantineRunner) Blocking(features []uint64) *quarantine.Block {
+	if len(features) == 0 {
 		return nil
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.tracker.Blocking(q.clock(), parts)
+	return q.tracker.Blocking(q.clock(), features)
 }
 
 // RetryAfter returns the time until a request that the block covers may be served again.
@@ -95,27 +95,27 @@
 	q.granted[key] = now + trialValidity
 }
 
-// RecordEnd records that an engine ended as it began to answer a prompt; sent is when the attempt was.
-func (q *QuarantineRunner) RecordEnd(engine, attempt string, parts []uint64, sent time.Time) {
-	if len(parts) == 0 {
+// RecordEnd records that an upstream ended under an attempt, and when that was sent and cut.
+func (q *QuarantineRunner) RecordEnd(upstream, attempt string, features []uint64, sent, ended time.Time) {
+	if len(features) == 0 {
 		return
 	}
 	q.update(func(now time.Duration) bool {
 		q.tracker.RecordEnd(now, quarantine.End{
-			Engine: quarantine.Hash(engine), Attempt: quarantine.Hash(attempt), Parts: parts, SentAt: now - time.Since(sent), At: now,
+			Engine: quarantine.Hash(upstream), Attempt: quarantine.Hash(attempt), Features: features, SentAt: now - time.Since(sent), At: now - time.Since(ended),
 		})
 		return true
 	})
 }
 
-// RecordAnswer records that the answer to a prompt began at a time and went on.
-func (q *QuarantineRunner) RecordAnswer(parts []uint64, began time.Time) {
-	if len(parts) == 0 {
+// RecordAnswer records that an upstream outlived, at a time, a request with the features.
+func (q *QuarantineRunner) RecordAnswer(features []uint64, at time.Time) {
+	if len(features) == 0 {
 		return
 	}
 	q.update(func(now time.Duration) bool {
 		before := q.tracker.Blocks()
-		if !q.tracker.Suspects() || !q.tracker.RecordAnswer(now, parts, now-time.Since(began)) {
+		if !q.tracker.RecordAnswer(now, features, now-time.Since(at)) {
 			return false
 		}
 		for _, block := range before {
@@ -129,7 +129,7 @@
 
 // Apply merges evidence of another node.
 func (q *QuarantineRunner) Apply(evidence *quarantine.Evidence, forward bool) {
-	q.update(func(now time.Duration) bool { return q.tracker.Apply(now, evidence, forward) && forward })
+	q.update(func(now time.Duration) bool { return q.tracker.Apply(now, evidence, forward) && q.tracker.HasUnsent() })
 }
 
 // Evidence returns the evidence to send.
@@ -149,7 +149,7 @@
 	var own []quarantine.Block
 	for _, block := range q.tracker.Blocks() {
 		if block.OwnLast {
-			own = append(own, quarantine.Block{Key: block.Key, Parts: block.Parts, Witnesses: q.Witnesses(block)})
+			own = append(own, quarantine.Block{Key: block.Key, Features: block.Features, Witnesses: q.Witnesses(block)})
 		}
 	}
 	return own
@@ -162,13 +162,13 @@
 	return slices.ContainsFunc(q.tracker.Blocks(), func(b *quarantine.Block) bool { return b.Key == key })
 }
 
-// Witnesses returns the witnesses of a block, with times relative to now and without the parts that
-// the block leaves out.
+// Witnesses returns the witnesses of a block, with times relative to now and without the features
+// that the block leaves out.
 func (q *QuarantineRunner) Witnesses(block *quarantine.Block) []quarantine.End {
 	evidence := quarantine.Evidence{Ends: slices.Clone(block.Witnesses)}
 	evidence.Shift(-q.clock())
 	for i := range evidence.Ends {
-		evidence.Ends[i].Parts = block.Parts
+		evidence.Ends[i].Features = block.Features
 	}
 	return evidence.Ends
 }
@@ -198,7 +198,7 @@
 	changed := q.logChanges(now, before, after)
 	if changed {
 		for attempt := range q.running {
-			if q.tracker.Blocking(now, attempt.parts) != nil {
+			if q.tracker.Blocking(now, attempt.features) != nil {
 				cancel = append(cancel, attempt.cancel)
 			}
 		}
@@ -232,23 +232,23 @@
 			continue
 		}
 		changed = true
-		q.logger.Warn().Str("block", block.Key).Strs("prompt_parts", formatParts(block.Parts)).Int("engines_ended", len(block.Witnesses)).
-			Dur("last_end_age_ms", now-block.LastEnd()).Dur("next_trial_ms", block.RetryAfter(now)).Msg(telemetry.LogPartsBlocked)
+		q.logger.Warn().Str("block", block.Key).Strs("features", formatFeatures(block.Features)).Int("upstreams_ended", len(block.Witnesses)).
+			Dur("last_end_age_ms", now-block.LastEnd()).Dur("next_trial_ms", block.RetryAfter(now)).Msg(telemetry.LogRequestsBlocked)
 	}
 	for key := range known {
 		changed = true
-		q.logger.Info().Str("block", key).Msg(telemetry.LogPartsReleased)
+		q.logger.Info().Str("block", key).Msg(telemetry.LogRequestsReleased)
 	}
 	q.metrics.Gauge("wigeontiller_blocked_prompt_parts", int64(len(after)))
 	return changed
 }
 
-// watch calls cancel if the prompt of an attempt is blocked before the returned function is called.
-func (q *QuarantineRunner) watch(parts []uint64, cancel func()) (stop func()) {
-	if len(parts) == 0 {
+// watch calls cancel if the request of an attempt is blocked before the returned function is called.
+func (q *QuarantineRunner) watch(features []uint64, cancel func()) (stop func()) {
+	if len(features) == 0 {
 		return func() {}
 	}
-	attempt := &blockableAttempt{parts: parts, cancel: cancel}
+	attempt := &blockableAttempt{features: features, cancel: cancel}
 	q.mutex.Lock()
 	q.running[attempt] = struct{}{}
 	q.mutex.Unlock()
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -52,11 +52,13 @@
 	attemptEvents  int
 	// attemptSent is when it was sent, and attemptBegan when its first event arrived.
 	attemptSent, attemptBegan time.Time
-	// stopBlockWatch keeps the attempt from being canceled when its prompt is blocked.
+	// features are those by which the request can be blocked.
+	features []uint64
+	// stopBlockWatch keeps the attempt from being canceled when its request is blocked.
 	stopBlockWatch func()
-	// enginesEnded counts the attempts whose engine ended as the answer began.
-	enginesEnded int
-	// isTrial is true for a request that is sent to learn whether its prompt still crashes engines.
+	// upstreamsEnded counts the attempts whose upstream ended before or as the answer began.
+	upstreamsEnded int
+	// isTrial is true for a request that is sent to learn whether it still crashes upstreams.
 	isTrial bool
 	// block is why the request must not be sent; nil is no block.
 	block *quarantine.Block
@@ -82,7 +84,7 @@
 	actionRetry
 	// actionFail means that the request may not be placed again.
 	actionFail
-	// actionBlocked means the same, because of its prompt.
+	// actionBlocked means the same, because the request crashes upstreams.
 	actionBlocked
 )
 
@@ -101,7 +103,7 @@
 		}
 		decision, ok := r.place(ctx)
 		if !ok && ctx.Err() == nil {
-			// The prompt was blocked while the request waited.
+			// The request was blocked while it waited.
 			continue
 		}
 		if !ok {
@@ -192,7 +194,7 @@
 	if !r.isTrial {
 		blockable, cancel := context.WithCancel(ctx)
 		defer cancel()
-		defer r.exchange.config.Quarantine.watch(r.request.PromptParts, cancel)()
+		defer r.exchange.config.Quarantine.watch(r.features, cancel)()
 		ctx = blockable
 	}
 	return scheduler.Place(ctx, request)
@@ -216,17 +218,14 @@
 	if reserved != nil {
 		attempt.Reservations = reserved.list
 	}
-	config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.digest()).Str("upstream", decision.Lead.ID).Str("service", r.service).
+	config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).Str("service", r.service).
 		Int("prompt_tokens", r.request.PromptTokens).Strs("helpers", upstreamIDs(decision.Helpers)).Float64("backlog_ms", decision.BacklogMs).
 		Dur("expected_first_ms", decision.ExpectedFirstEvent).Dur("waited_ms", time.Since(r.request.Arrived)).
 		Int64("after", r.lastEventNumber).Msg(telemetry.LogAttemptPlaced)
 	watch := r.newWatchdog(ctx, decision)
 	defer watch.stop()
-	r.stopBlockWatch = func() {}
-	if !r.isTrial {
-		r.stopBlockWatch = config.Quarantine.watch(r.request.PromptParts, func() { watch.cancelCause(errPromptBlocked) })
-		defer r.stopBlockWatch()
-	}
+	r.watchForBlock(watch)
+	defer r.stopBlockWatch()
 	config.Metrics.Attempt()
 	r.headerReceived, r.attemptEvents, r.attemptSent = false, 0, time.Now()
 	reply, err := config.Sender.Send(watch.ctx, attempt)
@@ -246,7 +245,7 @@
 	if r.request.Route.Kind == fleet.Stream && reply.Status() == http.StatusOK {
 		return r.relayStream(ctx, decision, reply, watch)
 	}
-	return r.deliverResponse(ctx, decision, reply)
+	return r.deliverResponse(ctx, decision, reply, watch)
 }
 
 // recordUpstreamState records, before the response is used, that an upstream is leaving or wants no requests
@@ -313,7 +312,7 @@
 	if failure.Code == UpstreamFailed && (r.history.NotExecuted() || r.request.Route.Repeatable()) {
 		failure.Code = Overloaded
 	}
-	if failure.Code == PromptBlocked && !r.history.NotExecuted() {
+	if failure.Code == RequestBlocked && !r.history.NotExecuted() {
 		failure.Code = UpstreamFailed
 	}
 	failure = r.withVerifiedCode(failure)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -97,9 +97,9 @@
 	r.reason = "stream_broke_off"
 	r.logFailedAttempt(decision, err.Error(), reply.Status())
 	if watch.ctx.Err() == nil && isUpstreamEnd(err) {
-		r.recordBrokenStream(decision)
+		r.recordLostAttempt(ctx, decision)
 	}
-	if (watch.blocked() || r.enginesEnded > 0) && r.isBlocked() {
+	if (watch.blocked() || r.upstreamsEnded > 0) && r.isBlocked() {
 		return actionBlocked
 	}
 	return r.retryOrFail(ctx)
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -91,8 +91,8 @@
 	w.cancelCause(nil)
 }
 
-// blocked reports whether the attempt was canceled because its prompt was blocked.
-func (w *watchdog) blocked() bool { return errors.Is(context.Cause(w.ctx), errPromptBlocked) }
+// blocked reports whether the attempt was canceled because its request was blocked.
+func (w *watchdog) blocked() bool { return errors.Is(context.Cause(w.ctx), errRequestBlocked) }
 
 func (w *watchdog) stop() {
 	if w.timer != nil {
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -92,8 +92,8 @@
 		return "what the node knew became too old to send by" + timeBeforeEnd(end, lastLine(lines, telemetry.LogStoreUnreachable))
 	case exchange.ReasonNodeShutdown:
 		return "the node was shutting down" + timeBeforeEnd(end, lastLine(lines, telemetry.LogNodeDraining)) + "; " + l.attemptState(lines)
-	case exchange.ReasonPromptBlocked:
-		return "a part of its prompt ends engines that begin to answer it, and is blocked; " + l.attemptState(lines)
+	case exchange.ReasonRequestBlocked:
+		return "upstreams end when they run it, or prompts with one of its parts, and it is blocked; " + l.attemptState(lines)
 	case exchange.ReasonRetryBudgetSpent:
 		return "the retry budget was spent; " + l.attemptState(lines)
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -54,7 +54,7 @@
 		}, "unknown, to a node whose knowledge was 3s old"},
 		"busy":               {[]string{ended(1000, `"outcome":"overloaded","reason":"busy"`)}, "the engines read too much"},
 		"waited too long":    {[]string{ended(9000, `"outcome":"overloaded","reason":"too_late","taken_ms":8000`)}, "waited 8s"},
-		"prompt blocked":     {[]string{first, failed(1010, "unexpected EOF", 200), ended(1011, `"outcome":"upstream_failed","reason":"prompt_blocked","attempts":1`)}, "a part of its prompt ends engines"},
+		"request blocked":    {[]string{first, failed(1010, "unexpected EOF", 200), ended(1011, `"outcome":"upstream_failed","reason":"request_blocked","attempts":1`)}, "upstreams end when they run it"},
 		"limit reached":      {[]string{ended(1000, `"outcome":"overloaded","reason":"request_limit"`)}, "request limits that were used up"},
 		"refused":            {[]string{first, failed(1010, "not run", 503), ended(1011, `"outcome":"overloaded","reason":"upstream_refused","attempts":1`)}, "u1 was answered with 503 (not run)"},
 		"connection refused": {[]string{first, failed(1010, "dial: connection refused", 0), ended(1011, `"outcome":"upstream_failed","reason":"upstream_unreachable","attempts":1`)}, "found no process"},
--- a/loadshare/evidence.go
+++ b/loadshare/evidence.go
@@ -7,7 +7,7 @@
 	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
-// EvidenceGate holds the evidence about the parts of prompts that crash engines.
+// EvidenceGate holds the evidence about the features of requests that crash upstreams.
 type EvidenceGate interface {
 	// Evidence returns the evidence of a scope, with times on this node's clock.
 	Evidence(scope quarantine.Scope) quarantine.Evidence
@@ -30,7 +30,7 @@
 
 // applyEvidence merges the evidence of a message, whose times are on the clock of a node with this
 // offset. Answers count only if the offset is trusted: one that seems later than it was would clear
-// a part that crashed an engine after it.
+// a feature that crashed an upstream after it.
 func (a *Agent) applyEvidence(evidence *quarantine.Evidence, offset time.Duration, trusted bool) {
 	if evidence == nil || a.Evidence == nil {
 		return
@@ -54,14 +54,14 @@
 		b = binary.BigEndian.AppendUint32(b, end.Attempt)
 		b = binary.AppendUvarint(b, age(end.SentAt))
 		b = binary.AppendUvarint(b, age(end.At))
-		b = binary.AppendUvarint(b, uint64(len(end.Parts)))
-		for _, part := range end.Parts {
-			b = binary.BigEndian.AppendUint64(b, part)
+		b = binary.AppendUvarint(b, uint64(len(end.Features)))
+		for _, feature := range end.Features {
+			b = binary.BigEndian.AppendUint64(b, feature)
 		}
 	}
 	b = binary.AppendUvarint(b, uint64(len(evidence.Answers)))
 	for _, answer := range evidence.Answers {
-		b = binary.BigEndian.AppendUint64(b, answer.Part)
+		b = binary.BigEndian.AppendUint64(b, answer.Feature)
 		b = binary.AppendUvarint(b, age(answer.At))
 	}
 	return b
@@ -72,18 +72,18 @@
 	at := func() time.Duration { return sentAt - time.Duration(r.microseconds())*time.Microsecond }
 	for n := r.uvarint(); n > 0 && !r.failed; n-- {
 		end := quarantine.End{Engine: r.hash(), Attempt: r.hash(), SentAt: at(), At: at()}
-		for parts := r.uvarint(); parts > 0 && !r.failed; parts-- {
-			end.Parts = append(end.Parts, r.part())
+		for features := r.uvarint(); features > 0 && !r.failed; features-- {
+			end.Features = append(end.Features, r.feature())
 		}
 		evidence.Ends = append(evidence.Ends, end)
 	}
 	for n := r.uvarint(); n > 0 && !r.failed; n-- {
-		evidence.Answers = append(evidence.Answers, quarantine.Answer{Part: r.part(), At: at()})
+		evidence.Answers = append(evidence.Answers, quarantine.Answer{Feature: r.feature(), At: at()})
 	}
 	return evidence
 }
 
-func (r *fieldReader) part() uint64 {
+func (r *fieldReader) feature() uint64 {
 	b := r.bytes(8)
 	if r.failed {
 		return 0
--- a/loadshare/evidence_test.go
+++ b/loadshare/evidence_test.go
@@ -45,7 +45,7 @@
 }
 
 func (l *lockedTracker) recordEnd(engine uint32) {
-	l.record(quarantine.End{Engine: engine, Attempt: engine, Parts: []uint64{1, uint64(engine) + 10}, SentAt: clock() - time.Second, At: clock()})
+	l.record(quarantine.End{Engine: engine, Attempt: engine, Features: []uint64{1, uint64(engine) + 10}, SentAt: clock() - time.Second, At: clock()})
 }
 
 // answer records that an engine went on after the first event of a prompt with the parts.
@@ -133,20 +133,24 @@
 	})
 }
 
-// crashLoad sends prompts to random nodes: some with a part that ends each engine that begins to answer
-// it, and sound ones that share its other parts.
+// crashLoad sends requests to random nodes: some with a feature that ends each upstream that runs them,
+// and sound ones that share their other features.
 type crashLoad struct {
-	mutex sync.Mutex
+	// crashing is the feature, and maxEnds the most upstreams that may end.
+	crashing uint64
+	maxEnds  int
+	mutex    sync.Mutex
 	// ends counts the engines that ended.
 	ends int
-	// sentLate counts the prompts with the part that were sent after the third end.
+	// sentLate counts the requests with the feature that were sent after the third end.
 	sentLate int
-	// sound and refused count the sound prompts.
+	// sound and refused count the sound requests.
 	sound, refused int
 }
 
 const (
 	crashingPart, sharedPart = uint64(0xbad), uint64(0x5eed)
+	crashingRequest          = uint64(0xbad | 1<<63)
 	// firstEventTime is the time from a send to the first event.
 	firstEventTime = 150 * time.Millisecond
 )
@@ -157,9 +161,9 @@
 	return l.tracker.Blocking(clock(), parts) != nil
 }
 
-// crash sends a prompt with the part, once more after its engine has ended.
+// crash sends a request with the feature, once more after its upstream has ended.
 func (c *crashLoad) crash(node *simulatedNode, own uint64) {
-	parts := []uint64{sharedPart, crashingPart, own % 40}
+	parts := []uint64{sharedPart, c.crashing, own % 40}
 	for range quarantine.MaxEndsPerRequest {
 		if node.evidence.blocks(parts) {
 			return
@@ -178,7 +182,7 @@
 		c.ends++
 		engine := uint32(c.ends)
 		c.mutex.Unlock()
-		node.evidence.record(quarantine.End{Engine: engine, Attempt: engine, Parts: parts, SentAt: sent, At: clock()})
+		node.evidence.record(quarantine.End{Engine: engine, Attempt: engine, Features: parts, SentAt: sent, At: clock()})
 	}
 }
 
@@ -197,7 +201,7 @@
 	}
 }
 
-// run sends 2.5 prompts with the part and 25 sound ones a second, the traffic of the incident, for 10 s.
+// run sends 2.5 requests with the feature and 25 sound ones a second, the traffic of the incidents, for 10 s.
 func (c *crashLoad) run(f *simulatedFleet) {
 	random := rand.New(rand.NewPCG(uint64(len(f.nodes)), 1))
 	var group sync.WaitGroup
@@ -213,43 +217,53 @@
 	group.Wait()
 }
 
-// check checks what came of the load: all nodes block the part, after the third end and one request more.
+// check checks what came of the load: all nodes block the feature, after the third end and one request more.
 func (c *crashLoad) check(f *simulatedFleet) {
 	f.t.Helper()
-	f.t.Logf("%d engines ended, %d prompts with the part sent after the third end, %d of %d sound ones refused", c.ends, c.sentLate, c.refused, c.sound)
+	f.t.Logf("%d upstreams ended, %d requests with the feature sent after the third end, %d of %d sound ones refused", c.ends, c.sentLate, c.refused, c.sound)
 	for i, node := range f.nodes {
-		if !node.evidence.blocks([]uint64{crashingPart}) {
-			f.t.Errorf("node %d does not block the part", i)
+		if !node.evidence.blocks([]uint64{c.crashing}) {
+			f.t.Errorf("node %d does not block the feature", i)
 		}
 	}
-	if c.ends > 4 || c.sentLate > 1 {
-		f.t.Errorf("%d engines ended, target 3 and one more; %d prompts sent after the third, target 1", c.ends, c.sentLate)
+	if c.ends > c.maxEnds || c.sentLate > 1 {
+		f.t.Errorf("%d upstreams ended, target %d with one more; %d requests sent after the third, target 1", c.ends, c.maxEnds, c.sentLate)
 	}
 	if c.refused*20 > c.sound {
-		f.t.Errorf("%d of %d sound prompts were refused, target 5 in 100", c.refused, c.sound)
+		f.t.Errorf("%d of %d sound requests were refused, target 5 in 100", c.refused, c.sound)
 	}
 }
 
 func TestCrashingPartIsBlockedAfterThirdEnd(t *testing.T) {
 	for _, nodes := range []int{7, 78} {
-		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newSimulatedFleet(t, nodes)
-				time.Sleep(settleTime)
-				load := &crashLoad{}
-				load.run(f)
-				load.check(f)
-			})
-		})
+		runCrashLoad(t, nodes, &crashLoad{crashing: crashingPart, maxEnds: 4})
 	}
 }
 
+// TestCrashingRequestIsBlockedAfterSecondEnd does so with a request that comes again whole.
+func TestCrashingRequestIsBlockedAfterSecondEnd(t *testing.T) {
+	for _, nodes := range []int{7, 78, 295} {
+		runCrashLoad(t, nodes, &crashLoad{crashing: crashingRequest, maxEnds: 3})
+	}
+}
+
+func runCrashLoad(t *testing.T, nodes int, load *crashLoad) {
+	t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSimulatedFleet(t, nodes)
+			time.Sleep(settleTime)
+			load.run(f)
+			load.check(f)
+		})
+	})
+}
+
 // TestLargeFleetBlocksPartAndKeepsLimit does so at 295 nodes, while an engine states a limit.
 func TestLargeFleetBlocksPartAndKeepsLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, 295)
 		time.Sleep(settleTime)
-		load, log, stated := &crashLoad{}, &arrivalLog{}, time.Now()
+		load, log, stated := &crashLoad{crashing: crashingPart, maxEnds: 4}, &arrivalLog{}, time.Now()
 		var group sync.WaitGroup
 		group.Go(func() { load.run(f) })
 		group.Go(func() {
@@ -304,16 +318,16 @@
 	var ends []quarantine.End
 	for i := range 3 {
 		at := now - time.Duration(30-10*i)*time.Second
-		ends = append(ends, quarantine.End{Engine: uint32(i), Attempt: uint32(i), Parts: []uint64{1}, SentAt: at + ahead - time.Second, At: at + ahead})
+		ends = append(ends, quarantine.End{Engine: uint32(i), Attempt: uint32(i), Features: []uint64{1}, SentAt: at + ahead - time.Second, At: at + ahead})
 	}
-	answer := []quarantine.Answer{{Part: 1, At: now + ahead}}
+	answer := []quarantine.Answer{{Feature: 1, At: now + ahead}}
 	send(1, &quarantine.Evidence{Ends: ends, Answers: answer})
 	is.Equal(tracker.witnesses(), 3) // ends count at once, answers only of a node whose clock is known
 	block := tracker.tracker.Blocking(clock(), []uint64{1})
 	age := clock() - block.LastEnd()
 	is.True(age > 9900*time.Millisecond && age < 10100*time.Millisecond)
 	a.peers["b"].firstReceivedAt = time.Now().Add(-trustAfter - time.Second)
-	send(2, &quarantine.Evidence{Answers: []quarantine.Answer{{Part: 1, At: now + ahead - 31*time.Second}}})
+	send(2, &quarantine.Evidence{Answers: []quarantine.Answer{{Feature: 1, At: now + ahead - 31*time.Second}}})
 	is.Equal(tracker.witnesses(), 3) // before the first end
 	send(3, &quarantine.Evidence{Answers: answer})
 	is.Equal(tracker.witnesses(), 0)
@@ -322,8 +336,8 @@
 func TestEvidenceIsEncodedWithAges(t *testing.T) {
 	is := is.New(t)
 	sent := &message{Node: "n", SentAt: time.Minute, Evidence: &quarantine.Evidence{
-		Ends:    []quarantine.End{{Engine: 7, Attempt: 9, Parts: []uint64{1 << 60, 2}, SentAt: 57 * time.Second, At: 58 * time.Second}},
-		Answers: []quarantine.Answer{{Part: 3, At: 59 * time.Second}},
+		Ends:    []quarantine.End{{Engine: 7, Attempt: 9, Features: []uint64{1 << 60, 2}, SentAt: 57 * time.Second, At: 58 * time.Second}},
+		Answers: []quarantine.Answer{{Feature: 3, At: 59 * time.Second}},
 	}}
 	got, err := decode(sent.encode())
 	is.NoErr(err)
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -51,7 +51,7 @@
 	Bundle *bundle
 	// Zones are the sums of zones, as their relays sent them.
 	Zones []zoneLoad
-	// Evidence is about the parts of prompts that crash engines, with times on the sender's clock;
+	// Evidence is about the features of requests that crash upstreams, with times on the sender's clock;
 	// nil is none.
 	Evidence *quarantine.Evidence
 	// Limits are what upstreams stated, with times on the sender's clock.
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -10,12 +10,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Block is a set of parts that crash engines, or one of which does: a request that holds all of them
-// is not sent. It has several parts where the evidence can't tell them apart.
+// Block is a set of features of which one crashes upstreams: a request that has all of them is not
+// sent. It has several where the evidence can't tell them apart.
 type Block struct {
-	// Key identifies the parts.
-	Key   string
-	Parts []uint64
+	// Key identifies the features.
+	Key      string
+	Features []uint64
 	// Witnesses are the ends that count, by time.
 	Witnesses []End
 	// OwnLast is true if this node saw the last witness.
@@ -25,9 +25,9 @@
 // LastEnd is the time of the last witness.
 func (b *Block) LastEnd() time.Duration { return b.Witnesses[len(b.Witnesses)-1].At }
 
-func (b *Block) covers(parts []uint64) bool {
-	for _, part := range b.Parts {
-		if !slices.Contains(parts, part) {
+func (b *Block) covers(features []uint64) bool {
+	for _, feature := range b.Features {
+		if !slices.Contains(features, feature) {
 			return false
 		}
 	}
@@ -37,10 +37,10 @@
 // Blocks returns the blocks in force. They must not be changed.
 func (t *Tracker) Blocks() []*Block { return t.blocks }
 
-// Blocking returns the block that keeps a request with the parts from being sent, or nil.
-func (t *Tracker) Blocking(now time.Duration, parts []uint64) *Block {
+// Blocking returns the block that keeps a request with the features from being sent, or nil.
+func (t *Tracker) Blocking(now time.Duration, features []uint64) *Block {
 	for _, block := range t.blocks {
-		if now-block.LastEnd() < BlockTTL && block.covers(parts) {
+		if now-block.LastEnd() < BlockTTL && block.covers(features) {
 			return block
 		}
 	}
@@ -53,84 +53,134 @@
 	for _, end := range t.ends {
 		end.block = nil
 	}
-	suspect := map[uint64][]*knownEnd{}
-	for part, ends := range t.byPart {
-		if len(ends) < blockAfter {
+	suspects := map[uint64]*suspect{}
+	for feature, ends := range t.byFeature {
+		if len(ends) < calmBlockAfter {
 			continue
 		}
-		answer := t.answers[part]
+		var uncleared []*knownEnd
+		answer := t.answers[feature]
 		for _, end := range ends {
 			if answer == nil || answer.at <= end.At {
-				suspect[part] = append(suspect[part], end)
+				uncleared = append(uncleared, end)
 			}
 		}
+		suspects[feature] = newSuspect(uncleared)
 	}
 	for {
-		block, ends := strongest(suspect)
+		block, strongest := t.strongest(suspects)
 		if block == nil {
 			break
 		}
-		for _, end := range ends {
+		for _, end := range strongest.ends {
 			end.block = block
 		}
 		t.blocks = append(t.blocks, block)
-		removeExplained(suspect, ends)
+		removeExplained(suspects, strongest)
 	}
 	t.expire(now)
 }
 
-// removeExplained removes from the ends of other parts those that a block with more of them
-// explains: prompts that held both, and other prompts at the same engines.
-func removeExplained(suspect map[uint64][]*knownEnd, explaining []*knownEnd) {
-	engines := map[uint32]bool{}
-	for _, end := range explaining {
-		engines[end.Engine] = true
-	}
-	for part, ends := range suspect {
-		weaker := len(ends) < len(explaining)
-		suspect[part] = slices.DeleteFunc(ends, func(e *knownEnd) bool { return e.block != nil || weaker && engines[e.Engine] })
+// suspect is a feature's ends that no answer has cleared and no block explains, by time.
+type suspect struct {
+	ends []*knownEnd
+	// counted holds one end of each upstream, without simultaneous ones.
+	counted []*knownEnd
+}
+
+func newSuspect(ends []*knownEnd) *suspect {
+	slices.SortFunc(ends, func(a, b *knownEnd) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return &suspect{ends: ends, counted: distinct(ends)}
+}
+
+func (s *suspect) endedUnder(engine uint32) bool {
+	return slices.ContainsFunc(s.ends, func(e *knownEnd) bool { return e.Engine == engine })
+}
+
+// compare orders suspects in the same way on all nodes: first the one that explains most upstreams' ends.
+func (s *suspect) compare(other *suspect) int {
+	return cmp.Or(cmp.Compare(len(other.counted), len(s.counted)), cmp.Compare(len(other.ends), len(s.ends)),
+		slices.CompareFunc(s.ends, other.ends, func(x, y *knownEnd) int {
+			return cmp.Or(cmp.Compare(x.Engine, y.Engine), cmp.Compare(x.Attempt, y.Attempt))
+		}))
+}
+
+// removeExplained removes the ends that a block explains from those of other features: requests that
+// had both, and other requests at the same upstreams.
+func removeExplained(suspects map[uint64]*suspect, explaining *suspect) {
+	for feature, other := range suspects {
+		left := slices.DeleteFunc(slices.Clone(other.ends), func(e *knownEnd) bool { return explaining.endedUnder(e.Engine) })
+		if len(left) < len(other.ends) {
+			suspects[feature] = newSuspect(left)
+		}
 	}
 }
 
-// strongest returns the block with the most ends, and those ends, or nil if no part has enough.
-func strongest(suspect map[uint64][]*knownEnd) (*Block, []*knownEnd) {
-	var ends, witnesses []*knownEnd
-	var parts []uint64
-	for part, candidate := range suspect {
-		if len(candidate) < max(blockAfter, len(ends)) {
+// strongest returns the block that explains most upstreams' ends, and its ends, or nil if no feature
+// has enough.
+func (t *Tracker) strongest(suspects map[uint64]*suspect) (*Block, *suspect) {
+	var best *suspect
+	var features []uint64
+	for feature, candidate := range suspects {
+		if !t.isToBlame(feature, candidate, suspects) {
 			continue
 		}
-		slices.SortFunc(candidate, func(a, b *knownEnd) int {
-			return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Attempt, b.Attempt))
-		})
-		counted := distinct(candidate)
+		order := -1
+		if best != nil {
+			order = candidate.compare(best)
+		}
 		switch {
-		case len(counted) < blockAfter:
-		case len(candidate) > len(ends) || earlier(candidate, ends):
-			ends, parts, witnesses = candidate, []uint64{part}, counted
-		case slices.Equal(candidate, ends):
-			parts = append(parts, part)
+		case order < 0:
+			best, features = candidate, []uint64{feature}
+		case order == 0:
+			features = append(features, feature)
 		}
 	}
-	if len(parts) == 0 {
+	if best == nil {
 		return nil, nil
 	}
-	slices.Sort(parts)
-	block := &Block{Key: keyOf(parts), Parts: parts, OwnLast: witnesses[len(witnesses)-1].own}
-	for _, end := range witnesses {
+	slices.Sort(features)
+	block := &Block{Key: keyOf(features), Features: features, OwnLast: best.counted[len(best.counted)-1].own}
+	for _, end := range best.counted {
 		block.Witnesses = append(block.Witnesses, end.End)
 	}
-	return block, slices.Clone(ends)
+	return block, best
 }
 
-// earlier orders two lists of as many ends in the same way on all nodes.
-func earlier(a, b []*knownEnd) bool {
-	return slices.CompareFunc(a, b, func(x, y *knownEnd) int {
-		return cmp.Or(cmp.Compare(x.Engine, y.Engine), cmp.Compare(x.Attempt, y.Attempt))
-	}) < 0
+func (t *Tracker) isToBlame(feature uint64, candidate *suspect, suspects map[uint64]*suspect) bool {
+	ended := len(candidate.counted)
+	if ended >= blockAfter {
+		return true
+	}
+	return ended >= calmBlockAfter && isRequestFeature(feature) && t.answers[feature] == nil && t.isOnlyCause(candidate, suspects)
+}
+
+// isOnlyCause reports whether nothing but the candidate explains its ends: no other upstream ended
+// meanwhile or shortly before, and no other request was under way at each of these upstreams.
+func (t *Tracker) isOnlyCause(candidate *suspect, suspects map[uint64]*suspect) bool {
+	first, last := candidate.counted[0].At, candidate.counted[len(candidate.counted)-1].At
+	if last-first < calmMinGap {
+		return false
+	}
+	for _, end := range t.ends {
+		if end.At >= first-calmTime && end.At <= last && !candidate.endedUnder(end.Engine) {
+			return false
+		}
+	}
+	for _, other := range suspects {
+		if slices.Equal(other.ends, candidate.ends) {
+			continue
+		}
+		if !slices.ContainsFunc(candidate.counted, func(e *knownEnd) bool { return !other.endedUnder(e.Engine) }) {
+			return false
+		}
+	}
+	return true
 }
 
-// distinct returns one end of each engine, without those that are simultaneous with an earlier one.
+// distinct returns one end of each upstream, without those that are simultaneous with an earlier one.
 func distinct(ends []*knownEnd) []*knownEnd {
 	var counted []*knownEnd
 	engines := map[uint32]bool{}
@@ -147,17 +197,17 @@
 	return counted
 }
 
-func keyOf(parts []uint64) string {
+func keyOf(features []uint64) string {
 	var b []byte
-	for _, part := range parts {
-		b = binary.BigEndian.AppendUint64(b, part)
+	for _, feature := range features {
+		b = binary.BigEndian.AppendUint64(b, feature)
 	}
 	return strconv.FormatUint(xxhash.Sum64(b), 16)
 }
 
 const (
 	// firstTrialDelay is the time from the last end to the first trial: one request that is sent to
-	// learn whether the parts still crash engines. It doubles with each failed trial.
+	// learn whether the features still crash upstreams. It doubles with each failed trial.
 	firstTrialDelay = time.Minute
 	maxTrialDelay   = time.Hour
 	minTrialGap     = firstTrialDelay / 2
@@ -177,7 +227,7 @@
 	return delay
 }
 
-// RetryAfter is the time until a request with the parts may be served again.
+// RetryAfter is the time until a request with the features may be served again.
 func (b *Block) RetryAfter(now time.Duration) time.Duration {
 	return max(minRetryAfter, b.LastEnd()+b.TrialDelay()-now)
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,9 +1,9 @@
-// Package quarantine finds the parts of prompts that crash engines, by which engines ended as they
-// began to answer which prompts, and says which requests must not be sent. It does no I/O and reads
-// no clock. A Tracker is not safe for concurrent use; package exchange holds the lock.
+// Package quarantine finds the features of requests that crash upstreams, by which upstreams ended
+// under which requests, and says which requests must not be sent. It does no I/O and reads no clock.
+// A Tracker is not safe for concurrent use; package exchange holds the lock.
 //
 // Evidence is a set of ends and of answers. Merging it is commutative and idempotent, so that all
-// nodes that have received the same evidence, over whichever path, block the same parts.
+// nodes that have received the same evidence, over whichever path, block the same features.
 package quarantine
 
 import (
@@ -16,41 +16,51 @@
 )
 
 const (
-	// blockAfter is the number of engines after whose ends a part is blocked. One request accounts
+	// blockAfter is the number of upstreams after whose ends a feature is blocked. One request accounts
 	// for up to MaxEndsPerRequest of them.
 	blockAfter = 3
+	// calmBlockAfter is the same for the digest of a whole request that no node remembers as answered,
+	// if no other upstream ended meanwhile or within calmTime before: two ends have then no other
+	// explanation.
+	calmBlockAfter = 2
+	calmTime       = 10 * time.Second
+	// calmMinGap is the least time between these two ends: the upstreams of one rack end within less,
+	// and a request may have been sent to both in between.
+	calmMinGap = 30 * time.Millisecond
 	// MaxEndsPerRequest is the number of ends after which a request is not sent again.
 	MaxEndsPerRequest = 2
 	// simultaneousWithin is the time in which several ends of attempts that were sent before the first
-	// of them count as one: engines that fail together, such as those of one rack, have a common
-	// cause other than their prompts.
+	// of them count as one: upstreams that fail together, such as those of one rack, have a common
+	// cause other than their requests.
 	simultaneousWithin = 100 * time.Millisecond
-	// suspicionTTL is how long an end is kept that is not part of a block.
+	// suspicionTTL is how long an end is kept that supports no block.
 	suspicionTTL = 10 * time.Minute
 	// BlockTTL is how long a block is kept after its last end. It is longer than maxTrialDelay.
 	BlockTTL = 2 * time.Hour
 	// maxEndAge is the age from which evidence of other nodes is ignored.
 	maxEndAge = 24 * time.Hour
-	// maxEnds bounds the ends that are kept, and maxParts the parts of each.
-	maxEnds  = 256
-	maxParts = 64
+	// maxEnds bounds the ends that are kept, and maxFeatures the parts of each.
+	maxEnds     = 256
+	maxFeatures = 64
 )
 
-// End is the end of an engine as it began to answer: the header of the response had arrived, and
-// no event had.
+// maxRemembered bounds the answered requests that a node remembers: the latest ones, up to twice as many.
+const maxRemembered = 4096
+
+// End is the end of an upstream under an attempt.
 type End struct {
-	// Engine identifies the incarnation of the engine, and Attempt the attempt.
+	// Engine identifies the incarnation of the upstream, and Attempt the attempt.
 	Engine, Attempt uint32
-	// Parts are the parts of the prompt that other prompts may share.
-	Parts []uint64
-	// SentAt is when the attempt was sent, and At when the engine ended.
+	// Features are those of the attempt's request that may be to blame.
+	Features []uint64
+	// SentAt is when the attempt was sent, and At when the upstream ended.
 	SentAt, At time.Duration
 }
 
-// Answer states that an engine outlived the start of its answer to a prompt with a part.
+// Answer states that an upstream outlived a request with a feature.
 type Answer struct {
-	Part uint64
-	At   time.Duration
+	Feature uint64
+	At      time.Duration
 }
 
 // Evidence is what nodes send each other. Times are on the clock of the node that holds it.
@@ -73,7 +83,18 @@
 // Empty reports whether there are neither ends nor answers.
 func (e *Evidence) Empty() bool { return len(e.Ends)+len(e.Answers) == 0 }
 
-// Hash identifies an engine's incarnation or an attempt.
+// requestFeature marks the features that are digests of whole requests.
+const requestFeature = 1 << 63
+
+// PartFeature returns the feature of prompts with a feature.
+func PartFeature(id uint64) uint64 { return id &^ requestFeature }
+
+// RequestFeature returns the feature of requests with a digest.
+func RequestFeature(digest uint64) uint64 { return digest | requestFeature }
+
+func isRequestFeature(feature uint64) bool { return feature&requestFeature != 0 }
+
+// Hash identifies an upstream's incarnation or an attempt.
 func Hash(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
 
 type endID struct{ engine, attempt uint32 }
@@ -82,7 +103,7 @@
 	End
 	// own is true if this node had the attempt.
 	own bool
-	// unsent is true until the end is part of an Evidence.
+	// unsent is true until the end is in an Evidence.
 	unsent bool
 	// block is the block that the end supports; nil is none.
 	block *Block
@@ -96,15 +117,18 @@
 // Tracker holds the evidence that a node knows and the blocks that follow from it.
 type Tracker struct {
 	ends map[endID]*knownEnd
-	// byPart holds the ends by the parts of their prompts.
-	byPart  map[uint64][]*knownEnd
-	answers map[uint64]*knownAnswer
-	blocks  []*Block
+	// byFeature holds the ends by the features of their requests.
+	byFeature map[uint64][]*knownEnd
+	answers   map[uint64]*knownAnswer
+	// remembered holds when requests were last answered at this node, by their digests; olderRemembered
+	// is what it held until it was full.
+	remembered, olderRemembered map[uint64]time.Duration
+	blocks                      []*Block
 }
 
 // New returns a tracker without evidence.
 func New() *Tracker {
-	return &Tracker{ends: map[endID]*knownEnd{}, byPart: map[uint64][]*knownEnd{}, answers: map[uint64]*knownAnswer{}}
+	return &Tracker{ends: map[endID]*knownEnd{}, byFeature: map[uint64][]*knownEnd{}, answers: map[uint64]*knownAnswer{}, remembered: map[uint64]time.Duration{}}
 }
 
 // RecordEnd records an end that this node has seen.
@@ -114,12 +138,15 @@
 	}
 }
 
-// RecordAnswer records that the answer to a prompt with the parts began at a time and went on. It
-// reports whether that clears any of them.
-func (t *Tracker) RecordAnswer(now time.Duration, parts []uint64, at time.Duration) bool {
+// RecordAnswer records that an upstream outlived, at a time, a request with the features. It reports
+// whether that clears any of them.
+func (t *Tracker) RecordAnswer(now time.Duration, features []uint64, at time.Duration) bool {
 	changed := false
-	for _, part := range parts {
-		changed = t.addAnswer(Answer{Part: part, At: at}, true, true) || changed
+	for _, feature := range features {
+		if isRequestFeature(feature) {
+			t.remember(feature, at)
+		}
+		changed = t.addAnswer(Answer{Feature: feature, At: at}, true, true) || changed
 	}
 	if changed {
 		t.evaluate(now)
@@ -149,51 +176,70 @@
 		known.own = known.own || own
 		return false
 	}
-	if len(end.Parts) == 0 || end.At < now-maxEndAge {
+	if len(end.Features) == 0 || end.At < now-maxEndAge {
 		return false
 	}
-	end.Parts = slices.Clone(end.Parts[:min(len(end.Parts), maxParts)])
-	slices.Sort(end.Parts)
-	end.Parts = slices.Compact(end.Parts)
+	end.Features = slices.Clone(end.Features[:min(len(end.Features), maxFeatures)])
+	slices.Sort(end.Features)
+	end.Features = slices.Compact(end.Features)
 	end.At = min(end.At, now)
 	end.SentAt = min(end.SentAt, end.At)
 	known := &knownEnd{End: end, own: own, unsent: send}
 	t.ends[id] = known
-	for _, part := range end.Parts {
-		t.byPart[part] = append(t.byPart[part], known)
+	for _, feature := range end.Features {
+		t.byFeature[feature] = append(t.byFeature[feature], known)
+		if at, found := t.recall(feature); found {
+			t.addAnswer(Answer{Feature: feature, At: at}, true, true)
+		}
 	}
 	return true
 }
 
+func (t *Tracker) remember(feature uint64, at time.Duration) {
+	if len(t.remembered) >= maxRemembered {
+		t.remembered, t.olderRemembered = map[uint64]time.Duration{}, t.remembered
+	}
+	t.remembered[feature] = at
+}
+
+func (t *Tracker) recall(feature uint64) (time.Duration, bool) {
+	if at, found := t.remembered[feature]; found {
+		return at, true
+	}
+	at, found := t.olderRemembered[feature]
+	return at, found
+}
+
 func (t *Tracker) removeEnd(end *knownEnd) {
 	delete(t.ends, endID{end.Engine, end.Attempt})
-	for _, part := range end.Parts {
-		left := slices.DeleteFunc(t.byPart[part], func(e *knownEnd) bool { return e == end })
-		if t.byPart[part] = left; len(left) == 0 {
-			delete(t.byPart, part)
-			delete(t.answers, part)
+	for _, feature := range end.Features {
+		left := slices.DeleteFunc(t.byFeature[feature], func(e *knownEnd) bool { return e == end })
+		if t.byFeature[feature] = left; len(left) == 0 {
+			delete(t.byFeature, feature)
+			delete(t.answers, feature)
 		}
 	}
 }
 
-// addAnswer merges an answer, if it clears a part of a known end.
+// addAnswer merges an answer, if it clears a feature of a known end, or is the first one to a whole
+// request under which an upstream ended.
 func (t *Tracker) addAnswer(answer Answer, own, send bool) bool {
-	known := t.answers[answer.Part]
-	clears := false
-	for _, end := range t.byPart[answer.Part] {
-		clears = clears || end.At < answer.At && (known == nil || known.at <= end.At)
+	known := t.answers[answer.Feature]
+	counts := known == nil && isRequestFeature(answer.Feature) && len(t.byFeature[answer.Feature]) > 0
+	for _, end := range t.byFeature[answer.Feature] {
+		counts = counts || end.At < answer.At && (known == nil || known.at <= end.At)
 	}
-	if !clears {
+	if !counts {
 		return false
 	}
-	t.answers[answer.Part] = &knownAnswer{at: answer.At, own: own, unsent: send}
+	t.answers[answer.Feature] = &knownAnswer{at: answer.At, own: own, unsent: send}
 	return true
 }
 
 // Suspects reports whether there is any evidence; without, answers need not be recorded.
 func (t *Tracker) Suspects() bool { return len(t.ends) > 0 }
 
-// HasUnsent reports whether there is evidence that was not yet part of an Evidence.
+// HasUnsent reports whether there is evidence that was not yet in an Evidence.
 func (t *Tracker) HasUnsent() bool {
 	for _, end := range t.ends {
 		if end.unsent {
@@ -251,9 +297,9 @@
 // answersOf returns the answers of a scope: those that were not sent yet first, and the latest ones.
 func (t *Tracker) answersOf(scope Scope) []Answer {
 	var selected []uint64
-	for part, answer := range t.answers {
+	for feature, answer := range t.answers {
 		if answer.unsent || scope == All || scope == Own && answer.own {
-			selected = append(selected, part)
+			selected = append(selected, feature)
 		}
 	}
 	slices.SortFunc(selected, func(a, b uint64) int {
@@ -267,9 +313,9 @@
 		return cmp.Or(cmp.Compare(y.at, x.at), cmp.Compare(a, b))
 	})
 	var answers []Answer
-	for _, part := range selected[:min(len(selected), maxAnswersPerMessage)] {
-		t.answers[part].unsent = false
-		answers = append(answers, Answer{Part: part, At: t.answers[part].at})
+	for _, feature := range selected[:min(len(selected), maxAnswersPerMessage)] {
+		t.answers[feature].unsent = false
+		answers = append(answers, Answer{Feature: feature, At: t.answers[feature].at})
 	}
 	return answers
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -17,7 +17,7 @@
 // end is the end of another engine at each call, by an attempt that was sent 200 ms before.
 func end(at time.Duration, parts ...uint64) End {
 	id := uint32(at / time.Millisecond)
-	return End{Engine: id, Attempt: id, Parts: parts, SentAt: at - 200*time.Millisecond, At: at}
+	return End{Engine: id, Attempt: id, Features: parts, SentAt: at - 200*time.Millisecond, At: at}
 }
 
 func (t *Tracker) blocksNow(parts ...uint64) bool { return t.Blocking(time.Minute, parts) != nil }
@@ -31,7 +31,7 @@
 	}
 	is.True(tracker.blocksNow(rare, bad))
 	is.True(!tracker.blocksNow(rare))
-	is.Equal(tracker.Blocks()[0].Parts, []uint64{bad})
+	is.Equal(tracker.Blocks()[0].Features, []uint64{bad})
 	is.True(tracker.Blocks()[0].OwnLast)
 }
 
@@ -42,10 +42,10 @@
 		tracker.RecordEnd(second*time.Duration(i+1), end(second*time.Duration(i+1), bad, shared))
 	}
 	is.True(!tracker.RecordAnswer(4*second, []uint64{shared}, 500*time.Millisecond)) // it began before the ends
-	is.Equal(tracker.Blocks()[0].Parts, []uint64{bad, shared})
+	is.Equal(tracker.Blocks()[0].Features, []uint64{bad, shared})
 	is.True(!tracker.blocksNow(shared)) // not without the other part
 	is.True(tracker.RecordAnswer(4*second, []uint64{shared}, 3500*time.Millisecond))
-	is.Equal(tracker.Blocks()[0].Parts, []uint64{bad})
+	is.Equal(tracker.Blocks()[0].Features, []uint64{bad})
 	is.True(!tracker.RecordAnswer(5*second, []uint64{shared}, 4*second)) // nothing left to clear
 	is.True(tracker.RecordAnswer(6*second, []uint64{bad}, 5*second))
 	is.Equal(len(tracker.Blocks()), 0)
@@ -176,7 +176,7 @@
 			e.Engine = uint32(random.IntN(9))
 			messages = append(messages, Evidence{Ends: []End{e}})
 			if random.IntN(4) == 0 {
-				messages = append(messages, Evidence{Answers: []Answer{{Part: uint64(random.IntN(6)), At: at + time.Millisecond}}})
+				messages = append(messages, Evidence{Answers: []Answer{{Feature: uint64(random.IntN(6)), At: at + time.Millisecond}}})
 			}
 		}
 		want := ""
@@ -196,7 +196,7 @@
 			}
 			got := ""
 			for _, block := range tracker.Blocks() {
-				got += fmt.Sprint(block.Parts, len(block.Witnesses), " ")
+				got += fmt.Sprint(block.Features, len(block.Witnesses), " ")
 			}
 			if node == 0 {
 				want = got
@@ -222,7 +222,7 @@
 		tracker.RecordEnd(at, end(at, parts...))
 	}
 	is.True(len(tracker.ends) <= maxEnds)
-	is.True(len(tracker.byPart) <= maxEnds*maxParts)
+	is.True(len(tracker.byFeature) <= maxEnds*maxFeatures)
 	is.True(tracker.Blocking(second*20, []uint64{bad}) != nil) // other evidence does not displace a block
 	is.True(len(tracker.Evidence(time.Minute, All).Ends) <= maxEndsPerMessage)
 }
@@ -252,8 +252,8 @@
 	for i := range 40 {
 		at := second * time.Duration(i+1)
 		var parts []uint64
-		for p := range maxParts {
-			parts = append(parts, uint64(i*maxParts+p))
+		for p := range maxFeatures {
+			parts = append(parts, uint64(i*maxFeatures+p))
 		}
 		tracker.RecordEnd(at, end(at, parts...))
 		tracker.RecordAnswer(at+second/2, parts, at+second/4)
@@ -263,7 +263,7 @@
 		is.True(len(evidence.Answers) <= maxAnswersPerMessage)
 		total += len(evidence.Answers)
 	}
-	is.Equal(total, 40*maxParts) // each is sent
+	is.Equal(total, 40*maxFeatures) // each is sent
 	is.Equal(len(tracker.Evidence(time.Minute, All).Answers), maxAnswersPerMessage)
 }
 
@@ -286,7 +286,7 @@
 				if random.IntN(4) == 0 {
 					ends++
 					tracker.RecordEnd(now, End{
-						Engine: incarnation, Attempt: incarnation*16 + uint32(attempt), Parts: []uint64{zipf.Uint64()},
+						Engine: incarnation, Attempt: incarnation*16 + uint32(attempt), Features: []uint64{zipf.Uint64()},
 						SentAt: now - time.Duration(random.IntN(500))*time.Millisecond, At: now,
 					})
 				}
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -26,8 +26,10 @@
 	store   *fleetstore.Store
 	address string
 	engines []*fleetengine.Engine
-	mutex   sync.Mutex
-	nodes   []*edgeNode
+	// apps are the upstreams of a plain service.
+	apps  []*fleetengine.Engine
+	mutex sync.Mutex
+	nodes []*edgeNode
 	// requests numbers the callers' requests.
 	requests atomic.Int64
 }
@@ -38,7 +40,7 @@
 }
 
 const (
-	edgeNodes, edgeEngines, edgeZones = 7, 12, 3
+	edgeNodes, edgeEngines, edgeApps, edgeZones = 7, 12, 3, 3
 	// contactTime is the time in which the nodes of a fleet must have heard of each other's news.
 	contactTime = 3 * time.Second
 )
@@ -56,15 +58,24 @@
 	}
 	f.store.Put("op", "config", map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "chat", "host": "h.example", "prefix": "/chat/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000,
-			"targetLatencyMs": 300, "maxAttempts": 2, "streamResume": true, "gapTargetMs": 250,
-		}},
-		"services": []any{map[string]any{"name": "llm", "runtime": runtime}},
+		"routes": []any{
+			map[string]any{
+				"name": "chat", "host": "h.example", "prefix": "/chat/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000,
+				"targetLatencyMs": 300, "maxAttempts": 2, "streamResume": true, "gapTargetMs": 250,
+			},
+			map[string]any{
+				"name": "look", "host": "h.example", "prefix": "/look/", "routeType": "safe", "service": "app", "timeoutMs": 5000,
+				"targetLatencyMs": 120, "maxAttempts": 2,
+			},
+		},
+		"services": []any{map[string]any{"name": "llm", "runtime": runtime}, map[string]any{"name": "app"}},
 		"limits":   map[string]any{"maxBodyBytes": 1000},
 	})
 	for i := range edgeEngines {
-		f.addEngine(i)
+		f.engines = append(f.engines, f.addEngine("llm", i))
+	}
+	for i := range edgeApps {
+		f.apps = append(f.apps, f.addEngine("app", i))
 	}
 	for i := range edgeNodes {
 		f.nodes = append(f.nodes, f.newNode(i))
@@ -76,23 +87,23 @@
 	return f
 }
 
-func (f *edgeFleet) addEngine(i int) {
-	engine := fleetengine.New(fmt.Sprintf("llm-%d", i))
+func (f *edgeFleet) addEngine(service string, i int) *fleetengine.Engine {
+	engine := fleetengine.New(fmt.Sprintf("%s-%d", service, i))
 	engine.EventInterval, engine.DownTime = 20*time.Millisecond, time.Second
 	server, err := fleetengine.Serve(engine)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(server.Close)
-	f.engines = append(f.engines, engine)
 	register := func() {
 		f.store.Put("servers", engine.ID, map[string]any{
-			"service": "llm", "address": server.Address(), "zone": fmt.Sprintf("z%d", i%edgeZones), "slots": 16, "state": "ready",
+			"service": service, "address": server.Address(), "zone": fmt.Sprintf("z%d", i%edgeZones), "slots": 16, "state": "ready",
 			"born": engine.Incarnation(),
 		})
 	}
 	engine.OnRestart = register
 	register()
+	return engine
 }
 
 func (f *edgeFleet) newNode(i int) *edgeNode {
@@ -166,6 +177,37 @@
 	return got
 }
 
+// look sends a request of a safe route with this last element of its path to a node.
+func (f *edgeFleet) look(node int, name string) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	return call(ctx, http.MethodPost, "http://"+f.nodes[node%edgeNodes].callers+"/look/"+name, "body", map[string]string{
+		"Host": "h.example", "X-Attempt-Id": fmt.Sprintf("look%d", f.requests.Add(1)), "X-Deadline-Ms": "600",
+	})
+}
+
+// lookLoad sends sound requests of a safe route for a time and, at the incident's rate, one that crashes
+// upstreams. It returns the share of the sound ones that were served.
+func (f *edgeFleet) lookLoad(length time.Duration) float64 {
+	const interval, soundPerInterval = 400 * time.Millisecond, 8
+	var group sync.WaitGroup
+	var sent, complete atomic.Int64
+	for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+		if i%soundPerInterval == 0 {
+			group.Go(func() { f.look(i/soundPerInterval, "crash") })
+		}
+		group.Go(func() {
+			sent.Add(1)
+			if got := f.look(i, fmt.Sprint("sound", i)); got.err == nil && got.status == http.StatusOK {
+				complete.Add(1)
+			}
+		})
+		time.Sleep(interval / soundPerInterval)
+	}
+	group.Wait()
+	return float64(complete.Load()) / float64(max(1, sent.Load()))
+}
+
 // served reports whether a stream is complete.
 func served(r reply) bool {
 	return r.err == nil && r.status == http.StatusOK && strings.Count(r.body, "data: piece") == 8
@@ -194,18 +236,12 @@
 	return float64(complete.Load()) / float64(max(1, sent.Load()))
 }
 
-func (f *edgeFleet) crashes() int {
-	total := 0
-	for _, engine := range f.engines {
-		total += len(engine.RequestCrashes())
-	}
-	return total
-}
+func (f *edgeFleet) crashes() int { return len(crashTimes(f.engines)) }
 
-// crashTimes returns when engines crashed, oldest first.
-func (f *edgeFleet) crashTimes() []time.Time {
+// crashTimes returns when upstreams crashed by requests, oldest first.
+func crashTimes(upstreams []*fleetengine.Engine) []time.Time {
 	var times []time.Time
-	for _, engine := range f.engines {
+	for _, engine := range upstreams {
 		times = append(times, engine.RequestCrashes()...)
 	}
 	slices.SortFunc(times, time.Time.Compare)
@@ -217,3 +253,10 @@
 		engine.Set(fleetengine.Knobs{CrashPart: part})
 	}
 }
+
+// crashOnRequest makes the upstreams of the plain service crash under the request of look(_, "crash").
+func (f *edgeFleet) crashOnRequest() {
+	for _, app := range f.apps {
+		app.Set(fleetengine.Knobs{CrashTarget: "/look/crash", RunTime: 5 * time.Millisecond})
+	}
+}
--- a/test/processes/edge_soak_test.go
+++ b/test/processes/edge_soak_test.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// TestFleetOfProcessesBlocksRequestThatCrashesUpstreams sends a request that comes again to all nodes of a
+// service with three upstreams.
+func TestFleetOfProcessesBlocksRequestThatCrashesUpstreams(t *testing.T) {
+	f := startEdgeFleet(t)
+	f.crashOnRequest()
+	f.lookLoad(4 * time.Second)
+	// Two upstreams in a calm service, and one more request under way.
+	if got := len(crashTimes(f.apps)); got > 3 {
+		t.Errorf("%d upstreams crashed, at most 3 expected", got)
+	}
+	crashes := len(crashTimes(f.apps))
+	if share := f.lookLoad(3 * time.Second); share < 0.95 {
+		t.Errorf("%.3f of the sound requests were served beside the others", share)
+	}
+	eventually(t, "the block is stored", func() bool { return f.store.Rows("wigeontiller-nodes") > edgeNodes })
+	f.killAll([]int{0, 1, 2, 3, 4, 5, 6})
+	f.lookLoad(2 * time.Second)
+	if got := len(crashTimes(f.apps)); got > crashes {
+		t.Errorf("%d more upstreams crashed after the block", got-crashes)
+	}
+}
+
 // soakSeeds returns the seeds of WIGEONTILLER_SOAK_SEEDS, "FIRST-LAST", or one.
 func soakSeeds(t *testing.T) (first, last uint64) {
 	text := os.Getenv("WIGEONTILLER_SOAK_SEEDS")
@@ -58,7 +80,7 @@
 }
 
 // TestFleetOfProcessesSoak runs random series of signals and restarts, which overlap, beside a part
-// that crashes engines and an engine that states a limit.
+// that crashes engines, a request that crashes upstreams and an engine that states a limit.
 func TestFleetOfProcessesSoak(t *testing.T) {
 	first, last := soakSeeds(t)
 	for seed := first; seed <= last; seed++ {
@@ -71,17 +93,20 @@
 	random := rand.New(rand.NewPCG(seed, 3))
 	f := startEdgeFleet(t)
 	f.crashOn("bad")
+	f.crashOnRequest()
 	limited := f.engines[random.IntN(edgeEngines)]
 	limited.Set(fleetengine.Knobs{CrashPart: "bad", RequestLimit: strconv.Itoa(limitPerSecond)})
 	stated := time.Now()
 	var group sync.WaitGroup
 	group.Go(func() { f.load(length, 120*time.Millisecond) })
+	group.Go(func() { f.lookLoad(length) })
 	for _, lane := range [2][]int{{0, 1, 2, 3}, {4, 5, 6}} { // two series at a time
 		choice := rand.New(rand.NewPCG(seed, uint64(lane[0])))
 		group.Go(func() { f.disturb(lane, choice, stated.Add(length-time.Second)) })
 	}
 	group.Wait()
-	f.checkCrashes(t)
+	checkCrashes(t, "engines", crashTimes(f.engines), 5)
+	checkCrashes(t, "upstreams", crashTimes(f.apps), 3)
 	for i := range edgeNodes {
 		f.waitReady(i) // also after the last disturbance
 	}
@@ -89,7 +114,7 @@
 	if got := busiest(limited.Arrivals(), stated.Add(contactTime), 4*time.Second); got > allowed {
 		t.Errorf("%d requests in 4 s reached the engine with a limit of %d a second, allowed %d", got, limitPerSecond, allowed)
 	}
-	t.Logf("%d engines crashed, %d requests reached the limited engine", f.crashes(), len(limited.Arrivals()))
+	t.Logf("%d engines and %d upstreams crashed, %d requests reached the limited engine", f.crashes(), len(crashTimes(f.apps)), len(limited.Arrivals()))
 }
 
 // killAll kills these nodes at the same moment and starts them again.
@@ -127,22 +152,17 @@
 	}
 }
 
-// checkCrashes checks that at most three requests with the bad part reach engines later than contactTime
-// after the fifth crash.
-func (f *edgeFleet) checkCrashes(t *testing.T) {
+// checkCrashes checks that at most three upstreams crash later than contactTime after the crash with a number.
+func checkCrashes(t *testing.T, what string, times []time.Time, number int) {
 	t.Helper()
-	times := f.crashTimes()
-	if len(times) < 5 {
-		return
-	}
 	late := 0
-	for _, at := range times[5:] {
-		if at.Sub(times[4]) > contactTime {
+	for _, at := range times[min(number, len(times)):] {
+		if at.Sub(times[number-1]) > contactTime {
 			late++
 		}
 	}
 	if late > 3 {
-		t.Errorf("%d engines crashed later than %v after the fifth, at most 3 allowed; %d in all", late, contactTime, len(times))
+		t.Errorf("%d %s crashed later than %v after crash %d, at most 3 allowed; %d in all", late, what, contactTime, number, len(times))
 	}
 }
 
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -89,6 +90,14 @@
 		}
 		_ = conn.Close()
 	}
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
+	return conn, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         p.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
@@ -99,11 +108,21 @@
 	}
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, eris.Wrap(ErrNotSent, err.Error())
+		return nil, err
 	}
 	return newConn(raw, address), nil
 }
 
+// Refuses reports whether the peer refuses new connections, like the address of a process that has
+// ended. It dials one, which is kept for reuse if the peer accepts it.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		p.Put(conn)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func newConn(raw net.Conn, address string) *Conn {
 	limit := &headLimit{reader: raw}
 	return &Conn{Conn: raw, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
