At most three trials of a block in an hour

Doubling from a minute sends five trials in the first hour, each of which may end an upstream. Now 1, 4, 16, then 60 minutes: three in any hour. The test's delays of 2 and 4 minutes were those of the doubling; it now states the bound itself and failed before.

--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -207,8 +207,10 @@
 
 const (
 	// firstTrialDelay is the time from the last end to the first trial: one request that is sent to
-	// learn whether the features still crash upstreams. It doubles with each failed trial.
+	// learn whether the features still crash upstreams. It grows by trialBackoff with each failed trial, so that at most
+	// three are sent in an hour.
 	firstTrialDelay = time.Minute
+	trialBackoff    = 4
 	maxTrialDelay   = time.Hour
 	minTrialGap     = firstTrialDelay / 2
 	// minRetryAfter is the retry hint while a trial is due.
@@ -221,7 +223,7 @@
 	delay := firstTrialDelay
 	for i := 1; i < len(b.Witnesses); i++ {
 		if b.Witnesses[i].At-b.Witnesses[i-1].At >= minTrialGap {
-			delay = min(2*delay, maxTrialDelay)
+			delay = min(trialBackoff*delay, maxTrialDelay)
 		}
 	}
 	return delay
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -137,18 +137,22 @@
 		at += second
 		tracker.RecordEnd(at, end(at, bad))
 	}
-	delays := []time.Duration{}
+	delays, trials := []time.Duration{}, []time.Duration{}
 	for range 9 {
 		block := tracker.Blocks()[0]
 		is.True(!block.TrialDue(at + block.TrialDelay() - second))
 		at += block.TrialDelay()
 		is.True(block.TrialDue(at))
 		is.True(block.RetryAfter(at) > 0)
-		delays = append(delays, block.TrialDelay())
+		delays, trials = append(delays, block.TrialDelay()), append(trials, at)
 		tracker.RecordEnd(at, end(at, bad))
 	}
-	is.Equal(delays[:3], []time.Duration{time.Minute, 2 * time.Minute, 4 * time.Minute})
+	is.Equal(delays[:3], []time.Duration{time.Minute, 4 * time.Minute, 16 * time.Minute})
 	is.Equal(delays[8], maxTrialDelay)
+	const maxTrialsPerHour = 3
+	for i := maxTrialsPerHour; i < len(trials); i++ {
+		is.True(trials[i]-trials[i-maxTrialsPerHour] >= time.Hour)
+	}
 }
 
 // TestEndsBeforeFirstTrialDoNotDelayIt guards against a burst of requests that were in flight when the
