A process that was suspended hears of blocks before it sends

A gap of a second in the exchange's ticks on the boot clock tells; for 0.6 s, one heartbeat and a margin, nothing is sent.

--- a/edge/node.go
+++ b/edge/node.go
@@ -251,6 +251,7 @@
 	group.Go(func() { n.agent.Run(runCtx) })
 	group.Go(func() { n.blocks.run(runCtx) })
 	group.Go(func() { periodic.Run(runCtx, sweepInterval, func() { n.pool.Sweep(maxIdleTime) }) })
+	group.Go(func() { periodic.RunNow(runCtx, exchange.TickInterval, n.exchange.Tick) })
 	group.Go(func() { periodic.Run(runCtx, reportInterval, func() { n.reportPoller.pollAll(runCtx) }) })
 	monitor := &queueMonitor{gate: n.gate, logger: n.logger, metrics: n.metrics, consecutive: map[string]int{}}
 	group.Go(func() { periodic.Run(runCtx, queueCheckInterval, monitor.check) })
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -207,6 +207,7 @@
 	shutdown         context.Context
 	cancelUnanswered context.CancelFunc
 	buffers          *bufferMemory
+	suspension       suspensionGuard
 }
 
 // errShutdown is the cancellation cause of requests that end because the node shuts down.
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -97,6 +97,10 @@
 			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonViewTooOld, RetryAfter: config.RetryAfter})
 			return
 		}
+		if wait := r.exchange.suspension.wait(config.Now()); wait > 0 {
+			config.Logger.Info().Str("request_id", r.request.ID).Dur("wait_ms", wait).Msg(telemetry.LogCatchingUp)
+			sleep(ctx, wait)
+		}
 		if r.isBlocked() {
 			r.failBlocked(ctx)
 			return
@@ -212,7 +216,7 @@
 		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
 		Urgency: decision.Urgency,
 		Permitted: func() bool {
-			return !r.exchange.stale() && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
+			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
 		},
 	}
 	if reserved != nil {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -7,6 +7,7 @@
 	LogAttemptLost          = "attempt lost"
 	LogNotAdmitted          = "request not admitted"
 	LogRequestEnded         = "request ended"
+	LogCatchingUp           = "request waits, the process was suspended"
 	LogUpstreamUnresponsive = "upstream is silent"
 	LogUpstreamAsked        = "upstream leaving or pausing"
 	LogInvariantBroken      = "promise broken"
