--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -111,7 +112,8 @@
 	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
 		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
-		Strs("prompt_parts", formatFeatures(r.request.PromptParts)).Str("error", cause).Msg(telemetry.LogAttemptFailed)
+		Strs("prompt_parts", formatFeatures(r.request.PromptParts)).Str("error", cause).
+		Dur("taken_ms", time.Since(r.attemptSent)).Msg(telemetry.LogAttemptFailed)
 }
 
 // maxLoggedFeatures bounds the features, and parts of a prompt, in a log line.
