--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -34,6 +34,9 @@
 }
 
 type runningNode struct {
+	*Node
+	// link is the node's way to the upstreams.
+	link       *link
 	url, ready string
 	stop       context.CancelFunc
 	done       chan error
@@ -139,7 +142,9 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &runningNode{url: "http://" + settings.CallerAddress, ready: "http://" + settings.ReadyAddress + "/v1/readyz", stop: cancel, done: make(chan error, 1)}
+	way := &link{conns: map[*linkConn]struct{}{}}
+	node.pool.DialContext, node.control.DialContext = way.dial, way.dial
+	r := &runningNode{Node: node, link: way, url: "http://" + settings.CallerAddress, ready: "http://" + settings.ReadyAddress + "/v1/readyz", stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- node.Run(ctx) }()
 	f.nodes = append(f.nodes, r)
 	f.t.Cleanup(cancel)
--- a/edge/node.go
+++ b/edge/node.go
@@ -94,15 +94,17 @@
 
 // Node is one entry node.
 type Node struct {
-	settings     *Settings
-	logger       zerolog.Logger
-	metrics      *telemetry.Metrics
-	follower     *follow.Follower
-	gate         *exchange.SchedulerRunner
-	retries      *exchange.RetryBudget
-	quarantine   *exchange.QuarantineRunner
-	agent        *loadshare.Agent
-	pool         *directhttp.Pool
+	settings   *Settings
+	logger     zerolog.Logger
+	metrics    *telemetry.Metrics
+	follower   *follow.Follower
+	gate       *exchange.SchedulerRunner
+	retries    *exchange.RetryBudget
+	quarantine *exchange.QuarantineRunner
+	agent      *loadshare.Agent
+	pool       *directhttp.Pool
+	// control carries polls and orders to upstreams.
+	control      *directhttp.Pool
 	exchange     *exchange.Exchange
 	reportPoller *reportPoller
 	blocks       *blockSynchronizer
@@ -148,10 +150,10 @@
 	n.follower.StaleCallSpacing = n.agent.StaleCallSpacing
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
-	control := directhttp.NewPool(dialTimeout, nil)
+	n.control = directhttp.NewPool(dialTimeout, nil)
 	n.exchange = exchange.New(exchange.Config{
 		Scheduler: n.gate, Retries: n.retries, Quarantine: n.quarantine, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
-		Memory:   platform.NewReservationClient(control),
+		Memory:   platform.NewReservationClient(n.control),
 		Follower: n.follower, Logger: n.logger, Metrics: n.metrics, Now: bootClock,
 		Freshness: fleet.AgeLimits{
 			MaxSendAge: milliseconds(settings.RevokeMs) - revokeMargin,
@@ -161,7 +163,7 @@
 	})
 	n.blocks = newBlockSynchronizer(store, n.quarantine, n.agent.IsOwner, n.logger)
 	n.reportPoller = &reportPoller{
-		fetcher:  platform.NewReportClient(control),
+		fetcher:  platform.NewReportClient(n.control),
 		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger, metrics: n.metrics,
 		failing: map[string]bool{},
 	}
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -47,6 +47,8 @@
 
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
+	// DialContext replaces the dialing of connections if it is set before the first use.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	dialTimeout time.Duration
 	mutex       sync.Mutex
 	idle        map[string][]*Conn
@@ -99,14 +101,19 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{
-		Timeout:         p.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control:         setUserTimeout,
 	}
+	dial := dialer.DialContext
+	if p.DialContext != nil {
+		dial = p.DialContext
+	}
 	if p.onDial != nil {
 		p.onDial()
 	}
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	raw, err := dial(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
