A node that reaches no upstream hands its requests over to nodes that do

Cause: a node had nothing else that it could do with a request, as nodes passed none to each other, and did not know that it was the one: each request learned anew that dials fail.

Now rounds of dials, started by failures only, tell that a service is not reached; requests are then served by another node over one marked hop, and count as one attempt here. Ruled out: readiness 503, which moves no kept connection (docs/design/handover.md).

--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -137,7 +138,7 @@
 		Name: name, Zone: "z", CallerAddress: freePort(f.t), ReadyAddress: freePort(f.t), PeerIP: "127.0.0.1", PeerPorts: []uint16{uint16(peer)},
 		StoreAddress: f.address, GraceSeconds: f.graceSeconds, RevokeMs: 5000, ApplyMs: 2000, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: 100, WarmOvershoot: 1.5,
 	}
-	node, err := New(settings, zerolog.Nop())
+	node, err := New(settings, testLogger())
 	if err != nil {
 		return err
 	}
@@ -215,3 +216,16 @@
 	}
 	return all
 }
+
+// testLogger logs to the file that WIGEONTILLER_TEST_LOG names, if any.
+func testLogger() zerolog.Logger {
+	name := os.Getenv("WIGEONTILLER_TEST_LOG")
+	if name == "" {
+		return zerolog.Nop()
+	}
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return zerolog.Nop()
+	}
+	return zerolog.New(file).With().Timestamp().Logger()
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -20,6 +20,7 @@
 	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/platform"
+	"github.com/wigeontiller/wigeontiller/reach"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream/directhttp"
 )
@@ -108,8 +109,11 @@
 	exchange     *exchange.Exchange
 	reportPoller *reportPoller
 	blocks       *blockSynchronizer
+	handover     *handover
 	callerServer *http.Server
 	readyServer  *http.Server
+	// peerServer serves the requests that other nodes hand over.
+	peerServer *http.Server
 	// metricsServer is nil if the settings name no metrics address.
 	metricsServer *http.Server
 	listeners     []net.Listener
@@ -151,8 +155,10 @@
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	n.control = directhttp.NewPool(dialTimeout, nil)
+	n.handover = newHandover(settings, n.follower, n.pool, directhttp.NewPool(peerDialTimeout, nil), n.agent.Peers, n.logger, n.metrics)
 	n.exchange = exchange.New(exchange.Config{
 		Scheduler: n.gate, Retries: n.retries, Quarantine: n.quarantine, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
+		Handover: n.handover,
 		Memory:   platform.NewReservationClient(n.control),
 		Follower: n.follower, Logger: n.logger, Metrics: n.metrics, Now: bootClock,
 		Freshness: fleet.AgeLimits{
@@ -178,7 +184,11 @@
 }
 
 func (n *Node) listen() error {
-	addresses := []string{n.settings.CallerAddress, n.settings.ReadyAddress}
+	peerAddress, err := n.settings.peerAddress()
+	if err != nil {
+		return err
+	}
+	addresses := []string{n.settings.CallerAddress, n.settings.ReadyAddress, peerAddress.String()}
 	if n.settings.MetricsAddress != "" {
 		addresses = append(addresses, n.settings.MetricsAddress)
 		mux := http.NewServeMux()
@@ -194,8 +204,14 @@
 	}
 	n.activity = &activityListener{Listener: n.listeners[0], started: time.Now()}
 	n.listeners[0] = n.activity
+	ingress := platform.NewIngress(n.exchange)
+	n.peerServer = &http.Server{
+		Handler:           n.countActive(ingress.HandoverHandler(n.agent.IsPeer, func() bool { return !n.draining.Load() })),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: newServerLogger(n.logger),
+		DisableGeneralOptionsHandler: true,
+	}
 	n.callerServer = &http.Server{
-		Handler: n.countActive(platform.NewIngress(n.exchange)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: n.countActive(ingress), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: newServerLogger(n.logger), DisableGeneralOptionsHandler: true,
 	}
 	n.readyServer = &http.Server{
@@ -253,12 +269,13 @@
 	group.Go(func() { n.agent.Run(runCtx) })
 	group.Go(func() { n.blocks.run(runCtx) })
 	group.Go(func() { periodic.Run(runCtx, sweepInterval, func() { n.pool.Sweep(maxIdleTime) }) })
+	group.Go(func() { periodic.Run(runCtx, reach.RoundInterval, n.handover.retryAll) })
 	group.Go(func() { periodic.RunNow(runCtx, exchange.TickInterval, n.exchange.Tick) })
 	group.Go(func() { periodic.Run(runCtx, reportInterval, func() { n.reportPoller.pollAll(runCtx) }) })
 	monitor := &queueMonitor{gate: n.gate, logger: n.logger, metrics: n.metrics, consecutive: map[string]int{}}
 	group.Go(func() { periodic.Run(runCtx, queueCheckInterval, monitor.check) })
 	failed := make(chan error, len(n.listeners))
-	servers := []*http.Server{n.callerServer, n.readyServer}
+	servers := []*http.Server{n.callerServer, n.readyServer, n.peerServer}
 	if n.metricsServer != nil {
 		servers = append(servers, n.metricsServer)
 	}
--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -27,7 +27,11 @@
 	r.avoid = append(r.avoid, decision.Lead.ID)
 	r.logFailedAttempt(decision, err.Error(), 0)
 	if errors.Is(err, ErrNotSent) {
-		r.reason = "upstream_unreachable"
+		r.reason = ReasonUnreachable
+		r.handOverNext = ctx.Err() == nil && time.Since(r.attemptSent) >= hungDialTime
+		if ctx.Err() == nil && r.checkReach(ctx) {
+			return actionRetry
+		}
 		return r.retryOrFail(ctx)
 	}
 	r.history.RecordMayHaveRun()
@@ -36,6 +40,9 @@
 		r.exchange.config.Metrics.Count("wigeontiller_attempts_cut_without_response_total", 1)
 		r.recordLostAttempt(ctx, decision)
 	}
+	if ctx.Err() == nil && !watch.blocked() {
+		r.checkReach(ctx)
+	}
 	if (watch.blocked() || r.upstreamsEnded > 0) && r.isBlocked() {
 		return actionBlocked
 	}
@@ -95,7 +102,8 @@
 		scheduler.End(decision.ID, placement.Failed, "")
 		r.logFailedAttempt(decision, "upstream failed", reply.Status())
 		r.avoid = append(r.avoid, decision.Lead.ID)
-		if r.takeRetry(ctx) {
+		// A node that served it has sent it again if it may.
+		if r.handedTo == "" && r.takeRetry(ctx) {
 			return actionRetry
 		}
 	} else {
--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -111,7 +111,7 @@
 // begun to answer; the request as a whole if the upstream's process has ended, as a connection can be
 // lost for other reasons.
 func (r *requestHandler) recordLostAttempt(ctx context.Context, decision *placement.Decision) {
-	if r.attemptEvents > 0 {
+	if r.attemptEvents > 0 || r.handedTo != "" {
 		return
 	}
 	lostAt := time.Now()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -56,6 +56,9 @@
 	After int64
 	// Encoded is the front end's form of the request, which the Sender reads.
 	Encoded any
+	// HandedOver is true for a request that another node has admitted and handed over. It is not handed
+	// over again, and was counted for the retry budget there.
+	HandedOver bool
 }
 
 // Priority returns the priority of the request; 0 is served first.
@@ -181,10 +184,12 @@
 	// Quarantine knows the features of requests that crash upstreams.
 	Quarantine *QuarantineRunner
 	Sender     Sender
-	Memory     MemoryReserver
-	Follower   *follow.Follower
-	Logger     zerolog.Logger
-	Metrics    *telemetry.Metrics
+	// Handover hands requests over to other nodes; nil is never.
+	Handover Handover
+	Memory   MemoryReserver
+	Follower *follow.Follower
+	Logger   zerolog.Logger
+	Metrics  *telemetry.Metrics
 	// Freshness bounds the age of the view by which requests are admitted and sent.
 	Freshness fleet.AgeLimits
 	// Now reads a monotonic clock that also counts time while the machine is suspended.
@@ -222,6 +227,9 @@
 
 // New returns an exchange.
 func New(config Config) *Exchange {
+	if config.Handover == nil {
+		config.Handover = noHandover{}
+	}
 	e := &Exchange{config: config, buffers: newBufferMemory(config.MaxBufferedBytes)}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
 	return e
--- /dev/null
+++ b/exchange/handover.go
@@ -0,0 +1,203 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
+
+// ErrNoPeer means that no other node can be asked to serve the request.
+var ErrNoPeer = eris.New("no node takes the request")
+
+const (
+	// maxHandovers is the most nodes that one request is offered to.
+	maxHandovers = 4
+	// reachCheckTimeout bounds how long a request waits for the result of dials to other upstreams before
+	// it is sent to the next one. Refused dials take a round trip.
+	reachCheckTimeout = 60 * time.Millisecond
+	// hungDialTime is the time from which a dial that failed was not refused: the request is then handed
+	// over before it is known whether the node is cut off.
+	hungDialTime = 200 * time.Millisecond
+	// peerSilence is how long another node may send nothing of a stream. It watches the upstream itself, so
+	// that only its own end is to be noticed here.
+	peerSilence = 3 * time.Second
+	// peerLatencyFactor is the same for other requests, in latency targets: more than
+	// plainServiceFactor, after which the other node sends the request again.
+	peerLatencyFactor = 3.5
+)
+
+// PeerReply is the reply of a node that a request was handed over to.
+type PeerReply interface {
+	Reply
+	// Failure returns the failure response that the node generated, or nil if the reply is an upstream's.
+	Failure() *Failure
+}
+
+// Handover knows whether this node reaches upstreams, and hands requests over to nodes that do.
+type Handover interface {
+	// CutOff reports whether this node connects to no upstream of a service.
+	CutOff(service string) bool
+	// Check finds out whether it does, because of a failure, and waits for that until the context ends.
+	Check(ctx context.Context, service string)
+	// Send hands the request to a node that is not in tried and returns its name. Errors: ErrNoPeer,
+	// ErrNotSent, ErrNotPermitted, ErrIncomplete.
+	Send(ctx context.Context, attempt *Attempt, tried []string) (reply PeerReply, node string, err error)
+	// Refused records that a node could not take a request.
+	Refused(node string)
+}
+
+// Reasons for which a node can't take another node's request.
+const (
+	ReasonCutOff = "cut_off"
+	// ReasonBehind means that the node's view is older than that by which the request was admitted.
+	ReasonBehind = "view_behind"
+	// ReasonUnknownNode means that the request is not from a known node.
+	ReasonUnknownNode = "unknown_node"
+	// ReasonUnreachable means that no connection to the last upstream could be made.
+	ReasonUnreachable = "upstream_unreachable"
+)
+
+// handoverRefusals are the reasons for which another node is tried: it may reach upstreams that this one
+// does not.
+var handoverRefusals = []string{
+	ReasonCutOff, ReasonBehind, ReasonUnknownNode, ReasonNodeShutdown, ReasonNoView, ReasonViewTooOld,
+	ReasonUnreachable, string(placement.NoUpstream),
+}
+
+// cutOff reports whether this node reaches no upstream of the request's service.
+func (r *requestHandler) cutOff() bool { return r.exchange.config.Handover.CutOff(r.service) }
+
+// shallHandOver reports whether the request is to be served by another node. A request is handed over
+// once only.
+func (r *requestHandler) shallHandOver() bool {
+	return !r.request.HandedOver && !r.isTrial && (r.handOverNext || r.cutOff())
+}
+
+// checkReach finds out, after an attempt that failed without a response, whether this node reaches
+// upstreams at all, and reports whether the request is to be handed over.
+func (r *requestHandler) checkReach(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachCheckTimeout)
+	defer cancel()
+	r.exchange.config.Handover.Check(ctx, r.service)
+	return r.shallHandOver()
+}
+
+// handOver offers the request to other nodes. It returns false if none takes it.
+func (r *requestHandler) handOver(ctx context.Context) (nextAction, bool) {
+	r.handOverNext = false
+	for range maxHandovers {
+		if !r.allowSend() {
+			return actionFail, true
+		}
+		decision := &placement.Decision{ID: r.request.ID + "/handover", Lead: &fleet.Upstream{}}
+		watch := r.newPeerWatchdog(ctx, decision)
+		reply, node, err := r.sendToPeer(watch)
+		decision.Lead.ID = node
+		action, taken := r.afterHandover(ctx, decision, reply, err, watch)
+		watch.stop()
+		if taken || errors.Is(err, ErrNoPeer) {
+			return action, taken
+		}
+		r.triedPeers = append(r.triedPeers, node)
+		r.exchange.config.Handover.Refused(node)
+	}
+	return actionFail, false
+}
+
+func (r *requestHandler) sendToPeer(watch *watchdog) (PeerReply, string, error) {
+	config := &r.exchange.config
+	r.headerReceived, r.attemptEvents, r.attemptSent = false, 0, time.Now()
+	r.watchForBlock(watch)
+	reply, node, err := config.Handover.Send(watch.ctx, &Attempt{
+		Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
+		Permitted: func() bool {
+			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
+		},
+	}, r.triedPeers)
+	event := config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("service", r.service).
+		Str("peer", node).Bool("cut_off", r.cutOff()).Int64("after", r.lastEventNumber).Dur("waited_ms", time.Since(r.request.Arrived))
+	if err != nil {
+		event = event.Str("error", err.Error())
+	}
+	event.Msg(telemetry.LogHandedOver)
+	config.Metrics.Count("wigeontiller_requests_handed_over_total", 1)
+	return reply, node, err
+}
+
+// afterHandover handles the outcome of one offer. It returns false if the node did not take the request.
+func (r *requestHandler) afterHandover(ctx context.Context, decision *placement.Decision, reply PeerReply, err error, watch *watchdog) (nextAction, bool) {
+	defer r.stopBlockWatch()
+	switch {
+	case errors.Is(err, ErrNoPeer), errors.Is(err, ErrNotSent):
+		return actionFail, false
+	case errors.Is(err, ErrNotPermitted):
+		return actionRetry, true
+	case err != nil:
+		r.history.RecordMayHaveRun()
+		r.reason = "node_broke_off"
+		r.triedPeers = append(r.triedPeers, decision.Lead.ID)
+		r.exchange.config.Handover.Refused(decision.Lead.ID)
+		r.logFailedAttempt(decision, err.Error(), 0)
+		if watch.blocked() && r.isBlocked() {
+			return actionBlocked, true
+		}
+		return r.retryOrFail(ctx), true
+	}
+	failure := reply.Failure()
+	if failure == nil {
+		r.history.RecordMayHaveRun()
+		r.headerReceived, r.handedTo = true, decision.Lead.ID
+		defer func() { r.handedTo = "" }()
+		if r.request.Route.Kind == fleet.Stream && reply.Status() == http.StatusOK {
+			return r.relayStream(ctx, decision, reply, watch), true
+		}
+		return r.deliverResponse(ctx, decision, reply, watch), true
+	}
+	r.logFailedAttempt(decision, string(failure.Code)+": "+failure.Reason, reply.Status())
+	if discard(reply.Body(), maxRefusalBytes) {
+		reply.Finish()
+	} else {
+		reply.Abort()
+	}
+	r.reason = failure.Reason
+	switch failure.Code {
+	case Unavailable, Overloaded, ExpiredNotExecuted, RequestBlocked:
+		if slices.Contains(handoverRefusals, failure.Reason) {
+			return actionFail, false
+		}
+	case NoRoute, NoKey:
+		// The other node knows a newer document; this one will.
+		failure.Code = Unavailable
+	default:
+		r.history.RecordMayHaveRun()
+	}
+	r.fail(ctx, *failure)
+	return actionDone, true
+}
+
+// newPeerWatchdog is newWatchdog for a request that another node serves.
+func (r *requestHandler) newPeerWatchdog(ctx context.Context, decision *placement.Decision) *watchdog {
+	limit := peerSilence
+	if r.request.Route.Kind != fleet.Stream {
+		limit = time.Duration(float64(r.request.Route.LatencyTarget) * peerLatencyFactor)
+	}
+	return r.startWatchdog(ctx, decision, func() time.Duration { return limit })
+}
+
+// noHandover is the Handover of a node without others.
+type noHandover struct{}
+
+func (noHandover) CutOff(string) bool            { return false }
+func (noHandover) Check(context.Context, string) {}
+func (noHandover) Refused(string)                {}
+func (noHandover) Send(context.Context, *Attempt, []string) (PeerReply, string, error) {
+	return nil, "", ErrNoPeer
+}
--- /dev/null
+++ b/exchange/handover_test.go
@@ -0,0 +1,237 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/quarantine"
+)
+
+// peerStep scripts what a node does with a request that is handed over.
+type peerStep struct {
+	attemptStep
+	failure *Failure
+}
+
+// fakePeers answers each offer by the next step, and records the offers.
+type fakePeers struct {
+	mutex  sync.Mutex
+	cutOff bool
+	// cutOffWhenChecked is true if a check finds out that the node is cut off.
+	cutOffWhenChecked bool
+	steps             []peerStep
+	attempts          []Attempt
+	tried             [][]string
+	refused           []string
+}
+
+func (p *fakePeers) CutOff(string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.cutOff
+}
+
+func (p *fakePeers) Check(context.Context, string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cutOff = p.cutOff || p.cutOffWhenChecked
+}
+
+func (p *fakePeers) Refused(node string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refused = append(p.refused, node)
+}
+
+type fakePeerReply struct {
+	*fakeReply
+	failure *Failure
+}
+
+func (r *fakePeerReply) Failure() *Failure { return r.failure }
+
+func (p *fakePeers) Send(ctx context.Context, attempt *Attempt, tried []string) (PeerReply, string, error) {
+	p.mutex.Lock()
+	if len(p.steps) == 0 {
+		p.mutex.Unlock()
+		return nil, "", ErrNoPeer
+	}
+	s := p.steps[0]
+	p.steps = p.steps[1:]
+	p.attempts = append(p.attempts, *attempt)
+	p.tried = append(p.tried, append([]string(nil), tried...))
+	name := "peer" + string(rune('0'+len(p.attempts)))
+	p.mutex.Unlock()
+	if s.before != nil {
+		s.before()
+	}
+	if !attempt.Permitted() {
+		return nil, name, ErrNotPermitted
+	}
+	if s.hang {
+		<-ctx.Done()
+		return nil, name, ErrIncomplete
+	}
+	if s.err != nil {
+		return nil, name, s.err
+	}
+	return &fakePeerReply{&fakeReply{attemptStep: s.attemptStep, body: io.MultiReader(textReader(s.body), errorReader{s.bodyErr})}, s.failure}, name, nil
+}
+
+func textReader(text string) io.Reader {
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(writer, text)
+		_ = writer.Close()
+	}()
+	return reader
+}
+
+// withPeers returns a fixture whose node is cut off, and the nodes that requests are handed to.
+func withPeers(t *testing.T, steps ...peerStep) (*fixture, *fakePeers) {
+	f, peers := newFixture(t), &fakePeers{cutOff: true, steps: steps}
+	f.exchange.config.Handover = peers
+	return f, peers
+}
+
+func refusal(code Code, reason string) peerStep {
+	return peerStep{attemptStep{status: 503}, &Failure{Code: code, Reason: reason, RetryAfter: 7 * time.Second}}
+}
+
+var servedByPeer = peerStep{attemptStep: attemptStep{status: 200, body: "default"}}
+
+func TestCutOffNodeHandsRequestsOver(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, servedByPeer, peerStep{attemptStep: answeredAttempt}, servedByPeer)
+	is.Equal(f.serve(t, f.request("safe")).body, "default")
+	got := f.serve(t, f.request("stream"))
+	is.True(got.ended)
+	is.Equal(got.events, eventText(1, 3))
+	is.Equal(f.serve(t, f.request("unsafe")).body, "default")
+	is.Equal(len(f.sender.attempts), 0)
+	is.Equal(len(peers.attempts), 3)
+}
+
+func TestNodesThatRefuseAreTriedInTurn(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, refusal(Unavailable, ReasonCutOff), peerStep{attemptStep: attemptStep{err: ErrNotSent}}, servedByPeer)
+	is.Equal(f.serve(t, f.request("unsafe")).body, "default")
+	is.Equal(peers.tried, [][]string{nil, {"peer1"}, {"peer1", "peer2"}})
+	is.Equal(peers.refused, []string{"peer1", "peer2"})
+}
+
+func TestRequestIsRefusedAtOnceIfNoNodeTakesIt(t *testing.T) {
+	is := is.New(t)
+	f, _ := withPeers(t, refusal(Unavailable, ReasonCutOff))
+	started := time.Now()
+	got := f.serve(t, f.request("unsafe"))
+	is.Equal(got.failure.Code, Overloaded)
+	is.Equal(got.failure.Reason, ReasonCutOff)
+	is.True(got.failure.RetryAfter > 0)
+	is.True(time.Since(started) < 100*time.Millisecond)
+	is.Equal(len(f.sender.attempts), 0)
+}
+
+// TestRequestThatANodeMayHaveRunIsNotRepeated guards against a second run of a request that was handed
+// over to a node which then fell silent or failed.
+func TestRequestThatANodeMayHaveRunIsNotRepeated(t *testing.T) {
+	for name, step := range map[string]peerStep{
+		"node broke off":         {attemptStep: attemptStep{err: ErrIncomplete}},
+		"node's upstream failed": {attemptStep{status: 502}, &Failure{Code: UpstreamFailed, Reason: "upstream_broke_off"}},
+		"answer not whole":       {attemptStep: attemptStep{status: 200, body: "def", bodyErr: errReset}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, peers := withPeers(t, step, servedByPeer)
+			got := f.serve(t, f.request("unsafe"))
+			is.Equal(got.failure.Code, UpstreamFailed)
+			is.Equal(len(peers.attempts), 1)
+			is.Equal(len(f.sender.attempts), 0)
+		})
+	}
+}
+
+func TestRepeatableRequestGoesToTheNextNode(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, peerStep{attemptStep: attemptStep{err: ErrIncomplete}}, servedByPeer)
+	is.Equal(f.serve(t, f.request("safe")).body, "default")
+	is.Equal(peers.tried[1], []string{"peer1"})
+
+	f, peers = withPeers(t, peerStep{attemptStep: attemptStep{status: 200, body: eventText(1, 2), bodyErr: errReset}}, peerStep{attemptStep: attemptStep{status: 200, body: eventText(3, 4)}})
+	got := f.serve(t, f.request("stream"))
+	is.True(got.ended)
+	is.Equal(got.events, eventText(1, 4))
+	is.Equal(peers.attempts[1].After, int64(2))
+}
+
+func TestRefusalOfTheNodeThatServesIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, refusal(Overloaded, "too_late"), servedByPeer)
+	got := f.serve(t, f.request("unsafe"))
+	is.Equal(got.failure.Code, Overloaded)
+	is.Equal(got.failure.RetryAfter, 7*time.Second)
+	is.Equal(len(peers.attempts), 1)
+	// A node that knows a newer document denies what this one admitted.
+	f, _ = withPeers(t, refusal(NoKey, ""))
+	is.Equal(f.serve(t, f.request("unsafe")).failure.Code, Unavailable)
+}
+
+func TestRequestIsHandedOverOnlyOnce(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, servedByPeer)
+	request := f.request("safe")
+	request.HandedOver = true
+	got := f.serve(t, request)
+	is.Equal(got.failure.Code, Unavailable)
+	is.Equal(got.failure.Reason, ReasonCutOff)
+	is.Equal(len(peers.attempts)+len(f.sender.attempts), 0)
+}
+
+// TestRequestsAreCountedOnceForTheRetryBudget guards against a budget that counts a request at two nodes.
+func TestRequestsAreCountedOnceForTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	request := f.request("safe")
+	request.HandedOver = true
+	f.serve(t, request)
+	is.Equal(f.exchange.config.Retries.services["app"], nil)
+	f.serve(t, f.request("safe"))
+	is.True(f.exchange.config.Retries.services["app"] != nil)
+}
+
+func TestNodeThatFindsOutThatItIsCutOffHandsOver(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, servedByPeer, servedByPeer)
+	peers.cutOff, peers.cutOffWhenChecked = false, true
+	f.exchange.config.Retries.Ratio, f.exchange.config.Retries.Extra = 0, 0
+	f.sender.steps = []attemptStep{{err: ErrNotSent}}
+	is.Equal(f.serve(t, f.request("unsafe")).body, "default") // nothing was sent, so that no retry is needed
+	is.Equal(len(f.sender.attempts), 1)
+	is.Equal(f.serve(t, f.request("unsafe")).body, "default")
+	is.Equal(len(f.sender.attempts), 1)
+}
+
+func TestRequestWhoseDialHungIsHandedOverAtOnce(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, servedByPeer)
+	peers.cutOff = false
+	f.sender.steps = []attemptStep{attemptStep{err: ErrNotSent}.delayed(hungDialTime)}
+	is.Equal(f.serve(t, f.request("unsafe")).body, "default")
+	is.Equal(len(f.sender.attempts), 1)
+	is.Equal(len(peers.attempts), 1)
+}
+
+func TestBlockEndsRequestThatWasHandedOver(t *testing.T) {
+	is := is.New(t)
+	f, _ := withPeers(t, peerStep{attemptStep: attemptStep{hang: true}})
+	time.AfterFunc(50*time.Millisecond, func() { f.blockFeature(quarantine.RequestFeature(1)) })
+	started := time.Now()
+	got := f.serve(t, f.plain("safe", "a", 1))
+	is.Equal(got.failure.Code, UpstreamFailed)
+	is.True(time.Since(started) < 300*time.Millisecond)
+}
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -56,6 +56,11 @@
 	features []uint64
 	// stopBlockWatch keeps the attempt from being canceled when its request is blocked.
 	stopBlockWatch func()
+	// handOverNext is true if the request is to be handed over although the node may not be cut off.
+	handOverNext bool
+	// handedTo is the node whose reply is delivered, and triedPeers are those that did not serve the request.
+	handedTo   string
+	triedPeers []string
 	// upstreamsEnded counts the attempts whose upstream ended before or as the answer began.
 	upstreamsEnded int
 	// isTrial is true for a request that is sent to learn whether it still crashes upstreams.
@@ -91,7 +96,12 @@
 func (r *requestHandler) serve(ctx context.Context) {
 	config := &r.exchange.config
 	r.service = r.request.Route.ChooseService(rand.Float64())
-	config.Retries.RecordRequest(config.Scheduler.now(), r.service)
+	if !r.request.HandedOver {
+		config.Retries.RecordRequest(config.Scheduler.now(), r.service)
+	} else if r.cutOff() {
+		r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonCutOff, RetryAfter: config.RetryAfter})
+		return
+	}
 	for {
 		if r.exchange.stale() {
 			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonViewTooOld, RetryAfter: config.RetryAfter})
@@ -105,6 +115,18 @@
 			r.failBlocked(ctx)
 			return
 		}
+		if r.shallHandOver() {
+			if action, taken := r.handOver(ctx); taken {
+				if r.finish(ctx, action) {
+					return
+				}
+				continue
+			}
+			if r.cutOff() {
+				r.fail(ctx, Failure{Code: Overloaded, Reason: ReasonCutOff, RetryAfter: config.RetryAfter})
+				return
+			}
+		}
 		decision, ok := r.place(ctx)
 		if !ok && ctx.Err() == nil {
 			// The request was blocked while it waited.
@@ -127,20 +149,26 @@
 		}
 		action := r.attempt(ctx, &decision, reserved)
 		reserved.release()
-		switch action {
-		case actionDone:
-			return
-		case actionFail:
-			r.fail(ctx, Failure{Code: UpstreamFailed, Reason: r.reason, RetryAfter: config.RetryAfter})
-			return
-		case actionBlocked:
-			r.failBlocked(ctx)
+		if r.finish(ctx, action) {
 			return
-		case actionRetry:
 		}
 	}
 }
 
+// finish ends the request unless it is to be placed again. It reports whether it has ended.
+func (r *requestHandler) finish(ctx context.Context, action nextAction) bool {
+	switch action {
+	case actionDone:
+	case actionFail:
+		r.fail(ctx, Failure{Code: UpstreamFailed, Reason: r.reason, RetryAfter: r.exchange.config.RetryAfter})
+	case actionBlocked:
+		r.failBlocked(ctx)
+	case actionRetry:
+		return false
+	}
+	return true
+}
+
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -96,8 +96,14 @@
 	r.avoid = append(r.avoid, decision.Lead.ID)
 	r.reason = "stream_broke_off"
 	r.logFailedAttempt(decision, err.Error(), reply.Status())
-	if watch.ctx.Err() == nil && isUpstreamEnd(err) {
+	switch {
+	case r.handedTo != "":
+		r.triedPeers = append(r.triedPeers, r.handedTo)
+		r.exchange.config.Handover.Refused(r.handedTo)
+	case watch.ctx.Err() == nil && isUpstreamEnd(err):
 		r.recordLostAttempt(ctx, decision)
+	case ctx.Err() == nil && !watch.blocked():
+		r.checkReach(ctx)
 	}
 	if (watch.blocked() || r.upstreamsEnded > 0) && r.isBlocked() {
 		return actionBlocked
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -33,6 +33,8 @@
 	handler  *requestHandler
 	decision *placement.Decision
 	ctx      context.Context
+	// timeout returns how long the next event, or the response of a plain service, may take.
+	timeout func() time.Duration
 	// cancelCause ends the attempt.
 	cancelCause context.CancelCauseFunc
 	mutex       sync.Mutex
@@ -42,7 +44,11 @@
 }
 
 func (r *requestHandler) newWatchdog(ctx context.Context, decision *placement.Decision) *watchdog {
-	w := &watchdog{handler: r, decision: decision}
+	return r.startWatchdog(ctx, decision, func() time.Duration { return r.upstreamTimeout(decision) })
+}
+
+func (r *requestHandler) startWatchdog(ctx context.Context, decision *placement.Decision, timeout func() time.Duration) *watchdog {
+	w := &watchdog{handler: r, decision: decision, timeout: timeout}
 	w.ctx, w.cancelCause = context.WithCancelCause(ctx)
 	if r.request.Route.Repeatable() && r.history.PossibleExecutions()+1 < r.request.Route.MaxAttempts {
 		w.lastEventAt = time.Now()
@@ -53,13 +59,15 @@
 	return w
 }
 
-// timeout returns how long the next event, or the response of a plain service, may take.
-func (w *watchdog) timeout() time.Duration {
-	if w.handler.request.Route.Kind != fleet.Stream {
-		return time.Duration(float64(w.handler.request.Route.LatencyTarget) * plainServiceFactor)
+// upstreamTimeout returns how long an upstream may take for the next event, or the response of a plain
+// service.
+func (r *requestHandler) upstreamTimeout(decision *placement.Decision) time.Duration {
+	if r.request.Route.Kind != fleet.Stream {
+		return time.Duration(float64(r.request.Route.LatencyTarget) * plainServiceFactor)
 	}
-	expected, responsive := w.handler.exchange.config.Scheduler.ExpectedEventDelay(w.decision)
-	if responsive {
+	expected, responsive := r.exchange.config.Scheduler.ExpectedEventDelay(decision)
+	// That the upstream answers polls of other nodes tells nothing if this one does not reach it.
+	if responsive && !r.cutOff() {
 		return busySlack + expectedFactor*expected
 	}
 	return unresponsiveSlack + expectedFactor*expected
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -94,6 +94,8 @@
 		return "the node was shutting down" + timeBeforeEnd(end, lastLine(lines, telemetry.LogNodeDraining)) + "; " + l.attemptState(lines)
 	case exchange.ReasonRequestBlocked:
 		return "upstreams end when they run it, or prompts with one of its parts, and it is blocked; " + l.attemptState(lines)
+	case exchange.ReasonCutOff:
+		return "the node reached no upstream of the service, and no other node took the request; " + l.attemptState(lines)
 	case exchange.ReasonRetryBudgetSpent:
 		return "the retry budget was spent; " + l.attemptState(lines)
 	}
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -120,6 +120,15 @@
 	return newConn(raw, address), nil
 }
 
+// Connects reports whether the peer accepts a new connection, which is kept for reuse.
+func (p *Pool) Connects(ctx context.Context, address string) bool {
+	conn, err := p.dial(ctx, address)
+	if err == nil {
+		p.Put(conn)
+	}
+	return err == nil
+}
+
 // Refuses reports whether the peer refuses new connections, like the address of a process that has
 // ended. It dials one, which is kept for reuse if the peer accepts it.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
