--- a/edge/handover.go
+++ b/edge/handover.go
@@ -13,6 +13,7 @@
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
 	"github.com/wigeontiller/wigeontiller/loadshare"
+	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/platform"
 	"github.com/wigeontiller/wigeontiller/reach"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -34,6 +35,7 @@
 	follower *follow.Follower
 	pool     *directhttp.Pool
 	sender   *platform.PeerSender
+	gate     *exchange.SchedulerRunner
 	// nodes returns the other nodes.
 	nodes   func() []loadshare.Node
 	regions map[string]string
@@ -47,9 +49,9 @@
 	rounds map[string]chan struct{}
 }
 
-func newHandover(settings *Settings, follower *follow.Follower, pool, peerPool *directhttp.Pool, nodes func() []loadshare.Node, logger zerolog.Logger, metrics *telemetry.Metrics) *handover {
+func newHandover(settings *Settings, follower *follow.Follower, gate *exchange.SchedulerRunner, pool, peerPool *directhttp.Pool, nodes func() []loadshare.Node, logger zerolog.Logger, metrics *telemetry.Metrics) *handover {
 	return &handover{
-		follower: follower, pool: pool, sender: platform.NewPeerSender(peerPool, peerIdleTime), nodes: nodes,
+		follower: follower, gate: gate, pool: pool, sender: platform.NewPeerSender(peerPool, peerIdleTime), nodes: nodes,
 		regions: settings.Regions, logger: logger, metrics: metrics, tracker: reach.NewTracker(),
 		peers:  reach.NewPeers(settings.Zone, settings.Regions[settings.Zone], rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rounds: map[string]chan struct{}{},
@@ -106,6 +108,9 @@
 		delete(h.rounds, service)
 		h.mutex.Unlock()
 		close(done)
+		if change != reach.Unchanged {
+			h.gate.Do(func(s *placement.Scheduler, now time.Duration) { s.SetReached(now, service, change == reach.Regained) })
+		}
 		switch change {
 		case reach.Lost:
 			h.logger.Warn().Str("service", service).Int("dialed", dialed).Msg(telemetry.LogCutOff)
--- a/edge/node.go
+++ b/edge/node.go
@@ -155,7 +155,7 @@
 	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	n.control = directhttp.NewPool(dialTimeout, nil)
-	n.handover = newHandover(settings, n.follower, n.pool, directhttp.NewPool(peerDialTimeout, nil), n.agent.Peers, n.logger, n.metrics)
+	n.handover = newHandover(settings, n.follower, n.gate, n.pool, directhttp.NewPool(peerDialTimeout, nil), n.agent.Peers, n.logger, n.metrics)
 	n.exchange = exchange.New(exchange.Config{
 		Scheduler: n.gate, Retries: n.retries, Quarantine: n.quarantine, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
 		Handover: n.handover,
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -32,7 +32,7 @@
 		update.AddedPrefillMs = l.unpublishedMs
 		update.SpeedFactor, update.Unattributed = l.unpublishedSpeedFactor, l.unattributed
 		l.unpublishedMs, l.unpublishedSpeedFactor = 0, 0
-		if now < l.avoidUntil && l.avoidedByOwnAttempt {
+		if now < l.avoidUntil && l.avoidedByOwnAttempt && !s.unreached[l.entry.Service] {
 			update.AvoidFor = l.avoidUntil - now
 		}
 		if l.leavingUnpublished || l.pausedUnpublished > now {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -143,6 +143,8 @@
 	pauseTargets map[string]float64
 	// holds are by the upstream's ID.
 	holds map[string]*hold
+	// unreached holds the services whose upstreams this node does not reach.
+	unreached map[string]bool
 	// limits are by the upstream's incarnation.
 	limits map[uint32]*knownLimit
 }
@@ -154,7 +156,7 @@
 	}
 	return &Scheduler{
 		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
-		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{},
+		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, unreached: map[string]bool{},
 	}
 }
 
