A connection survives an upstream that is silent for two seconds

Now the time in which the probes give up, 3 s. Callers, store and own interface set no such option; the nodes' hand-over uses the same pool. The test reads the socket's options and failed before.

--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -31,14 +31,14 @@
 )
 
 const (
-	// unackedTimeout ends a connection whose bytes are not acknowledged; it leaves
-	// time for some retransmissions on a lossy link.
-	unackedTimeout = 1500 * time.Millisecond
 	// probeIdle, probeInterval and probeCount end the connection to an unresponsive
 	// peer within 3 s.
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
+	// unackedTimeout ends a connection whose bytes are not acknowledged. It also ends the
+	// probing, so that a shorter one would end connections to peers that are silent for a second.
+	unackedTimeout = probeIdle + probeCount*probeInterval
 	// maxIdlePerAddress is the maximum number of idle connections to one peer.
 	maxIdlePerAddress = 16
 	// readBufferBytes is the size of a connection's read buffer.
