The list of blocked requests is a package of its own

QuarantineRunner moves from exchange to blocklist, and the identity of requests to quarantine, so that the own interface can use both. No change of behaviour.

--- a/exchange/quarantine_runner.go
+++ b/blocklist/blocklist.go
@@ -1,8 +1,13 @@
-package exchange
+// Package blocklist says which requests must not be sent because they crash upstreams: it runs a
+// quarantine.Tracker for concurrent requests.
+//
+// Lock order: Blocklist.mutex is a leaf.
+package blocklist
 
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -12,9 +17,8 @@
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
-// QuarantineRunner runs the tracker of features that crash upstreams for concurrent requests: it holds
-// the lock and the clock, and logs each block.
-type QuarantineRunner struct {
+// Blocklist holds the lock and the clock of a tracker, and logs each block. It is safe for concurrent use.
+type Blocklist struct {
 	mutex   sync.Mutex
 	tracker *quarantine.Tracker
 	clock   func() time.Duration
@@ -41,44 +45,44 @@
 	cancel   func()
 }
 
-// NewQuarantineRunner returns a runner without evidence.
-func NewQuarantineRunner(clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics, onEvidence func()) *QuarantineRunner {
-	return &QuarantineRunner{
+// New returns a list without evidence.
+func New(clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics, onEvidence func()) *Blocklist {
+	return &Blocklist{
 		tracker: quarantine.New(), clock: clock, logger: logger, metrics: metrics, onEvidence: onEvidence, Trial: func(*quarantine.Block) {},
 		running: map[*blockableAttempt]struct{}{}, granted: map[string]time.Duration{}, changed: make(chan struct{}, 1),
 	}
 }
 
 // Blocking returns the block that forbids to send a request with the features, or nil.
-func (q *QuarantineRunner) Blocking(features []uint64) *quarantine.Block {
+func (b *Blocklist) Blocking(features []uint64) *quarantine.Block {
 	if len(features) == 0 {
 		return nil
 	}
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return q.tracker.Blocking(q.clock(), features)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tracker.Blocking(b.clock(), features)
 }
 
 // RetryAfter returns the time until a request that the block covers may be served again.
-func (q *QuarantineRunner) RetryAfter(block *quarantine.Block) time.Duration {
-	return block.RetryAfter(q.clock())
+func (b *Blocklist) RetryAfter(block *quarantine.Block) time.Duration {
+	return block.RetryAfter(b.clock())
 }
 
 // TakeTrial reports whether this request may be sent although it is blocked, and takes the grant. If
 // a trial is due and not granted, it asks for it.
-func (q *QuarantineRunner) TakeTrial(block *quarantine.Block) bool {
-	q.mutex.Lock()
-	now := q.clock()
-	until, granted := q.granted[block.Key]
-	delete(q.granted, block.Key)
+func (b *Blocklist) TakeTrial(block *quarantine.Block) bool {
+	b.mutex.Lock()
+	now := b.clock()
+	until, granted := b.granted[block.Key]
+	delete(b.granted, block.Key)
 	due := block.TrialDue(now)
-	q.mutex.Unlock()
+	b.mutex.Unlock()
 	if granted && now < until {
-		q.logger.Info().Str("block", block.Key).Msg(telemetry.LogTrialSent)
+		b.logger.Info().Str("block", block.Key).Msg(telemetry.LogTrialSent)
 		return true
 	}
 	if due {
-		q.Trial(block)
+		b.Trial(block)
 	}
 	return false
 }
@@ -87,21 +91,21 @@
 const trialValidity = 10 * time.Second
 
 // GrantTrial lets one blocked request pass.
-func (q *QuarantineRunner) GrantTrial(key string) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	now := q.clock()
-	maps.DeleteFunc(q.granted, func(_ string, until time.Duration) bool { return now >= until })
-	q.granted[key] = now + trialValidity
+func (b *Blocklist) GrantTrial(key string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.clock()
+	maps.DeleteFunc(b.granted, func(_ string, until time.Duration) bool { return now >= until })
+	b.granted[key] = now + trialValidity
 }
 
 // RecordEnd records that an upstream ended under an attempt, and when that was sent and cut.
-func (q *QuarantineRunner) RecordEnd(upstream, attempt string, features []uint64, sent, ended time.Time) {
+func (b *Blocklist) RecordEnd(upstream, attempt string, features []uint64, sent, ended time.Time) {
 	if len(features) == 0 {
 		return
 	}
-	q.update(func(now time.Duration) bool {
-		q.tracker.RecordEnd(now, quarantine.End{
+	b.update(func(now time.Duration) bool {
+		b.tracker.RecordEnd(now, quarantine.End{
 			Engine: quarantine.Hash(upstream), Attempt: quarantine.Hash(attempt), Features: features, SentAt: now - time.Since(sent), At: now - time.Since(ended),
 		})
 		return true
@@ -109,18 +113,18 @@
 }
 
 // RecordAnswer records that an upstream outlived, at a time, a request with the features.
-func (q *QuarantineRunner) RecordAnswer(features []uint64, at time.Time) {
+func (b *Blocklist) RecordAnswer(features []uint64, at time.Time) {
 	if len(features) == 0 {
 		return
 	}
-	q.update(func(now time.Duration) bool {
-		before := q.tracker.Blocks()
-		if !q.tracker.RecordAnswer(now, features, now-time.Since(at)) {
+	b.update(func(now time.Duration) bool {
+		before := b.tracker.Blocks()
+		if !b.tracker.RecordAnswer(now, features, now-time.Since(at)) {
 			return false
 		}
 		for _, block := range before {
-			if !slices.ContainsFunc(q.tracker.Blocks(), func(b *quarantine.Block) bool { return b.Key == block.Key }) {
-				q.released = append(q.released, block.Key)
+			if !slices.ContainsFunc(b.tracker.Blocks(), func(other *quarantine.Block) bool { return other.Key == block.Key }) {
+				b.released = append(b.released, block.Key)
 			}
 		}
 		return true
@@ -128,45 +132,45 @@
 }
 
 // Apply merges evidence of another node.
-func (q *QuarantineRunner) Apply(evidence *quarantine.Evidence, forward bool) {
-	q.update(func(now time.Duration) bool { return q.tracker.Apply(now, evidence, forward) && q.tracker.HasUnsent() })
+func (b *Blocklist) Apply(evidence *quarantine.Evidence, forward bool) {
+	b.update(func(now time.Duration) bool { return b.tracker.Apply(now, evidence, forward) && b.tracker.HasUnsent() })
 }
 
 // Evidence returns the evidence to send.
-func (q *QuarantineRunner) Evidence(scope quarantine.Scope) quarantine.Evidence {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	if !q.tracker.Suspects() || scope == quarantine.Unsent && !q.tracker.HasUnsent() {
+func (b *Blocklist) Evidence(scope quarantine.Scope) quarantine.Evidence {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if !b.tracker.Suspects() || scope == quarantine.Unsent && !b.tracker.HasUnsent() {
 		return quarantine.Evidence{}
 	}
-	return q.tracker.Evidence(q.clock(), scope)
+	return b.tracker.Evidence(b.clock(), scope)
 }
 
 // OwnBlocks returns the blocks whose last witness this node saw, with times relative to now.
-func (q *QuarantineRunner) OwnBlocks() []quarantine.Block {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
+func (b *Blocklist) OwnBlocks() []quarantine.Block {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	var own []quarantine.Block
-	for _, block := range q.tracker.Blocks() {
+	for _, block := range b.tracker.Blocks() {
 		if block.OwnLast {
-			own = append(own, quarantine.Block{Key: block.Key, Features: block.Features, Witnesses: q.Witnesses(block)})
+			own = append(own, quarantine.Block{Key: block.Key, Features: block.Features, Witnesses: b.Witnesses(block)})
 		}
 	}
 	return own
 }
 
 // HasBlock reports whether a block is in force.
-func (q *QuarantineRunner) HasBlock(key string) bool {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return slices.ContainsFunc(q.tracker.Blocks(), func(b *quarantine.Block) bool { return b.Key == key })
+func (b *Blocklist) HasBlock(key string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.ContainsFunc(b.tracker.Blocks(), func(block *quarantine.Block) bool { return block.Key == key })
 }
 
 // Witnesses returns the witnesses of a block, with times relative to now and without the features
 // that the block leaves out.
-func (q *QuarantineRunner) Witnesses(block *quarantine.Block) []quarantine.End {
+func (b *Blocklist) Witnesses(block *quarantine.Block) []quarantine.End {
 	evidence := quarantine.Evidence{Ends: slices.Clone(block.Witnesses)}
-	evidence.Shift(-q.clock())
+	evidence.Shift(-b.clock())
 	for i := range evidence.Ends {
 		evidence.Ends[i].Features = block.Features
 	}
@@ -175,51 +179,51 @@
 
 // TakeReleased returns the keys of the blocks that an answer to this node has ended since the last
 // call.
-func (q *QuarantineRunner) TakeReleased() []string {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	released := q.released
-	q.released = nil
+func (b *Blocklist) TakeReleased() []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	released := b.released
+	b.released = nil
 	return released
 }
 
 // Changed is signaled when blocks began or ended.
-func (q *QuarantineRunner) Changed() <-chan struct{} { return q.changed }
+func (b *Blocklist) Changed() <-chan struct{} { return b.changed }
 
 // update changes the evidence, logs the blocks that begin and end, and cancels the attempts that a
 // new block covers. change reports whether there is evidence to send to other nodes.
-func (q *QuarantineRunner) update(change func(now time.Duration) bool) {
-	q.mutex.Lock()
-	now := q.clock()
-	before := q.tracker.Blocks()
+func (b *Blocklist) update(change func(now time.Duration) bool) {
+	b.mutex.Lock()
+	now := b.clock()
+	before := b.tracker.Blocks()
 	send := change(now)
-	after := q.tracker.Blocks()
+	after := b.tracker.Blocks()
 	var cancel []func()
-	changed := q.logChanges(now, before, after)
+	changed := b.logChanges(now, before, after)
 	if changed {
-		for attempt := range q.running {
-			if q.tracker.Blocking(now, attempt.features) != nil {
+		for attempt := range b.running {
+			if b.tracker.Blocking(now, attempt.features) != nil {
 				cancel = append(cancel, attempt.cancel)
 			}
 		}
 	}
-	q.mutex.Unlock()
+	b.mutex.Unlock()
 	for _, f := range cancel {
 		f()
 	}
 	if changed {
 		select {
-		case q.changed <- struct{}{}:
+		case b.changed <- struct{}{}:
 		default:
 		}
 	}
 	if send {
-		q.onEvidence()
+		b.onEvidence()
 	}
 }
 
 // logChanges logs the blocks that differ and reports whether there are any; the mutex is held.
-func (q *QuarantineRunner) logChanges(now time.Duration, before, after []*quarantine.Block) bool {
+func (b *Blocklist) logChanges(now time.Duration, before, after []*quarantine.Block) bool {
 	changed := false
 	known := make(map[string]int, len(before))
 	for _, block := range before {
@@ -232,29 +236,41 @@
 			continue
 		}
 		changed = true
-		q.logger.Warn().Str("block", block.Key).Strs("features", formatFeatures(block.Features)).Int("upstreams_ended", len(block.Witnesses)).
+		b.logger.Warn().Str("block", block.Key).Strs("features", FormatFeatures(block.Features)).Int("upstreams_ended", len(block.Witnesses)).
 			Dur("last_end_age_ms", now-block.LastEnd()).Dur("next_trial_ms", block.RetryAfter(now)).Msg(telemetry.LogRequestsBlocked)
 	}
 	for key := range known {
 		changed = true
-		q.logger.Info().Str("block", key).Msg(telemetry.LogRequestsReleased)
+		b.logger.Info().Str("block", key).Msg(telemetry.LogRequestsReleased)
 	}
-	q.metrics.Gauge("wigeontiller_blocked_prompt_parts", int64(len(after)))
+	b.metrics.Gauge("wigeontiller_blocked_prompt_parts", int64(len(after)))
 	return changed
 }
 
-// watch calls cancel if the request of an attempt is blocked before the returned function is called.
-func (q *QuarantineRunner) watch(features []uint64, cancel func()) (stop func()) {
+// Watch calls cancel if the request of an attempt is blocked before the returned function is called.
+func (b *Blocklist) Watch(features []uint64, cancel func()) (stop func()) {
 	if len(features) == 0 {
 		return func() {}
 	}
 	attempt := &blockableAttempt{features: features, cancel: cancel}
-	q.mutex.Lock()
-	q.running[attempt] = struct{}{}
-	q.mutex.Unlock()
+	b.mutex.Lock()
+	b.running[attempt] = struct{}{}
+	b.mutex.Unlock()
 	return func() {
-		q.mutex.Lock()
-		delete(q.running, attempt)
-		q.mutex.Unlock()
+		b.mutex.Lock()
+		delete(b.running, attempt)
+		b.mutex.Unlock()
 	}
 }
+
+// maxLoggedFeatures bounds the features in a log line.
+const maxLoggedFeatures = 16
+
+// FormatFeatures returns the first maxLoggedFeatures features, or parts of a prompt, in hexadecimal.
+func FormatFeatures(features []uint64) []string {
+	list := make([]string, min(len(features), maxLoggedFeatures))
+	for i := range list {
+		list[i] = strconv.FormatUint(features[i], 16)
+	}
+	return list
+}
--- a/edge/blocks.go
+++ b/edge/blocks.go
@@ -8,7 +8,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/wigeontiller/wigeontiller/exchange"
+	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
@@ -36,7 +36,7 @@
 // that an answer to it has ended, and claims trials.
 type blockSynchronizer struct {
 	store  BlockStore
-	runner *exchange.QuarantineRunner
+	runner *blocklist.Blocklist
 	// isOwner reports whether this node claims the trials of a block.
 	isOwner func(id, zone string) bool
 	logger  zerolog.Logger
@@ -50,7 +50,7 @@
 	claimedAt map[string]time.Time
 }
 
-func newBlockSynchronizer(store BlockStore, runner *exchange.QuarantineRunner, isOwner func(id, zone string) bool, logger zerolog.Logger) *blockSynchronizer {
+func newBlockSynchronizer(store BlockStore, runner *blocklist.Blocklist, isOwner func(id, zone string) bool, logger zerolog.Logger) *blockSynchronizer {
 	b := &blockSynchronizer{store: store, runner: runner, isOwner: isOwner, logger: logger, stored: map[string]int{}, claimedAt: map[string]time.Time{}}
 	runner.Trial = b.claimTrial
 	return b
--- a/edge/node.go
+++ b/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/exchange"
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
@@ -101,7 +102,7 @@
 	follower   *follow.Follower
 	gate       *exchange.SchedulerRunner
 	retries    *exchange.RetryBudget
-	quarantine *exchange.QuarantineRunner
+	quarantine *blocklist.Blocklist
 	agent      *loadshare.Agent
 	pool       *directhttp.Pool
 	// control carries polls and orders to upstreams.
@@ -135,7 +136,7 @@
 		SenderRank:     func(id, zone string) (rank, nodes int) { return n.agent.SenderRank(id, zone) }, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.gate = exchange.NewSchedulerRunner(scheduler, bootClock, func() { n.agent.ScheduleFlush() })
-	n.quarantine = exchange.NewQuarantineRunner(bootClock, n.logger, n.metrics, func() { n.agent.ScheduleFlush() })
+	n.quarantine = blocklist.New(bootClock, n.logger, n.metrics, func() { n.agent.ScheduleFlush() })
 	n.retries = &exchange.RetryBudget{Ratio: settings.RetryRatio, Extra: settings.RetryExtra, Window: seconds(settings.RetryWindowSeconds)}
 	address, err := settings.peerAddress()
 	if err != nil {
--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -120,18 +120,6 @@
 	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
 		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
-		Strs("prompt_parts", formatFeatures(r.request.PromptParts)).Str("error", cause).
+		Strs("prompt_parts", blocklist.FormatFeatures(r.request.PromptParts)).Str("error", cause).
 		Dur("taken_ms", time.Since(r.attemptSent)).Msg(telemetry.LogAttemptFailed)
 }
-
-// maxLoggedFeatures bounds the features, and parts of a prompt, in a log line.
-const maxLoggedFeatures = 16
-
-// formatFeatures returns the first maxLoggedFeatures features, or parts of a prompt, in hexadecimal.
-func formatFeatures(features []uint64) []string {
-	list := make([]string, min(len(features), maxLoggedFeatures))
-	for i := range list {
-		list[i] = strconv.FormatUint(features[i], 16)
-	}
-	return list
-}
--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -25,6 +25,15 @@
 // distant data centres. A retry waits for it.
 const endProbeTimeout = 150 * time.Millisecond
 
+// partFeatures are those of the parts of the request's prompt.
+func (r *Request) partFeatures() []uint64 {
+	features := make([]uint64, len(r.PromptParts))
+	for i, part := range r.PromptParts {
+		features[i] = quarantine.PartFeature(part)
+	}
+	return features
+}
+
 // isBlocked reports whether the request must not be sent, or sent again, because it crashes upstreams,
 // and keeps the block. The first call that finds a granted trial takes it.
 func (r *requestHandler) isBlocked() bool {
@@ -55,7 +64,7 @@
 func (r *requestHandler) watchForBlock(watch *watchdog) {
 	r.stopBlockWatch = func() {}
 	if !r.isTrial && (r.request.Route.Kind == fleet.Stream || r.request.Route.Repeatable()) {
-		r.stopBlockWatch = r.exchange.config.Quarantine.watch(r.features, func() { watch.cancelCause(errRequestBlocked) })
+		r.stopBlockWatch = r.exchange.config.Quarantine.Watch(r.features, func() { watch.cancelCause(errRequestBlocked) })
 	}
 }
 
@@ -92,7 +101,7 @@
 // upstream may fail before it runs the request.
 func (r *requestHandler) recordWholeResponse(status int) {
 	if status < 500 {
-		r.exchange.config.Quarantine.RecordAnswer(r.request.Identity.features(), time.Now())
+		r.exchange.config.Quarantine.RecordAnswer(r.request.Identity.Features(), time.Now())
 	}
 }
 
@@ -127,7 +136,7 @@
 		Dur("ran_ms", lostAt.Sub(r.attemptSent)).Bool("process_ended", ended).Msg(telemetry.LogAttemptLost)
 	if ended {
 		r.exchange.config.Metrics.Count("wigeontiller_attempts_lost_with_their_upstream_total", 1)
-		features = append(features, r.request.Identity.features()...)
+		features = append(features, r.request.Identity.Features()...)
 	}
 	if ended || r.request.Route.Kind == fleet.Stream && r.headerReceived {
 		r.upstreamsEnded++
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -5,7 +5,7 @@
 // executed, and when a response is complete.
 //
 // Lock order: SchedulerRunner.mutex before loadshare.Agent.mutex, which the scheduler takes for the
-// order of senders; QuarantineRunner.mutex is a leaf.
+// order of senders; Blocklist.mutex is a leaf.
 package exchange
 
 import (
@@ -17,9 +17,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
 	"github.com/wigeontiller/wigeontiller/placement"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 	"github.com/wigeontiller/wigeontiller/retry"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -51,7 +53,7 @@
 	// PromptParts identify the parts of the prompt that other requests may share, in order. The
 	// last part, which belongs to the request itself, is left out.
 	PromptParts []uint64
-	Identity    Identity
+	Identity    quarantine.Identity
 	// After is the number of the last event that the caller has received; 0 is none.
 	After int64
 	// Encoded is the front end's form of the request, which the Sender reads.
@@ -182,7 +184,7 @@
 	Scheduler *SchedulerRunner
 	Retries   *RetryBudget
 	// Quarantine knows the features of requests that crash upstreams.
-	Quarantine *QuarantineRunner
+	Quarantine *blocklist.Blocklist
 	Sender     Sender
 	// Handover hands requests over to other nodes; nil is never.
 	Handover Handover
@@ -256,7 +258,7 @@
 func (e *Exchange) newHandler(request *Request, writer ResponseWriter) *requestHandler {
 	rules := retry.Rules{Repeatable: request.Route.Repeatable(), MaxExecutions: request.Route.MaxAttempts}
 	r := &requestHandler{exchange: e, request: request, history: retry.NewHistory(rules), lastEventNumber: request.After}
-	r.features = append(request.partFeatures(), request.Identity.features()...)
+	r.features = append(request.partFeatures(), request.Identity.Features()...)
 	r.writer = &singleResponse{ResponseWriter: writer, handler: r}
 	return r
 }
--- a/exchange/identity.go
+++ b/quarantine/identity.go
@@ -1,12 +1,10 @@
-package exchange
+package quarantine
 
 import (
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
 	"strings"
-
-	"github.com/wigeontiller/wigeontiller/quarantine"
 )
 
 // Identity holds digests of a request that are the same at all nodes. They are cryptographic, so that
@@ -47,24 +45,15 @@
 	return strconv.FormatUint(i.Whole, 16)
 }
 
-// features are those by which a request with the identity can be blocked. Requests that share only
+// Features are those by which a request with the identity can be blocked. Requests that share only
 // Path may differ in what matters, so that it counts like a part of a prompt.
-func (i Identity) features() []uint64 {
+func (i Identity) Features() []uint64 {
 	var features []uint64
 	if i.Whole != 0 {
-		features = append(features, quarantine.RequestFeature(i.Whole))
+		features = append(features, RequestFeature(i.Whole))
 	}
 	if i.Path != 0 {
-		features = append(features, quarantine.PartFeature(i.Path))
-	}
-	return features
-}
-
-// partFeatures are those of the parts of the request's prompt.
-func (r *Request) partFeatures() []uint64 {
-	features := make([]uint64, len(r.PromptParts))
-	for i, part := range r.PromptParts {
-		features[i] = quarantine.PartFeature(part)
+		features = append(features, PartFeature(i.Path))
 	}
 	return features
 }
--- a/exchange/identity_test.go
+++ b/quarantine/identity_test.go
@@ -1,4 +1,4 @@
-package exchange
+package quarantine
 
 import (
 	"testing"
@@ -39,3 +39,16 @@
 		seen[other.Whole] = true
 	}
 }
+
+// BenchmarkIdentity measures the digest of a request.
+func BenchmarkIdentity(b *testing.B) {
+	for name, size := range map[string]int{"1KB": 1 << 10, "1MB": 1 << 20} {
+		b.Run(name, func(b *testing.B) {
+			body := make([]byte, size)
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				NewIdentity("POST", "h.example", "/a/b?c=d", "works", "", body)
+			}
+		})
+	}
+}
