--- a/entry/attempts.go
+++ b/entry/attempts.go
@@ -56,7 +56,11 @@
 	history := retry.NewHistory(retry.Rules{
 		Repeatable: accepted.idempotent, MaxExecutions: accepted.request.Plan.Document.Retry.MaxAttempts,
 	})
+	watch := newCrashWatch(accepted)
 	for {
+		if failure := s.blockedFailure(watch, &history); failure != nil {
+			return nil, failure
+		}
 		placement, err := s.place(ctx, accepted)
 		if err != nil {
 			return nil, placementFailure(err, executionOf(&history))
@@ -65,8 +69,10 @@
 			placement.Finish(scheduling.Outcome{Abandoned: true})
 			return nil, attemptFailure(ctx, executionOf(&history))
 		}
-		response, err := s.sendAttempt(ctx, accepted, placement)
+		attemptID, sentAt := uuid.NewString(), time.Now()
+		response, err := s.sendAttempt(ctx, accepted, placement, attemptID)
 		if err == nil {
+			s.recordAnswer(watch, response.reply.Status)
 			return response, nil
 		}
 		if errors.Is(err, upstream.ErrRefused) {
@@ -77,6 +83,9 @@
 		}
 		if errors.Is(err, upstream.ErrIncomplete) {
 			history.RecordMayHaveRun()
+			if ctx.Err() == nil {
+				s.recordLostAttempt(ctx, watch, placement, attemptID, sentAt)
+			}
 		}
 		if ctx.Err() != nil || !history.MayRetry() || !s.config.Dispatcher.MayRetry(accepted.request) {
 			return nil, attemptFailure(ctx, executionOf(&history))
@@ -122,7 +131,7 @@
 }
 
 // sendAttempt sends the call once. It finishes the placement unless it returns a response.
-func (s *Server) sendAttempt(ctx context.Context, accepted *call, placement *dispatch.Placement) (*upstreamResponse, error) {
+func (s *Server) sendAttempt(ctx context.Context, accepted *call, placement *dispatch.Placement, attemptID string) (*upstreamResponse, error) {
 	ctx, span := s.config.Tracer.Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("upstream", placement.Upstream.ID)))
 	defer span.End()
@@ -132,7 +141,7 @@
 		setKVEngines(accepted.header, placement)
 	}
 	attempt := &upstream.Attempt{
-		ID:       uuid.NewString(),
+		ID:       attemptID,
 		Address:  placement.Upstream.Address,
 		Method:   accepted.method,
 		Path:     accepted.path,
--- a/entry/claim_random_test.go
+++ b/entry/claim_random_test.go
@@ -147,9 +147,16 @@
 
 func (discardLogger) Printf(string, ...any) {}
 
-// newTestServer returns a node that uses a platform and has one service at address.
-func newTestServer(t *testing.T, store storage.Platform, address string) *Server {
+// newTestServer returns a node that uses a platform and has one service at the addresses; one address is that of two upstreams.
+func newTestServer(t *testing.T, store storage.Platform, addresses ...string) *Server {
 	t.Helper()
+	if len(addresses) == 1 {
+		addresses = append(addresses, addresses[0])
+	}
+	var endpoints []string
+	for i, address := range addresses {
+		endpoints = append(endpoints, fmt.Sprintf("{name: e%d, data_centre: dc, address: %q, slots: 1000}", i, address))
+	}
 	text := fmt.Sprintf(`name: works
 organisations: [{name: dock, key_digests: ["%s"]}]
 length_classes: [{name: short, max_prompt_tokens: 1000, deadline: 20s}]
@@ -157,8 +164,8 @@
 services:
   - name: bookings
     side_effects: [{method: GET, path: /confirm}]
-    endpoints: [{name: one, data_centre: dc, address: %q, slots: 1000}, {name: two, data_centre: dc, address: %q, slots: 1000}]
-`, environment.KeyDigest(testKey), address, address)
+    endpoints: [%s]
+`, environment.KeyDigest(testKey), strings.Join(endpoints, ", "))
 	document, err := environment.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,9 +16,11 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/wigeontiller/wigeontiller/apierror"
+	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/claim/claimstore"
 	"github.com/wigeontiller/wigeontiller/dispatch"
 	"github.com/wigeontiller/wigeontiller/openconn"
+	"github.com/wigeontiller/wigeontiller/quarantine"
 	"github.com/wigeontiller/wigeontiller/resume"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 	"github.com/wigeontiller/wigeontiller/upstream"
@@ -69,8 +71,11 @@
 	callerConns openconn.Set
 	// activeAttempts holds the ID of each attempt that has not ended.
 	activeAttempts sync.Map
-	ctx            context.Context
-	stop           context.CancelFunc
+	// blocked holds the calls that crash upstreams. It is this node's own: nodes tell each other nothing
+	// of it, and each grants its trials itself.
+	blocked *blocklist.Blocklist
+	ctx     context.Context
+	stop    context.CancelFunc
 }
 
 // NewServer returns a server with its routes registered.
@@ -80,6 +85,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	server := &Server{config: config, ctx: ctx, stop: stop}
+	started := time.Now()
+	server.blocked = blocklist.New(func() time.Duration { return time.Since(started) }, config.Logger, config.Metrics, func() {})
+	server.blocked.Trial = func(block *quarantine.Block) { server.blocked.GrantTrial(block.Key) }
 	server.app = fiber.New(fiber.Config{
 		BodyLimit:             maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
