Fleets of processes under cuts, signals and kills

Seven processes with ways of their own to the upstreams, which refuse or reset: four of them cut, two of one zone, while a node that serves their requests is stopped and one is killed; and a seeded soak of overlapping, flapping cuts beside signals and outages of the store.

--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/standin/cutproxy"
 	"github.com/wigeontiller/wigeontiller/standin/fleetengine"
 	"github.com/wigeontiller/wigeontiller/standin/fleetstore"
 )
@@ -26,6 +27,10 @@
 	store   *fleetstore.Store
 	address string
 	engines []*fleetengine.Engine
+	// ownWays is true if each node has ways of its own to the upstreams, which can be cut.
+	ownWays bool
+	// upstreamAddresses are those of engines and apps.
+	upstreamAddresses []string
 	// apps are the upstreams of a plain service.
 	apps  []*fleetengine.Engine
 	mutex sync.Mutex
@@ -36,6 +41,8 @@
 
 type edgeNode struct {
 	*process
+	// ways are the node's ways to the upstreams.
+	ways                           []*cutproxy.Proxy
 	name, settings, callers, ready string
 }
 
@@ -45,8 +52,10 @@
 	contactTime = 3 * time.Second
 )
 
-func startEdgeFleet(t *testing.T) *edgeFleet {
-	f := &edgeFleet{t: t, store: fleetstore.New()}
+func startEdgeFleet(t *testing.T) *edgeFleet { return startFleet(t, false) }
+
+func startFleet(t *testing.T, ownWays bool) *edgeFleet {
+	f := &edgeFleet{t: t, store: fleetstore.New(), ownWays: ownWays}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -63,6 +72,10 @@
 				"name": "chat", "host": "h.example", "prefix": "/chat/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000,
 				"targetLatencyMs": 300, "maxAttempts": 2, "streamResume": true, "gapTargetMs": 250,
 			},
+			map[string]any{
+				"name": "book", "host": "h.example", "prefix": "/book/", "routeType": "unsafe", "service": "app", "timeoutMs": 5000,
+				"targetLatencyMs": 120, "maxAttempts": 2,
+			},
 			map[string]any{
 				"name": "look", "host": "h.example", "prefix": "/look/", "routeType": "safe", "service": "app", "timeoutMs": 5000,
 				"targetLatencyMs": 120, "maxAttempts": 2,
@@ -95,6 +108,7 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(server.Close)
+	f.upstreamAddresses = append(f.upstreamAddresses, server.Address())
 	register := func() {
 		f.store.Put("servers", engine.ID, map[string]any{
 			"service": service, "address": server.Address(), "zone": fmt.Sprintf("z%d", i%edgeZones), "slots": 16, "state": "ready",
@@ -108,6 +122,10 @@
 
 func (f *edgeFleet) newNode(i int) *edgeNode {
 	n := &edgeNode{name: fmt.Sprintf("edge-%d", i), callers: freeAddress(f.t), ready: freeAddress(f.t)}
+	store := f.address
+	if f.ownWays {
+		store = f.startView(n)
+	}
 	_, port, err := net.SplitHostPort(freeAddress(f.t))
 	if err != nil {
 		f.t.Fatal(err)
@@ -127,13 +145,38 @@
 retry_window_seconds: 10
 retry_extra: 100
 warm_overshoot: 1.5
-`, n.name, i%edgeZones, n.callers, n.ready, port, f.address)
+`, n.name, i%edgeZones, n.callers, n.ready, port, store)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	return n
 }
 
+// startView starts the store as a node sees it, with ways of its own to the upstreams, and returns its address.
+func (f *edgeFleet) startView(n *edgeNode) string {
+	ways := map[string]string{}
+	for _, upstream := range f.upstreamAddresses {
+		way, err := cutproxy.Start(upstream)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(way.Close)
+		n.ways, ways[upstream] = append(n.ways, way), way.Address()
+	}
+	server := httptest.NewServer(f.store.View(func(of string) string { return ways[of] }))
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (n *edgeNode) cut(mode cutproxy.Mode) {
+	for _, way := range n.ways {
+		way.Set(mode)
+	}
+}
+
 // startNode starts a node's process, or starts it again.
 func (f *edgeFleet) startNode(i int) {
 	f.t.Helper()
@@ -178,10 +221,12 @@
 }
 
 // look sends a request of a safe route with this last element of its path to a node.
-func (f *edgeFleet) look(node int, name string) reply {
+func (f *edgeFleet) look(node int, name string) reply { return f.plain(node, "look", name) }
+
+func (f *edgeFleet) plain(node int, route, name string) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	return call(ctx, http.MethodPost, "http://"+f.nodes[node%edgeNodes].callers+"/look/"+name, "body", map[string]string{
+	return call(ctx, http.MethodPost, "http://"+f.nodes[node%edgeNodes].callers+"/"+route+"/"+name, "body", map[string]string{
 		"Host": "h.example", "X-Attempt-Id": fmt.Sprintf("look%d", f.requests.Add(1)), "X-Deadline-Ms": "600",
 	})
 }
