A service that returns is used at once if no other node takes the request

When all upstreams of a service end, each node counts as cut off; after their return the first one to connect refused its requests for one more round, longer after a flap. TestServiceThatReturnsIsUsedAtOnceIfNoNodeServes failed before.

--- a/edge/handover.go
+++ b/edge/handover.go
@@ -65,6 +65,13 @@
 	return h.tracker.CutOff(service)
 }
 
+// Returning implements exchange.Handover.
+func (h *handover) Returning(service string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.tracker.Returning(service)
+}
+
 // Check implements exchange.Handover.
 func (h *handover) Check(ctx context.Context, service string) {
 	h.mutex.Lock()
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -45,6 +45,8 @@
 type Handover interface {
 	// CutOff reports whether this node connects to no upstream of a service.
 	CutOff(service string) bool
+	// Returning reports whether a service that the node is cut off from could be reached a moment ago.
+	Returning(service string) bool
 	// Check finds out whether it does, because of a failure, and waits for that until the context ends.
 	Check(ctx context.Context, service string)
 	// Send hands the request to a node that is not in tried and returns its name. Errors: ErrNoPeer,
@@ -196,6 +198,7 @@
 type noHandover struct{}
 
 func (noHandover) CutOff(string) bool            { return false }
+func (noHandover) Returning(string) bool         { return false }
 func (noHandover) Check(context.Context, string) {}
 func (noHandover) Refused(string)                {}
 func (noHandover) Send(context.Context, *Attempt, []string) (PeerReply, string, error) {
--- a/exchange/handover_test.go
+++ b/exchange/handover_test.go
@@ -24,6 +24,7 @@
 	cutOff bool
 	// cutOffWhenChecked is true if a check finds out that the node is cut off.
 	cutOffWhenChecked bool
+	returning         bool
 	steps             []peerStep
 	attempts          []Attempt
 	tried             [][]string
@@ -36,6 +37,8 @@
 	return p.cutOff
 }
 
+func (p *fakePeers) Returning(string) bool { return p.returning }
+
 func (p *fakePeers) Check(context.Context, string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -137,6 +140,16 @@
 	is.Equal(len(f.sender.attempts), 0)
 }
 
+// TestServiceThatReturnsIsUsedAtOnceIfNoNodeServes guards against a service that comes back for all nodes,
+// each of which still counts as cut off.
+func TestServiceThatReturnsIsUsedAtOnceIfNoNodeServes(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, refusal(Unavailable, ReasonCutOff))
+	peers.returning = true
+	is.Equal(f.serve(t, f.request("unsafe")).status, 200)
+	is.Equal(len(f.sender.attempts), 1)
+}
+
 // TestRequestThatANodeMayHaveRunIsNotRepeated guards against a second run of a request that was handed
 // over to a node which then fell silent or failed.
 func TestRequestThatANodeMayHaveRunIsNotRepeated(t *testing.T) {
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -122,7 +122,7 @@
 				}
 				continue
 			}
-			if r.cutOff() {
+			if r.cutOff() && !r.exchange.config.Handover.Returning(r.service) {
 				r.fail(ctx, Failure{Code: Overloaded, Reason: ReasonCutOff, RetryAfter: config.RetryAfter})
 				return
 			}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -54,6 +54,13 @@
 	return s != nil && s.cutOff
 }
 
+// Returning reports whether the last round connected although the node still counts as cut off. A
+// request that no other node takes may then be sent.
+func (t *Tracker) Returning(name string) bool {
+	s := t.services[name]
+	return s != nil && s.cutOff && s.connected > 0
+}
+
 // MayDoubt reports whether a failure is to start a round.
 func (t *Tracker) MayDoubt(now time.Duration, name string) bool {
 	s := t.services[name]
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -39,8 +39,11 @@
 	tracker := NewTracker()
 	now := time.Minute
 	is.Equal(tracker.RecordRound(now, "app", false), Lost)
+	is.True(!tracker.Returning("app"))
 	is.Equal(tracker.RecordRound(now, "app", true), Unchanged)
+	is.True(tracker.Returning("app"))
 	is.Equal(tracker.RecordRound(now, "app", false), Unchanged) // begins anew
+	is.True(!tracker.Returning("app"))
 	is.Equal(regain(tracker, &now), minRegainRounds)
 	now += time.Second
 	is.Equal(tracker.RecordRound(now, "app", false), Lost)
