A silent upstream makes a node check its way

At 78 nodes, each with two requests a second, a cut node's first prompts waited until their callers left: its engine answered the polls of other nodes, so that it passed for busy, and nothing started a round. Silence for longer than an upstream takes that is not known to be busy now starts one, and a round dials one upstream first, which is enough where the node is not cut off. TestSilentUpstreamMakesNodeCheckItsWay failed before.

--- a/edge/handover.go
+++ b/edge/handover.go
@@ -23,6 +23,8 @@
 const (
 	// reachDialTimeout bounds the dials of one round: a round trip between distant data centres.
 	reachDialTimeout = 250 * time.Millisecond
+	// firstDialTimeout bounds the first dial of a round, before the others.
+	firstDialTimeout = 100 * time.Millisecond
 	// peerDialTimeout bounds the dialing of another node.
 	peerDialTimeout = 250 * time.Millisecond
 	// peerIdleTime bounds how long a connection to a node may have been idle when it is reused.
@@ -130,8 +132,8 @@
 	return done
 }
 
-// dial dials up to reach.MaxDials random upstreams of a service at the same time. Connections are kept
-// for reuse.
+// dial dials a random upstream of a service and, if that does not connect, up to reach.MaxDials - 1 others at
+// the same time. Connections are kept for reuse.
 func (h *handover) dial(service string) (dialed, connected int) {
 	var upstreams []*fleet.Upstream
 	for _, upstream := range h.follower.Current().Upstreams {
@@ -141,11 +143,17 @@
 	}
 	rand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
 	upstreams = upstreams[:min(len(upstreams), reach.MaxDials)]
+	if len(upstreams) == 0 {
+		return 0, 0
+	}
+	if h.connects(upstreams[0]) {
+		return 1, 1
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), reachDialTimeout)
 	defer cancel()
 	var group sync.WaitGroup
 	var reached atomic.Int64
-	for _, upstream := range upstreams {
+	for _, upstream := range upstreams[1:] {
 		group.Go(func() {
 			if h.pool.Connects(ctx, upstream.Address) {
 				reached.Add(1)
@@ -158,6 +166,13 @@
 	return len(upstreams), int(reached.Load())
 }
 
+// connects dials one upstream.
+func (h *handover) connects(upstream *fleet.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), firstDialTimeout)
+	defer cancel()
+	return h.pool.Connects(ctx, upstream.Address)
+}
+
 // Send implements exchange.Handover.
 func (h *handover) Send(ctx context.Context, attempt *exchange.Attempt, tried []string) (exchange.PeerReply, string, error) {
 	nodes := h.nodes()
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -191,7 +191,7 @@
 	if r.request.Route.Kind != fleet.Stream {
 		limit = time.Duration(float64(r.request.Route.LatencyTarget) * peerLatencyFactor)
 	}
-	return r.startWatchdog(ctx, decision, func() time.Duration { return limit })
+	return r.startWatchdog(ctx, decision, true, func() time.Duration { return limit })
 }
 
 // noHandover is the Handover of a node without others.
--- a/exchange/handover_test.go
+++ b/exchange/handover_test.go
@@ -248,3 +248,25 @@
 	is.Equal(got.failure.Code, UpstreamFailed)
 	is.True(time.Since(started) < 300*time.Millisecond)
 }
+
+// TestSilentUpstreamMakesNodeCheckItsWay guards against a node with few requests that does not find out that it
+// is cut off, as a busy upstream may be silent for longer than its callers wait.
+func TestSilentUpstreamMakesNodeCheckItsWay(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, peerStep{attemptStep: answeredAttempt}, servedByPeer)
+	peers.cutOff, peers.cutOffWhenChecked = false, true
+	f.sender.steps = []attemptStep{{hang: true}}
+	started := time.Now()
+	got := f.serve(t, f.request("stream"))
+	is.True(got.ended)
+	is.True(time.Since(started) < 2*unresponsiveSlack)
+	// One that must not be repeated goes on, and is what tells the node.
+	peers.mutex.Lock()
+	peers.cutOff = false
+	peers.mutex.Unlock()
+	f.sender.steps = []attemptStep{{hang: true}}
+	request := f.request("unsafe")
+	request.Deadline = time.Now().Add(time.Second)
+	is.Equal(f.serve(t, request).failure.Code, Expired)
+	is.True(peers.CutOff(""))
+}
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -24,6 +24,9 @@
 	plainServiceFactor = 1.5
 	// minRecheckInterval is the minimum time between two checks.
 	minRecheckInterval = 50 * time.Millisecond
+	// recheckInterval is the maximum time between two checks during a long silence: what is known of this
+	// node's way to the upstreams may have changed.
+	recheckInterval = 150 * time.Millisecond
 )
 
 // watchdog cancels an attempt whose upstream is unresponsive if the request may continue
@@ -37,28 +40,43 @@
 	timeout func() time.Duration
 	// cancelCause ends the attempt.
 	cancelCause context.CancelCauseFunc
-	mutex       sync.Mutex
-	timer       *time.Timer
+	// ofPeer is true if another node serves the request, which watches the upstream.
+	ofPeer bool
+	// mayCancel is true if the request may continue on another upstream.
+	mayCancel bool
+	mutex     sync.Mutex
+	timer     *time.Timer
+	// doubted is true after the silence since the last event has led to a check of this node's way to the
+	// upstreams.
+	doubted bool
 	// lastEventAt is when the last event arrived, or when the attempt started.
 	lastEventAt time.Time
 }
 
 func (r *requestHandler) newWatchdog(ctx context.Context, decision *placement.Decision) *watchdog {
-	return r.startWatchdog(ctx, decision, func() time.Duration { return r.upstreamTimeout(decision) })
+	return r.startWatchdog(ctx, decision, false, func() time.Duration { return r.upstreamTimeout(decision) })
 }
 
-func (r *requestHandler) startWatchdog(ctx context.Context, decision *placement.Decision, timeout func() time.Duration) *watchdog {
-	w := &watchdog{handler: r, decision: decision, timeout: timeout}
+func (r *requestHandler) startWatchdog(ctx context.Context, decision *placement.Decision, ofPeer bool, timeout func() time.Duration) *watchdog {
+	w := &watchdog{handler: r, decision: decision, ofPeer: ofPeer, timeout: timeout, lastEventAt: time.Now()}
 	w.ctx, w.cancelCause = context.WithCancelCause(ctx)
-	if r.request.Route.Repeatable() && r.history.PossibleExecutions()+1 < r.request.Route.MaxAttempts {
-		w.lastEventAt = time.Now()
-		w.mutex.Lock()
-		w.timer = time.AfterFunc(w.timeout(), w.check)
-		w.mutex.Unlock()
-	}
+	w.mayCancel = r.request.Route.Repeatable() && r.history.PossibleExecutions()+1 < r.request.Route.MaxAttempts
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.timer = time.AfterFunc(min(w.timeout(), w.doubtTime()), w.check)
 	return w
 }
 
+// doubtTime is the silence after which this node checks whether it reaches upstreams at all: the time in
+// which an upstream that is not known to be busy answers.
+func (w *watchdog) doubtTime() time.Duration {
+	if w.handler.request.Route.Kind != fleet.Stream {
+		return w.timeout()
+	}
+	expected, _ := w.handler.exchange.config.Scheduler.ExpectedEventDelay(w.decision)
+	return unresponsiveSlack + expectedFactor*expected
+}
+
 // upstreamTimeout returns how long an upstream may take for the next event, or the response of a plain
 // service.
 func (r *requestHandler) upstreamTimeout(decision *placement.Decision) time.Duration {
@@ -74,37 +92,53 @@
 }
 
 func (w *watchdog) recordEvent() {
-	if w.timer == nil {
-		return
-	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lastEventAt = time.Now()
+	w.lastEventAt, w.doubted = time.Now(), false
 }
 
-// check cancels the attempt if the timeout has passed without an event, and otherwise
-// restarts the timer.
+// check cancels the attempt if the timeout has passed without an event, and otherwise restarts the
+// timer. A shorter silence makes the node check its way to the upstreams.
 func (w *watchdog) check() {
 	w.mutex.Lock()
-	left := w.timeout() - time.Since(w.lastEventAt)
-	if left > 0 {
-		w.timer.Reset(max(left, minRecheckInterval))
-		w.mutex.Unlock()
-		return
+	silence := time.Since(w.lastEventAt)
+	doubt := !w.doubted && silence >= w.doubtTime()
+	w.doubted = w.doubted || doubt
+	left := w.timeout() - silence
+	cancel := w.mayCancel && left <= 0
+	if !cancel {
+		w.timer.Reset(max(w.nextCheck(silence, left), minRecheckInterval))
 	}
 	w.mutex.Unlock()
+	if doubt && !w.ofPeer {
+		w.handler.exchange.config.Handover.Check(w.ctx, w.handler.service)
+	}
+	if !cancel {
+		return
+	}
 	w.handler.exchange.config.Logger.Info().Str("request_id", w.handler.request.ID).Str("upstream", w.decision.Lead.ID).
 		Msg(telemetry.LogUpstreamUnresponsive)
 	w.handler.exchange.config.Metrics.Count("wigeontiller_silent_upstreams_total", 1)
 	w.cancelCause(nil)
 }
 
+// nextCheck returns the time to the next check; the mutex is held.
+func (w *watchdog) nextCheck(silence, left time.Duration) time.Duration {
+	switch {
+	case !w.doubted && w.mayCancel:
+		return min(left, w.doubtTime()-silence)
+	case !w.doubted:
+		return w.doubtTime() - silence
+	case w.mayCancel:
+		return min(left, recheckInterval)
+	}
+	return w.doubtTime()
+}
+
 // blocked reports whether the attempt was canceled because its request was blocked.
 func (w *watchdog) blocked() bool { return errors.Is(context.Cause(w.ctx), errRequestBlocked) }
 
 func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.timer.Stop()
 	w.cancelCause(nil)
 }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -7,10 +7,11 @@
 import "time"
 
 const (
-	// MaxDials is the number of upstreams that one round dials.
+	// MaxDials is the number of upstreams that one round dials: one, and if that does not connect the others
+	// at the same time.
 	MaxDials = 4
 	// doubtInterval is the least time from a round that connected to the next one that doubt starts.
-	doubtInterval = 500 * time.Millisecond
+	doubtInterval = time.Second
 	// RoundInterval is the time between two rounds while the node is cut off.
 	RoundInterval = 250 * time.Millisecond
 	// minRegainRounds is how many rounds in a row must connect before the node uses its own way again. It
