--- a/edge/blocks.go
+++ b/edge/blocks.go
@@ -35,8 +35,8 @@
 // blockSynchronizer stores the blocks whose last witness this node saw, deletes those that it has stored or
 // that an answer to it has ended, and claims trials.
 type blockSynchronizer struct {
-	store  BlockStore
-	runner *blocklist.Blocklist
+	store BlockStore
+	list  *blocklist.Blocklist
 	// isOwner reports whether this node claims the trials of a block.
 	isOwner func(id, zone string) bool
 	logger  zerolog.Logger
@@ -50,9 +50,9 @@
 	claimedAt map[string]time.Time
 }
 
-func newBlockSynchronizer(store BlockStore, runner *blocklist.Blocklist, isOwner func(id, zone string) bool, logger zerolog.Logger) *blockSynchronizer {
-	b := &blockSynchronizer{store: store, runner: runner, isOwner: isOwner, logger: logger, stored: map[string]int{}, claimedAt: map[string]time.Time{}}
-	runner.Trial = b.claimTrial
+func newBlockSynchronizer(store BlockStore, list *blocklist.Blocklist, isOwner func(id, zone string) bool, logger zerolog.Logger) *blockSynchronizer {
+	b := &blockSynchronizer{store: store, list: list, isOwner: isOwner, logger: logger, stored: map[string]int{}, claimedAt: map[string]time.Time{}}
+	list.Trial = b.claimTrial
 	return b
 }
 
@@ -65,7 +65,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-b.runner.Changed():
+		case <-b.list.Changed():
 		case <-retry:
 		}
 	}
@@ -84,7 +84,7 @@
 		}
 		return true
 	}
-	own := b.runner.OwnBlocks()
+	own := b.list.OwnBlocks()
 	current := make(map[string]int, len(own))
 	for _, block := range own {
 		witnesses := len(block.Witnesses)
@@ -98,10 +98,10 @@
 			current[block.Key] = witnesses
 		}
 	}
-	outdated := append(b.outdated, b.runner.TakeReleased()...)
+	outdated := append(b.outdated, b.list.TakeReleased()...)
 	for key := range b.stored {
 		// A block that other parts have taken the place of.
-		if _, still := current[key]; !still && !b.runner.HasBlock(key) && !slices.Contains(outdated, key) {
+		if _, still := current[key]; !still && !b.list.HasBlock(key) && !slices.Contains(outdated, key) {
 			outdated = append(outdated, key)
 		}
 	}
@@ -139,14 +139,14 @@
 		ctx, cancel := context.WithTimeout(context.Background(), blockStoreTimeout)
 		defer cancel()
 		// The node that was to store the block may be gone.
-		err := b.store.SaveBlock(ctx, block.Key, lastWitnesses(b.runner.Witnesses(block)))
+		err := b.store.SaveBlock(ctx, block.Key, lastWitnesses(b.list.Witnesses(block)))
 		granted := false
 		if err == nil {
 			granted, err = b.store.ClaimTrial(ctx, block.Key, block.TrialDelay())
 		}
 		b.logger.Info().Err(err).Str("block", block.Key).Bool("granted", granted).Msg("trial of blocked requests claimed")
 		if granted {
-			b.runner.GrantTrial(block.Key)
+			b.list.GrantTrial(block.Key)
 		}
 	}()
 }
--- a/edge/handover.go
+++ b/edge/handover.go
@@ -78,7 +78,7 @@
 func (h *handover) Check(ctx context.Context, service string) {
 	h.mutex.Lock()
 	done := h.rounds[service]
-	if done == nil && h.tracker.MayDoubt(bootClock(), service) {
+	if done == nil && h.tracker.MayCheck(bootClock(), service) {
 		done = h.startRound(service)
 	}
 	h.mutex.Unlock()
--- a/edge/node.go
+++ b/edge/node.go
@@ -96,15 +96,15 @@
 
 // Node is one entry node.
 type Node struct {
-	settings   *Settings
-	logger     zerolog.Logger
-	metrics    *telemetry.Metrics
-	follower   *follow.Follower
-	gate       *exchange.SchedulerRunner
-	retries    *exchange.RetryBudget
-	quarantine *blocklist.Blocklist
-	agent      *loadshare.Agent
-	pool       *directhttp.Pool
+	settings  *Settings
+	logger    zerolog.Logger
+	metrics   *telemetry.Metrics
+	follower  *follow.Follower
+	gate      *exchange.SchedulerRunner
+	retries   *exchange.RetryBudget
+	blocklist *blocklist.Blocklist
+	agent     *loadshare.Agent
+	pool      *directhttp.Pool
 	// control carries polls and orders to upstreams.
 	control      *directhttp.Pool
 	exchange     *exchange.Exchange
@@ -136,7 +136,7 @@
 		SenderRank:     func(id, zone string) (rank, nodes int) { return n.agent.SenderRank(id, zone) }, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.gate = exchange.NewSchedulerRunner(scheduler, bootClock, func() { n.agent.ScheduleFlush() })
-	n.quarantine = blocklist.New(bootClock, n.logger, n.metrics, func() { n.agent.ScheduleFlush() })
+	n.blocklist = blocklist.New(bootClock, n.logger, n.metrics, func() { n.agent.ScheduleFlush() })
 	n.retries = &exchange.RetryBudget{Ratio: settings.RetryRatio, Extra: settings.RetryExtra, Window: seconds(settings.RetryWindowSeconds)}
 	address, err := settings.peerAddress()
 	if err != nil {
@@ -147,7 +147,7 @@
 		return nil, eris.Wrap(ErrListen, err.Error())
 	}
 	n.agent.OnNodeCount = n.setNodeCount
-	n.agent.View, n.agent.Evidence = n.follower, n.quarantine
+	n.agent.View, n.agent.Evidence = n.follower, n.blocklist
 	n.follower.IsPublisher = n.agent.IsPublisher
 	n.follower.OnStoreResponse = n.agent.PublishView
 	n.follower.FirstPollDelay = firstPollDelay
@@ -158,7 +158,7 @@
 	n.control = directhttp.NewPool(dialTimeout, nil)
 	n.handover = newHandover(settings, n.follower, n.gate, n.pool, directhttp.NewPool(peerDialTimeout, nil), n.agent.Peers, n.logger, n.metrics)
 	n.exchange = exchange.New(exchange.Config{
-		Scheduler: n.gate, Retries: n.retries, Quarantine: n.quarantine, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
+		Scheduler: n.gate, Retries: n.retries, Blocklist: n.blocklist, Sender: platform.NewEgress(n.pool, maxIdleTime, maxIdleTimeOnce),
 		Handover: n.handover,
 		Memory:   platform.NewReservationClient(n.control),
 		Follower: n.follower, Logger: n.logger, Metrics: n.metrics, Now: bootClock,
@@ -168,7 +168,7 @@
 		},
 		MaxResponseBytes: maxAnswerBytes, MaxBufferedBytes: maxBufferedBytes, RetryAfter: retryAfter,
 	})
-	n.blocks = newBlockSynchronizer(store, n.quarantine, n.agent.IsOwner, n.logger)
+	n.blocks = newBlockSynchronizer(store, n.blocklist, n.agent.IsOwner, n.logger)
 	n.reportPoller = &reportPoller{
 		fetcher:  platform.NewReportClient(n.control),
 		follower: n.follower, gate: n.gate, isOwner: n.agent.IsOwner, notifyPeers: n.agent.ScheduleFlush, logger: n.logger, metrics: n.metrics,
--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -43,11 +43,11 @@
 	if r.isTrial {
 		return false
 	}
-	r.block = r.exchange.config.Quarantine.Blocking(r.features)
+	r.block = r.exchange.config.Blocklist.Blocking(r.features)
 	if r.block == nil {
 		return false
 	}
-	if r.placements == 0 && r.exchange.config.Quarantine.TakeTrial(r.block) {
+	if r.placements == 0 && r.exchange.config.Blocklist.TakeTrial(r.block) {
 		r.isTrial = true
 		return false
 	}
@@ -56,7 +56,7 @@
 
 // blockedBeforeSend is isBlocked just before the first byte of an attempt.
 func (r *requestHandler) blockedBeforeSend() bool {
-	return !r.isTrial && r.exchange.config.Quarantine.Blocking(r.features) != nil
+	return !r.isTrial && r.exchange.config.Blocklist.Blocking(r.features) != nil
 }
 
 // watchForBlock cancels the attempt if its request is blocked before the upstream has answered. An
@@ -64,7 +64,7 @@
 func (r *requestHandler) watchForBlock(watch *watchdog) {
 	r.stopBlockWatch = func() {}
 	if !r.isTrial && (r.request.Route.Kind == fleet.Stream || r.request.Route.Repeatable()) {
-		r.stopBlockWatch = r.exchange.config.Quarantine.Watch(r.features, func() { watch.cancelCause(errRequestBlocked) })
+		r.stopBlockWatch = r.exchange.config.Blocklist.Watch(r.features, func() { watch.cancelCause(errRequestBlocked) })
 	}
 }
 
@@ -72,7 +72,7 @@
 func (r *requestHandler) failBlocked(ctx context.Context) {
 	failure := Failure{Code: RequestBlocked, Reason: ReasonRequestBlocked}
 	if r.block != nil {
-		failure.RetryAfter = r.exchange.config.Quarantine.RetryAfter(r.block)
+		failure.RetryAfter = r.exchange.config.Blocklist.RetryAfter(r.block)
 	}
 	r.fail(ctx, failure)
 }
@@ -86,14 +86,14 @@
 		r.stopBlockWatch()
 		r.attemptBegan = time.Now()
 	case 2:
-		r.exchange.config.Quarantine.RecordAnswer(r.features, r.attemptBegan)
+		r.exchange.config.Blocklist.RecordAnswer(r.features, r.attemptBegan)
 	}
 }
 
 // recordWholeStream records a complete stream.
 func (r *requestHandler) recordWholeStream() {
 	if r.attemptEvents == 1 {
-		r.exchange.config.Quarantine.RecordAnswer(r.features, r.attemptBegan)
+		r.exchange.config.Blocklist.RecordAnswer(r.features, r.attemptBegan)
 	}
 }
 
@@ -101,7 +101,7 @@
 // upstream may fail before it runs the request.
 func (r *requestHandler) recordWholeResponse(status int) {
 	if status < 500 {
-		r.exchange.config.Quarantine.RecordAnswer(r.request.Identity.Features(), time.Now())
+		r.exchange.config.Blocklist.RecordAnswer(r.request.Identity.Features(), time.Now())
 	}
 }
 
@@ -142,5 +142,5 @@
 		r.upstreamsEnded++
 	}
 	upstream := decision.Lead.ID + "/" + strconv.FormatInt(decision.Lead.StartedMs, 10)
-	r.exchange.config.Quarantine.RecordEnd(upstream, decision.ID, features, r.attemptSent, lostAt)
+	r.exchange.config.Blocklist.RecordEnd(upstream, decision.ID, features, r.attemptSent, lostAt)
 }
--- a/exchange/blocked_request_test.go
+++ b/exchange/blocked_request_test.go
@@ -99,7 +99,7 @@
 	f := newFixture(t, lostAttempt, attemptStep{status: 200})
 	now := time.Hour
 	runner := blocklist.New(func() time.Duration { return now }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
-	f.exchange.config.Quarantine = runner
+	f.exchange.config.Blocklist = runner
 	for _, upstream := range []string{"x", "y", "z"} {
 		now += time.Second
 		runner.RecordEnd(upstream, upstream, []uint64{quarantine.RequestFeature(1)}, time.Now(), time.Now())
--- a/exchange/blocked_test.go
+++ b/exchange/blocked_test.go
@@ -87,7 +87,7 @@
 	got := f.serve(t, f.prompt("a", 1))
 	is.True(got.ended)
 	is.Equal(got.events, eventText(1, 3))
-	is.True(f.exchange.config.Quarantine.Blocking([]uint64{1}) != nil) // the answer began before the ends
+	is.True(f.exchange.config.Blocklist.Blocking([]uint64{1}) != nil) // the answer began before the ends
 }
 
 func TestTrialIsSentOnceAndItsAnswerReleasesPart(t *testing.T) {
@@ -95,7 +95,7 @@
 	f := newFixture(t, endedEngine, answeredAttempt, answeredAttempt)
 	now := time.Hour
 	runner := blocklist.New(func() time.Duration { return now }, zerolog.Nop(), telemetry.NewMetrics(), func() {})
-	f.exchange.config.Quarantine = runner
+	f.exchange.config.Blocklist = runner
 	for _, engine := range []string{"x", "y", "z"} {
 		now += time.Second
 		runner.RecordEnd(engine, engine, []uint64{1}, time.Now(), time.Now())
@@ -151,7 +151,7 @@
 // blockPart records three ends.
 func (f *fixture) blockFeature(feature uint64) {
 	for i, engine := range []string{"x", "y", "z"} {
-		f.exchange.config.Quarantine.RecordEnd(engine, engine, []uint64{feature}, time.Now(), time.Now())
+		f.exchange.config.Blocklist.RecordEnd(engine, engine, []uint64{feature}, time.Now(), time.Now())
 		if i < 2 {
 			time.Sleep(2 * time.Millisecond)
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -183,9 +183,9 @@
 type Config struct {
 	Scheduler *SchedulerRunner
 	Retries   *RetryBudget
-	// Quarantine knows the features of requests that crash upstreams.
-	Quarantine *blocklist.Blocklist
-	Sender     Sender
+	// Blocklist knows the features of requests that crash upstreams.
+	Blocklist *blocklist.Blocklist
+	Sender    Sender
 	// Handover hands requests over to other nodes; nil is never.
 	Handover Handover
 	Memory   MemoryReserver
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -235,7 +235,7 @@
 	f.exchange = New(Config{
 		Scheduler: runner, Retries: &RetryBudget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, Sender: f.sender, Memory: f.sender,
 		Follower: follower, Logger: zerolog.Nop(), Metrics: metrics, Now: clock,
-		Quarantine:       blocklist.New(clock, zerolog.Nop(), metrics, func() {}),
+		Blocklist:        blocklist.New(clock, zerolog.Nop(), metrics, func() {}),
 		Freshness:        fleet.AgeLimits{MaxSendAge: 4500 * time.Millisecond, MaxDenyAge: 2 * time.Second},
 		MaxResponseBytes: 1 << 20, MaxBufferedBytes: 4 << 20, RetryAfter: 300 * time.Millisecond,
 	})
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -226,7 +226,7 @@
 	if !r.isTrial {
 		blockable, cancel := context.WithCancel(ctx)
 		defer cancel()
-		defer r.exchange.config.Quarantine.Watch(r.features, cancel)()
+		defer r.exchange.config.Blocklist.Watch(r.features, cancel)()
 		ctx = blockable
 	}
 	return scheduler.Place(ctx, request)
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -1,5 +1,5 @@
 // Package reach decides whether a node is cut off from the upstreams of a service, by rounds of dials
-// that the node makes when it has a reason for doubt, and which other node then serves its requests.
+// that failures start, and which other node then serves its requests.
 // It does no I/O and reads no clock. A Tracker and a Peers are not safe for concurrent use; package
 // edge holds the lock.
 package reach
@@ -10,8 +10,8 @@
 	// MaxDials is the number of upstreams that one round dials: one, and if that does not connect the others
 	// at the same time.
 	MaxDials = 4
-	// doubtInterval is the least time from a round that connected to the next one that doubt starts.
-	doubtInterval = time.Second
+	// checkInterval is the least time from a round that connected to the next one that a failure starts.
+	checkInterval = time.Second
 	// RoundInterval is the time between two rounds while the node is cut off.
 	RoundInterval = 250 * time.Millisecond
 	// minRegainRounds is how many rounds in a row must connect before the node uses its own way again. It
@@ -62,10 +62,10 @@
 	return s != nil && s.cutOff && s.connected > 0
 }
 
-// MayDoubt reports whether a failure is to start a round.
-func (t *Tracker) MayDoubt(now time.Duration, name string) bool {
+// MayCheck reports whether a failure is to start a round.
+func (t *Tracker) MayCheck(now time.Duration, name string) bool {
 	s := t.services[name]
-	return s == nil || !s.cutOff && now-s.roundAt >= doubtInterval
+	return s == nil || !s.cutOff && now-s.roundAt >= checkInterval
 }
 
 // Services returns the services that the node is cut off from.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -13,14 +13,14 @@
 	is := is.New(t)
 	tracker := NewTracker()
 	now := time.Minute
-	is.True(tracker.MayDoubt(now, "app"))
+	is.True(tracker.MayCheck(now, "app"))
 	is.Equal(tracker.RecordRound(now, "app", true), Unchanged)
-	is.True(!tracker.MayDoubt(now+doubtInterval/2, "app")) // few dials beside failures of another kind
-	is.True(tracker.MayDoubt(now+doubtInterval, "app"))
-	is.Equal(tracker.RecordRound(now+doubtInterval, "app", false), Lost)
+	is.True(!tracker.MayCheck(now+checkInterval/2, "app")) // few dials beside failures of another kind
+	is.True(tracker.MayCheck(now+checkInterval, "app"))
+	is.Equal(tracker.RecordRound(now+checkInterval, "app", false), Lost)
 	is.True(tracker.CutOff("app"))
 	is.True(!tracker.CutOff("llm"))
-	is.True(!tracker.MayDoubt(now+time.Hour, "app")) // rounds follow by themselves
+	is.True(!tracker.MayCheck(now+time.Hour, "app")) // rounds follow by themselves
 	is.Equal(tracker.Services(), []string{"app"})
 }
 
