A watchdog's timer ends with its attempt

Found by reading: a check that ran while the attempt ended could start the timer again, for an attempt that must not be repeated for good. Fields named by what they are.

--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -46,9 +46,9 @@
 	mayCancel bool
 	mutex     sync.Mutex
 	timer     *time.Timer
-	// doubted is true after the silence since the last event has led to a check of this node's way to the
+	// reachChecked is true after the silence since the last event has led to a check of this node's way to the
 	// upstreams.
-	doubted bool
+	reachChecked bool
 	// lastEventAt is when the last event arrived, or when the attempt started.
 	lastEventAt time.Time
 }
@@ -63,13 +63,13 @@
 	w.mayCancel = r.request.Route.Repeatable() && r.history.PossibleExecutions()+1 < r.request.Route.MaxAttempts
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.timer = time.AfterFunc(min(w.timeout(), w.doubtTime()), w.check)
+	w.timer = time.AfterFunc(min(w.timeout(), w.reachCheckAfter()), w.check)
 	return w
 }
 
-// doubtTime is the silence after which this node checks whether it reaches upstreams at all: the time in
+// reachCheckAfter is the silence after which this node checks whether it reaches upstreams at all: the time in
 // which an upstream that is not known to be busy answers.
-func (w *watchdog) doubtTime() time.Duration {
+func (w *watchdog) reachCheckAfter() time.Duration {
 	if w.handler.request.Route.Kind != fleet.Stream {
 		return w.timeout()
 	}
@@ -94,23 +94,26 @@
 func (w *watchdog) recordEvent() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lastEventAt, w.doubted = time.Now(), false
+	w.lastEventAt, w.reachChecked = time.Now(), false
 }
 
 // check cancels the attempt if the timeout has passed without an event, and otherwise restarts the
 // timer. A shorter silence makes the node check its way to the upstreams.
 func (w *watchdog) check() {
+	if w.ctx.Err() != nil {
+		return
+	}
 	w.mutex.Lock()
 	silence := time.Since(w.lastEventAt)
-	doubt := !w.doubted && silence >= w.doubtTime()
-	w.doubted = w.doubted || doubt
+	reachCheck := !w.reachChecked && silence >= w.reachCheckAfter()
+	w.reachChecked = w.reachChecked || reachCheck
 	left := w.timeout() - silence
 	cancel := w.mayCancel && left <= 0
 	if !cancel {
 		w.timer.Reset(max(w.nextCheck(silence, left), minRecheckInterval))
 	}
 	w.mutex.Unlock()
-	if doubt && !w.ofPeer {
+	if reachCheck && !w.ofPeer {
 		w.handler.exchange.config.Handover.Check(w.ctx, w.handler.service)
 	}
 	if !cancel {
@@ -125,20 +128,22 @@
 // nextCheck returns the time to the next check; the mutex is held.
 func (w *watchdog) nextCheck(silence, left time.Duration) time.Duration {
 	switch {
-	case !w.doubted && w.mayCancel:
-		return min(left, w.doubtTime()-silence)
-	case !w.doubted:
-		return w.doubtTime() - silence
+	case !w.reachChecked && w.mayCancel:
+		return min(left, w.reachCheckAfter()-silence)
+	case !w.reachChecked:
+		return w.reachCheckAfter() - silence
 	case w.mayCancel:
 		return min(left, recheckInterval)
 	}
-	return w.doubtTime()
+	return w.reachCheckAfter()
 }
 
 // blocked reports whether the attempt was canceled because its request was blocked.
 func (w *watchdog) blocked() bool { return errors.Is(context.Cause(w.ctx), errRequestBlocked) }
 
 func (w *watchdog) stop() {
-	w.timer.Stop()
 	w.cancelCause(nil)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.timer.Stop()
 }
