Ends that two stored blocks share are merged

A block's row leaves out the features that are not to blame. If two rows held the same ends, as after a wider or other block while the first row's deletion was under way, a node that started took the features of the row that it read first, and lost the other block. TestStoredEndsOfTwoBlocksMerge failed before. Found by reading; not seen in a run.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -39,7 +39,7 @@
 	BlockTTL = 2 * time.Hour
 	// maxEndAge is the age from which evidence of other nodes is ignored.
 	maxEndAge = 24 * time.Hour
-	// maxEnds bounds the ends that are kept, and maxFeatures the parts of each.
+	// maxEnds bounds the ends that are kept, and maxFeatures the features of each.
 	maxEnds     = 256
 	maxFeatures = 64
 )
@@ -172,27 +172,41 @@
 
 func (t *Tracker) addEnd(now time.Duration, end End, own, send bool) bool {
 	id := endID{end.Engine, end.Attempt}
-	if known := t.ends[id]; known != nil {
-		known.own = known.own || own
-		return false
-	}
-	if len(end.Features) == 0 || end.At < now-maxEndAge {
-		return false
+	known := t.ends[id]
+	if known == nil {
+		if len(end.Features) == 0 || end.At < now-maxEndAge {
+			return false
+		}
+		features := end.Features
+		end.Features = nil
+		end.At = min(end.At, now)
+		end.SentAt = min(end.SentAt, end.At)
+		known = &knownEnd{End: end}
+		t.ends[id], end.Features = known, features
 	}
-	end.Features = slices.Clone(end.Features[:min(len(end.Features), maxFeatures)])
-	slices.Sort(end.Features)
-	end.Features = slices.Compact(end.Features)
-	end.At = min(end.At, now)
-	end.SentAt = min(end.SentAt, end.At)
-	known := &knownEnd{End: end, own: own, unsent: send}
-	t.ends[id] = known
-	for _, feature := range end.Features {
-		t.byFeature[feature] = append(t.byFeature[feature], known)
+	known.own = known.own || own
+	added := t.addFeatures(known, end.Features)
+	known.unsent = known.unsent || added && send
+	return added
+}
+
+// addFeatures adds the features that an end does not have yet, and reports whether there are any: what
+// is stored of an end leaves out those that its block does.
+func (t *Tracker) addFeatures(end *knownEnd, features []uint64) bool {
+	added := false
+	for _, feature := range features {
+		if len(end.Features) >= maxFeatures || slices.Contains(end.Features, feature) {
+			continue
+		}
+		added = true
+		// The list may be part of evidence that is being sent.
+		end.Features = append(slices.Clone(end.Features), feature)
+		t.byFeature[feature] = append(t.byFeature[feature], end)
 		if at, found := t.recall(feature); found {
 			t.addAnswer(Answer{Feature: feature, At: at}, true, true)
 		}
 	}
-	return true
+	return added
 }
 
 func (t *Tracker) remember(feature uint64, at time.Duration) {
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -246,3 +246,28 @@
 		}
 	}
 }
+
+// TestStoredEndsOfTwoBlocksMerge guards against a node that starts and loses a block because another one, of
+// other features, was stored with the same ends.
+func TestStoredEndsOfTwoBlocksMerge(t *testing.T) {
+	is := is.New(t)
+	withFeatures := func(features ...uint64) (e Evidence) {
+		for i := range 3 {
+			end := requestEnd(time.Duration(i+1)*second, uint32(i), features[0])
+			end.Attempt, end.Features = uint32(i), features
+			e.Ends = append(e.Ends, end)
+		}
+		return e
+	}
+	narrow, wide := withFeatures(whole), withFeatures(bad, rare)
+	for _, order := range [][]*Evidence{{&narrow, &wide}, {&wide, &narrow}} {
+		tracker := New()
+		for _, evidence := range order {
+			tracker.Apply(10*second, evidence, false)
+		}
+		is.True(tracker.blocksNow(whole, bad, rare))
+		is.True(!tracker.Apply(10*second, &wide, false)) // nothing new
+		tracker.RecordAnswer(20*second, []uint64{whole, rare}, 19*second)
+		is.True(tracker.blocksNow(bad))
+	}
+}
