Upstreams that end silently under a request are noticed when they are gone

Attempts without a response are kept for 8 s and become ends if the upstream's entry goes or names a new start.

--- a/blocklist/blocklist.go
+++ b/blocklist/blocklist.go
@@ -33,6 +33,8 @@
 	running map[*blockableAttempt]struct{}
 	// granted holds until when one request may be sent as a trial, by block.
 	granted map[string]time.Duration
+	// silent are attempts without a response whose upstream may have ended, oldest first.
+	silent []silentAttempt
 	// released are the blocks that ended by an answer to this node, until TakeReleased.
 	released []string
 	// changed is signaled when blocks began or ended.
--- a/edge/crash_request_test.go
+++ b/edge/crash_request_test.go
@@ -96,3 +96,26 @@
 	is.Equal(f.crashes(), before)
 	is.Equal(f.look(nodes, "sound").status, http.StatusOK)
 }
+
+// TestRequestThatSilencesUpstreamsIsBlocked guards against a request under which upstreams end without closing
+// their connections, so that it looks like one that takes too long.
+func TestRequestThatSilencesUpstreamsIsBlocked(t *testing.T) {
+	// Three upstreams end before the first is known to have, and one more request may be under way.
+	const nodes, requests, maxCrashes, interval, downTime = 3, 40, 4, 100 * time.Millisecond, 800 * time.Millisecond
+	f := crashRequestFixture(t, nodes, downTime)
+	for _, id := range []string{"app-1", "app-2", "app-3"} {
+		f.engines[id].Set(fleetengine.Knobs{CrashTarget: crashTarget, CrashSilently: true})
+	}
+	var group sync.WaitGroup
+	for i := range requests {
+		group.Go(func() { f.look(i%nodes, "crash") })
+		time.Sleep(interval)
+	}
+	group.Wait()
+	if got := f.crashes(); got > maxCrashes {
+		t.Errorf("%d upstreams ended, at most %d expected", got, maxCrashes)
+	}
+	if got := f.look(0, "sound"); got.status != http.StatusOK {
+		t.Errorf("a sound request got %d", got.status)
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -153,7 +153,10 @@
 	n.follower.FirstPollDelay = firstPollDelay
 	n.follower.OnEra = n.agent.Register
 	n.follower.StaleCallSpacing = n.agent.StaleCallSpacing
-	n.follower.OnChange = func() { n.gate.Configure(n.follower.Current) }
+	n.follower.OnChange = func() {
+		n.gate.Configure(n.follower.Current)
+		n.blocklist.ObserveUpstreams(n.follower.Current().Upstreams)
+	}
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	n.control = directhttp.NewPool(dialTimeout, nil)
 	n.handover = newHandover(settings, n.follower, n.gate, n.pool, directhttp.NewPool(peerDialTimeout, nil), n.agent.Peers, n.logger, n.metrics)
--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -40,6 +40,9 @@
 		r.exchange.config.Metrics.Count("wigeontiller_attempts_cut_without_response_total", 1)
 		r.recordLostAttempt(ctx, decision)
 	}
+	if watch.ctx.Err() != nil && !watch.blocked() && !errors.Is(ctx.Err(), context.Canceled) {
+		r.recordSilentAttempt(decision, time.Now())
+	}
 	if ctx.Err() == nil && !watch.blocked() {
 		r.checkReach(ctx)
 	}
--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -141,6 +141,20 @@
 	if ended || r.request.Route.Kind == fleet.Stream && r.headerReceived {
 		r.upstreamsEnded++
 	}
-	upstream := decision.Lead.ID + "/" + strconv.FormatInt(decision.Lead.StartedMs, 10)
-	r.exchange.config.Blocklist.RecordEnd(upstream, decision.ID, features, r.attemptSent, lostAt)
+	r.exchange.config.Blocklist.RecordEnd(processOf(decision.Lead), decision.ID, features, r.attemptSent, lostAt)
+	if !ended {
+		r.recordSilentAttempt(decision, lostAt)
+	}
+}
+
+// recordSilentAttempt records an attempt without an answer whose upstream may have ended.
+func (r *requestHandler) recordSilentAttempt(decision *placement.Decision, givenUp time.Time) {
+	if r.attemptEvents == 0 && r.handedTo == "" {
+		r.exchange.config.Blocklist.RecordSilent(decision.Lead, processOf(decision.Lead), decision.ID, r.request.Identity.Features(), r.attemptSent, givenUp)
+	}
+}
+
+// processOf identifies an upstream's process.
+func processOf(upstream *fleet.Upstream) string {
+	return upstream.ID + "/" + strconv.FormatInt(upstream.StartedMs, 10)
 }
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -103,6 +103,7 @@
 	case watch.ctx.Err() == nil && isUpstreamEnd(err):
 		r.recordLostAttempt(ctx, decision)
 	case ctx.Err() == nil && !watch.blocked():
+		r.recordSilentAttempt(decision, time.Now())
 		r.checkReach(ctx)
 	}
 	if (watch.blocked() || r.upstreamsEnded > 0) && r.isBlocked() {
--- a/standin/fleetengine/crash.go
+++ b/standin/fleetengine/crash.go
@@ -22,18 +22,23 @@
 	}
 	clear(e.reservations)
 	close(e.crashed)
-	server := e.server
+	server, silent := e.server, e.knobs.CrashSilently
 	e.mutex.Unlock()
-	if server != nil {
+	if server != nil && !silent {
 		server.stop()
 	}
 	time.AfterFunc(e.DownTime, e.restart)
 }
 
 func (e *Engine) restart() {
+	e.mutex.Lock()
+	server, silent := e.server, e.knobs.CrashSilently
+	e.mutex.Unlock()
+	if server != nil && silent {
+		server.stop()
+	}
 	e.mutex.Lock()
 	e.down, e.crashed = false, make(chan struct{})
-	server := e.server
 	e.mutex.Unlock()
 	if server != nil {
 		server.start()
@@ -58,6 +63,12 @@
 	return append([]time.Time(nil), e.requestCrashes...)
 }
 
+func (e *Engine) isSilent() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.knobs.CrashSilently
+}
+
 func (e *Engine) isDown() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -38,6 +38,9 @@
 	// CrashTarget, if not empty, is the path and query of requests that crash the engine CrashDelay
 	// after it has begun to run one.
 	CrashTarget string
+	// CrashSilently makes such a crash a silent one: until the engine is back, it neither answers nor closes
+	// a connection.
+	CrashSilently bool
 	// RunTime is how long requests that are not streams run.
 	RunTime time.Duration
 	// RequestLimit, if not empty, is the rate of requests that every answer states.
@@ -151,6 +154,9 @@
 	}
 	e.mutex.Unlock()
 	if e.isDown() {
+		if e.isSilent() {
+			<-r.Context().Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	switch r.URL.Path {
@@ -260,6 +266,9 @@
 func (e *Engine) crashByRequest(r *http.Request) {
 	e.runFor(r, CrashDelay)
 	e.crash(true)
+	if e.isSilent() {
+		<-r.Context().Done()
+	}
 	panic(http.ErrAbortHandler)
 }
 
@@ -277,6 +286,9 @@
 		return
 	case <-r.Context().Done():
 	case <-crashed:
+		if e.isSilent() {
+			<-r.Context().Done()
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
