--- a/edge/settings.go
+++ b/edge/settings.go
@@ -27,7 +27,8 @@
 	MetricsAddress string `yaml:"metrics_address"`
 	// ReadyAddress is the IP address and port for the balancer's readiness check.
 	ReadyAddress string `yaml:"ready_address"`
-	// PeerIP and PeerPorts are the IP address and the ports for datagrams of other nodes;
+	// PeerIP and PeerPorts are the IP address and the ports for other nodes: their datagrams, and by TCP the
+	// requests that they hand over;
 	// the first port is used.
 	PeerIP    string   `yaml:"peer_ip"`
 	PeerPorts []uint16 `yaml:"peer_ports"`
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -92,7 +92,8 @@
 	return r.shallHandOver()
 }
 
-// handOver offers the request to other nodes. It returns false if none takes it.
+// handOver offers the request to other nodes, and returns how it continues after one has taken it. It
+// returns false if none does.
 func (r *requestHandler) handOver(ctx context.Context) (nextAction, bool) {
 	r.handOverNext = false
 	for range maxHandovers {
@@ -134,7 +135,8 @@
 	return reply, node, err
 }
 
-// afterHandover handles the outcome of one offer. It returns false if the node did not take the request.
+// afterHandover handles the outcome of one offer, and returns how the request continues. It returns
+// false if the node did not take it, so that the next one is asked.
 func (r *requestHandler) afterHandover(ctx context.Context, decision *placement.Decision, reply PeerReply, err error, watch *watchdog) (nextAction, bool) {
 	defer r.stopBlockWatch()
 	switch {
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -116,13 +116,14 @@
 			return
 		}
 		if r.shallHandOver() {
-			if action, taken := r.handOver(ctx); taken {
-				if r.finish(ctx, action) {
-					return
-				}
+			action, taken := r.handOver(ctx)
+			if taken && r.finish(ctx, action) {
+				return
+			}
+			if taken {
 				continue
 			}
-			if r.cutOff() && !r.exchange.config.Handover.Returning(r.service) {
+			if r.cutOff() && !config.Handover.Returning(r.service) {
 				r.fail(ctx, Failure{Code: Overloaded, Reason: ReasonCutOff, RetryAfter: config.RetryAfter})
 				return
 			}
