--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -120,7 +120,7 @@
 
 // logFailedAttempt logs an attempt that failed or was not executed.
 func (r *requestHandler) logFailedAttempt(decision *placement.Decision, cause string, status int) {
-	r.exchange.config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
+	r.delivery.log(r.exchange.config.Logger.Info()).Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
 		Str("service", r.service).Int("helpers", len(decision.Helpers)).Int("status", status).
 		Int64("last_event", r.lastEventNumber).Bool("header_received", r.headerReceived).Int("events", r.attemptEvents).
 		Strs("prompt_parts", blocklist.FormatFeatures(r.request.PromptParts)).Str("error", cause).
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -121,8 +121,7 @@
 	FaultyUpstream() string
 	// Authentic reports whether a successful response carries proof that the upstream sent it.
 	Authentic() bool
-	// CloseDelimited reports whether the end of the connection marks the end of the body.
-	CloseDelimited() bool
+	Delivery() Delivery
 	Body() io.Reader
 	// Finish must be called after the whole body was read, otherwise Abort.
 	Finish()
@@ -289,5 +288,5 @@
 	if r.reason != "" {
 		event = event.Str("reason", r.reason)
 	}
-	event.Msg(telemetry.LogRequestEnded)
+	r.delivery.log(event).Int64("last_event", r.lastEventNumber).Msg(telemetry.LogRequestEnded)
 }
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -139,10 +139,15 @@
 func (r *fakeReply) Pause() time.Duration                        { return r.pause }
 func (r *fakeReply) RequestLimit() (placement.StatedLimit, bool) { return r.limit, true }
 func (r *fakeReply) Authentic() bool                             { return !r.unsigned }
-func (r *fakeReply) CloseDelimited() bool                        { return r.closeDelimited }
-func (r *fakeReply) Body() io.Reader                             { return r.body }
-func (r *fakeReply) Finish()                                     {}
-func (r *fakeReply) Abort()                                      {}
+func (r *fakeReply) Delivery() Delivery {
+	if r.closeDelimited {
+		return Delivery{Framing: CloseDelimited, Identified: true}
+	}
+	return Delivery{Framing: Chunked, Identified: true}
+}
+func (r *fakeReply) Body() io.Reader { return r.body }
+func (r *fakeReply) Finish()         {}
+func (r *fakeReply) Abort()          {}
 
 // recordingWriter records the response.
 type recordingWriter struct {
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -117,7 +117,7 @@
 
 func (r *requestHandler) sendToPeer(watch *watchdog) (PeerReply, string, error) {
 	config := &r.exchange.config
-	r.headerReceived, r.attemptEvents, r.attemptSent = false, 0, time.Now()
+	r.beginAttempt()
 	r.watchForBlock(watch)
 	reply, node, err := config.Handover.Send(watch.ctx, &Attempt{
 		Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
@@ -155,10 +155,11 @@
 		}
 		return r.retryOrFail(ctx), true
 	}
+	r.recordHeader(reply)
 	failure := reply.Failure()
 	if failure == nil {
 		r.history.RecordMayHaveRun()
-		r.headerReceived, r.handedTo = true, decision.Lead.ID
+		r.handedTo = decision.Lead.ID
 		defer func() { r.handedTo = "" }()
 		if r.request.Route.Kind == fleet.Stream && reply.Status() == http.StatusOK {
 			return r.relayStream(ctx, decision, reply, watch), true
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -50,6 +50,8 @@
 	// attemptEvents counts the events of its stream.
 	headerReceived bool
 	attemptEvents  int
+	// delivery is that of the last response.
+	delivery Delivery
 	// attemptSent is when it was sent, and attemptBegan when its first event arrived.
 	attemptSent, attemptBegan time.Time
 	// features are those by which the request can be blocked.
@@ -260,12 +262,12 @@
 	r.watchForBlock(watch)
 	defer r.stopBlockWatch()
 	config.Metrics.Attempt()
-	r.headerReceived, r.attemptEvents, r.attemptSent = false, 0, time.Now()
+	r.beginAttempt()
 	reply, err := config.Sender.Send(watch.ctx, attempt)
 	if err != nil {
 		return r.onSendError(ctx, decision, err, watch)
 	}
-	r.headerReceived = true
+	r.recordHeader(reply)
 	r.recordUpstreamState(decision, reply)
 	switch reply.Verdict() {
 	case NotExecuted:
@@ -281,6 +283,19 @@
 	return r.deliverResponse(ctx, decision, reply, watch)
 }
 
+// beginAttempt resets what is known of the current attempt.
+func (r *requestHandler) beginAttempt() {
+	r.headerReceived, r.attemptEvents, r.attemptSent, r.delivery = false, 0, time.Now(), Delivery{}
+}
+
+// recordHeader records that the header of the current attempt's response has arrived.
+func (r *requestHandler) recordHeader(reply Reply) {
+	r.headerReceived, r.delivery = true, reply.Delivery()
+	if r.delivery.Skipped > 0 {
+		r.exchange.config.Metrics.Count("wigeontiller_foreign_responses_total", int64(r.delivery.Skipped))
+	}
+}
+
 // recordUpstreamState records, before the response is used, that an upstream is leaving or wants no requests
 // from this node for a time.
 func (r *requestHandler) recordUpstreamState(decision *placement.Decision, reply Reply) {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -75,7 +75,7 @@
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
 	scheduler := r.exchange.config.Scheduler
 	// A closed connection does not tell the end of an empty stream from that of its engine.
-	empty := reply.CloseDelimited() && r.attemptEvents == 0
+	empty := reply.Delivery().Framing == CloseDelimited && r.attemptEvents == 0
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && len(remainder) == 0 && !empty {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Answered, "")
--- a/upstream/directhttp/endless_test.go
+++ b/upstream/directhttp/endless_test.go
@@ -125,7 +125,7 @@
 		}()
 		conn := newConn(near, "")
 		request := newRequest("1")
-		response, err := readResponse(conn, request) //nolint:bodyclose // The pipe below it is closed at the end.
+		response, _, err := readResponse(conn, request) //nolint:bodyclose // The pipe below it is closed at the end.
 		if err == nil {
 			reply := &Reply{Body: response.Body}
 			body, err := reply.ReadAll(1 << 10)
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -45,6 +45,12 @@
 	Body   io.Reader
 	// CloseDelimited is true when the end of the connection marks the end of the body.
 	CloseDelimited bool
+	// Chunked is true if the body came in chunks.
+	Chunked bool
+	// Reused is true if the connection had carried an earlier exchange.
+	Reused bool
+	// Skipped is the number of responses before it that belong to other requests.
+	Skipped int
 
 	conn     *Conn
 	pool     *Pool
@@ -68,7 +74,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	response, err := readResponse(conn, request) //nolint:bodyclose // Finish and Abort end the exchange with its connection.
+	response, skipped, err := readResponse(conn, request) //nolint:bodyclose // Finish and Abort end the exchange with its connection.
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -77,7 +83,8 @@
 	reply := &Reply{
 		Status: response.StatusCode, Header: response.Header, Body: response.Body,
 		CloseDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
-		conn:           conn, pool: p, response: response, written: written, stop: stop,
+		Chunked:        len(response.TransferEncoding) > 0, Reused: conn.Reused, Skipped: skipped,
+		conn: conn, pool: p, response: response, written: written, stop: stop,
 	}
 	return reply, nil
 }
@@ -104,30 +111,33 @@
 	return nil, eris.Wrap(ErrIncomplete, err.Error())
 }
 
-// readResponse returns the first final response that belongs to the request.
-func readResponse(conn *Conn, request *Request) (*http.Response, error) {
+// readResponse returns the first final response that belongs to the request, and the number of those
+// before it that belong to others.
+func readResponse(conn *Conn, request *Request) (*http.Response, int, error) {
+	skipped := 0
 	sent := &http.Request{Method: request.Method}
 	conn.limit.begin()
 	defer conn.limit.end()
 	for range maxForeignResponses {
 		response, err := http.ReadResponse(conn.reader, sent)
 		if err != nil {
-			return nil, err
+			return nil, skipped, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if request.Matches(response.StatusCode, response.Header) {
-			return response, nil
+			return response, skipped, nil
 		}
 		if response.Close {
-			return nil, errForeignResponse
+			return nil, skipped, errForeignResponse
 		}
+		skipped++
 		if err := skipBody(conn, response.Body); err != nil {
-			return nil, err
+			return nil, skipped, err
 		}
 	}
-	return nil, errForeignResponse
+	return nil, skipped, errForeignResponse
 }
 
 // skipBody reads a body to its end; one over maxSkippedBytes is an error.
