--- /dev/null
+++ b/edge/faulty_answers_test.go
@@ -0,0 +1,186 @@
+package edge
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// rawEvents is how many events the streams of these tests have before they break off.
+const rawEvents = 3
+
+// brokenStream begins a stream and breaks off.
+func brokenStream(c *rawCall) bool {
+	c.run()
+	c.write(rawHead(200, c.id) + chunkedHead)
+	for i := range rawEvents {
+		c.write(rawChunk(rawEvent(i + 1)))
+	}
+	return false
+}
+
+func forDirectAndHop(t *testing.T, f func(t *testing.T, hop bool)) {
+	t.Helper()
+	for name, hop := range map[string]bool{"direct": false, "over the hop": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f(t, hop)
+		})
+	}
+}
+
+func TestStreamWhoseContinuationFailsIsNotEndedAsComplete(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		for _, status := range []int{204, 206, 301, 400, 404, 500, 502, 503} {
+			f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+				if c.after == "" {
+					return brokenStream(c)
+				}
+				c.run()
+				c.write(rawHead(status, c.id) + "Content-Length: 0\r\n\r\n")
+				return true
+			})
+			if got := f.call(0, "chat", "key-a", nil); got.err == nil {
+				t.Errorf("status %d of the continuation: the stream ended as complete: %q", status, got.body)
+			}
+		}
+	})
+}
+
+func TestStreamWithoutLengthThatIsCutOffIsNotEndedAsComplete(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		is := is.New(t)
+		f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+			c.run()
+			c.write(rawHead(200, c.id) + "\r\n" + rawEvent(1) + rawEvent(2))
+			return false
+		})
+		got := f.call(0, "chat", "key-a", nil)
+		is.True(got.err != nil)
+	})
+}
+
+// The stale response may come before or after the request is written, and names no request.
+func TestStaleRefusalWithoutIDOnReusedConnectionIsNotBelieved(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		f, upstreams := newRawFixture(t, hop, func(c *rawCall) bool {
+			if !c.first {
+				c.write(rawRefusal(""))
+			}
+			c.run()
+			c.write(rawHead(200, c.id) + "Content-Length: 2\r\n\r\nok")
+			return true
+		})
+		expectOneRun(t, f, upstreams)
+	})
+}
+
+func TestStaleRefusalOfSameRequestIsNotBelieved(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		var mutex sync.Mutex
+		refused := map[string]bool{}
+		f, upstreams := newRawFixture(t, hop, func(c *rawCall) bool {
+			mutex.Lock()
+			again := refused[c.upstream.id+c.id]
+			refused[c.upstream.id+c.id] = true
+			sent := refused["app-1"+c.id] && refused["app-2"+c.id]
+			mutex.Unlock()
+			if !again && !sent || !again && c.first {
+				c.write(rawRefusal(c.id))
+				return true
+			}
+			if !c.first {
+				c.write(rawRefusal(c.id))
+			}
+			c.run()
+			c.write(rawHead(200, c.id) + "Content-Length: 2\r\n\r\nok")
+			return true
+		})
+		expectOneRun(t, f, upstreams)
+	})
+}
+
+// expectOneRun sends requests that must not run twice, and checks how often they ran and what was promised.
+func expectOneRun(t *testing.T, f *fixture, upstreams []*rawUpstream) {
+	t.Helper()
+	for i := range 10 {
+		id := fmt.Sprintf("once-%s-%d", strings.ReplaceAll(t.Name(), "/", "-"), i)
+		got := f.call(0, "book", "key-a", func(r *http.Request) { r.Header.Set("X-Attempt-Id", id) })
+		runs := 0
+		for _, u := range upstreams {
+			runs += u.runs(id)
+		}
+		if runs > 1 {
+			t.Errorf("request %d ran %d times, the caller got %d", i, runs, got.status)
+		}
+		if runs > 0 && got.status == http.StatusServiceUnavailable {
+			t.Errorf("request %d ran and was refused", i)
+		}
+	}
+}
+
+func TestStaleFailureWithoutIDIsNotDelivered(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		for _, status := range []int{404, 500} {
+			f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+				if !c.first {
+					c.write(strings.Replace(rawHead(status, ""), "s.", "old.", 1) + "Content-Length: 3\r\n\r\nold")
+				}
+				c.run()
+				c.write(rawHead(200, c.id) + "Content-Length: 2\r\n\r\nok")
+				return true
+			})
+			for range 10 {
+				for _, route := range []string{"look", "book"} {
+					if got := f.call(0, route, "key-a", nil); strings.HasPrefix(got.header.Get("X-Origin-Signature"), "old") {
+						t.Errorf("the caller got an old response with status %d", got.status)
+					}
+				}
+			}
+		}
+	})
+}
+
+// A caller that speaks HTTP/1.0 takes the end of the connection for the end of the body.
+func TestBrokenStreamEndsInResetForCallerWithoutChunks(t *testing.T) {
+	is := is.New(t)
+	f, _ := newRawFixture(t, false, func(c *rawCall) bool {
+		if c.after == "" {
+			return brokenStream(c)
+		}
+		return false
+	})
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(f.nodes[0].url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /chat/x HTTP/1.0\r\nHost: h.example\r\nX-Attempt-Id: old-caller\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token key-a\r\nX-Token-Usage: 1000,300\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, bufio.NewReader(conn))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
+func TestContinuationWithoutEventNumbersIsNotDelivered(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		is := is.New(t)
+		f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+			if c.after == "" {
+				return brokenStream(c)
+			}
+			c.run()
+			c.write(rawHead(200, c.id) + chunkedHead + rawChunk("data: {\"error\":\"out of memory\"}\n\n") + "0\r\n\r\n")
+			return true
+		})
+		got := f.call(0, "chat", "key-a", nil)
+		is.True(got.err != nil)
+		is.True(!strings.Contains(got.body, "error"))
+	})
+}
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -54,6 +54,18 @@
 }
 
 func newFixture(t *testing.T, nodes int) *fixture {
+	t.Helper()
+	f := newFixtureWithoutUpstreams(t)
+	for _, id := range []string{"llm-1", "llm-2", "llm-3", "app-1", "app-2"} {
+		f.addEngine(id)
+	}
+	for i := range nodes {
+		f.startNode(fmt.Sprintf("edge-%d", i))
+	}
+	return f
+}
+
+func newFixtureWithoutUpstreams(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, store: fleetstore.New(), engines: map[string]*fleetengine.Engine{}, servers: map[string]*fleetengine.Server{}, graceSeconds: 8}
 	server := httptest.NewServer(f.store)
@@ -64,12 +76,6 @@
 	})
 	f.address = strings.TrimPrefix(server.URL, "http://")
 	f.configure("key-a", "key-b")
-	for _, id := range []string{"llm-1", "llm-2", "llm-3", "app-1", "app-2"} {
-		f.addEngine(id)
-	}
-	for i := range nodes {
-		f.startNode(fmt.Sprintf("edge-%d", i))
-	}
 	return f
 }
 
