--- a/edge/raw_upstream_test.go
+++ b/edge/raw_upstream_test.go
@@ -42,9 +42,6 @@
 
 func (c *rawCall) write(text string) { _, _ = io.WriteString(c.conn, text) }
 
-// reset makes the end of the connection a reset.
-func (c *rawCall) reset() { _ = c.conn.(*net.TCPConn).SetLinger(0) }
-
 func (u *rawUpstream) runs(id string) int {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
