A node whose upstream breaks off a stream is not left out by the others

Seen: over the hop, callers of a node that is cut off got 503 for 2 s after one stream had broken off at the only other node: each broken stream counted as a refusal of the node that served it. Cause: onStreamEnd calls Handover.Refused for every end of a peer's stream. Evidence: TestNodeWhoseUpstreamBreaksOffIsNotLeftOut fails before (refused is [peer1]) and passes now. Now only a node that is silent is left out. One that has ended refuses the next connection, which counts as before; the request itself goes to another node. Class: a failure is blamed on the one who reports it.

--- a/exchange/handover_test.go
+++ b/exchange/handover_test.go
@@ -182,6 +182,15 @@
 	is.Equal(peers.attempts[1].After, int64(2))
 }
 
+func TestNodeWhoseUpstreamBreaksOffIsNotLeftOut(t *testing.T) {
+	is := is.New(t)
+	broken := peerStep{attemptStep: attemptStep{status: 200, body: eventText(1, 2), bodyErr: errReset}}
+	f, peers := withPeers(t, broken, peerStep{attemptStep: attemptStep{status: 200, body: eventText(3, 4)}})
+	is.True(f.serve(t, f.request("stream")).ended)
+	is.Equal(peers.tried[1], []string{"peer1"})
+	is.Equal(len(peers.refused), 0)
+}
+
 func TestRefusalOfTheNodeThatServesIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	f, peers := withPeers(t, refusal(Overloaded, "too_late"), servedByPeer)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -99,7 +99,10 @@
 	switch {
 	case r.handedTo != "":
 		r.triedPeers = append(r.triedPeers, r.handedTo)
-		r.exchange.config.Handover.Refused(r.handedTo)
+		// A node that breaks off tells of its upstream; one that has ended refuses the next connection.
+		if watch.ctx.Err() != nil && ctx.Err() == nil && !watch.blocked() {
+			r.exchange.config.Handover.Refused(r.handedTo)
+		}
 	case watch.ctx.Err() == nil && isUpstreamEnd(err):
 		r.recordLostAttempt(ctx, decision)
 	case ctx.Err() == nil && !watch.blocked():
