A response is complete only by the call that completes it

Cause: the HTTP library terminates the body when the handler returns, unless someone has objected. A second response after events was only suppressed (singleResponse), so that nobody objected. Once a stream has begun, any response that is not a stream is a failed attempt: a third upstream is asked within attempts, budget and deadline.

--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -100,6 +100,9 @@
 		return r.retryOrFail(ctx)
 	}
 	reply.Finish()
+	if r.begun.Load() {
+		return r.onFailedContinuation(ctx, decision, reply)
+	}
 	r.recordWholeResponse(reply.Status())
 	if reply.Status() >= http.StatusInternalServerError {
 		scheduler.End(decision.ID, placement.Failed, "")
@@ -118,6 +121,23 @@
 	return actionDone
 }
 
+// onFailedContinuation handles a response that does not continue the stream which the caller has begun to
+// receive. No response can follow a part of a stream: another upstream may continue it, or it breaks off.
+func (r *requestHandler) onFailedContinuation(ctx context.Context, decision *placement.Decision, reply Reply) nextAction {
+	outcome := placement.Answered
+	if reply.Status() >= http.StatusInternalServerError {
+		outcome = placement.Failed
+	}
+	r.exchange.config.Scheduler.End(decision.ID, outcome, "")
+	r.avoid = append(r.avoid, decision.Lead.ID)
+	if r.handedTo != "" {
+		r.triedPeers = append(r.triedPeers, r.handedTo)
+	}
+	r.reason = "stream_not_continued"
+	r.logFailedAttempt(decision, r.reason, reply.Status())
+	return r.retryOrFail(ctx)
+}
+
 // logFailedAttempt logs an attempt that failed or was not executed.
 func (r *requestHandler) logFailedAttempt(decision *placement.Decision, cause string, status int) {
 	r.delivery.log(r.exchange.config.Logger.Info()).Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("upstream", decision.Lead.ID).
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -138,7 +138,8 @@
 
 // ResponseWriter writes the response to the caller. Exactly one of
 // WriteResponse, WriteFailure, BeginStream and Abort is called; after BeginStream,
-// EndStream or Abort completes the response.
+// EndStream completes the response or Abort breaks it off. Only WriteResponse, WriteFailure
+// and EndStream complete a response: one without such a call must not look complete.
 type ResponseWriter interface {
 	// WriteResponse sends an upstream's complete response.
 	WriteResponse(reply Reply, body []byte)
@@ -250,8 +251,9 @@
 		}
 	})
 	defer stop()
+	defer e.log(handler)
+	defer handler.writer.close()
 	handler.serve(ctx)
-	e.log(handler)
 }
 
 func (e *Exchange) newHandler(request *Request, writer ResponseWriter) *requestHandler {
@@ -269,6 +271,9 @@
 }
 
 func (e *Exchange) log(r *requestHandler) {
+	if r.writer.brokenOff {
+		r.outcome, r.status = StreamInterrupted, 0
+	}
 	taken := time.Since(r.request.Arrived)
 	e.config.Metrics.Count("wigeontiller_requests_total{outcome=\""+r.outcome+"\"}", 1)
 	e.config.Metrics.Observe("wigeontiller_request_seconds", taken)
--- a/exchange/invariants.go
+++ b/exchange/invariants.go
@@ -1,9 +1,14 @@
 package exchange
 
-import "github.com/wigeontiller/wigeontiller/telemetry"
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeontiller/wigeontiller/telemetry"
+)
 
 // Invariants that a request handler checks before it acts. A violation is a bug in this
-// program: it is counted, logged as an error, and the action is not carried out.
+// program: it is counted, logged as an error, and the action is not carried out. A response
+// that has begun is then broken off.
 const (
 	invariantAtMostOnce  = "at_most_once"
 	invariantNotExecuted = "not_run"
@@ -50,18 +55,21 @@
 	return false
 }
 
-// singleResponse passes one response to the caller and blocks a second one.
+// singleResponse passes one response to the caller. It breaks off the response if a second one follows, and
+// if none was completed when the handler has ended.
 type singleResponse struct {
 	ResponseWriter
 	handler *requestHandler
-	// begun is set by the first call, ended by the one that completes the response.
+	// begun is set by the first call, ended by the one that completes or breaks off the response.
 	begun, ended bool
+	// brokenOff is true if a violation has broken off the response.
+	brokenOff bool
 }
 
 // allowBegin reports whether a response may begin now.
 func (o *singleResponse) allowBegin() bool {
-	if o.begun {
-		o.handler.reportViolation(invariantOneResponse)
+	if o.begun || o.ended {
+		o.breakOff()
 		return false
 	}
 	o.begun = true
@@ -70,14 +78,30 @@
 
 // allowEnd reports whether the response may be completed now.
 func (o *singleResponse) allowEnd() bool {
-	if o.ended {
-		o.handler.reportViolation(invariantOneResponse)
+	if o.ended || !o.begun {
+		o.breakOff()
 		return false
 	}
 	o.ended = true
 	return true
 }
 
+// breakOff reports a violation and aborts the response unless it has ended.
+func (o *singleResponse) breakOff() {
+	o.handler.reportViolation(invariantOneResponse)
+	if !o.ended {
+		o.ended, o.brokenOff = true, true
+		o.ResponseWriter.Abort()
+	}
+}
+
+// close breaks off a response that the handler has not ended.
+func (o *singleResponse) close() {
+	if !o.ended {
+		o.breakOff()
+	}
+}
+
 // WriteResponse implements ResponseWriter.
 func (o *singleResponse) WriteResponse(reply Reply, body []byte) {
 	if o.allowBegin() && o.allowEnd() {
@@ -99,6 +123,15 @@
 	}
 }
 
+// WriteEvents implements ResponseWriter.
+func (o *singleResponse) WriteEvents(data []byte) error {
+	if !o.begun || o.ended {
+		o.breakOff()
+		return errResponseEnded
+	}
+	return o.ResponseWriter.WriteEvents(data)
+}
+
 // EndStream implements ResponseWriter.
 func (o *singleResponse) EndStream() {
 	if o.allowEnd() {
@@ -108,7 +141,12 @@
 
 // Abort implements ResponseWriter.
 func (o *singleResponse) Abort() {
-	if o.allowEnd() {
-		o.ResponseWriter.Abort()
+	if o.ended {
+		o.breakOff()
+		return
 	}
+	o.ended = true
+	o.ResponseWriter.Abort()
 }
+
+var errResponseEnded = eris.New("response has ended")
--- a/exchange/invariants_test.go
+++ b/exchange/invariants_test.go
@@ -51,6 +51,26 @@
 	}
 }
 
+func TestResponseThatNobodyEndsIsBrokenOff(t *testing.T) {
+	for name, calls := range map[string]func(c ResponseWriter){
+		"no response":                  func(ResponseWriter) {},
+		"stream without end":           func(c ResponseWriter) { c.BeginStream(&fakeReply{}) },
+		"second response after events": func(c ResponseWriter) { c.BeginStream(&fakeReply{}); c.WriteResponse(&fakeReply{}, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var aborted bool
+			violations := countViolations(t, invariantOneResponse, fleet.Stream, func(r *requestHandler) {
+				calls(r.writer)
+				r.writer.close()
+				aborted = r.writer.brokenOff
+			})
+			is.Equal(violations, int64(1))
+			is.True(aborted)
+		})
+	}
+}
+
 func TestSingleResponsePassesOneResponse(t *testing.T) {
 	for name, calls := range map[string]func(c ResponseWriter){
 		"complete response":   func(c ResponseWriter) { c.WriteResponse(&fakeReply{}, nil) },
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -38,7 +38,7 @@
 type requestHandler struct {
 	exchange   *Exchange
 	request    *Request
-	writer     ResponseWriter
+	writer     *singleResponse
 	service    string
 	history    retry.History
 	placements int
