A stream goes on only with numbered events

A stream without numbers was started again from its first event at the next upstream. Cause: an event without a number was in order at any place, as comments are. Now a continuation delivers the next number or comments; all else makes the attempt fail. A stream whose caller has an event without a number is not continued.

--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -112,7 +112,7 @@
 	if errors.As(err, &network) && network.Timeout() {
 		return false
 	}
-	return !errors.Is(err, errMissingEvent) && !errors.Is(err, errEventTooLong) && !errors.Is(err, errBodyTooLong) && !errors.Is(err, errNoBuffer)
+	return !errors.Is(err, errMissingEvent) && !errors.Is(err, errUnnumberedEvent) && !errors.Is(err, errEventTooLong) && !errors.Is(err, errBodyTooLong) && !errors.Is(err, errNoBuffer)
 }
 
 // recordLostAttempt records that an upstream cut the connection of an attempt before its answer had
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -22,6 +22,8 @@
 	// hasData is true if the last event has a data field; comments that keep a connection
 	// alive have none.
 	hasData bool
+	// isComment is true if the last event has comment lines only.
+	isComment bool
 }
 
 // eventBufferBytes is several times the size of a usual event.
@@ -36,7 +38,7 @@
 // of the body the error is io.EOF and data holds the bytes after the last complete
 // event; a complete stream has none.
 func (r *eventReader) next() (data []byte, number int64, err error) {
-	r.buffer, r.hasData = r.buffer[:0], false
+	r.buffer, r.hasData, r.isComment = r.buffer[:0], false, true
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.buffer = append(r.buffer, line...)
@@ -54,6 +56,7 @@
 			return r.buffer, number, nil
 		}
 		r.hasData = r.hasData || bytes.HasPrefix(text, []byte("data"))
+		r.isComment = r.isComment && (len(text) == 0 || text[0] == ':')
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if parsed, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				number = parsed
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -251,3 +251,12 @@
 	is.True(budget.Spend(22*time.Second, "s"))
 	is.True(budget.Spend(time.Second, "other"))
 }
+
+func TestStreamWithoutEventNumbersIsNotStartedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, attemptStep{status: 200, body: "data: a\n\n", bodyErr: errReset}, attemptStep{status: 200, body: "data: a\n\ndata: b\n\n"})
+	got := f.serve(t, f.request("stream"))
+	is.True(got.aborted)
+	is.Equal(got.events, "data: a\n\n")
+	is.Equal(len(f.sender.attempts), 1)
+}
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -46,6 +46,9 @@
 	// lastEventNumber is the number of the last event that the caller has received.
 	lastEventNumber int64
 	begun           atomic.Bool
+	// unnumbered is true if the caller has received an event without a number. Such a stream can't be
+	// continued.
+	unnumbered bool
 	// headerReceived is true after the response header of the current attempt has arrived, and
 	// attemptEvents counts the events of its stream.
 	headerReceived bool
@@ -195,7 +198,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if !r.history.MayRetry() {
+	if !r.history.MayRetry() || r.unnumbered {
 		return false
 	}
 	config := &r.exchange.config
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -21,6 +21,7 @@
 		return r.retryOrFail(ctx)
 	}
 	events := newEventReader(reply.Body())
+	continuation := r.begun.Load()
 	for first := true; ; first = false {
 		data, number, err := events.next()
 		if err != nil {
@@ -32,6 +33,12 @@
 		if number > r.lastEventNumber+1 {
 			return r.onStreamEnd(ctx, decision, reply, data, errMissingEvent, watch)
 		}
+		if number == 0 && !events.isComment {
+			if continuation {
+				return r.onStreamEnd(ctx, decision, reply, data, errUnnumberedEvent, watch)
+			}
+			r.unnumbered = true
+		}
 		if first {
 			scheduler.FirstEvent(decision.ID)
 		}
@@ -49,7 +56,10 @@
 	}
 }
 
-var errMissingEvent = errors.New("event missing from the stream")
+var (
+	errMissingEvent    = errors.New("event missing from the stream")
+	errUnnumberedEvent = errors.New("event of a continued stream has no number")
+)
 
 // relayEvent sends one event to the caller.
 func (r *requestHandler) relayEvent(reply Reply, data []byte, number int64) error {
