The closed connection does not end a stream that may be resumed

Cause: the end of a connection was taken for the end of the answer; only an empty stream was doubted. Now another upstream is asked for what follows the last event: an end that its framing marks completes the stream, also without further events; else it is broken off, and the caller may resume. Streams that must not be repeated are as before.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -80,13 +80,32 @@
 	return r.writer.WriteEvents(data)
 }
 
+// errUnmarkedEnd means that the end of the connection alone ends a stream: an upstream that is killed
+// closes its connections too.
+var errUnmarkedEnd = errors.New("stream ends with its connection")
+
+// streamEndError returns nil if the body has ended as a complete stream. An unmarked end of a stream that may be
+// resumed is an error: another upstream knows whether events follow. remainder holds the bytes
+// after the last complete event.
+func (r *requestHandler) streamEndError(reply Reply, remainder []byte, err error) error {
+	unmarked := reply.Delivery().Framing == CloseDelimited
+	switch {
+	case !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return err
+	case len(remainder) > 0:
+		return io.ErrUnexpectedEOF
+	case unmarked && (r.request.Route.Repeatable() || r.attemptEvents == 0):
+		return errUnmarkedEnd
+	}
+	return nil
+}
+
 // onStreamEnd handles the end of a stream's body. remainder holds the bytes after the last
 // complete event; a stream is complete only if there are none.
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
 	scheduler := r.exchange.config.Scheduler
-	// A closed connection does not tell the end of an empty stream from that of its engine.
-	empty := reply.Delivery().Framing == CloseDelimited && r.attemptEvents == 0
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && len(remainder) == 0 && !empty {
+	err = r.streamEndError(reply, remainder, err)
+	if err == nil {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Answered, "")
 		r.recordWholeStream()
