A request that must not run twice is sent again on a new connection only

Cause: the ID names the caller's attempt, not the send. On the kept connection both sends bear the same ID. Now a second send of such a request, to an upstream or over the hop to a node, dials: on a new connection no response to the first can arrive. Cost: one new connection for each repeated send of a request that must not run twice. Ruled out: a connection each for all such sends, and no reuse after refusals; both cost new connections on each request of a busy service.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -91,6 +91,8 @@
 	// AtMostOnce is true for a request that must not run twice: it must not be sent on a
 	// connection that the upstream may be closing.
 	AtMostOnce bool
+	// Resend is true if the request has been sent before, to any upstream or node.
+	Resend bool
 }
 
 // Verdict says whether the upstream executed the attempt, by its response.
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -120,7 +120,7 @@
 	r.beginAttempt()
 	r.watchForBlock(watch)
 	reply, node, err := config.Handover.Send(watch.ctx, &Attempt{
-		Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
+		Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		Permitted: func() bool {
 			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
 		},
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -247,7 +247,7 @@
 	}
 	attempt := &Attempt{
 		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
-		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(),
+		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		Urgency: decision.Urgency,
 		Permitted: func() bool {
 			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -69,7 +69,7 @@
 	reader  *bufio.Reader
 	// lastUsedAt is when the last exchange ended.
 	lastUsedAt time.Time
-	// Reused is true when the connection has carried an earlier exchange.
+	// Reused is true when the connection was idle before, and may have carried an earlier exchange.
 	Reused bool
 	// peerIdleTimeout is how long the peer announced to keep an idle connection; 0 if
 	// it announced nothing.
@@ -92,6 +92,11 @@
 		}
 		_ = conn.Close()
 	}
+	return p.Dial(ctx, address)
+}
+
+// Dial returns a new connection, on which no response to an earlier exchange can arrive. Errors: ErrNotSent.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
