A broken response to a caller without chunks ends in a reset

Cause: breaking off means no terminating chunk; HTTP/1.0 has no chunks. Now the close of such a connection is a reset, also where nothing has been written. Callers that take chunks are as before.

--- a/edge/listener.go
+++ b/edge/listener.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -42,3 +43,11 @@
 	}
 	return n, err
 }
+
+// SetLinger is that of net.TCPConn.
+func (c *activityConn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		return conn.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -215,7 +215,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	n.callerServer = &http.Server{
-		Handler: n.countActive(ingress), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: n.countActive(ingress), ConnContext: platform.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: newServerLogger(n.logger), DisableGeneralOptionsHandler: true,
 	}
 	n.readyServer = &http.Server{
