--- a/edge/faulty_answers_test.go
+++ b/edge/faulty_answers_test.go
@@ -184,3 +184,28 @@
 		is.True(!strings.Contains(got.body, "error"))
 	})
 }
+
+func TestPlainAnswerWithoutLengthIsNotFramedAsWhole(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		is := is.New(t)
+		f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+			c.run()
+			c.write(rawHead(200, c.id) + "\r\nok")
+			return false
+		})
+		for _, route := range []string{"look", "book"} {
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(f.nodes[0].url, "http://"))
+			is.NoErr(err)
+			_, err = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: bare-%s\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token key-a\r\nContent-Length: 0\r\n\r\n", route, route)
+			is.NoErr(err)
+			raw, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.NoErr(conn.Close())
+			head, body, _ := strings.Cut(string(raw), "\r\n\r\n")
+			is.True(strings.HasPrefix(head, "HTTP/1.1 200"))
+			is.Equal(body, "ok")
+			is.True(!strings.Contains(head, "Content-Length") && !strings.Contains(head, "Transfer-Encoding"))
+			is.True(!strings.Contains(head, "Wigeontiller"))
+		}
+	})
+}
