The closed connection ends no stream as complete

They were handed on with the upstream's framing, and the closed connection of an upstream that was killed is the caller's end. Cause: the same as of the streams that may be resumed; an exception was made for these, so that sound ones look complete. Now no stream ends by its connection. Cost: a sound stream without a length on such a route, all of whose events are delivered, ends as broken off. Its upstream is not blamed.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -260,3 +260,16 @@
 	is.Equal(got.events, "data: a\n\n")
 	is.Equal(len(f.sender.attempts), 1)
 }
+
+func TestClosedConnectionDoesNotEndStreamThatMustNotBeResumed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, attemptStep{status: 200, closeDelimited: true, body: eventText(1, 3)})
+	request := f.request("stream")
+	route := *request.Route
+	route.Resumable = false
+	request.Route = &route
+	got := f.serve(t, request)
+	is.True(got.aborted)
+	is.Equal(got.events, eventText(1, 3))
+	is.Equal(len(f.sender.attempts), 1)
+}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -84,17 +84,15 @@
 // closes its connections too.
 var errUnmarkedEnd = errors.New("stream ends with its connection")
 
-// streamEndError returns nil if the body has ended as a complete stream. An unmarked end of a stream that may be
-// resumed is an error: another upstream knows whether events follow. remainder holds the bytes
+// streamEndError returns nil if the body has ended as a complete stream. remainder holds the bytes
 // after the last complete event.
-func (r *requestHandler) streamEndError(reply Reply, remainder []byte, err error) error {
-	unmarked := reply.Delivery().Framing == CloseDelimited
+func streamEndError(reply Reply, remainder []byte, err error) error {
 	switch {
 	case !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		return err
 	case len(remainder) > 0:
 		return io.ErrUnexpectedEOF
-	case unmarked && (r.request.Route.Repeatable() || r.attemptEvents == 0):
+	case reply.Delivery().Framing == CloseDelimited:
 		return errUnmarkedEnd
 	}
 	return nil
@@ -104,7 +102,7 @@
 // complete event; a stream is complete only if there are none.
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
 	scheduler := r.exchange.config.Scheduler
-	err = r.streamEndError(reply, remainder, err)
+	err = streamEndError(reply, remainder, err)
 	if err == nil {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Answered, "")
@@ -118,7 +116,8 @@
 	}
 	reply.Abort()
 	outcome := placement.Unresponsive
-	if ctx.Err() != nil || watch.blocked() {
+	unmarked := errors.Is(err, errUnmarkedEnd) && r.attemptEvents > 0
+	if ctx.Err() != nil || watch.blocked() || unmarked {
 		outcome = placement.Neutral
 	}
 	scheduler.End(decision.ID, outcome, "")
