Extra bytes of the platform are not taken for later answers

What callers saw: after one extra response of the platform on a kept connection, each later call on that connection got the answer of the call before it, for as long as the connection lived: rows of other keys, writes reported as done that had failed.

Cause: fasthttp drops what its reader has buffered, and reuses a connection without a look at what is left to read. The extra response is then read as that of the next call, whose own is left for the one after it.

Evidence: TestExtraResponseIsNotTakenForNextCalls, a raw server that writes a second response 20 ms after the first; the second call got "not found" for a row that exists.

Fix: a kept connection with bytes to be read, or closed by the platform, is not written to. Nothing was sent on it then, so the call goes out on a new connection; no call is sent twice. A call on a connection that the platform closed while it was idle used to end as "outcome unknown". The check is one non-blocking read a call; sound connections are reused as before, also after the deadline of their last call (second test).

--- a/storage/httpstorage/client.go
+++ b/storage/httpstorage/client.go
@@ -19,10 +19,11 @@
 	maxConns       = 64
 )
 
-// Client calls the platform over HTTP. It never retries a call.
+// Client calls the platform over HTTP. It never sends a call twice.
 type Client struct {
 	base string
-	http *fasthttp.Client
+	// kept keeps its connections, fresh opens one for each call.
+	kept, fresh *fasthttp.Client
 }
 
 var _ storage.Platform = (*Client)(nil)
@@ -35,7 +36,11 @@
 	if _, err := url.Parse(base); err != nil {
 		return nil, eris.Wrap(err, "parse platform URL")
 	}
-	client := &fasthttp.Client{
+	return &Client{base: base, kept: newHTTPClient(), fresh: newHTTPClient()}, nil
+}
+
+func newHTTPClient() *fasthttp.Client {
+	return &fasthttp.Client{
 		MaxConnsPerHost:           maxConns,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
@@ -43,7 +48,6 @@
 		},
 		Dial: dial,
 	}
-	return &Client{base: base, http: client}, nil
 }
 
 func dial(address string) (net.Conn, error) {
@@ -51,7 +55,7 @@
 	if err != nil {
 		return nil, errors.Join(errDial, err)
 	}
-	return conn, nil
+	return &exchangeConn{Conn: conn}, nil
 }
 
 // Get returns one row or storage.ErrNotFound.
@@ -130,7 +134,11 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI(c.base + path)
 	request.SetBodyRaw(data)
-	err := c.http.DoDeadline(request, response, deadline(ctx))
+	err := c.kept.DoDeadline(request, response, deadline(ctx))
+	if errors.Is(err, errNotReusable) {
+		request.SetConnectionClose()
+		err = c.fresh.DoDeadline(request, response, deadline(ctx))
+	}
 	if err != nil {
 		return nil, classify(err)
 	}
--- /dev/null
+++ b/storage/httpstorage/client_test.go
@@ -0,0 +1,110 @@
+package httpstorage
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// respond writes what a raw platform answers to the request with this number on a connection, from 0.
+type respond func(conn net.Conn, number int, request *http.Request)
+
+// startRawPlatform serves requests by a script and returns a client for it.
+func startRawPlatform(t *testing.T, answer respond) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, answer)
+		}
+	}()
+	client, err := NewClient("http://" + listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+func serveRaw(conn net.Conn, answer respond) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		answer(conn, number, request)
+		if request.Close {
+			return
+		}
+	}
+}
+
+func response(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func rowBody(key string) string {
+	return fmt.Sprintf(`{"rows":[{"key":%q,"version":1,"value":""}]}`, key)
+}
+
+// write sends an answer. It fails only if the client has disconnected.
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+// TestExtraResponseIsNotTakenForNextCalls guards against a second copy of an answer that arrives after
+// the first was read: every later call on the connection got the answer of the call before it.
+func TestExtraResponseIsNotTakenForNextCalls(t *testing.T) {
+	is := is.New(t)
+	client := startRawPlatform(t, func(conn net.Conn, number int, _ *http.Request) {
+		row := response(http.StatusOK, rowBody("a"))
+		write(conn, row)
+		if number == 0 {
+			time.Sleep(20 * time.Millisecond)
+			write(conn, response(http.StatusOK, `{"rows":[]}`))
+		}
+	})
+	for range 3 {
+		row, err := client.Get(t.Context(), "a")
+		is.NoErr(err)
+		is.Equal(row.Key, "a")
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// TestConnectionIsReusedAfterTheDeadlineOfItsCall guards against a connection for each call that comes
+// later than the deadline of the one before it.
+func TestConnectionIsReusedAfterTheDeadlineOfItsCall(t *testing.T) {
+	is := is.New(t)
+	numbers := make(chan int, 2)
+	client := startRawPlatform(t, func(conn net.Conn, number int, _ *http.Request) {
+		numbers <- number
+		write(conn, response(http.StatusOK, rowBody("a")))
+	})
+	for want := range 2 {
+		const timeout = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		_, err := client.Get(ctx, "a")
+		cancel()
+		is.NoErr(err)
+		is.Equal(<-numbers, want)
+		time.Sleep(timeout + 20*time.Millisecond)
+	}
+}
