Own interface: a response is believed by its attempt ID, and a body that is cut short is not complete

Cause: the upstream client never compared the attempt's ID, and the HTTP library reports the plain end of the body if the connection closes between two chunks or inside a body of over 64 MiB; an interim response (103) was delivered as the response. Now a response with another's ID is never believed; one without an ID only on a new connection; a connection is kept only if its last response bore the ID and was read to its end. The stand-ins return the ID, as documented for engines and services; one that does not costs a connection a call. Calls that cancel have IDs of their own. The reply of client_test.go now bears the ID: without it its connection would rightly not be kept; what it asserts is unchanged. Not done: bodies without a length in entry (a claim may store a short one), the end of a stream after an error event.

--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -32,6 +32,7 @@
 func NewServer(config Config, control *fault.Control) *Server {
 	server := &Server{engine: New(config), control: control}
 	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
+	server.app.Use(fault.EchoAttempt)
 	control.OnSet(server.applyOneShotKnobs)
 	control.Routes(server.app)
 	server.app.Post("/v1/chat/completions", server.complete)
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -40,6 +40,7 @@
 func NewServer(name string, control *fault.Control) *Server {
 	server := &Server{name: name, runs: map[string]int{}}
 	server.app = fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true})
+	server.app.Use(fault.EchoAttempt)
 	server.app.Get(PathCounts, func(c *fiber.Ctx) error { return c.JSON(server.Runs()) })
 	control.Routes(server.app)
 	server.app.All("/*", server.execute)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -8,10 +8,11 @@
 	"errors"
 	"io"
 	"net"
-	"strconv"
+	"net/textproto"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -22,7 +23,8 @@
 	dialTimeout      = 2 * time.Second
 	maxConnsPerHost  = 1024
 	maxResponseBytes = 64 << 20
-	// HeaderAttempt carries the attempt ID to an engine or service.
+	// HeaderAttempt carries the attempt ID to an engine or service. An upstream that
+	// returns it in its responses keeps its connections.
 	HeaderAttempt = "X-Attempt-ID"
 	// HeaderPriority carries the request's priority to an engine.
 	HeaderPriority = "X-Request-Priority"
@@ -33,8 +35,14 @@
 	HeaderOwner = "X-Wigeontiller-Owner"
 	// HeaderNotRun is set by an upstream that refused an attempt without executing it.
 	HeaderNotRun = "X-Not-Run"
+	// chunkedLength is the length that the HTTP library reports for a body in chunks; it
+	// is lower for a body that ends with its connection.
+	chunkedLength = -1
 )
 
+// headerAttemptCanonical is HeaderAttempt as the HTTP library writes the name of a received field.
+var headerAttemptCanonical = textproto.CanonicalMIMEHeaderKey(HeaderAttempt)
+
 // Errors of attempts.
 var (
 	// ErrNotSent is returned when no byte of the attempt reached the upstream.
@@ -71,7 +79,10 @@
 	// Fields holds every header field, including repeated ones.
 	Fields   []Field
 	response *fasthttp.Response
+	conn     *trackedConn
 	body     *trackedBody
+	// identified is true if the response carries the attempt's ID.
+	identified bool
 }
 
 // Body returns the response body as it arrives.
@@ -79,31 +90,43 @@
 	return r.body
 }
 
-// Close releases the connection. A connection whose response was not read to its
-// end is closed: the HTTP library would reuse it, and the next attempt would
-// then read the remainder of this response.
+// EndedByClose reports whether the body had no framing, so that only the end of the
+// connection ended it: it may be cut short. It is valid once the body was read to its end.
+func (r *Reply) EndedByClose() bool {
+	return !r.body.framed
+}
+
+// Close releases the connection. It is closed unless the response was read to its end
+// and carries the attempt's ID: the next attempt would read the remainder of this
+// response, or could not tell a late response to this attempt from its own.
 func (r *Reply) Close() {
 	stream, ok := r.response.BodyStream().(fasthttp.ReadCloserWithError)
-	if ok && !r.body.ended {
-		_ = stream.CloseWithError(errUnread)
-		return
+	switch {
+	case r.identified && r.body.ended:
+		r.conn.reusable.Store(true)
+		_ = r.response.CloseBodyStream()
+	case ok:
+		_ = stream.CloseWithError(errNotReusable)
 	}
-	_ = r.response.CloseBodyStream()
 }
 
-// errUnread makes the HTTP library close the connection.
-var errUnread = eris.New("response body not read to its end")
-
 // trackedBody records whether the end of the response body was read.
 type trackedBody struct {
 	reader io.Reader
+	conn   *trackedConn
+	// framed is true if the response has a length or is in chunks.
+	framed bool
 	ended  bool
 }
 
-// Read reads the response body.
+// Read reads the response body. The HTTP library also reports io.EOF when the
+// connection ends between two chunks or before the length of a long body.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
 	if err == io.EOF {
+		if b.framed && b.conn.ended.Load() {
+			return n, io.ErrUnexpectedEOF
+		}
 		b.ended = true
 	}
 	return n, err
@@ -189,11 +212,15 @@
 	request.Header.Set(HeaderAttempt, attempt.ID)
 	request.SetBodyRaw(attempt.Body)
 	response := new(fasthttp.Response)
-	err := c.host(attempt.Address).DoDeadline(request, response, attempt.Deadline)
+	err := c.send(request, response, attempt)
 	if err != nil {
 		return nil, classify(err)
 	}
 	reply := newReply(response)
+	if err := reply.identify(attempt.ID); err != nil {
+		reply.Close()
+		return nil, err
+	}
 	if _, refused := reply.Header[HeaderNotRun]; refused {
 		reply.Close()
 		return nil, ErrRefused
@@ -201,6 +228,37 @@
 	return reply, nil
 }
 
+// send takes another connection if the one that it was given must not be used again.
+// Nothing was sent on that one.
+func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, attempt *Attempt) error {
+	for {
+		err := c.host(attempt.Address).DoDeadline(request, response, attempt.Deadline)
+		if !errors.Is(err, errNotReusable) {
+			return err
+		}
+	}
+}
+
+// identify checks that the response is that of the attempt. The place of a response
+// proves it only on a fresh connection: on one that carried another response, a late
+// response to an earlier attempt may be in its place. Errors: ErrIncomplete.
+func (r *Reply) identify(attemptID string) error {
+	id, found := r.Header[headerAttemptCanonical]
+	r.identified = found && id == attemptID
+	reused := r.conn.reused.Load()
+	switch {
+	case found && !r.identified:
+		return eris.Wrap(ErrIncomplete, "the response is that of another attempt")
+	case !found && reused:
+		return eris.Wrap(ErrIncomplete, "the response on a reused connection has no attempt ID")
+	case r.Status < fasthttp.StatusOK:
+		// The HTTP library would read the final response as that of the next attempt.
+		r.identified = false
+		return eris.Wrap(ErrIncomplete, "interim response")
+	}
+	return nil
+}
+
 func classify(err error) error {
 	if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return eris.Wrap(ErrNotSent, err.Error())
@@ -209,14 +267,17 @@
 }
 
 func newReply(response *fasthttp.Response) *Reply {
+	conn := connOf(response)
 	reply := &Reply{
 		Status:   response.StatusCode(),
 		Header:   map[string]string{},
 		response: response,
-		body:     &trackedBody{reader: response.BodyStream()},
+		conn:     conn,
+		body:     &trackedBody{reader: response.BodyStream(), conn: conn, framed: response.Header.ContentLength() >= chunkedLength},
 	}
 	if response.BodyStream() == nil {
 		reply.body.reader = bytes.NewReader(response.Body())
+		reply.body.framed = true
 	}
 	for name, value := range response.Header.All() {
 		reply.Header[string(name)] = string(value)
@@ -237,7 +298,7 @@
 }
 
 func (c *Client) control(method, address, path string, deadline time.Time) (int, error) {
-	reply, err := c.do(&Attempt{ID: "control-" + strconv.FormatInt(deadline.UnixNano(), 36), Address: address, Method: method, Path: path, Deadline: deadline})
+	reply, err := c.do(&Attempt{ID: "control-" + uuid.NewString(), Address: address, Method: method, Path: path, Deadline: deadline})
 	if err != nil {
 		return 0, err
 	}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -18,7 +18,7 @@
 
 const (
 	testTimeout   = 20 * time.Second
-	completeReply = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789"
+	completeReply = "HTTP/1.1 200 OK\r\nX-Attempt-ID: attempt\r\nContent-Length: 10\r\n\r\n0123456789"
 )
 
 // rawServer counts connections and the bytes it reads, and closes each connection
