--- a/edge/answer_table_test.go
+++ b/edge/answer_table_test.go
@@ -405,7 +405,7 @@
 // wrongEnd checks a response that the caller's client takes for complete.
 func (p *answerPlay) wrongEnd(first *writtenAnswer) []string {
 	if p.cell.isStream() && first.status == 200 {
-		return p.wrongStream(first)
+		return p.wrongStream()
 	}
 	switch {
 	case first.unframed && first.end == endReset:
@@ -422,7 +422,7 @@
 	return nil
 }
 
-func (p *answerPlay) wrongStream(first *writtenAnswer) []string {
+func (p *answerPlay) wrongStream() []string {
 	if p.gotUnframed {
 		return []string{"ORDER: a stream without framing ended with its connection"}
 	}
