Fleets of processes before upstreams that answer falsely

The stand-in engine gets seeded faults: refusals, stale refusals and failures written again (without an ID, with the earlier, with the same request's), heads that stop, answers without a length, also cut, streams that break off and continuations that fail. A node's log line of a broken invariant now fails every test of such a fleet: until now no process test kept the nodes' own log (the harness read stderr only), so that none could show it.

--- a/standin/cutproxy/cutproxy.go
+++ b/standin/cutproxy/cutproxy.go
@@ -73,7 +73,10 @@
 		_, _ = io.Copy(server, client)
 		_ = server.Close()
 	}()
-	_, _ = io.Copy(client, server)
+	if _, err := io.Copy(client, server); err != nil {
+		// The server reset the connection; with no time to linger, the close is a reset too.
+		_ = client.SetLinger(0)
+	}
 	p.mutex.Lock()
 	delete(p.conns, client)
 	p.mutex.Unlock()
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -6,7 +6,7 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -45,6 +45,8 @@
 	RunTime time.Duration
 	// RequestLimit, if not empty, is the rate of requests that every answer states.
 	RequestLimit string
+	// Faults makes a share of the answers faulty.
+	Faults Faults
 }
 
 // Run is one request that the engine executed.
@@ -56,6 +58,10 @@
 	Header http.Header
 	// Cut is true if the connection ended before the answer was complete.
 	Cut bool
+	// Status is that of the answer. Whole is true once the answer was written to its end, Reset if the engine
+	// reset the connection instead.
+	Status       int
+	Whole, Reset bool
 }
 
 // Engine is one engine or plain service. It is safe for concurrent use.
@@ -81,7 +87,9 @@
 	runs           []*Run
 	arrivals       []time.Time
 	reservations   map[string]int
-	active         int
+	// seen counts the requests by ID, for Knobs.Faults.
+	seen   map[string]int
+	active int
 }
 
 // New returns an engine whose streams have 8 events, 5 ms apart, and with memory for
@@ -90,7 +98,7 @@
 	const events, memory, pause, downTime = 8, 232_000, 5 * time.Millisecond, 100 * time.Millisecond
 	return &Engine{
 		ID: id, Events: events, EventInterval: pause, MemoryTokens: memory, DownTime: downTime,
-		reservations: map[string]int{}, crashed: make(chan struct{}),
+		reservations: map[string]int{}, seen: map[string]int{}, crashed: make(chan struct{}),
 	}
 }
 
@@ -208,13 +216,16 @@
 func (e *Engine) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
-	body := make([]byte, max(0, r.ContentLength))
-	_, _ = r.Body.Read(body)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.mutex.Lock()
 	knobs := e.knobs
-	if knobs.Full {
-		e.mutex.Unlock()
+	e.mutex.Unlock()
+	faulty := e.draw(r, knobs.Faults, id, after)
+	if knobs.Full || faulty.refuse {
 		w.Header().Set("X-Not-Executed", "1")
 		if knobs.RetryAfter != "" {
 			w.Header().Set("Retry-After", knobs.RetryAfter)
@@ -224,8 +235,9 @@
 	}
 	run := &Run{
 		ID: id, Path: r.URL.RequestURI(), Organisation: r.Header.Get("X-Tenant"), Body: string(body),
-		After: after, Header: r.Header.Clone(),
+		After: after, Header: r.Header.Clone(), Status: http.StatusOK,
 	}
+	e.mutex.Lock()
 	e.runs = append(e.runs, run)
 	e.active++
 	e.mutex.Unlock()
@@ -241,16 +253,22 @@
 	if knobs.CrashTarget != "" && r.URL.RequestURI() == knobs.CrashTarget {
 		e.crashByRequest(r)
 	}
+	if e.answerFaultily(w, r, run, faulty, after) {
+		return
+	}
 	switch {
 	case knobs.Unresponsive:
 		<-r.Context().Done()
 	case knobs.Status != 0:
-		w.WriteHeader(knobs.Status)
+		e.answerStatus(w, run, knobs.Status)
 	case r.Header.Get("X-Token-Usage") != "":
+		if faulty.breakOff && faulty.breakAfter > after {
+			knobs.BreakAfter = faulty.breakAfter
+		}
 		e.stream(w, r, knobs, after)
 	default:
 		e.runFor(r, knobs.RunTime)
-		answer := fmt.Sprintf("%s ran %s", e.ID, r.URL.RequestURI())
+		answer := answerText(e.ID, r)
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 		_, _ = w.Write([]byte(answer))
 		if knobs.Extra {
@@ -324,7 +342,7 @@
 		case <-crashed:
 			panic(http.ErrAbortHandler)
 		}
-		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event)
+		text := eventText(event, r)
 		if knobs.BreakAfter > 0 && event > knobs.BreakAfter {
 			_, _ = w.Write([]byte(text[:len(text)/2]))
 			_ = control.Flush()
--- a/standin/fleetengine/server.go
+++ b/standin/fleetengine/server.go
@@ -36,7 +36,7 @@
 func (s *Server) Address() string { return s.address }
 
 func (s *Server) serve(listener net.Listener) {
-	server := &http.Server{Handler: s.engine, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: s.engine, ReadHeaderTimeout: time.Minute, ConnContext: withConnection}
 	s.mutex.Lock()
 	s.http = server
 	s.mutex.Unlock()
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/wigeontiller/wigeontiller/standin/cutproxy"
 	"github.com/wigeontiller/wigeontiller/standin/fleetengine"
 	"github.com/wigeontiller/wigeontiller/standin/fleetstore"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
 // edgeFleet is a fleet of edge processes before stand-ins of the users' platform.
@@ -37,6 +38,10 @@
 	nodes []*edgeNode
 	// requests numbers the callers' requests.
 	requests atomic.Int64
+	// version is that of the newest configuration, maxAttempts the attempts that its routes allow.
+	version, maxAttempts int
+	// exits counts the ends of nodes' processes.
+	exits atomic.Int64
 }
 
 type edgeNode struct {
@@ -44,6 +49,8 @@
 	// ways are the node's ways to the upstreams.
 	ways                           []*cutproxy.Proxy
 	name, settings, callers, ready string
+	// logFiles are those of all its processes.
+	logFiles []string
 }
 
 const (
@@ -54,50 +61,63 @@
 
 func startEdgeFleet(t *testing.T) *edgeFleet { return startFleet(t, false) }
 
-func startFleet(t *testing.T, ownWays bool) *edgeFleet {
-	f := &edgeFleet{t: t, store: fleetstore.New(), ownWays: ownWays}
+func startFleet(t *testing.T, ownWays bool) *edgeFleet { return startFleetOf(t, edgeNodes, 2, ownWays) }
+
+// startFleetOf starts a fleet of this many nodes whose routes allow so many attempts.
+func startFleetOf(t *testing.T, nodes, maxAttempts int, ownWays bool) *edgeFleet {
+	f := &edgeFleet{t: t, store: fleetstore.New(), ownWays: ownWays, maxAttempts: maxAttempts}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
 	f.address = strings.TrimPrefix(server.URL, "http://")
+	f.configure()
+	for i := range edgeEngines {
+		f.engines = append(f.engines, f.addEngine("llm", i))
+	}
+	for i := range edgeApps {
+		f.apps = append(f.apps, f.addEngine("app", i))
+	}
+	for i := range nodes {
+		f.nodes = append(f.nodes, f.newNode(i))
+		f.startNode(i)
+	}
+	for i := range nodes {
+		f.waitReady(i)
+	}
+	return f
+}
+
+// configure stores the next version of the configuration, with a time-out that differs from the one before.
+func (f *edgeFleet) configure() {
+	f.version++
 	runtime := map[string]any{
 		"slots": 16, "kvCapacityTokens": 232000, "stride": 43, "step_ms": 1.02, "read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048,
 	}
 	f.store.Put("op", "config", map[string]any{
-		"version": 1,
+		"version": f.version,
 		"routes": []any{
 			map[string]any{
-				"name": "chat", "host": "h.example", "prefix": "/chat/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000,
-				"targetLatencyMs": 300, "maxAttempts": 2, "streamResume": true, "gapTargetMs": 250,
+				"name": "chat", "host": "h.example", "prefix": "/chat/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000 + f.version%2,
+				"targetLatencyMs": 300, "maxAttempts": f.maxAttempts, "streamResume": true, "gapTargetMs": 250,
+			},
+			map[string]any{
+				"name": "talk", "host": "h.example", "prefix": "/talk/", "routeType": "streaming", "service": "llm", "timeoutMs": 5000 + f.version%2,
+				"targetLatencyMs": 300, "maxAttempts": f.maxAttempts, "gapTargetMs": 250,
 			},
 			map[string]any{
-				"name": "book", "host": "h.example", "prefix": "/book/", "routeType": "unsafe", "service": "app", "timeoutMs": 5000,
-				"targetLatencyMs": 120, "maxAttempts": 2,
+				"name": "book", "host": "h.example", "prefix": "/book/", "routeType": "unsafe", "service": "app", "timeoutMs": 5000 + f.version%2,
+				"targetLatencyMs": 120, "maxAttempts": f.maxAttempts,
 			},
 			map[string]any{
-				"name": "look", "host": "h.example", "prefix": "/look/", "routeType": "safe", "service": "app", "timeoutMs": 5000,
-				"targetLatencyMs": 120, "maxAttempts": 2,
+				"name": "look", "host": "h.example", "prefix": "/look/", "routeType": "safe", "service": "app", "timeoutMs": 5000 + f.version%2,
+				"targetLatencyMs": 120, "maxAttempts": f.maxAttempts,
 			},
 		},
 		"services": []any{map[string]any{"name": "llm", "runtime": runtime}, map[string]any{"name": "app"}},
 		"limits":   map[string]any{"maxBodyBytes": 1000},
 	})
-	for i := range edgeEngines {
-		f.engines = append(f.engines, f.addEngine("llm", i))
-	}
-	for i := range edgeApps {
-		f.apps = append(f.apps, f.addEngine("app", i))
-	}
-	for i := range edgeNodes {
-		f.nodes = append(f.nodes, f.newNode(i))
-		f.startNode(i)
-	}
-	for i := range edgeNodes {
-		f.waitReady(i)
-	}
-	return f
 }
 
 func (f *edgeFleet) addEngine(service string, i int) *fleetengine.Engine {
@@ -180,12 +200,44 @@
 // startNode starts a node's process, or starts it again.
 func (f *edgeFleet) startNode(i int) {
 	f.t.Helper()
-	started := start(f.t, "wigeontiller", "edge", f.nodes[i].settings)
+	var started *process
+	f.t.Cleanup(func() { f.checkInvariants(i, started) })
+	started = startProgram(f.t, f.program(i), "edge", f.nodes[i].settings)
 	f.mutex.Lock()
 	f.nodes[i].process = started
+	f.nodes[i].logFiles = append(f.nodes[i].logFiles, started.logFile)
 	f.mutex.Unlock()
 }
 
+// checkInvariants checks that a process that has ended found no broken invariant.
+func (f *edgeFleet) checkInvariants(i int, ended *process) {
+	if ended == nil {
+		return
+	}
+	text, err := os.ReadFile(ended.logFile)
+	if err != nil {
+		f.t.Error(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, telemetry.LogInvariantBroken) {
+			f.t.Errorf("%s broke an invariant: %s", f.nodes[i].name, line)
+		}
+	}
+}
+
+// otherProgram is the name of the variable that holds the file of another version of the program. Every second
+// node runs it.
+const otherProgram = "WIGEONTILLER_SOAK_OTHER_PROGRAM"
+
+func (f *edgeFleet) isOther(i int) bool { return i%2 == 1 && os.Getenv(otherProgram) != "" }
+
+func (f *edgeFleet) program(i int) string {
+	if f.isOther(i) {
+		return os.Getenv(otherProgram)
+	}
+	return filepath.Join(programDirectory, "wigeontiller")
+}
+
 func (f *edgeFleet) waitReady(i int) {
 	f.t.Helper()
 	eventually(f.t, f.nodes[i].name+" is ready", func() bool {
@@ -196,6 +248,7 @@
 // restart ends a node by a signal and starts it again.
 func (f *edgeFleet) restart(i int, signal syscall.Signal) {
 	f.nodes[i].signal(f.t, signal)
+	f.exits.Add(1)
 	f.nodes[i].waitExit(f.t)
 	f.startNode(i)
 	f.waitReady(i)
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -58,17 +58,26 @@
 	command *exec.Cmd
 	done    chan struct{}
 	err     error
+	// logFile holds what it logged.
+	logFile string
 }
 
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	started := &process{command: exec.Command(filepath.Join(programDirectory, name), args...), done: make(chan struct{})}
+	return startProgram(t, filepath.Join(programDirectory, name), args...)
+}
+
+// startProgram starts the program of a file.
+func startProgram(t *testing.T, file string, args ...string) *process {
+	t.Helper()
+	name := filepath.Base(file)
+	started := &process{command: exec.Command(file, args...), done: make(chan struct{})}
 	started.command.Env = append(os.Environ(), "WIGEONTILLER_TOKEN="+operatorToken)
 	log, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	started.command.Stderr = log
+	started.command.Stdout, started.command.Stderr, started.logFile = log, log, log.Name()
 	if err := started.command.Start(); err != nil {
 		t.Fatal(err)
 	}
