The table of answers tries a cell ten times, and lets none but resent requests go unreached

Cells with a copy of an earlier send may be unreached only where the request must not run twice (152): it is sent again on a new connection.

--- a/edge/answer_lanes_test.go
+++ b/edge/answer_lanes_test.go
@@ -225,9 +225,13 @@
 
 // try tries one cell until its answer has been written.
 func (l *answerLane) try(cell answerCell) *answerPlay {
-	const tries = 4
+	const tries, pause = 10, 20 * time.Millisecond
 	var p *answerPlay
-	for range tries {
+	for i := range tries {
+		if i > 0 {
+			// Cells of other lanes may make the nodes refuse for a moment.
+			time.Sleep(pause)
+		}
 		l.prepare(cell.conn)
 		p = l.play(cell, 0)
 		p.mutex.Lock()
@@ -270,19 +274,18 @@
 	runLanes(table, cells, answerCell.isStream, func(l *answerLane, cell answerCell) { report.add(l.try(cell)) })
 	t.Logf("all cells took %v", time.Since(began))
 	report.check(t)
-	unreached := map[string]int{}
+	onNewConnection := 0
 	for _, p := range report.plays {
 		switch {
 		case p.played:
-		case p.cell.id == idEarlier:
-			// The node may send it on another connection.
-			unreached["earlier send"]++
+		case p.cell.id == idEarlier && p.cell.once():
+			// It is sent again on a new connection only.
+			onNewConnection++
 		default:
-			unreached["other"]++
 			t.Errorf("the answer of cell %s was not asked for: %s", p.cell, p.seen())
 		}
 	}
-	t.Logf("not asked for: %v", unreached)
+	t.Logf("%d cells were not asked for: their request is sent again on a new connection", onNewConnection)
 }
 
 // randomize lets the upstreams answer by a seed: with late answers before their own, in pieces.
