--- a/edge/faulty_answers_test.go
+++ b/edge/faulty_answers_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -209,3 +210,37 @@
 		}
 	})
 }
+
+func TestPlainAnswerWithoutLengthThatCallerDoesNotReadIsNotEndedAsComplete(t *testing.T) {
+	is := is.New(t)
+	const size = 7 << 20
+	f, _ := newRawFixture(t, false, func(c *rawCall) bool {
+		c.run()
+		c.write(rawHead(200, c.id) + "\r\n" + strings.Repeat("x", size))
+		return false
+	})
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(f.nodes[0].url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	const deadline, writeSlack = 2 * time.Second, 2 * time.Second
+	_, err = fmt.Fprintf(conn, "POST /look/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key-a\r\nContent-Length: 0\r\n\r\n", deadline.Milliseconds())
+	is.NoErr(err)
+	time.Sleep(deadline + writeSlack + time.Second)
+	raw, err := io.ReadAll(conn)
+	is.True(strings.HasPrefix(string(raw), "HTTP/1.1 200"))
+	is.True(err != nil || len(raw) > size)
+}
+
+func TestAnswerWithoutIDArrivesOverTheHop(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		is := is.New(t)
+		f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+			c.run()
+			c.write(rawHead(404, "") + "Content-Length: 3\r\n\r\nown")
+			return false
+		})
+		for _, route := range []string{"look", "book"} {
+			is.Equal(f.call(0, route, "key-a", nil).status, 404)
+		}
+	})
+}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -273,3 +273,14 @@
 	is.Equal(got.events, eventText(1, 3))
 	is.Equal(len(f.sender.attempts), 1)
 }
+
+func TestUnmarkedEndOfContinuationBlocksNoPrompt(t *testing.T) {
+	is := is.New(t)
+	one := attemptStep{status: 200, closeDelimited: true, body: eventText(1, 1)}
+	empty := attemptStep{status: 200, closeDelimited: true}
+	f := newFixture(t, one, empty, one, empty, one, empty, answeredAttempt)
+	for _, own := range []string{"a", "b", "c"} {
+		is.True(f.serve(t, f.prompt(own, 1)).aborted)
+	}
+	is.True(f.serve(t, f.prompt("d", 1)).ended)
+}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -116,7 +116,8 @@
 	}
 	reply.Abort()
 	outcome := placement.Unresponsive
-	unmarked := errors.Is(err, errUnmarkedEnd) && r.attemptEvents > 0
+	// An upstream that marks no end is not at fault, unless it ends before the first event of the request.
+	unmarked := errors.Is(err, errUnmarkedEnd) && (r.attemptEvents > 0 || r.begun.Load())
 	if ctx.Err() != nil || watch.blocked() || unmarked {
 		outcome = placement.Neutral
 	}
@@ -131,6 +132,7 @@
 		if watch.ctx.Err() != nil && ctx.Err() == nil && !watch.blocked() {
 			r.exchange.config.Handover.Refused(r.handedTo)
 		}
+	case unmarked:
 	case watch.ctx.Err() == nil && isUpstreamEnd(err):
 		r.recordLostAttempt(ctx, decision)
 	case ctx.Err() == nil && !watch.blocked():
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -83,7 +83,7 @@
 	reply := &Reply{
 		Status: response.StatusCode, Header: response.Header, Body: response.Body,
 		CloseDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
-		Chunked:        len(response.TransferEncoding) > 0, Reused: conn.Reused, Skipped: skipped,
+		Chunked:        len(response.TransferEncoding) > 0, Reused: conn.Carried, Skipped: skipped,
 		conn: conn, pool: p, response: response, written: written, stop: stop,
 	}
 	return reply, nil
@@ -169,6 +169,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.Carried = true
 	r.conn.peerIdleTimeout = keepAliveTimeout(r.Header.Get("Keep-Alive"))
 	r.pool.Put(r.conn)
 }
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -69,8 +69,8 @@
 	reader  *bufio.Reader
 	// lastUsedAt is when the last exchange ended.
 	lastUsedAt time.Time
-	// Reused is true when the connection was idle before, and may have carried an earlier exchange.
-	Reused bool
+	// Reused is true when the connection was idle before, Carried when it has carried an earlier exchange.
+	Reused, Carried bool
 	// peerIdleTimeout is how long the peer announced to keep an idle connection; 0 if
 	// it announced nothing.
 	peerIdleTimeout time.Duration
