--- a/storage/httpstorage/client_test.go
+++ b/storage/httpstorage/client_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/storage"
 )
 
 // respond writes what a raw platform answers to the request with this number on a connection, from 0.
@@ -108,3 +112,59 @@
 		time.Sleep(timeout + 20*time.Millisecond)
 	}
 }
+
+// TestLateSuccessIsNotTakenForWrite guards against two nodes that both hold a claim: the answer to an
+// earlier write arrives where that to the next one is expected.
+func TestLateSuccessIsNotTakenForWrite(t *testing.T) {
+	for name, call := range map[string]func(*Client) error{
+		"transaction": func(c *Client) error { return c.Transact(t.Context(), []storage.Write{{Key: "claim"}}) },
+		"object":      func(c *Client) error { return c.PutObject(t.Context(), "result", []byte("x")) },
+		"deletion":    func(c *Client) error { return c.DeleteObject(t.Context(), "result") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int32
+			client := startRawPlatform(t, func(conn net.Conn, number int, _ *http.Request) {
+				if calls.Add(1) == 1 || number > 0 {
+					write(conn, response(http.StatusOK, ""))
+				}
+				if calls.Load() > 1 {
+					write(conn, response(http.StatusConflict, ""))
+				}
+			})
+			is.NoErr(call(client))
+			is.True(errors.Is(call(client), storage.ErrConflict))
+		})
+	}
+}
+
+// TestLateObjectIsNotTakenForAnother guards against the stored result of another request.
+func TestLateObjectIsNotTakenForAnother(t *testing.T) {
+	is := is.New(t)
+	client := startRawPlatform(t, func(conn net.Conn, number int, request *http.Request) {
+		if number > 0 {
+			write(conn, response(http.StatusOK, "one"))
+		}
+		write(conn, response(http.StatusOK, request.URL.Path[len(PathObjects):]))
+	})
+	for _, key := range []string{"one", "two"} {
+		data, err := client.GetObject(t.Context(), key)
+		is.NoErr(err)
+		is.Equal(string(data), key)
+	}
+}
+
+// TestRowsOfOtherKeysAreNotTakenForAnswer guards against rows of an earlier read.
+func TestRowsOfOtherKeysAreNotTakenForAnswer(t *testing.T) {
+	is := is.New(t)
+	client := startRawPlatform(t, func(conn net.Conn, number int, _ *http.Request) {
+		write(conn, response(http.StatusOK, rowBody("a")))
+		if number > 0 {
+			write(conn, response(http.StatusOK, rowBody("b")))
+		}
+	})
+	_, err := client.Get(t.Context(), "a")
+	is.NoErr(err)
+	_, err = client.Get(t.Context(), "b")
+	is.True(errors.Is(err, storage.ErrUnknown))
+}
