--- a/review/standin/ids.go
+++ b/review/standin/ids.go
@@ -87,7 +87,7 @@
 		})
 	}
 	group.Wait()
-	return p.judgeStarved(tallies), nil
+	return p.judgeStarved(tallies), p.checkRunning()
 }
 
 // recovery is recoveryS of the site.
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -130,13 +131,34 @@
 	})
 }
 
+// freeAddress returns a free loopback address below the ports that the kernel gives to connections, so that it
+// stays free while a node restarts.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const firstPort, ports, tries = 20000, 12000, 100
+	err := error(nil)
+	for range tries {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			_ = listener.Close()
+			return listener.Addr().String(), nil
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", err
+}
+
+// checkRunning returns an error if a node's process has ended by itself.
+func (p *platform) checkRunning() error {
+	for _, n := range p.nodes {
+		n.mutex.Lock()
+		exited := n.exited
+		n.mutex.Unlock()
+		select {
+		case <-exited:
+			return errors.New(n.name + " has ended by itself")
+		default:
+		}
+	}
+	return nil
 }
 
 // start starts a node's process and waits until it is ready.
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -90,7 +90,7 @@
 	if sent == 0 || !trouble && complete < sent {
 		return true, nil
 	}
-	return lost > allowedLosses, nil
+	return lost > allowedLosses, p.checkRunning()
 }
 
 // isDrawn draws the answers without a length by the attempt.
