--- a/review/standin/ids.go
+++ b/review/standin/ids.go
@@ -14,10 +14,11 @@
 const (
 	// soundClients send the site's kinds of requests, clientsWithoutID orders without an id: three tenths of all
 	// clients.
-	soundClients, clientsWithoutID = 28, 12
+	soundClients, clientsWithoutID = 56, 24
 	idsTime                        = 60 * time.Second
 	// withoutIDStart and withoutIDTime say when orders without an id are sent.
-	withoutIDStart, withoutIDTime = 2 * time.Second, 3 * time.Second
+	withoutIDStart, withoutIDTime = 2 * time.Second, 10 * time.Second
+	withoutIDInterval             = 700 * time.Millisecond
 	// starvedShare is the share of the rule: a quarter.
 	starvedShare = 0.25
 )
@@ -25,7 +26,7 @@
 // tally counts the requests of one kind that sound clients sent.
 type tally struct{ sent, served, late, lateServed int }
 
-// ids sends drafts and orders to two nodes. For three seconds, some clients send orders without X-Attempt-Id, which
+// ids sends drafts and orders to two nodes. For ten seconds, some clients send orders without X-Attempt-Id, which
 // the workers answer with 400 and X-Not-Executed.
 func ids(p *platform) (bool, error) {
 	p.store.Put("op", "config", map[string]any{
@@ -82,7 +83,8 @@
 				}
 				got := c.sendKind("order", headers)
 				p.record.line("order without an id %v to %s: status %d, error %v", trouble, c.to.name, got.status, got.err)
-				time.Sleep(50 * time.Millisecond)
+				// The next one comes at the same moment as those of the other clients.
+				time.Sleep(withoutIDInterval - time.Since(started)%withoutIDInterval)
 			}
 		})
 	}
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -27,7 +27,13 @@
 	address string
 	folder  string
 	server  *http.Server
-	nodes   []*node
+	// nodes are those that stay.
+	nodes []*node
+
+	mutex sync.Mutex
+	// all are the nodes that were ever made. None is made after closed is set.
+	all    []*node
+	closed bool
 }
 
 // node is one machine of the system.
@@ -64,7 +70,11 @@
 
 // close ends all processes that were started.
 func (p *platform) close() {
-	for _, n := range p.nodes {
+	p.mutex.Lock()
+	p.closed = true
+	all := p.all
+	p.mutex.Unlock()
+	for _, n := range all {
 		n.kill(true)
 	}
 	_ = p.server.Close()
@@ -113,6 +123,12 @@
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil, errors.New("the case has ended")
+	}
+	p.all = append(p.all, n)
 	return n, nil
 }
 
--- a/review/standin/replaced.go
+++ b/review/standin/replaced.go
@@ -15,7 +15,7 @@
 
 const (
 	// replacedMachines were removed for good, one after the other in each of replacedLanes.
-	replacedMachines, replacedLanes = 700, 8
+	replacedMachines, replacedLanes = 1500, 8
 	// beforeFault is the load before the final fault, afterFault that after it.
 	addedTime               = 300 * time.Millisecond
 	beforeFault, afterFault = 8 * time.Second, 32 * time.Second
@@ -75,15 +75,15 @@
 				if err == nil {
 					err = p.run(n)
 				}
-				for end := time.Now().Add(addedTime); err == nil && !n.isReady() && time.Now().Before(end); {
-					time.Sleep(5 * time.Millisecond)
-				}
-				n.kill(true)
-				_ = os.Remove(n.settings)
 				if err != nil {
 					failures <- err
 					return
 				}
+				for end := time.Now().Add(addedTime); !n.isReady() && time.Now().Before(end); {
+					time.Sleep(5 * time.Millisecond)
+				}
+				n.kill(true)
+				_ = os.Remove(n.settings)
 			}
 		})
 	}
