--- a/review/standin/replaced.go
+++ b/review/standin/replaced.go
@@ -16,8 +16,9 @@
 const (
 	// replacedMachines were removed for good, one after the other in each of replacedLanes.
 	replacedMachines, replacedLanes = 1500, 8
-	// beforeFault is the load before the final fault, afterFault that after it.
-	addedTime               = 300 * time.Millisecond
+	// addedTime is the most time that such a machine is there.
+	addedTime = 300 * time.Millisecond
+	// beforeFault is the length of the load before the final fault, afterFault that of the load after it.
 	beforeFault, afterFault = 8 * time.Second, 32 * time.Second
 )
 
