--- a/review/standin/config.go
+++ b/review/standin/config_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standin
 
 // limits are those of the site.
 var limits = map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
--- a/review/standin/record.go
+++ b/review/standin/record_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standin
 
 import (
 	"fmt"
