Admission: the demand that nodes tell each other

The queue of a node holds nought or one request in a fleet of 84 nodes (126 requests a second, 1.5 a node), so that its order decides almost nothing. This commit fixes the form in which nodes tell each other what waits and arrives, by service and priority, and the ledger that sums it: a source that is silent for 2 s is left out. Nothing sends or uses it yet.

Ruled out: demand by upstream, which grows with nodes x upstreams x classes.

--- /dev/null
+++ b/admission/demand.go
@@ -0,0 +1,80 @@
+// Package admission decides, while a service has too little room, which of its requests run now,
+// which wait and which are refused, and when those may come back. Each node decides by the same
+// rules from what it knows of the demand at all nodes, so that the nodes agree without asking each
+// other. It does no I/O and reads no clock.
+package admission
+
+import "time"
+
+// Class is a set of requests that are alike for admission: those of one service and priority.
+type Class struct {
+	// Service is the hash of the service's name.
+	Service uint32
+	// Priority is the requests' priority; 0 is served first.
+	Priority uint8
+}
+
+// Demand is what waits and arrives of one class, at one node or at several.
+type Demand struct {
+	Class
+	// OnTime counts the waiting requests whose answer can still begin on time, Late the others.
+	OnTime, Late int
+	// ArrivalsPerSecond is the recent rate of requests, refused ones included.
+	ArrivalsPerSecond float64
+	// PlaceMs is the mean time for which a request holds its place.
+	PlaceMs float64
+}
+
+// add adds another node's demand of the same class.
+func (d *Demand) add(other Demand) {
+	if total := d.ArrivalsPerSecond + other.ArrivalsPerSecond; total > 0 {
+		d.PlaceMs = (d.PlaceMs*d.ArrivalsPerSecond + other.PlaceMs*other.ArrivalsPerSecond) / total
+	}
+	d.OnTime += other.OnTime
+	d.Late += other.Late
+	d.ArrivalsPerSecond += other.ArrivalsPerSecond
+}
+
+// demandTTL is how long a source's demand counts without a new message: several heartbeats of
+// a node. A source that is silent for longer is ignored, so that it can't hold up the others.
+const demandTTL = 2 * time.Second
+
+// Ledger holds the demand of the other nodes, by source: a node, or a zone. It is not safe for
+// concurrent use.
+type Ledger struct {
+	sources map[string]*sourceDemand
+}
+
+type sourceDemand struct {
+	receivedAt time.Duration
+	demands    map[Class]Demand
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{sources: map[string]*sourceDemand{}} }
+
+// Apply replaces the demand of a source.
+func (l *Ledger) Apply(now time.Duration, source string, demands []Demand) {
+	known := &sourceDemand{receivedAt: now, demands: make(map[Class]Demand, len(demands))}
+	for _, demand := range demands {
+		known.demands[demand.Class] = demand
+	}
+	l.sources[source] = known
+}
+
+// Remove forgets a source that is gone.
+func (l *Ledger) Remove(source string) { delete(l.sources, source) }
+
+// Others returns the demand of a class at all other nodes that were heard recently.
+func (l *Ledger) Others(now time.Duration, class Class) Demand {
+	sum := Demand{Class: class}
+	for _, known := range l.sources {
+		if now-known.receivedAt > demandTTL {
+			continue
+		}
+		if demand, ok := known.demands[class]; ok {
+			sum.add(demand)
+		}
+	}
+	return sum
+}
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -83,8 +83,9 @@
 	}
 }
 
-// RemoveNode removes the totals of a node that is gone.
+// RemoveNode removes the totals and the demand of a node that is gone.
 func (s *Scheduler) RemoveNode(node string) {
+	s.demands.Remove(node)
 	for _, l := range s.loads {
 		l.setNodeTotals(node, Totals{})
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeontiller/wigeontiller/admission"
 	"github.com/wigeontiller/wigeontiller/fleet"
 )
 
@@ -147,6 +148,8 @@
 	unreached map[string]bool
 	// limits are by the upstream's incarnation.
 	limits map[uint32]*knownLimit
+	// demands is what waits and arrives at the other nodes.
+	demands *admission.Ledger
 }
 
 // New returns a scheduler without upstreams.
@@ -157,6 +160,7 @@
 	return &Scheduler{
 		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
 		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, unreached: map[string]bool{},
+		demands: admission.NewLedger(),
 	}
 }
 
