Requests have keys of the node's own; one without an ID is refused at once

Change: each placement and each offer gets a key of 64 random bits of the process and a count, unique over nodes and restarts. Over the hop the other node repeats it (Wigeontiller-Attempt), and is believed by it; a node of an earlier version by the caller's ID as before. The caller's ID stays in logs and on the wire. A request without an ID, with two, or with one that Connection forbids to forward gets 400 bad_request (reason no_id) once its route and key are known, before its body is read. Why 400: that is what upstreams answer (400, not executed); 503 would invite it again, and passing it on spends a place, a retry and a connection, and its response can't be told from another's. 404 and 401 go first, so that probes of the configuration in force need no ID. In placement/ only the meaning of Request.ID is said.

Ruled out: a check for equal keys in the scheduler (the second request would have to be refused or renamed).

--- a/exchange/admit.go
+++ b/exchange/admit.go
@@ -15,6 +15,9 @@
 	BadRequest   Code = "bad_request"
 )
 
+// ReasonNoID is the reason of BadRequest for a request without an ID.
+const ReasonNoID = "no_id"
+
 // Admission is the configuration, route and organisation that apply to a request.
 type Admission struct {
 	Configuration *fleet.Configuration
@@ -52,6 +55,15 @@
 	return admitted, nil
 }
 
+// CheckID returns the failure of an admitted request without an ID, or nil. Upstreams refuse such a request, and
+// nothing would tell its response from another's on the same connection, so that it is not sent.
+func CheckID(id string) *Failure {
+	if id != "" {
+		return nil
+	}
+	return &Failure{Code: BadRequest, Reason: ReasonNoID}
+}
+
 func (e *Exchange) deny(code Code, age time.Duration) *Failure {
 	if age > e.config.Freshness.MaxDenyAge {
 		return &Failure{Code: Unavailable, Reason: string(code) + UnsureSuffix, RetryAfter: e.config.RetryAfter}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,8 @@
 
 // Request is one request as received from a caller.
 type Request struct {
+	// ID is the ID that the caller gave. Other requests may bear the same, so that it is for logs and for the wire
+	// only.
 	ID           string
 	Route        *fleet.Route
 	Organisation *fleet.Organisation
@@ -73,6 +75,8 @@
 
 // Attempt is one send of a request to an upstream.
 type Attempt struct {
+	// Key is the node's own name of the attempt, which no other attempt of any node has.
+	Key      string
 	Request  *Request
 	Upstream *fleet.Upstream
 	Helpers  []*fleet.Upstream
@@ -217,6 +221,7 @@
 	cancelUnanswered context.CancelFunc
 	buffers          *bufferMemory
 	suspension       suspensionGuard
+	keys             *keySource
 }
 
 // errShutdown is the cancellation cause of requests that end because the node shuts down.
@@ -234,7 +239,7 @@
 	if config.Handover == nil {
 		config.Handover = noHandover{}
 	}
-	e := &Exchange{config: config, buffers: newBufferMemory(config.MaxBufferedBytes)}
+	e := &Exchange{config: config, buffers: newBufferMemory(config.MaxBufferedBytes), keys: newKeySource()}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
 	return e
 }
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -100,9 +100,9 @@
 		if !r.allowSend() {
 			return actionFail, true
 		}
-		decision := &placement.Decision{ID: r.request.ID + "/handover", Lead: &fleet.Upstream{}}
+		decision := &placement.Decision{ID: r.exchange.keys.next(), Lead: &fleet.Upstream{}}
 		watch := r.newPeerWatchdog(ctx, decision)
-		reply, node, err := r.sendToPeer(watch)
+		reply, node, err := r.sendToPeer(decision.ID, watch)
 		decision.Lead.ID = node
 		action, taken := r.afterHandover(ctx, decision, reply, err, watch)
 		watch.stop()
@@ -115,12 +115,12 @@
 	return actionFail, false
 }
 
-func (r *requestHandler) sendToPeer(watch *watchdog) (PeerReply, string, error) {
+func (r *requestHandler) sendToPeer(key string, watch *watchdog) (PeerReply, string, error) {
 	config := &r.exchange.config
 	r.beginAttempt()
 	r.watchForBlock(watch)
 	reply, node, err := config.Handover.Send(watch.ctx, &Attempt{
-		Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
+		Key: key, Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		Permitted: func() bool {
 			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
 		},
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -213,7 +212,7 @@
 	scheduler := r.exchange.config.Scheduler
 	r.placements++
 	request := &placement.Request{
-		ID:           r.request.ID + "/" + strconv.Itoa(r.placements),
+		ID:           r.exchange.keys.next(),
 		Service:      r.service,
 		Kind:         r.request.Route.Kind,
 		PromptTokens: r.request.PromptTokens,
@@ -246,7 +245,7 @@
 		return actionFail
 	}
 	attempt := &Attempt{
-		Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
+		Key: decision.ID, Request: r.request, Upstream: decision.Lead, Helpers: decision.Helpers,
 		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		Urgency: decision.Urgency,
 		Permitted: func() bool {
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -65,7 +65,7 @@
 	t := &reservations{handler: r}
 	for i, reservation := range decision.Reservations {
 		t.list = append(t.list, Reservation{
-			ID: decision.ID + "/" + strconv.Itoa(i), Upstream: reservation.Upstream, Tokens: reservation.Tokens,
+			ID: decision.ID + "-" + strconv.Itoa(i), Upstream: reservation.Upstream, Tokens: reservation.Tokens,
 		})
 	}
 	t.renewedAt, t.longLease = make([]time.Time, len(t.list)), make([]bool, len(t.list))
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -46,6 +46,7 @@
 
 // Request is what the scheduler needs to know of a request.
 type Request struct {
+	// ID names the placement. The caller makes it, a new one for each placement.
 	ID      string
 	Service string
 	Kind    fleet.RouteKind
