A stream without a length that can't be continued is handed on as it came

Where another upstream can be asked for what follows, that gives it an end; where it must not run again, each whole one was broken off after its last event, and its caller could neither use nor repeat it. Plain answers were handed on without framing already.

Change: exchange decides (BeginStream's unmarked), platform writes. A stream that ends with its connection and can't be continued, on a route that must not be resumed or without numbers on its events, goes to the caller without framing too. Its connection is closed if the upstream's was closed after a whole event; in each other case (a reset, an end inside an event, a missing event, no event at all, the end of this node) it is reset, as for callers of HTTP/1.0. A process that is killed closes its connections like one that has finished; one that then refuses connections did not end the stream, and the caller is reset. Over the hop the header that plain answers have says so. Resumable routes are as before. Nothing of such an end counts for or against the upstream, or as evidence that a request is sound.

Left: a close between two events by an upstream that lives on can't be told from an end. With one of two upstreams unframed in the continuation too, a resumable stream has nobody left to ask and is broken off as before.

--- a/edge/faulty_answers_test.go
+++ b/edge/faulty_answers_test.go
@@ -186,6 +186,106 @@
 	})
 }
 
+// rawCaller sends a request for a stream in a version of HTTP, and returns the response as it came.
+func rawCaller(t *testing.T, url, route, version string) (head, body string, err error) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /%s/x HTTP/%s\r\nHost: h.example\r\nX-Attempt-Id: raw-%d\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token key-a\r\n"+
+		"X-Token-Usage: 1000,300\r\nContent-Length: 0\r\n\r\n", route, version, requestCount.Add(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := io.ReadAll(conn)
+	head, body, _ = strings.Cut(string(raw), "\r\n\r\n")
+	return head, body, err
+}
+
+// Broken off after its last event, a whole stream would be lost: it must not run again.
+func TestStreamWithoutLengthThatMustNotBeResumedEndsAsItCame(t *testing.T) {
+	events := rawEvent(1) + rawEvent(2)
+	for name, c := range map[string]struct {
+		body     string
+		reset    bool
+		complete bool
+	}{
+		"closed":                 {body: events, complete: true},
+		"reset":                  {body: events, reset: true},
+		"closed inside an event": {body: events + "id: 3\nda"},
+		"event missing":          {body: events + rawEvent(4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forDirectAndHop(t, func(t *testing.T, hop bool) {
+				is := is.New(t)
+				f, _ := newRawFixture(t, hop, func(call *rawCall) bool {
+					call.run()
+					call.write(rawHead(200, call.id) + "\r\n" + c.body)
+					if c.reset {
+						// The events arrive before the reset.
+						time.Sleep(20 * time.Millisecond)
+						_ = call.conn.(*net.TCPConn).SetLinger(0)
+					}
+					return false
+				})
+				for _, version := range []string{"1.1", "1.0"} {
+					head, body, err := rawCaller(t, f.nodes[0].url, "talk", version)
+					is.True(strings.HasPrefix(head, "HTTP/"+version+" 200"))
+					is.True(!strings.Contains(head, "Content-Length") && !strings.Contains(head, "Transfer-Encoding"))
+					is.True(!strings.Contains(head, "Wigeontiller"))
+					is.Equal(err == nil, c.complete)
+					is.True(err == nil || errors.Is(err, syscall.ECONNRESET))
+					is.True(!c.complete || body == events)
+				}
+			})
+		})
+	}
+}
+
+// A node that ends at the end of its grace period must not end for its callers the streams that have not ended.
+func TestShutdownResetsStreamWithoutLength(t *testing.T) {
+	for _, version := range []string{"1.1", "1.0"} {
+		is := is.New(t)
+		ended := make(chan struct{})
+		begun := make(chan struct{})
+		f := newFixtureWithoutUpstreams(t)
+		f.graceSeconds = 1
+		f.addRawUpstream("llm-1", func(call *rawCall) bool {
+			call.write(rawHead(200, call.id) + "\r\n" + rawEvent(1))
+			close(begun)
+			<-ended
+			return false
+		})
+		f.startNode("edge-0")
+		go func() {
+			<-begun
+			f.nodes[0].stop()
+		}()
+		head, _, err := rawCaller(t, f.nodes[0].url, "talk", version)
+		close(ended)
+		is.True(strings.HasPrefix(head, "HTTP/"+version+" 200"))
+		is.True(errors.Is(err, syscall.ECONNRESET))
+	}
+}
+
+// A caller that could resume the stream must be able to tell that it did not end.
+func TestStreamThatMayBeResumedKeepsItsOwnFraming(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		is := is.New(t)
+		f, _ := newRawFixture(t, hop, func(call *rawCall) bool {
+			call.run()
+			call.write(rawHead(200, call.id) + "\r\n" + rawEvent(1) + rawEvent(2))
+			return false
+		})
+		head, body, err := rawCaller(t, f.nodes[0].url, "chat", "1.1")
+		is.NoErr(err)
+		is.True(strings.Contains(head, "Transfer-Encoding: chunked"))
+		is.True(!strings.HasSuffix(body, "0\r\n\r\n")) // no terminator: broken off
+	})
+}
+
 func TestPlainAnswerWithoutLengthIsNotFramedAsWhole(t *testing.T) {
 	forDirectAndHop(t, func(t *testing.T, hop bool) {
 		is := is.New(t)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -149,8 +149,10 @@
 type ResponseWriter interface {
 	// WriteResponse sends an upstream's complete response.
 	WriteResponse(reply Reply, body []byte)
-	// BeginStream starts a stream with the header of an upstream's response.
-	BeginStream(reply Reply)
+	// BeginStream starts a stream with the header of an upstream's response. unmarked is true if only the end of the
+	// connection is to mark the stream's end, as at the upstream: the caller then knows as much of its completeness as
+	// this node.
+	BeginStream(reply Reply, unmarked bool)
 	// WriteEvents sends complete events.
 	WriteEvents(data []byte) error
 	// EndStream completes a stream.
--- a/exchange/invariants.go
+++ b/exchange/invariants.go
@@ -117,9 +117,9 @@
 }
 
 // BeginStream implements ResponseWriter.
-func (o *singleResponse) BeginStream(reply Reply) {
+func (o *singleResponse) BeginStream(reply Reply, unmarked bool) {
 	if o.allowBegin() {
-		o.ResponseWriter.BeginStream(reply)
+		o.ResponseWriter.BeginStream(reply, unmarked)
 	}
 }
 
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -48,6 +48,8 @@
 	// unnumbered is true if the caller has received an event without a number. Such a stream can't be
 	// continued.
 	unnumbered bool
+	// unmarked is true if only the end of the connection marks the end of the caller's stream.
+	unmarked bool
 	// headerReceived is true after the response header of the current attempt has arrived, and
 	// attemptEvents counts the events of its stream.
 	headerReceived bool
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -68,7 +68,9 @@
 	}
 	now := time.Now()
 	if r.begun.CompareAndSwap(false, true) {
-		r.writer.BeginStream(reply)
+		// One that could be continued is given an end by another upstream.
+		r.unmarked = reply.Delivery().Framing == CloseDelimited && (!r.request.Route.Repeatable() || r.unnumbered)
+		r.writer.BeginStream(reply, r.unmarked)
 		r.firstEventDelay = now.Sub(r.request.Arrived)
 	} else if pause := now.Sub(r.lastEventAt); pause > r.longestPause {
 		r.longestPause, r.pauseEnd = pause, now.Sub(r.request.Arrived)
@@ -98,6 +100,21 @@
 	return nil
 }
 
+// endsAsItCame reports whether an unmarked end may be handed on as it came, so that it ends the caller's stream too. It
+// may not if the upstream is known to have been killed: its process has ended.
+func (r *requestHandler) endsAsItCame(ctx context.Context, decision *placement.Decision) bool {
+	if !r.unmarked || r.attemptEvents == 0 {
+		return false
+	}
+	if r.handedTo != "" {
+		// The other node has looked.
+		return true
+	}
+	probe, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	defer cancel()
+	return !r.exchange.config.Sender.HasEnded(probe, decision.Lead)
+}
+
 // onStreamEnd handles the end of a stream's body. remainder holds the bytes after the last
 // complete event; a stream is complete only if there are none.
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
@@ -108,12 +125,19 @@
 		scheduler.End(decision.ID, placement.Answered, "")
 		r.recordWholeStream()
 		if r.begun.CompareAndSwap(false, true) {
-			r.writer.BeginStream(reply)
+			r.writer.BeginStream(reply, false)
 		}
 		r.writer.EndStream()
 		r.outcome = Answered
 		return actionDone
 	}
+	if errors.Is(err, errUnmarkedEnd) && r.endsAsItCame(ctx, decision) {
+		reply.Finish()
+		scheduler.End(decision.ID, placement.Neutral, "")
+		r.writer.EndStream()
+		r.outcome = Answered
+		return actionDone
+	}
 	reply.Abort()
 	outcome := placement.Unresponsive
 	// An upstream that marks no end is not at fault, unless it ends before the first event of the request.
