Memory: one budget of bytes for a process; callers that don't behave lose their place first

Each was read whole before it was placed (io.ReadAll, which doubles its buffer), kept until the answer, and copied whole for each attempt: about 20 MB for a body of 4 MB.

Ruled out: a bound by the stated length alone (callers that announce and don't send would hold it), a pool of blocks (a writer that is still sending could read another caller's bytes), a fixed number of large requests.

Change: - memorybudget: what is held, by kind and owner; two thirds at most for one organisation or route alone, a quarter of the budget for requests and answers of up to 16 KiB. The budget and the runtime's soft limit come from memory_mb. - Bodies are read in pieces, reserved as they come; what was announced is kept 250 ms for a silent caller. A stated length over what is left is refused unread (503, not run). A body is held once: head and pieces are written as they are. - Answers are held in the same budget (32 MB of their own before), doubled instead of copied each 16 KiB. - connguard: connections bounded by port, heads of many short fields and requests sent ahead counted; while room is short, half-way and slow callers are ended first, never one whose request has been read. Bodies of refused requests are not read. The kernel's receive buffer is 64 KiB a connection.

Tests changed: the test of the answers' memory is written for the budget, as strict, and checks that what is held is counted; encodeAttempt gives the head, so its test joins head and pieces. review/standin fills limits.memoryMb and limits.maxFds, as the platform does.

--- a/cli/edge.go
+++ b/cli/edge.go
@@ -43,6 +43,7 @@
 	defer lines.Close()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	logger := zerolog.New(lines).Level(level).With().Timestamp().Logger()
+	settings.LimitMemory()
 	node, err := edge.New(settings, logger)
 	if err != nil {
 		return err
--- /dev/null
+++ b/connguard/unread.go
@@ -0,0 +1,76 @@
+package connguard
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+)
+
+type connKey struct{}
+
+// unwrapper is a connection around another.
+type unwrapper interface{ NetConn() net.Conn }
+
+// guardedConn returns the guarded connection in a connection, if there is one.
+func guardedConn(conn net.Conn) (*Conn, bool) {
+	for {
+		switch typed := conn.(type) {
+		case *Conn:
+			return typed, true
+		case unwrapper:
+			conn = typed.NetConn()
+		default:
+			return nil, false
+		}
+	}
+}
+
+// ConnContext adds a guarded connection to the context of its requests. It is for http.Server.ConnContext.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := guardedConn(conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// Refuse prepares the refusal of a request before its header is written: a body is not read, and the connection is
+// closed after the response if there is a body, or if room is short.
+func Refuse(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.port.guard.isPressed(c.port) {
+			w.Header().Set("Connection", "close")
+		}
+		return
+	}
+	w.Header().Set("Connection", "close")
+	// net/http reads up to 256 KiB of a body that its handler has left; now it gets none of it. The error is
+	// ignored: a test's response recorder does not support deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(past)
+	// A body over its limit makes net/http wait before it closes the connection, so that the caller can read the
+	// response. This is that, without reading of the body.
+	_, _ = http.MaxBytesReader(w, io.NopCloser(endless{}), 0).Read(make([]byte, 1))
+}
+
+// endless is a body of any length.
+type endless struct{}
+
+// Read fills the slice with zeros.
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+func (g *Guard) isPressed(p *port) bool {
+	if g.budget.UnderPressure() {
+		return true
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return p.pressed()
+}
+
+// WithoutBodies serves requests that have no body, and refuses to read one.
+func WithoutBodies(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Refuse(w, r)
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/edge/listener.go
+++ b/edge/listener.go
@@ -44,9 +44,20 @@
 	return n, err
 }
 
+// NetConn returns the connection below.
+func (c *activityConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite is that of net.TCPConn.
+func (c *activityConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // SetLinger is that of net.TCPConn.
 func (c *activityConn) SetLinger(seconds int) error {
-	if conn, ok := c.Conn.(*net.TCPConn); ok {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return conn.SetLinger(seconds)
 	}
 	return errors.ErrUnsupported
--- a/edge/node.go
+++ b/edge/node.go
@@ -14,10 +14,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wigeontiller/wigeontiller/blocklist"
+	"github.com/wigeontiller/wigeontiller/connguard"
 	"github.com/wigeontiller/wigeontiller/exchange"
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
 	"github.com/wigeontiller/wigeontiller/loadshare"
+	"github.com/wigeontiller/wigeontiller/memorybudget"
 	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/platform"
@@ -53,9 +55,6 @@
 	maxHeaderBytes = 64 << 10
 	// maxAnswerBytes bounds a response that is not a stream; it is held in memory.
 	maxAnswerBytes = 8 << 20
-	// maxBufferedBytes bounds all such responses together: a sixth of the smallest machine's
-	// memory.
-	maxBufferedBytes = 32 << 20
 	// retryAfter is the time after which a caller should retry at another node.
 	retryAfter = 300 * time.Millisecond
 	// revokeMargin is how long before the end of the revocation time a node with a stale
@@ -96,9 +95,12 @@
 
 // Node is one entry node.
 type Node struct {
-	settings  *Settings
-	logger    zerolog.Logger
-	metrics   *telemetry.Metrics
+	settings *Settings
+	logger   zerolog.Logger
+	metrics  *telemetry.Metrics
+	// budget accounts for what others make the node hold, and guard for their connections.
+	budget    *memorybudget.Budget
+	guard     *connguard.Guard
 	follower  *follow.Follower
 	gate      *exchange.SchedulerRunner
 	retries   *exchange.RetryBudget
@@ -128,6 +130,8 @@
 // New returns a node that is bound to its addresses. Errors: ErrSettings, ErrListen.
 func New(settings *Settings, logger zerolog.Logger) (*Node, error) {
 	n := &Node{settings: settings, logger: logger.With().Str("node", settings.Name).Logger(), metrics: telemetry.NewMetrics()}
+	n.budget = settings.newBudget()
+	n.guard = newGuard(n.budget, n.logger, n.metrics)
 	store := platform.NewStore(settings.StoreAddress, n.logger)
 	n.follower = follow.New(store, bootClock, n.logger, n.metrics)
 	scheduler := placement.New(placement.Config{
@@ -169,7 +173,7 @@
 			MaxSendAge: milliseconds(settings.RevokeMs) - revokeMargin,
 			MaxDenyAge: milliseconds(settings.ApplyMs),
 		},
-		MaxResponseBytes: maxAnswerBytes, MaxBufferedBytes: maxBufferedBytes, RetryAfter: retryAfter,
+		MaxResponseBytes: maxAnswerBytes, Budget: n.budget, RetryAfter: retryAfter,
 	})
 	n.blocks = newBlockSynchronizer(store, n.blocklist, n.agent.IsOwner, n.logger)
 	n.reportPoller = &reportPoller{
@@ -192,15 +196,24 @@
 	if err != nil {
 		return err
 	}
-	addresses := []string{n.settings.CallerAddress, n.settings.ReadyAddress, peerAddress.String()}
-	if n.settings.MetricsAddress != "" {
-		addresses = append(addresses, n.settings.MetricsAddress)
+	callers := n.settings.maxCallerConnections()
+	ports := []struct {
+		name, address string
+		max           int
+		endsIdle      bool
+	}{
+		{"callers", n.settings.CallerAddress, callers, false}, {"readiness", n.settings.ReadyAddress, maxOtherConnections, true},
+		{"nodes", peerAddress.String(), callers / peerShare, false}, {"metrics", n.settings.MetricsAddress, maxOtherConnections, true},
+	}
+	if n.settings.MetricsAddress == "" {
+		ports = ports[:len(ports)-1]
+	} else {
 		mux := http.NewServeMux()
 		mux.HandleFunc("/metrics", n.serveMetrics)
-		n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: newServerLogger(n.logger)}
+		n.metricsServer = n.newSmallServer(mux)
 	}
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp4", address)
+	for _, port := range ports {
+		listener, err := n.guard.Listen(port.name, port.address, port.max, port.endsIdle)
 		if err != nil {
 			return eris.Wrap(ErrListen, err.Error())
 		}
@@ -209,24 +222,15 @@
 	n.activity = &activityListener{Listener: n.listeners[0], started: time.Now()}
 	n.listeners[0] = n.activity
 	ingress := platform.NewIngress(n.exchange)
-	n.peerServer = &http.Server{
-		Handler:           n.countActive(ingress.HandoverHandler(n.agent.IsPeer, func() bool { return !n.draining.Load() })),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: newServerLogger(n.logger),
-		DisableGeneralOptionsHandler: true,
-	}
-	n.callerServer = &http.Server{
-		Handler: n.countActive(ingress), ConnContext: platform.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: newServerLogger(n.logger), DisableGeneralOptionsHandler: true,
-	}
-	n.readyServer = &http.Server{
-		Handler:           platform.ReadyHandler(n.ready),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: newServerLogger(n.logger),
-	}
+	n.peerServer = n.newServer(n.countActive(ingress.HandoverHandler(n.agent.IsPeer, func() bool { return !n.draining.Load() })), maxHeaderBytes)
+	n.callerServer = n.newServer(n.countActive(ingress), maxHeaderBytes)
+	n.readyServer = n.newSmallServer(platform.ReadyHandler(n.ready))
 	return nil
 }
 
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	n.recordMemory()
 	if err := n.metrics.WritePrometheus(w); err != nil {
 		n.logger.Debug().Err(err).Msg("can't write metrics")
 	}
@@ -276,6 +280,7 @@
 	group.Go(func() { periodic.Run(runCtx, reach.RoundInterval, n.handover.retryAll) })
 	group.Go(func() { periodic.RunNow(runCtx, exchange.TickInterval, n.exchange.Tick) })
 	group.Go(func() { periodic.Run(runCtx, reportInterval, func() { n.reportPoller.pollAll(runCtx) }) })
+	group.Go(func() { periodic.Run(runCtx, connguard.SweepInterval, n.guard.Sweep) })
 	monitor := &queueMonitor{gate: n.gate, logger: n.logger, metrics: n.metrics, consecutive: map[string]int{}}
 	group.Go(func() { periodic.Run(runCtx, queueCheckInterval, monitor.check) })
 	failed := make(chan error, len(n.listeners))
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/wigeontiller/wigeontiller/memorybudget"
 	"github.com/wigeontiller/wigeontiller/strictyaml"
 )
 
@@ -51,6 +52,10 @@
 	// ProcessorShare is the machine's processor share in cores; 0 is not known. Nodes with a
 	// larger one pass the load on between the others.
 	ProcessorShare float64 `yaml:"processor_share"`
+	// MemoryMB is the memory of the machine in MiB, which the process must not exceed, at least 64. Absent or 0: 184.
+	MemoryMB int64 `yaml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have, at least 512. Absent or 0: 4,100.
+	MaxDescriptors int `yaml:"max_descriptors"`
 	// LogLevel is a zerolog level. Default info.
 	LogLevel string `yaml:"log_level"`
 }
@@ -113,6 +118,12 @@
 			report(field, "must be over 0")
 		}
 	}
+	if s.MemoryMB != 0 && s.MemoryMB < memorybudget.MinMachineBytes>>20 {
+		report("memory_mb", "must be at least 64, or absent")
+	}
+	if s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors {
+		report("max_descriptors", "must be at least 512, or absent")
+	}
 	for field, value := range map[string]float64{"retry_ratio": s.RetryRatio, "retry_extra": s.RetryExtra, "processor_share": s.ProcessorShare} {
 		if value < 0 {
 			report(field, "must not be negative")
--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -79,17 +79,21 @@
 func (r *requestHandler) deliverResponse(ctx context.Context, decision *placement.Decision, reply Reply, watch *watchdog) nextAction {
 	r.stopBlockWatch()
 	scheduler := r.exchange.config.Scheduler
-	body, release, err := r.exchange.buffers.read(reply.Body(), r.exchange.config.MaxResponseBytes)
-	defer release()
+	reservation := r.exchange.openAnswer(r.request)
+	defer reservation.Release()
+	body, err := readAnswer(reply.Body(), r.exchange.config.MaxResponseBytes, reservation)
 	if err != nil || !reply.Authentic() {
 		reply.Abort()
 		outcome := placement.Unresponsive
-		if ctx.Err() != nil {
+		r.reason = "answer_not_whole"
+		if errors.Is(err, errNoBuffer) {
+			r.reason = ReasonNoMemory
+		}
+		if ctx.Err() != nil || errors.Is(err, errNoBuffer) {
 			outcome = placement.Neutral
 		}
 		scheduler.End(decision.ID, outcome, "")
 		r.avoid = append(r.avoid, decision.Lead.ID)
-		r.reason = "answer_not_whole"
 		r.logFailedAttempt(decision, r.reason, reply.Status())
 		if err != nil && watch.ctx.Err() == nil && isUpstreamEnd(err) {
 			r.recordLostAttempt(ctx, decision)
--- a/exchange/buffer.go
+++ b/exchange/buffer.go
@@ -3,52 +3,75 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/memorybudget"
+)
+
+// Reasons of failures for lack of memory.
+const (
+	// ReasonNoMemory means that the process's budget has no room for the bytes.
+	ReasonNoMemory = "no_memory"
+	// ReasonSlowBody means that the caller stopped sending its body, or sent it too slowly while memory was short.
+	ReasonSlowBody = "body_not_sent"
 )
 
 var (
 	errBodyTooLong = errors.New("response body exceeds the size limit")
-	errNoBuffer    = errors.New("too many response bytes are held at a time")
+	errNoBuffer    = errors.New("no memory for the response")
 )
 
-// bufferMemory bounds the bytes of all response bodies that are held at a time, so that
-// upstreams that send long bodies can't exhaust the process's memory.
-type bufferMemory struct{ left atomic.Int64 }
+// OpenBody returns an empty reservation for the body of an admitted request.
+func (e *Exchange) OpenBody(admitted Admission) *memorybudget.Reservation {
+	return e.open(memorybudget.Bodies, admitted.Route, admitted.Organisation)
+}
+
+// openAnswer returns an empty reservation for the answer to a request.
+func (e *Exchange) openAnswer(request *Request) *memorybudget.Reservation {
+	return e.open(memorybudget.Answers, request.Route, request.Organisation)
+}
+
+// open returns a reservation that counts for the route and the organisation.
+func (e *Exchange) open(kind memorybudget.Kind, route *fleet.Route, organisation *fleet.Organisation) *memorybudget.Reservation {
+	owner := ""
+	if organisation != nil {
+		owner = "organisation " + organisation.Name
+	}
+	return e.config.Budget.Open(kind, "route "+route.Name, owner)
+}
 
-func newBufferMemory(bytes int64) *bufferMemory {
-	m := &bufferMemory{}
-	m.left.Store(bytes)
-	return m
+// BodyRefusal returns the failure of a request whose body is not read to its end: it was not executed.
+func (e *Exchange) BodyRefusal(reason string) *Failure {
+	return &Failure{Code: Overloaded, Reason: reason, RetryAfter: e.config.RetryAfter}
 }
 
-// bufferStep is the size in which a body's memory is taken.
-const bufferStep = 16 << 10
+// firstAnswerBytes is the memory that is taken for an answer at first; usual ones have a kilobyte.
+const firstAnswerBytes = 4 << 10
 
-// read reads a whole body of at most limit bytes. The caller calls release when the body
-// is no longer needed, also after an error.
-func (m *bufferMemory) read(body io.Reader, limit int64) (data []byte, release func(), err error) {
-	taken := int64(0)
-	release = func() { m.left.Add(taken) }
+// readAnswer reads a whole body of at most limit bytes, which the reservation holds. Errors: errBodyTooLong,
+// errNoBuffer, those of the connection.
+func readAnswer(body io.Reader, limit int64, reservation *memorybudget.Reservation) ([]byte, error) {
+	var data []byte
 	for {
 		if len(data) == cap(data) {
-			if m.left.Add(-bufferStep) < 0 {
-				m.left.Add(bufferStep)
-				return nil, release, errNoBuffer
+			size := min(max(2*int64(cap(data)), firstAnswerBytes), limit+1)
+			if !reservation.Grow(size) {
+				return nil, errNoBuffer
 			}
-			taken += bufferStep
-			grown := make([]byte, len(data), len(data)+bufferStep)
+			grown := make([]byte, len(data), size)
 			copy(grown, data)
+			reservation.Shrink(int64(cap(data)))
 			data = grown
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		switch {
 		case int64(len(data)) > limit:
-			return nil, release, errBodyTooLong
+			return nil, errBodyTooLong
 		case err == io.EOF: //nolint:errorlint // A wrapped io.EOF is not the end of the body.
-			return data, release, nil
+			return data, nil
 		case err != nil:
-			return nil, release, err
+			return nil, err
 		}
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/memorybudget"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/quarantine"
 	"github.com/wigeontiller/wigeontiller/retry"
@@ -200,8 +201,9 @@
 	Now func() time.Duration
 	// MaxResponseBytes is the maximum body size of a response that is not a stream.
 	MaxResponseBytes int64
-	// MaxBufferedBytes is the maximum size of all such bodies that are held at a time.
-	MaxBufferedBytes int64
+	// Budget bounds the bytes of all bodies of requests and responses that are held at a time. Nil is that of the
+	// smallest machine.
+	Budget *memorybudget.Budget
 	// RetryAfter is set in failures for which the scheduler gives none.
 	RetryAfter time.Duration
 }
@@ -215,7 +217,6 @@
 	// the node shuts down.
 	shutdown         context.Context
 	cancelUnanswered context.CancelFunc
-	buffers          *bufferMemory
 	suspension       suspensionGuard
 }
 
@@ -234,7 +235,11 @@
 	if config.Handover == nil {
 		config.Handover = noHandover{}
 	}
-	e := &Exchange{config: config, buffers: newBufferMemory(config.MaxBufferedBytes)}
+	if config.Budget == nil {
+		_, budget := memorybudget.ForMachine(memorybudget.DefaultMachineBytes)
+		config.Budget = memorybudget.New(budget)
+	}
+	e := &Exchange{config: config}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
 	return e
 }
--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/wigeontiller/wigeontiller/blocklist"
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/follow"
+	"github.com/wigeontiller/wigeontiller/memorybudget"
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
@@ -242,7 +243,7 @@
 		Follower: follower, Logger: zerolog.Nop(), Metrics: metrics, Now: clock,
 		Blocklist:        blocklist.New(clock, zerolog.Nop(), metrics, func() {}),
 		Freshness:        fleet.AgeLimits{MaxSendAge: 4500 * time.Millisecond, MaxDenyAge: 2 * time.Second},
-		MaxResponseBytes: 1 << 20, MaxBufferedBytes: 4 << 20, RetryAfter: 300 * time.Millisecond,
+		MaxResponseBytes: 1 << 20, Budget: memorybudget.New(8 << 20), RetryAfter: 300 * time.Millisecond,
 	})
 	for !follower.Current().Synced {
 		time.Sleep(time.Millisecond)
--- a/exchange/upstream_state_test.go
+++ b/exchange/upstream_state_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wigeontiller/wigeontiller/memorybudget"
 )
 
 // TestUpstreamThatLeavesGetsNoFurtherRequest plays each way in which an answer may say that
@@ -76,24 +78,30 @@
 	is.Equal(len(f.serve(t, f.request("safe")).body), 1<<20)
 }
 
-func TestBufferMemoryIsSharedAndReturned(t *testing.T) {
+func TestMemoryOfAnswersIsSharedAndReturned(t *testing.T) {
 	is := is.New(t)
-	m := newBufferMemory(4 * bufferStep)
+	const step = 64 << 10
+	budget := memorybudget.New(5 * step)
 	body := func(n int) io.Reader { return bytes.NewReader(make([]byte, n)) }
-	_, releaseFirst, err := m.read(body(2*bufferStep), 1<<20)
+	first, second := budget.Open(memorybudget.Answers), budget.Open(memorybudget.Answers)
+	_, err := readAnswer(body(step-1), 1<<20, first)
 	is.NoErr(err)
-	_, releaseSecond, err := m.read(body(2*bufferStep), 1<<20)
+	_, err = readAnswer(body(3*step), 1<<20, second)
 	is.True(errors.Is(err, errNoBuffer))
-	releaseFirst()
-	releaseSecond()
-	data, release, err := m.read(body(3*bufferStep), 1<<20)
+	first.Release()
+	second.Release()
+	data, err := readAnswer(body(2*step-1), 1<<20, first)
 	is.NoErr(err)
-	is.Equal(len(data), 3*bufferStep)
-	release()
-	is.Equal(m.left.Load(), int64(4*bufferStep))
-	_, release, err = m.read(io.MultiReader(body(10), errorReader{io.ErrUnexpectedEOF}), 1<<20)
+	is.Equal(len(data), 2*step-1)
+	is.Equal(budget.State().Held, int64(2*step)) // what is held is counted, once it has been copied
+	first.Release()
+	is.Equal(budget.State().Held, int64(0))
+	_, err = readAnswer(io.MultiReader(body(10), errorReader{io.ErrUnexpectedEOF}), 1<<20, first)
 	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // broken off is not the end
-	release()
+	_, err = readAnswer(body(101), 100, first)
+	is.True(errors.Is(err, errBodyTooLong))
+	first.Release()
+	is.Equal(budget.State().Held, int64(0))
 }
 
 func TestDiscardReportsWhetherTheBodyEnded(t *testing.T) {
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -18,8 +18,12 @@
 
 // NewIdentity returns the identity of a request. caller is the organisation's name and prompt the list
 // of the prompt's parts; both may be "".
-func NewIdentity(method, host, target, caller, prompt string, body []byte) Identity {
-	content := sha256.Sum256(body)
+func NewIdentity(method, host, target, caller, prompt string, body ...[]byte) Identity {
+	hash := sha256.New()
+	for _, piece := range body {
+		_, _ = hash.Write(piece)
+	}
+	content := hash.Sum(nil)
 	digest := func(target, prompt string) uint64 {
 		h := sha256.New()
 		for _, field := range []string{method, strings.ToLower(host), target, caller, prompt} {
@@ -27,7 +31,7 @@
 			_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field))))
 			_, _ = h.Write([]byte(field))
 		}
-		_, _ = h.Write(content[:])
+		_, _ = h.Write(content)
 		return binary.BigEndian.Uint64(h.Sum(nil))
 	}
 	identity := Identity{Whole: digest(target, prompt)}
--- a/review/standin/platform_test.go
+++ b/review/standin/platform_test.go
@@ -115,7 +115,7 @@
 		"listen.readiness": n.ready, "ip": "127.0.0.1", "internalPortRange.0": json.Number(port), "internalPortRange.1": json.Number(port),
 		"platform.address": p.address, "bounds.graceS": 8, "bounds.revokeMs": 5000, "bounds.configApplyMs": 2000,
 		"bounds.retryBudgetRatio": 0.2, "bounds.retryWindowS": 10, "bounds.retryBudgetExtra": 106, "bounds.warmupOvershoot": 1.5,
-		"limits.cpuFraction": 0.4,
+		"limits.cpuFraction": 0.4, "limits.memoryMb": memoryMB, "limits.maxFds": 4100,
 	})
 	// All nodes have one IP address here, so that each needs a port of its own.
 	text = strings.Replace(text, "127.0.0.1:9102", n.metrics, 1)
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -27,8 +28,10 @@
 // Request is an encoded HTTP request.
 type Request struct {
 	Method string
-	// Bytes holds the request line, header and body.
-	Bytes []byte
+	// Head holds the request line and the header; it may hold a short body too.
+	Head []byte
+	// Body holds the rest of the body, in pieces. They are read until the exchange has ended, and not copied.
+	Body [][]byte
 	// Matches reports whether a response with this status and header belongs to the
 	// request. Others are skipped: a peer may respond late to an earlier request.
 	Matches func(status int, header http.Header) bool
@@ -68,7 +71,7 @@
 		return nil, eris.Wrap(ErrNotPermitted, "connection closed")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	written, err := write(conn, request.Bytes)
+	written, err := write(conn, request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -91,15 +94,21 @@
 
 // write writes the request, concurrently with the reading of the response if it is
 // longer than maxInlineWriteBytes. The channel receives the result of the write.
-func write(conn *Conn, data []byte) (<-chan error, error) {
+func write(conn *Conn, request *Request) (<-chan error, error) {
 	done := make(chan error, 1)
-	if len(data) > maxInlineWriteBytes {
-		go func() {
-			_, err := conn.Write(data)
-			done <- err
-		}()
+	size := len(request.Head)
+	for _, piece := range request.Body {
+		size += len(piece)
+	}
+	if size > maxInlineWriteBytes {
+		go func() { done <- writePieces(conn, request) }()
 		return done, nil
 	}
+	data := request.Head
+	if len(request.Body) > 0 {
+		// One short write is one packet.
+		data = slices.Concat(append([][]byte{request.Head}, request.Body...)...)
+	}
 	n, err := conn.Write(data)
 	if err == nil {
 		done <- nil
@@ -111,6 +120,19 @@
 	return nil, eris.Wrap(ErrIncomplete, err.Error())
 }
 
+// writePieces writes the head and each piece of the body as it is held.
+func writePieces(conn *Conn, request *Request) error {
+	if _, err := conn.Write(request.Head); err != nil {
+		return err
+	}
+	for _, piece := range request.Body {
+		if _, err := conn.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readResponse returns the first final response that belongs to the request, and the number of those
 // before it that belong to others.
 func readResponse(conn *Conn, request *Request) (*http.Response, int, error) {
--- a/upstream/directhttp/exchange_test.go
+++ b/upstream/directhttp/exchange_test.go
@@ -42,7 +42,7 @@
 
 func newRequest(id string) *Request {
 	return &Request{
-		Method: http.MethodPost, Bytes: []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"),
+		Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"),
 		Matches: func(_ int, header http.Header) bool { return header.Get("X-Id") == id },
 	}
 }
@@ -199,7 +199,7 @@
 	conn, err := pool.Get(ctx, address, time.Minute)
 	is.NoErr(err)
 	long := newRequest("1")
-	long.Bytes = append([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33554432\r\n\r\n"), make([]byte, 32<<20)...)
+	long.Head = append([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 33554432\r\n\r\n"), make([]byte, 32<<20)...)
 	reply, err := pool.Send(ctx, conn, long)
 	is.NoErr(err)
 	body, err := reply.ReadAll(1 << 10)
