placement: engines divided by demand, at any fleet size

Change: all nodes divide the engines in service alike, by hash and by the load that they know of each engine. Short prompts go to the front, the longest to engines without streams, the fewest that read them in time, else they wait while they can be in time. Switched on by pause targets and the pass model alone.

--- a/edge/node.go
+++ b/edge/node.go
@@ -277,6 +277,7 @@
 	group.Go(func() { periodic.RunNow(runCtx, exchange.TickInterval, n.exchange.Tick) })
 	group.Go(func() { periodic.Run(runCtx, reportInterval, func() { n.reportPoller.pollAll(runCtx) }) })
 	monitor := &queueMonitor{gate: n.gate, logger: n.logger, metrics: n.metrics, consecutive: map[string]int{}}
+	monitor.divisions = divisionMonitor{logger: n.logger, metrics: n.metrics, logged: map[string]placement.Division{}}
 	group.Go(func() { periodic.Run(runCtx, queueCheckInterval, monitor.check) })
 	failed := make(chan error, len(n.listeners))
 	servers := []*http.Server{n.callerServer, n.readyServer, n.peerServer}
--- a/edge/queue.go
+++ b/edge/queue.go
@@ -25,11 +25,16 @@
 	metrics *telemetry.Metrics
 	// consecutive counts, by service, the consecutive checks that found requests waiting.
 	consecutive map[string]int
+	divisions   divisionMonitor
 }
 
 func (q *queueMonitor) check() {
 	var pressures map[string]*placement.Occupancy
-	q.gate.Do(func(s *placement.Scheduler, now time.Duration) { pressures = s.Occupancies(now) })
+	var divisions []placement.Division
+	q.gate.Do(func(s *placement.Scheduler, now time.Duration) {
+		pressures, divisions = s.Occupancies(now), s.Divisions()
+	})
+	q.divisions.record(divisions)
 	waiting := 0
 	for service, p := range pressures {
 		waiting += p.Waiting
--- a/explain/line.go
+++ b/explain/line.go
@@ -83,7 +83,7 @@
 // nodeMessages are the messages about a node or an upstream rather than a request.
 var nodeMessages = []string{
 	telemetry.LogNodeDraining, telemetry.LogNodeStopped, telemetry.LogStoreUnreachable, telemetry.LogStoreReachable,
-	telemetry.LogReportFailed, telemetry.LogReportRecovered, telemetry.LogRequestsWaiting, telemetry.LogNoRequestWaiting,
+	telemetry.LogReportFailed, telemetry.LogReportRecovered, telemetry.LogRequestsWaiting, telemetry.LogNoRequestWaiting, telemetry.LogEnginesDivided,
 }
 
 // Log collects the log lines that the explanation of one request may need.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -80,20 +80,30 @@
 func (s *Scheduler) placeEngine(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
 	engine := service.Engine
 	promptMs := prefillMs(engine, request.PromptTokens)
-	longPoolStart := s.longPoolStart(now, service)
+	divided := s.divisionOf(now, service)
+	longPoolStart := s.longPoolStart(now, service, divided)
 	if promptMs <= maxUnsplitChunks*s.config.PrefillChunkMs {
+		if divided != nil {
+			return s.placeShort(now, request, service, eligible, divided)
+		}
 		lead := s.selectLead(now, service, s.scoreEngines(now, eligible, longPoolStart), request)
 		if lead == nil {
 			return Decision{}, false
 		}
 		return s.place(now, request, service, lead, nil, nil), true
 	}
-	if longPoolStart < noLongPool && promptMs > float64(s.config.MaxPrefillEngines)*s.config.PrefillChunkMs {
-		if pool := s.longPoolEngines(now, service, eligible, longPoolStart); len(pool) > 1 {
-			return s.placeInLongPool(now, request, service, pool, promptMs)
+	if promptMs > longPromptMs(s) {
+		if divided != nil {
+			if decision, placed, decided := s.placeLongest(now, request, service, eligible, divided, promptMs); decided {
+				return decision, placed
+			}
+		} else if longPoolStart < noLongPool {
+			if pool := s.longPoolEngines(now, service, eligible, longPoolStart); len(pool) > 1 {
+				return s.placeInLongPool(now, request, service, pool, promptMs)
+			}
 		}
 	}
-	return s.placeLong(now, request, service, eligible, promptMs, longPoolStart)
+	return s.placeLong(now, request, service, eligible, promptMs, longPoolStart, divided != nil)
 }
 
 const (
@@ -108,9 +118,9 @@
 // placeLong chooses the engines that prefill a long prompt: enough that each chunk
 // fits between the events of other streams. Where the chunks would still be long,
 // it takes the fewest engines that finish on time, so that fewer streams pause.
-func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, promptMs, longPoolStart float64) (Decision, bool) {
+func (s *Scheduler) placeLong(now time.Duration, request *Request, service *fleet.Service, eligible []*load, promptMs, longPoolStart float64, spread bool) (Decision, bool) {
 	engine := service.Engine
-	engines := s.prefillCandidates(now, engine, eligible, longPoolStart)
+	engines := s.prefillCandidates(now, engine, eligible, longPoolStart, spread)
 	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
 	limit := min(s.config.MaxPrefillEngines, len(engines))
 	count := min(limit, chunkCount(engine, request.PromptTokens, s.config.PrefillChunkMs, limit))
@@ -153,7 +163,7 @@
 // prefillCandidates returns the engines that may prefill a chunk: first those that
 // finish it earliest and delay the fewest streams. If none may, it returns all
 // eligible engines.
-func (s *Scheduler) prefillCandidates(now time.Duration, engine *fleet.Engine, eligible []*load, longPoolStart float64) []*load {
+func (s *Scheduler) prefillCandidates(now time.Duration, engine *fleet.Engine, eligible []*load, longPoolStart float64, spread bool) []*load {
 	var engines []*load
 	for _, l := range eligible {
 		if s.canPrefill(now, engine, l) {
@@ -163,9 +173,17 @@
 	if len(engines) == 0 {
 		engines = slices.Clone(eligible)
 	}
-	slices.SortFunc(engines, func(a, b *load) int {
-		return compare(s.prefillScore(now, a)+longPoolCost(a, longPoolStart), s.prefillScore(now, b)+longPoolCost(b, longPoolStart))
-	})
+	scored := make([]scoredLoad, len(engines))
+	for i, l := range engines {
+		scored[i] = scoredLoad{load: l, score: s.prefillScore(now, l) + longPoolCost(l, longPoolStart)}
+		if spread {
+			scored[i].score += s.config.Random.Float64() * longPoolJitterMs
+		}
+	}
+	slices.SortFunc(scored, func(a, b scoredLoad) int { return compare(a.score, b.score) })
+	for i := range scored {
+		engines[i] = scored[i].load
+	}
 	return engines
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -41,9 +41,9 @@
 	// passes estimates when the engine prefills what all nodes have placed there.
 	passes passTimeline
 	// totalAddedMs is all prefill time ever added; recentMs is the same with exponential
-	// decay, as of recentAt.
-	totalAddedMs, recentMs float64
-	recentAt               time.Duration
+	// decay, as of recentAt; recentLongMs is the part of it that came with long prompts.
+	totalAddedMs, recentMs, recentLongMs float64
+	recentAt                             time.Duration
 	// unattributed is how many more requests the upstream reported than all nodes have
 	// there, as of reportedAt: those of nodes that died, and those not yet dropped.
 	unattributed int
@@ -108,13 +108,28 @@
 func (l *load) addBacklog(now time.Duration, ms float64) {
 	l.passes.add(now, ms, l.nextPass(now))
 	l.totalAddedMs += max(0, ms)
-	l.recentMs = l.recentPrefillMs(now) + ms
+	decay := l.recentDecay(now)
+	l.recentMs = l.recentMs*decay + ms
+	l.recentLongMs *= decay
+	if math.Abs(ms) >= minLongChunkMs {
+		l.recentLongMs += ms
+	}
 	l.recentAt = now
 }
 
 // recentPrefillMs is the recent prefill time in ms; it decays with recentPrefillTime.
 func (l *load) recentPrefillMs(now time.Duration) float64 {
-	return l.recentMs * math.Exp(-float64(now-l.recentAt)/float64(recentPrefillTime))
+	return l.recentMs * l.recentDecay(now)
+}
+
+func (l *load) recentDecay(now time.Duration) float64 {
+	return math.Exp(-float64(now-l.recentAt) / float64(recentPrefillTime))
+}
+
+// shortPrefillShare is the share of the engine's recent time that went to prefill of other than long
+// prompts.
+func (l *load) shortPrefillShare(now time.Duration) float64 {
+	return max(0, l.recentMs-l.recentLongMs) * l.recentDecay(now) / float64(recentPrefillTime.Milliseconds())
 }
 
 // prefillShare is the share of the engine's recent time that went to prefill.
--- a/placement/long_pool.go
+++ b/placement/long_pool.go
@@ -47,7 +47,10 @@
 
 // longPoolStart returns the position from which the engines of a service belong to the pool, or
 // noLongPool.
-func (s *Scheduler) longPoolStart(now time.Duration, service *fleet.Service) float64 {
+func (s *Scheduler) longPoolStart(now time.Duration, service *fleet.Service, divided *division) float64 {
+	if divided != nil {
+		return divided.backStart
+	}
 	engines, share, streams := 0, 0.0, 0
 	for _, l := range s.ordered {
 		if l.entry.Service == service.Name {
--- a/placement/long_pool_test.go
+++ b/placement/long_pool_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -26,11 +27,14 @@
 	waiting  []*simulatedChunk
 	reading  []*simulatedChunk
 	decoding map[*simulatedRequest]bool
+	// active is the number of requests that hold a slot; queued wait for one.
+	active int
+	queued []*simulatedChunk
 }
 
 type simulatedChunk struct {
-	request *simulatedRequest
-	ms      float64
+	request    *simulatedRequest
+	ms, tokens float64
 }
 
 type simulatedRequest struct {
@@ -46,16 +50,27 @@
 	done         bool
 }
 
-// longPoolLoad plays the load of the large site on its engines, with decisions of several nodes that
-// hear of each other's placements late.
+// simulatedSite is a service's engines, and the nodes that decide for them.
+type simulatedSite struct {
+	engines, nodes int
+	model          *fleet.Engine
+	pauseTarget    time.Duration
+	// steps is true to read at most Engine.MaxPrefillTokensPerStep tokens a step, those of parts and of
+	// short prompts first; otherwise a pass reads all that arrived before it.
+	steps bool
+}
+
+// longPoolLoad plays a load on a site's engines, with decisions of several nodes that hear of each
+// other's placements late.
 type longPoolLoad struct {
-	random  *rand.Rand
-	nodes   []*fixture
-	engines map[string]*simulatedEngine
-	model   *fleet.Engine
-	events  []longPoolEvent
-	next    int
-	all     []*simulatedRequest
+	simulatedSite
+	random *rand.Rand
+	nodes  []*fixture
+	byID   map[string]*simulatedEngine
+	view   fleet.View
+	events []longPoolEvent
+	next   int
+	all    []*simulatedRequest
 }
 
 type longPoolEvent struct {
@@ -63,29 +78,27 @@
 	run func(now time.Duration)
 }
 
-const (
-	// hearDelay is how late a node hears of another's placement on the large site.
-	hearDelay   = 60 * time.Millisecond
-	nodesInLoad = 12
-)
+// hearDelay is how late a node hears of another's placement on the large site.
+const hearDelay = 60 * time.Millisecond
 
-func newLongPoolLoad(engines int, seed uint64) *longPoolLoad {
-	l := &longPoolLoad{random: rand.New(rand.NewPCG(seed, 3)), engines: map[string]*simulatedEngine{}, model: largeEngine()}
+func newLongPoolLoad(site simulatedSite, seed uint64) *longPoolLoad {
+	l := &longPoolLoad{simulatedSite: site, random: rand.New(rand.NewPCG(seed, 3)), byID: map[string]*simulatedEngine{}}
 	configuration := &fleet.Configuration{
 		Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: l.model}},
-		Routes:   []fleet.Route{{Kind: fleet.Stream, PauseTarget: 250 * time.Millisecond, Targets: []fleet.Target{{Service: "llm", Weight: 1}}}},
+		Routes:   []fleet.Route{{Kind: fleet.Stream, PauseTarget: site.pauseTarget, Targets: []fleet.Target{{Service: "llm", Weight: 1}}}},
 	}
 	view := fleet.View{Configuration: configuration, ZonesOutOfService: map[string]bool{}, Upstreams: map[string]*fleet.Upstream{}}
-	for i := range engines {
+	for i := range site.engines {
 		id := fmt.Sprintf("e%d", i)
-		view.Upstreams[id] = &fleet.Upstream{ID: id, Service: "llm", Address: id, Zone: "z", Slots: 10}
-		l.engines[id] = &simulatedEngine{decoding: map[*simulatedRequest]bool{}}
+		view.Upstreams[id] = &fleet.Upstream{ID: id, Service: "llm", Address: id, Zone: "z", Slots: site.model.Slots}
+		l.byID[id] = &simulatedEngine{decoding: map[*simulatedRequest]bool{}}
 	}
-	for i := range nodesInLoad {
+	for i := range site.nodes {
 		s := New(Config{Zone: "z", PrefillChunkMs: 50, MaxPrefillEngines: 17, MaxPassMs: 220, Random: rand.New(rand.NewPCG(seed, uint64(i)))})
 		s.UpdateView(view)
 		l.nodes = append(l.nodes, &fixture{Scheduler: s})
 	}
+	l.view = view
 	return l
 }
 
@@ -117,10 +130,17 @@
 	l.at(time.Duration(l.random.ExpFloat64()/perSecond*float64(time.Second)), arrival)
 }
 
+func (l *longPoolLoad) eventCount() int {
+	if l.steps {
+		return max(1, l.length(24_000, 0.7, 80_000)/1000)
+	}
+	return 12
+}
+
 func (l *longPoolLoad) submit(now time.Duration, tokens int, aim time.Duration) {
 	l.next++
 	node := l.random.IntN(len(l.nodes))
-	request := &simulatedRequest{node: node, tokens: tokens, aim: aim, arrived: now, events: 12}
+	request := &simulatedRequest{node: node, tokens: tokens, aim: aim, arrived: now, events: l.eventCount()}
 	l.all = append(l.all, request)
 	decision := l.nodes[node].Submit(now, &Request{
 		ID: fmt.Sprintf("r%d", l.next), Service: "llm", Kind: fleet.Stream, PromptTokens: tokens, AnswerTokens: 800,
@@ -159,9 +179,16 @@
 	parts := append([]*fleet.Upstream{decision.Lead}, decision.Helpers...)
 	request.unread = len(parts)
 	ms := prefillMs(l.model, request.tokens) / float64(len(parts))
-	for _, part := range parts {
-		engine := l.engines[part.ID]
-		engine.waiting = append(engine.waiting, &simulatedChunk{request: request, ms: ms})
+	for i, part := range parts {
+		engine := l.byID[part.ID]
+		chunk := &simulatedChunk{request: request, ms: ms, tokens: float64(request.tokens) / float64(len(parts))}
+		if lead := i == 0; lead && l.steps && engine.active >= l.model.Slots {
+			engine.queued = append(engine.queued, chunk)
+			continue
+		} else if lead {
+			engine.active++
+		}
+		engine.waiting = append(engine.waiting, chunk)
 		if engine.passEnd <= now {
 			l.startPass(now, engine)
 		}
@@ -179,14 +206,11 @@
 }
 
 func (l *longPoolLoad) startPass(now time.Duration, engine *simulatedEngine) {
-	engine.reading, engine.waiting = engine.waiting, nil
-	if len(engine.reading) == 0 && len(engine.decoding) == 0 {
+	if len(engine.waiting) == 0 && len(engine.decoding) == 0 {
+		engine.reading = nil
 		return
 	}
-	ms, context := 0.0, 0
-	for _, chunk := range engine.reading {
-		ms += chunk.ms
-	}
+	ms, context := l.read(engine), 0
 	for request := range engine.decoding {
 		context += request.tokens
 	}
@@ -197,12 +221,56 @@
 	l.at(engine.passEnd, func(now time.Duration) { l.endPass(now, engine) })
 }
 
+// read takes what the engine reads in its next pass and returns the time for it in ms.
+func (l *longPoolLoad) read(engine *simulatedEngine) float64 {
+	total := 0.0
+	if !l.steps {
+		engine.reading, engine.waiting = engine.waiting, nil
+		for _, chunk := range engine.reading {
+			total += chunk.ms
+		}
+		return total
+	}
+	slices.SortStableFunc(engine.waiting, func(a, b *simulatedChunk) int {
+		return compare(a.rank(l.model), b.rank(l.model))
+	})
+	tokens := float64(l.model.MaxPrefillTokensPerStep)
+	if len(engine.decoding) > 0 {
+		tokens *= float64(l.model.StepsPerPass)
+	}
+	engine.reading = nil
+	for tokens > 0 && len(engine.waiting) > 0 {
+		chunk := engine.waiting[0]
+		taken := min(tokens, chunk.tokens)
+		ms := chunk.ms * taken / chunk.tokens
+		total, tokens = total+ms, tokens-taken
+		if chunk.ms, chunk.tokens = chunk.ms-ms, chunk.tokens-taken; chunk.tokens > 0.5 {
+			break
+		}
+		engine.reading, engine.waiting = append(engine.reading, chunk), engine.waiting[1:]
+	}
+	return total
+}
+
+// rank orders what waits to be read: parts of prompts that several engines read, then the shortest.
+func (c *simulatedChunk) rank(model *fleet.Engine) float64 {
+	if len(c.request.decision.Helpers) > 0 {
+		return 0
+	}
+	return float64(urgency(model, c.request.tokens))
+}
+
 func (l *longPoolLoad) endPass(now time.Duration, engine *simulatedEngine) {
 	for request := range engine.decoding {
 		request.longestPause = max(request.longestPause, now-request.lastEventAt)
 		request.lastEventAt = now
 		if request.events--; request.events == 0 {
 			delete(engine.decoding, request)
+			engine.active--
+			if len(engine.queued) > 0 {
+				engine.active++
+				engine.waiting, engine.queued = append(engine.waiting, engine.queued[0]), engine.queued[1:]
+			}
 			request.done = true
 			l.nodes[request.node].End(now, request.decision.ID, Answered, "")
 			l.tell(now, request.node, l.nodes[request.node].LoadUpdates(now, false))
@@ -214,10 +282,10 @@
 			continue
 		}
 		request.firstEventAt, request.lastEventAt = now, now
-		l.engines[request.decision.Lead.ID].decoding[request] = true
+		l.byID[request.decision.Lead.ID].decoding[request] = true
 		l.nodes[request.node].FirstEvent(now, request.decision.ID)
 		l.tell(now, request.node, l.nodes[request.node].LoadUpdates(now, false))
-		if lead := l.engines[request.decision.Lead.ID]; lead != engine && lead.passEnd <= now {
+		if lead := l.byID[request.decision.Lead.ID]; lead != engine && lead.passEnd <= now {
 			l.startPass(now, lead)
 		}
 	}
@@ -227,10 +295,13 @@
 
 // onTime returns the share of the requests with an aim that had their first event within it and no
 // pause over the target.
-func (l *longPoolLoad) onTime(aim, pause time.Duration) float64 {
+func (l *longPoolLoad) onTime(aim, pause time.Duration) float64 { return l.onTimeFrom(0, aim, pause) }
+
+// onTimeFrom is onTime of the requests that arrived from a time on.
+func (l *longPoolLoad) onTimeFrom(from, aim, pause time.Duration) float64 {
 	good, count := 0, 0
 	for _, request := range l.all {
-		if request.aim != aim {
+		if request.aim != aim || request.arrived < from {
 			continue
 		}
 		count++
@@ -249,8 +320,8 @@
 
 // playLargeSite plays the rates of the users' large site, times a factor for each kind.
 func playLargeSite(seed uint64, short, middle, long float64) *longPoolLoad {
-	const engines, end = 150, 8 * time.Second
-	l := newLongPoolLoad(engines, seed)
+	const end = 8 * time.Second
+	l := newLongPoolLoad(simulatedSite{engines: 150, nodes: 12, model: largeEngine(), pauseTarget: 250 * time.Millisecond}, seed)
 	l.arrive(213*short, end, shortAim, func() int { return l.length(4960, 0.9, 23_800) })
 	l.arrive(16.8*middle, end, middleAim, func() int { return l.length(45_000, 0.5, 110_000) })
 	l.arrive(8*long, end, longAim, func() int { return l.length(190_000, 0.55, 600_000) })
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -145,6 +145,8 @@
 	// holds are by the upstream's ID.
 	holds map[string]*hold
 	// unreached holds the services whose upstreams this node does not reach.
+	// divisions are by service.
+	divisions map[string]*division
 	unreached map[string]bool
 	// limits are by the upstream's incarnation.
 	limits map[uint32]*knownLimit
@@ -159,7 +161,7 @@
 	}
 	return &Scheduler{
 		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
-		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, unreached: map[string]bool{},
+		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, divisions: map[string]*division{}, unreached: map[string]bool{},
 		demands: admission.NewLedger(),
 	}
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -22,6 +22,7 @@
 	LogViewChanged          = "beliefs changed"
 	LogRequestsWaiting      = "requests wait"
 	LogNoRequestWaiting     = "no request waits"
+	LogEnginesDivided       = "engines divided"
 	LogRequestsBlocked      = "requests blocked"
 	LogRequestsReleased     = "requests released"
 	LogTrialSent            = "blocked request sent as a trial"
