placement: the last upstream of a service is used while it drains

After a restored store, for a report of unknown age, for an upstream that said itself that it leaves, or without drain_ms in the settings, nothing changes.

--- a/edge/node.go
+++ b/edge/node.go
@@ -132,8 +132,8 @@
 	n.follower = follow.New(store, bootClock, n.logger, n.metrics)
 	scheduler := placement.New(placement.Config{
 		Zone: settings.Zone, Regions: settings.Regions, PrefillChunkMs: minPrefillChunkMs, MaxPrefillEngines: maxPrefillEngines, MaxPassMs: maxPassMs,
-		ColdRateFactor: settings.WarmOvershoot * warmupRateShare,
-		SenderRank:     func(id, zone string) (rank, nodes int) { return n.agent.SenderRank(id, zone) }, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ColdRateFactor: settings.WarmOvershoot * warmupRateShare, DrainTime: milliseconds(settings.DrainMs),
+		SenderRank: func(id, zone string) (rank, nodes int) { return n.agent.SenderRank(id, zone) }, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.gate = exchange.NewSchedulerRunner(scheduler, bootClock, func() { n.agent.ScheduleFlush() })
 	n.blocklist = blocklist.New(bootClock, n.logger, n.metrics, func() { n.agent.ScheduleFlush() })
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -40,6 +40,9 @@
 	RevokeMs float64 `yaml:"revoke_ms"`
 	// ApplyMs is the time within which a new document must be in force at all nodes.
 	ApplyMs float64 `yaml:"apply_ms"`
+	// DrainMs is how long upstreams serve after the store has accepted that they drain. The last upstream
+	// of a service is used for that time. 0 is not known: draining upstreams take no new request.
+	DrainMs float64 `yaml:"drain_ms"`
 	// RetryRatio, RetryWindowSeconds and RetryExtra set the retry budget of all nodes
 	// together: in each window, RetryRatio of the requests plus RetryExtra.
 	RetryRatio         float64 `yaml:"retry_ratio"`
@@ -113,7 +116,7 @@
 			report(field, "must be over 0")
 		}
 	}
-	for field, value := range map[string]float64{"retry_ratio": s.RetryRatio, "retry_extra": s.RetryExtra, "processor_share": s.ProcessorShare} {
+	for field, value := range map[string]float64{"retry_ratio": s.RetryRatio, "retry_extra": s.RetryExtra, "processor_share": s.ProcessorShare, "drain_ms": s.DrainMs} {
 		if value < 0 {
 			report(field, "must not be negative")
 		}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -205,6 +205,7 @@
 			entry := *change.Upstream
 			entry.SeenAt = now
 			r.holdBack(&entry)
+			entry.DrainingSince = r.drainingSince(&entry, now)
 			if entry.Draining && entry.heldUntil == 0 {
 				r.recordDeparture(&entry, now)
 			} else if !entry.Draining {
@@ -217,6 +218,22 @@
 	}
 }
 
+// drainingSince returns Upstream.DrainingSince of an entry that is about to be applied. It is not known
+// after the store was restored, since the backup may lack an earlier report.
+func (r *Replica) drainingSince(entry *Upstream, now time.Duration) time.Duration {
+	before := r.view.Upstreams[entry.ID]
+	if !entry.Draining || entry.heldUntil != 0 || before == nil || before.StartedMs != entry.StartedMs {
+		return 0
+	}
+	if before.Draining {
+		return before.DrainingSince
+	}
+	if r.eraBeganAt[UpstreamTable] != 0 && now-r.eraBeganAt[UpstreamTable] <= eraHold {
+		return 0
+	}
+	return r.freshAt[UpstreamTable]
+}
+
 // remove removes an entry, or keeps it as missing during the grace time.
 func (r *Replica) remove(id string, now time.Duration) {
 	entry, ok := r.view.Upstreams[id]
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -129,3 +129,28 @@
 	is.Equal(route.ChooseService(0.999), "b")
 	is.Equal((&Route{}).ChooseService(0.5), "")
 }
+
+// The store accepted a report that an upstream drains after the view was last complete without it.
+func TestDrainingSinceIsTheLastTimeAtWhichTheUpstreamWasReady(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	is.True(r.Replace(UpstreamTable, []Change{upstreamState("a", 1, false), upstreamState("old", 1, true)}, 10, 1*time.Second, 1100*time.Millisecond))
+	is.Equal(r.View().Upstreams["old"].DrainingSince, time.Duration(0)) // unknown since when
+	is.True(r.Apply(UpstreamTable, nil, 0, 10, 2*time.Second, 2100*time.Millisecond))
+	is.True(r.Apply(UpstreamTable, []Change{upstreamState("a", 1, true)}, 11, 11, 3*time.Second, 3100*time.Millisecond))
+	is.Equal(r.View().Upstreams["a"].DrainingSince, 2*time.Second)
+	// Repeated reports change nothing, a new start does.
+	is.True(r.Apply(UpstreamTable, []Change{upstreamState("a", 1, true)}, 12, 12, 4*time.Second, 4*time.Second))
+	is.Equal(r.View().Upstreams["a"].DrainingSince, 2*time.Second)
+	is.True(r.Apply(UpstreamTable, []Change{upstreamState("a", 2, true)}, 13, 13, 5*time.Second, 5*time.Second))
+	is.Equal(r.View().Upstreams["a"].DrainingSince, time.Duration(0))
+}
+
+func TestDrainingSinceIsUnknownAfterTheStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	readEra(r, 1, 100, time.Second, []Change{document(5)}, []Change{upstreamState("a", 1, false)})
+	readEra(r, 2, 60, 2*time.Second, []Change{document(5)}, []Change{upstreamState("a", 1, false)})
+	is.True(r.Apply(UpstreamTable, []Change{upstreamState("a", 1, true)}, 61, 61, 3*time.Second, 3*time.Second))
+	is.Equal(r.View().Upstreams["a"].DrainingSince, time.Duration(0))
+}
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -11,6 +11,9 @@
 	Slots   int
 	// Draining upstreams take no new request.
 	Draining bool
+	// DrainingSince is a time before which the store cannot have accepted that the upstream drains: until
+	// then the view was known to be complete and had it ready. 0 is not known.
+	DrainingSince time.Duration
 	// StartedMs identifies the incarnation: its start in Unix milliseconds, or 0.
 	StartedMs int64
 	// ColdFor is how long from SeenAt on the upstream expects to be cold.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -38,6 +38,9 @@
 	// ColdRateFactor is the factor on the rate that cold upstreams take; all nodes together use
 	// the product.
 	ColdRateFactor float64
+	// DrainTime is how long upstreams serve after the store has accepted that they drain; 0 is not
+	// known. The last upstream of a service is used for that time, less drainMargin.
+	DrainTime time.Duration
 	// SenderRank returns this node's place in the order of the nodes that may send to an upstream of
 	// a zone which states a limit, and their number. Nil is a node without others.
 	SenderRank func(id, zone string) (rank, nodes int)
@@ -142,11 +145,11 @@
 	changed   map[*load]struct{}
 	// pauseTargets are in ms, by service.
 	pauseTargets map[string]float64
+	// divisions are by service.
+	divisions map[string]*division
 	// holds are by the upstream's ID.
 	holds map[string]*hold
 	// unreached holds the services whose upstreams this node does not reach.
-	// divisions are by service.
-	divisions map[string]*division
 	unreached map[string]bool
 	// limits are by the upstream's incarnation.
 	limits map[uint32]*knownLimit
@@ -348,16 +351,18 @@
 // eligible returns the upstreams that may take the request; those to avoid only when
 // there is no other.
 func (s *Scheduler) eligible(now time.Duration, request *Request, service *fleet.Service) []*load {
-	var preferred, avoided []*load
+	var preferred, avoided, draining []*load
 	for _, l := range s.ordered {
 		entry := l.entry
-		if entry.Service != service.Name || entry.Draining || s.view.ZonesOutOfService[entry.Zone] || !s.inAllowedRegion(request, entry.Zone) {
+		if entry.Service != service.Name || s.view.ZonesOutOfService[entry.Zone] || !s.inAllowedRegion(request, entry.Zone) {
 			continue
 		}
 		if _, held := s.held(now, l); held || !s.limitAllows(now, l) {
 			continue
 		}
-		if slices.Contains(request.Avoid, entry.ID) || now < l.avoidUntil || entry.Missing() {
+		if entry.Draining {
+			draining = append(draining, l)
+		} else if slices.Contains(request.Avoid, entry.ID) || now < l.avoidUntil || entry.Missing() {
 			avoided = append(avoided, l)
 		} else {
 			preferred = append(preferred, l)
@@ -369,6 +374,9 @@
 	if request.IsRetry {
 		avoided = slices.DeleteFunc(avoided, func(l *load) bool { return slices.Contains(request.Avoid, l.entry.ID) })
 	}
+	if len(avoided) == 0 {
+		return s.lastUpstreams(now, request, service, draining)
+	}
 	return avoided
 }
 
@@ -380,7 +388,7 @@
 func (s *Scheduler) InService(now time.Duration, decision *Decision) bool {
 	for _, entry := range append(decision.Helpers[:len(decision.Helpers):len(decision.Helpers)], decision.Lead) {
 		known := s.loads[entry.ID]
-		if known == nil || known.entry.Draining || s.view.ZonesOutOfService[entry.Zone] || known.entry.StartedMs != entry.StartedMs {
+		if known == nil || known.entry.Draining && !s.maySendDraining(now, entry, known) || s.view.ZonesOutOfService[entry.Zone] || known.entry.StartedMs != entry.StartedMs {
 			return false
 		}
 		if _, held := s.held(now, known); held {
