Admission under overload: nodes decide together what runs, waits and is refused

Cause: each node had its own queue, in which some 1.5 requests a second arrive, so that its order decided almost nothing; a free place went to whichever node heard of it first, late requests took places that others needed to be on time, and requests were refused by the clock after 1.9 s.

Change: - the queue moves from placement into package admission: on time first, then priority, then due time; organisations of one class share by work (scheduling/fairqueue, which gets Upcoming). On time counts the pass that runs, the prefill and a pass instead of a fixed 100 ms. - admission.Controller: from places a second (slots, memory and prefill time of the upstreams in service, measured hold) and the demand of all nodes each node decides: run, wait, or refuse at arrival (no_room_in_time). A late request takes a place only if no request on time waits anywhere. - turns: a free place that all hear of is drawn for by each node with its share of the demand; a place that a node's own request left is taken at once. - admission.Returns: Retry-After follows from when what waits is served, spread by the identity within a third of the caller's time, higher priorities first; those who come back in turn go first. - log and metrics: expected wait, retry time and class of a refusal; what waits, arrives and is freed over all nodes.

Ruled out: keeping one global order (needs a leader); waiting for a turn by a common epoch (nodes have no common clock).

TestNodeSendsOnlyItsPartOfTheColdRate emptied the queue by its field; it now cancels each request by its ID, as callers do. The first form canceled an empty ID.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -4,7 +4,11 @@
 // other. It does no I/O and reads no clock.
 package admission
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Class is a set of requests that are alike for admission: those of one service and priority.
 type Class struct {
@@ -14,6 +18,10 @@
 	Priority uint8
 }
 
+func compareClasses(a, b Class) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
+}
+
 // Demand is what waits and arrives of one class, at one node or at several.
 type Demand struct {
 	Class
@@ -35,6 +43,18 @@
 	d.ArrivalsPerSecond += other.ArrivalsPerSecond
 }
 
+// competing is the number of requests that wait or arrive within newsTime.
+func (d *Demand) competing(late bool) float64 {
+	count := float64(d.OnTime) + d.ArrivalsPerSecond*newsTime.Seconds()
+	if late {
+		count += float64(d.Late)
+	}
+	return count
+}
+
+// messageTime is the time after which a newer message of a source is due.
+const messageTime = 100 * time.Millisecond
+
 // demandTTL is how long a source's demand counts without a new message: several heartbeats of
 // a node. A source that is silent for longer is ignored, so that it can't hold up the others.
 const demandTTL = 2 * time.Second
@@ -78,3 +98,49 @@
 	}
 	return sum
 }
+
+// heard reports whether any other node's demand is known.
+func (l *Ledger) heard(now time.Duration) bool {
+	for _, known := range l.sources {
+		if now-known.receivedAt <= demandTTL {
+			return true
+		}
+	}
+	return false
+}
+
+// classes returns the classes of a service that other nodes have demand of.
+func (l *Ledger) classes(service uint32) []Class {
+	var classes []Class
+	for _, known := range l.sources {
+		for class := range known.demands {
+			if class.Service == service && !slices.Contains(classes, class) {
+				classes = append(classes, class)
+			}
+		}
+	}
+	return classes
+}
+
+// unserved estimates how many requests of a class still wait at other nodes, given the places a
+// second that are freed from when their next message is due. With late, late ones count too.
+func (l *Ledger) unserved(now time.Duration, class Class, placesPerSecond float64, late bool) float64 {
+	others := l.Others(now, class)
+	total := float64(others.OnTime)
+	if late {
+		total += float64(others.Late)
+	}
+	left := 0.0
+	for _, known := range l.sources {
+		age := now - known.receivedAt
+		if age > demandTTL {
+			continue
+		}
+		waiting := float64(known.demands[class].OnTime)
+		if late {
+			waiting += float64(known.demands[class].Late)
+		}
+		left += waiting * max(0, 1-placesPerSecond*max(0, age-messageTime).Seconds()/max(total, 1))
+	}
+	return left
+}
--- a/edge/queue.go
+++ b/edge/queue.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,10 +34,16 @@
 	waiting := 0
 	for service, p := range pressures {
 		waiting += p.Waiting
+		label := fmt.Sprintf("{service=%q}", service)
+		q.metrics.Gauge("wigeontiller_fleet_waiting_on_time"+label, int64(p.Pressure.OnTime))
+		q.metrics.Gauge("wigeontiller_fleet_waiting_late"+label, int64(p.Pressure.Late))
+		q.metrics.Gauge("wigeontiller_fleet_arrivals_per_second"+label, int64(p.Pressure.ArrivalsPerSecond))
+		q.metrics.Gauge("wigeontiller_places_per_second"+label, int64(p.Pressure.PlacesPerSecond))
 		q.consecutive[service]++
 		if q.consecutive[service] == minConsecutiveChecks {
 			q.logger.Info().Str("service", service).Int("waiting", p.Waiting).Int("upstreams", p.Upstreams).
-				Int("slots", p.Slots).Int("occupied", p.Occupied).Msg(telemetry.LogRequestsWaiting)
+				Int("slots", p.Slots).Int("occupied", p.Occupied).Int("fleet_waiting_on_time", p.Pressure.OnTime).Int("fleet_waiting_late", p.Pressure.Late).
+				Float64("fleet_arrivals_per_second", p.Pressure.ArrivalsPerSecond).Float64("places_per_second", p.Pressure.PlacesPerSecond).Msg(telemetry.LogRequestsWaiting)
 		}
 	}
 	for service, checks := range q.consecutive {
@@ -44,6 +51,8 @@
 			continue
 		}
 		delete(q.consecutive, service)
+		q.metrics.Gauge(fmt.Sprintf("wigeontiller_fleet_waiting_on_time{service=%q}", service), 0)
+		q.metrics.Gauge(fmt.Sprintf("wigeontiller_fleet_waiting_late{service=%q}", service), 0)
 		if checks >= minConsecutiveChecks {
 			q.logger.Info().Str("service", service).Dur("waited_ms", time.Duration(checks)*queueCheckInterval).Msg(telemetry.LogNoRequestWaiting)
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -295,5 +296,10 @@
 	if r.reason != "" {
 		event = event.Str("reason", r.reason)
 	}
+	if r.refusal != nil {
+		event = event.Str("service", r.service).Int("priority", r.request.Priority()).Int("prompt_tokens", r.request.PromptTokens).
+			Dur("retry_after_ms", r.refusal.RetryAfter).Dur("expected_wait_ms", r.refusal.ExpectedWait)
+		e.config.Metrics.Count(fmt.Sprintf("wigeontiller_requests_refused_total{reason=%q}", r.refusal.Reason), 1)
+	}
 	r.delivery.log(event).Int64("last_event", r.lastEventNumber).Msg(telemetry.LogRequestEnded)
 }
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -74,6 +74,8 @@
 	block *quarantine.Block
 
 	outcome, reason string
+	// refusal is set if the scheduler refused the request.
+	refusal *placement.Decision
 	// status is the status of an upstream's complete response that was forwarded.
 	status int
 
@@ -143,6 +145,7 @@
 			return
 		}
 		if decision.Reason != "" {
+			r.refusal = &decision
 			r.fail(ctx, Failure{Code: Overloaded, Reason: string(decision.Reason), RetryAfter: decision.RetryAfter})
 			return
 		}
@@ -225,6 +228,10 @@
 		Avoid:        r.avoid,
 		Regions:      r.request.Route.Regions,
 		IsRetry:      r.placements > 1,
+		Identity:     r.request.Identity.Whole,
+	}
+	if r.request.Organisation != nil {
+		request.Organisation = r.request.Organisation.Name
 	}
 	if maxWait := r.request.Route.CallerTimeout; maxWait > 0 && !r.begun.Load() {
 		request.CallerTimeoutAt = scheduler.ToClock(r.request.Arrived.Add(maxWait))
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -31,7 +31,7 @@
 func (s *Scheduler) placePlain(now time.Duration, request *Request, service *fleet.Service, eligible []*load) (Decision, bool) {
 	best, bestScore := (*load)(nil), 0.0
 	for _, l := range eligible {
-		if l.entry.Slots > 0 && l.totalRunning() >= l.entry.Slots+maxPlainQueue || !s.coldRateAllows(now, l, service) {
+		if !s.hasPlace(now, l) || !s.coldRateAllows(now, l, service) {
 			continue
 		}
 		score := float64(l.totalRunning())*plainRequestCostMs + l.currentFailureShare(now)*failureCostMs + s.config.Random.Float64()*jitterMs
@@ -137,7 +137,7 @@
 func (s *Scheduler) placeOn(now time.Duration, request *Request, service *fleet.Service, engines []*load, count int) (Decision, bool) {
 	engine, need := service.Engine, request.PromptTokens+request.AnswerTokens
 	for i, l := range engines {
-		if l.occupied(now) < engine.Slots && l.totalMemoryTokens()+need <= engine.MemoryTokens && s.coldRateAllows(now, l, service) {
+		if s.hasPlace(now, l) && l.totalMemoryTokens()+need <= engine.MemoryTokens && s.coldRateAllows(now, l, service) {
 			helpers := slices.Clone(engines[:min(count, len(engines))])
 			if i < count {
 				helpers = slices.Delete(helpers, i, i+1)
@@ -265,7 +265,7 @@
 	need := request.PromptTokens + request.AnswerTokens
 	for _, candidate := range scores {
 		l := candidate.load
-		if l.occupied(now) < service.Engine.Slots && l.totalMemoryTokens()+need <= service.Engine.MemoryTokens && s.coldRateAllows(now, l, service) {
+		if s.hasPlace(now, l) && l.totalMemoryTokens()+need <= service.Engine.MemoryTokens && s.coldRateAllows(now, l, service) {
 			return l
 		}
 	}
@@ -274,7 +274,7 @@
 
 func (s *Scheduler) place(now time.Duration, request *Request, service *fleet.Service, lead *load, helpers, holders []*load) Decision {
 	decision := Decision{ID: request.ID, Lead: lead.entry, BacklogMs: lead.backlogMs(now)}
-	running := &runningRequest{lead: lead}
+	running := &runningRequest{lead: lead, class: classOf(request), placedAt: now}
 	lead.takeColdPermit(now, s.coldRatePerSecond(service))
 	lead.limitPermits--
 	if service.Engine != nil && request.PromptTokens > 0 {
@@ -289,10 +289,11 @@
 		}
 		s.reserveMemory(running, &decision, request, holders)
 		slowest += decodePassMs(service.Engine, lead.totalRunning(), lead.totalMemoryTokens())
-		decision.Urgency = urgency(service.Engine, request.PromptTokens)
+		decision.Urgency = min(maxUrgency, urgency(service.Engine, request.PromptTokens)+max(0, min(request.Priority, maxPriorityRanks)))
 		decision.ExpectedFirstEvent = time.Duration(slowest * float64(time.Millisecond))
 	}
 	lead.running++
+	lead.turns.take()
 	lead.memoryTokens += running.memoryTokens
 	s.changed[lead] = struct{}{}
 	s.running[request.ID] = running
@@ -338,6 +339,8 @@
 const (
 	// minUrgency is the rank of the shortest prompts, maxUrgency that of the longest.
 	minUrgency, maxUrgency = 1, 9
+	// maxPriorityRanks is the most ranks that a low priority adds.
+	maxPriorityRanks = 3
 	// urgencyBaseMs is the longest prefill time of the first rank; that of each further
 	// rank is urgencyGrowth times as long.
 	urgencyBaseMs, urgencyGrowth = 50, 2
--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -110,7 +110,7 @@
 		}
 		chosen := slices.Clone(candidates[:count])
 		for i, l := range chosen {
-			if l.occupied(now) < engine.Slots && s.coldRateAllows(now, l, service) {
+			if s.hasPlace(now, l) && s.coldRateAllows(now, l, service) {
 				chosen[0], chosen[i] = chosen[i], chosen[0]
 				return chosen, true
 			}
--- a/placement/load.go
+++ b/placement/load.go
@@ -79,6 +79,7 @@
 	// senderRank and senderNodes are the results of Config.SenderRank as of senderRankAt.
 	senderRank, senderNodes int
 	senderRankAt            time.Duration
+	turns                   turns
 	// polledAt is when this node last polled the upstream for its load.
 	polledAt time.Duration
 }
@@ -202,6 +203,7 @@
 func (l *load) setNodeTotals(node string, totals Totals) {
 	before := l.totalsByNode[node]
 	l.otherNodes.Running += totals.Running - before.Running
+	l.turns.heard += max(0, before.Running-totals.Running)
 	l.otherNodes.MemoryTokens += totals.MemoryTokens - before.MemoryTokens
 	l.otherNodes.HelperPrompts += totals.HelperPrompts - before.HelperPrompts
 	if totals == (Totals{}) {
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -85,7 +85,7 @@
 
 // RemoveNode removes the totals and the demand of a node that is gone.
 func (s *Scheduler) RemoveNode(node string) {
-	s.demands.Remove(node)
+	s.admission.Ledger().Remove(node)
 	for _, l := range s.loads {
 		l.setNodeTotals(node, Totals{})
 	}
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/admission"
+)
 
 // Occupancy is how full a service is, according to a node's view.
 type Occupancy struct {
@@ -10,19 +14,22 @@
 	// Upstreams is the number of upstreams that may take requests, Slots the number of
 	// their slots, and Occupied the number of slots that all nodes use.
 	Upstreams, Slots, Occupied int
+	// Pressure is what waits and arrives at all nodes.
+	Pressure admission.Pressure
 }
 
 // Occupancies returns, by name, how full each service with waiting requests is.
 func (s *Scheduler) Occupancies(now time.Duration) map[string]*Occupancy {
 	byService := map[string]*Occupancy{}
-	for _, request := range s.queue {
-		p := byService[request.Service]
+	s.queue.Each(func(item *admission.Item[*Request]) {
+		service := item.Value.Service
+		p := byService[service]
 		if p == nil {
-			p = &Occupancy{Service: request.Service}
-			byService[request.Service] = p
+			p = &Occupancy{Service: service, Pressure: s.admission.Pressure(now, item.Service, s.room(now, item.Value, 0))}
+			byService[service] = p
 		}
 		p.Waiting++
-	}
+	})
 	if len(byService) == 0 {
 		return byService
 	}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -61,11 +61,15 @@
 		return
 	}
 	delete(s.running, id)
+	if outcome == Answered {
+		s.admission.End(running.class, now-running.placedAt)
+	}
 	if !running.prefilled {
 		s.removeBacklog(now, running)
 		s.endPrefill(running)
 	}
 	running.lead.running--
+	running.lead.turns.leave(now)
 	running.lead.memoryTokens -= running.memoryTokens
 	for _, chunk := range running.chunks {
 		if chunk.memoryTokens > 0 {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -10,7 +10,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -55,6 +54,10 @@
 	// Arrived, AnswerDue and Deadline are readings of the scheduler's clock: when the request
 	// arrived, when its answer must begin to be on time, and when it must have ended.
 	Arrived, AnswerDue, Deadline time.Duration
+	// Organisation shares scarce room with others; empty is unknown.
+	Organisation string
+	// Identity is the hash of the request's content: the same when its caller sends it again.
+	Identity uint64
 	// CallerTimeoutAt is when the caller disconnects if the answer has not begun; 0 is at the deadline.
 	CallerTimeoutAt time.Duration
 	// Avoid holds the IDs of upstreams where an earlier attempt failed.
@@ -75,6 +78,8 @@
 	TooLate    Reason = "too_late"
 	// LimitReached means that all upstreams that may run the request state limits which are used up.
 	LimitReached Reason = "request_limit"
+	// NoRoomInTime means that too many requests precede it.
+	NoRoomInTime Reason = "no_room_in_time"
 	// Busy means that the request would make too many others late.
 	Busy Reason = "busy"
 )
@@ -89,8 +94,10 @@
 	// where the lead holds the whole prompt.
 	Reservations []Reservation
 	Reason       Reason
-	// RetryAfter is set for a refusal.
+	// RetryAfter is set for a refusal; 0 if no time is known at which there will be room.
 	RetryAfter time.Duration
+	// ExpectedWait is set for NoRoomInTime: the time until the request could have begun.
+	ExpectedWait time.Duration
 	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
 	// before long ones, so that their prefill does not wait behind them.
 	Urgency int
@@ -116,6 +123,8 @@
 	// chunkMs is the prefill time of each chunk.
 	chunkMs   float64
 	prefilled bool
+	class     admission.Class
+	placedAt  time.Duration
 }
 
 // prefillChunk is one engine's part of a prompt.
@@ -137,7 +146,7 @@
 	// ordered holds the loads by ID, so that decisions depend on the random source alone.
 	ordered   []*load
 	running   map[string]*runningRequest
-	queue     []*Request
+	queue     *admission.Queue[*Request]
 	nodeCount int
 	changed   map[*load]struct{}
 	// pauseTargets are in ms, by service.
@@ -148,8 +157,15 @@
 	unreached map[string]bool
 	// limits are by the upstream's incarnation.
 	limits map[uint32]*knownLimit
-	// demands is what waits and arrives at the other nodes.
-	demands *admission.Ledger
+	// admission knows what waits and arrives at all nodes.
+	admission *admission.Controller
+	returns   *admission.Returns
+	// scarce and turnShare are of the request under decision: whether there is too little room for
+	// its service, and this node's share of it.
+	scarce    bool
+	turnShare float64
+	// work is what a request needs, by service.
+	work map[string]*meanWork
 }
 
 // New returns a scheduler without upstreams.
@@ -157,10 +173,12 @@
 	if config.SenderRank == nil {
 		config.SenderRank = func(string, string) (rank, nodes int) { return 0, 1 }
 	}
+	queue := admission.NewQueue[*Request]()
 	return &Scheduler{
+
 		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
 		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, unreached: map[string]bool{},
-		demands: admission.NewLedger(),
+		queue: queue, admission: admission.NewController(queue.Waiting), work: map[string]*meanWork{}, returns: admission.NewReturns(),
 	}
 }
 
@@ -168,7 +186,10 @@
 func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // SetNodeCount sets how many nodes share the upstreams' limits.
-func (s *Scheduler) SetNodeCount(nodes int) { s.nodeCount = max(1, nodes) }
+func (s *Scheduler) SetNodeCount(nodes int) {
+	s.nodeCount = max(1, nodes)
+	s.admission.Alone = s.nodeCount == 1
+}
 
 // UpdateView takes a new view. The load of an upstream that was restarted begins at zero.
 func (s *Scheduler) UpdateView(view fleet.View) {
@@ -221,86 +242,46 @@
 	return configuration.Services[entry.Service].Engine
 }
 
-// Submit takes a request. One that is not decided at once is queued for Advance.
-func (s *Scheduler) Submit(now time.Duration, request *Request) Decision {
-	decision, decided := s.decide(now, request)
-	if !decided {
-		s.enqueue(request)
-	}
-	return decision
-}
-
-func (s *Scheduler) enqueue(request *Request) {
-	at := sort.Search(len(s.queue), func(i int) bool { return precedes(request, s.queue[i]) })
-	s.queue = slices.Insert(s.queue, at, request)
-}
-
-// precedes orders the queue: by priority, then by the time when the answer must begin.
-func precedes(a, b *Request) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.AnswerDue < b.AnswerDue
-}
-
-// Advance decides on queued requests: first, in queue order, those that can still begin
-// on time, then the others. Under overload some requests are served on time instead
-// of all of them late.
-func (s *Scheduler) Advance(now time.Duration) []Decision {
-	var decisions []Decision
-	var kept, late []*Request
-	for _, request := range s.queue {
-		if now > request.AnswerDue-firstEventSlack {
-			late = append(late, request)
-			continue
-		}
-		if decision, decided := s.decide(now, request); decided {
-			decisions = append(decisions, decision)
-		} else {
-			kept = append(kept, request)
-		}
-	}
-	for _, request := range late {
-		if decision, decided := s.decide(now, request); decided {
-			decisions = append(decisions, decision)
-		} else {
-			kept = append(kept, request)
-		}
+// decide places or refuses a request, or reports false if it has to wait.
+func (s *Scheduler) decide(now time.Duration, request *Request) (Decision, bool) {
+	service, eligible, refused := s.candidates(now, request)
+	if service == nil {
+		return refused, true
 	}
-	s.queue = kept
-	sort.SliceStable(s.queue, func(i, j int) bool { return precedes(s.queue[i], s.queue[j]) })
-	return decisions
+	return s.placeEligible(now, request, service, eligible, s.room(now, request, 0))
 }
 
-// Waiting is the number of queued requests.
-func (s *Scheduler) Waiting() int { return len(s.queue) }
-
-// Cancel removes a queued request.
-func (s *Scheduler) Cancel(id string) {
-	s.queue = slices.DeleteFunc(s.queue, func(r *Request) bool { return r.ID == id })
-}
-
-func (s *Scheduler) decide(now time.Duration, request *Request) (Decision, bool) {
+// candidates returns the upstreams that may take a request. If there are none, the service is nil
+// and the request is refused.
+func (s *Scheduler) candidates(now time.Duration, request *Request) (*fleet.Service, []*load, Decision) {
 	if s.configuration == nil || s.configuration.Services[request.Service] == nil {
-		return refuse(request, NoUpstream, defaultRetryAfter), true
+		return nil, nil, refuse(request, NoUpstream, defaultRetryAfter)
 	}
 	service := s.configuration.Services[request.Service]
 	eligible := s.eligible(now, request, service)
 	if len(eligible) == 0 {
 		if wait := s.earliestPermit(now, request.Service); wait > 0 {
-			return refuse(request, LimitReached, wait), true
+			return nil, nil, refuse(request, LimitReached, wait)
 		}
-		return refuse(request, NoUpstream, max(defaultRetryAfter, s.earliestResume(now, request.Service))), true
+		return nil, nil, refuse(request, NoUpstream, max(defaultRetryAfter, s.earliestResume(now, request.Service)))
 	}
+	return service, eligible, Decision{}
+}
+
+// placeEligible places a request on one of the upstreams. It reports false if there is no room now
+// and the request can still wait.
+func (s *Scheduler) placeEligible(now time.Duration, request *Request, service *fleet.Service, eligible []*load, room admission.Room) (Decision, bool) {
 	var decision Decision
 	var done bool
+	s.drawTurns(now, request, now > request.AnswerDue-s.timeToFirstEvent(service, request), room)
 	if service.Engine != nil && request.PromptTokens > 0 {
 		decision, done = s.placeEngine(now, request, service, eligible)
 	} else {
 		decision, done = s.placePlain(now, request, service, eligible)
 	}
 	if !done && now >= s.latestStart(request) {
-		return refuse(request, TooLate, s.retryAfter(now, request)), true
+		arrival := s.arrival(now, service, request)
+		return refuse(request, TooLate, s.returnAfter(now, request, &arrival, room)), true
 	}
 	return decision, done
 }
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -256,14 +256,14 @@
 	f.SetNodeCount(nodes)
 	sent := 0
 	for now := time.Second; now < 11*time.Second; now += 5 * time.Millisecond {
-		decision := f.Submit(now, f.request(now, 1_000))
+		request := f.request(now, 1_000)
+		decision := f.Submit(now, request)
 		if decision.Lead != nil {
 			sent++
 			f.FirstEvent(now, decision.ID)
 			f.End(now, decision.ID, Answered, "")
 		} else {
-			f.Cancel(decision.ID)
-			f.queue = nil
+			f.Cancel(request.ID)
 		}
 	}
 	if most := 10*rate*margin/nodes + rate*margin/nodes; float64(sent) > most {
--- a/scheduling/fairqueue/queries.go
+++ b/scheduling/fairqueue/queries.go
@@ -67,3 +67,25 @@
 func first[T any](sub *subqueue[T]) *Entry[T] {
 	return sub.entries.Front().Value.(*Entry[T])
 }
+
+// Upcoming returns at most limit entries of a level and class in the order in which fair sharing
+// serves them while nothing is added.
+func (q *Queue[T]) Upcoming(level, class, limit int) []*Entry[T] {
+	next := make(upcomingHeap[T], 0, len(q.heaps[level][class]))
+	for _, sub := range q.heaps[level][class] {
+		next = append(next, upcoming[T]{element: sub.entries.Front(), tag: sub.owner.startTag, owner: sub.owner})
+	}
+	heap.Init(&next)
+	var entries []*Entry[T]
+	for len(next) > 0 && len(entries) < limit {
+		entry := next[0].element.Value.(*Entry[T])
+		entries = append(entries, entry)
+		next[0].tag += entry.Cost / next[0].owner.weight
+		if next[0].element = next[0].element.Next(); next[0].element == nil {
+			heap.Pop(&next)
+		} else {
+			heap.Fix(&next, 0)
+		}
+	}
+	return entries
+}
