--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -46,7 +46,7 @@
 	// hold is the mean time for which a request has its place.
 	hold time.Duration
 	// silent nodes tell nothing of their demand.
-	silent    func(node int) bool
+	silent    func(node int, now time.Duration) bool
 	ids       int
 	overtaken int
 	rejected  int
@@ -78,7 +78,7 @@
 
 // newOverload has the engines that are left of the users' second hard site after a zone is lost.
 func newOverload(seed uint64) *overload {
-	o := &overload{random: rand.New(rand.NewPCG(seed, 5)), engines: map[string]*crowdedEngine{}, waiting: map[string]*crowdRequest{}, hold: 1800 * time.Millisecond, silent: func(int) bool { return false }}
+	o := &overload{random: rand.New(rand.NewPCG(seed, 5)), engines: map[string]*crowdedEngine{}, waiting: map[string]*crowdRequest{}, hold: 1800 * time.Millisecond, silent: func(int, time.Duration) bool { return false }}
 	model := &fleet.Engine{Slots: overloadSlots, MemoryTokens: 450_000, StepMs: 0.925, StepMsPerStream: 0.00483, StepMsPerContextK: 0.00254, PrefillTokensPerMs: 256, AttentionMsPerMPairs: 0.0917, StepsPerPass: 52}
 	view := fleet.View{Configuration: &fleet.Configuration{Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: model}}}, Upstreams: map[string]*fleet.Upstream{}}
 	for i := range overloadEngines {
@@ -125,7 +125,7 @@
 			o.decided(now, node.Advance(now)...)
 			o.tell(now, i)
 		}
-		if now%(40*time.Millisecond) == 0 && !o.silent(i) {
+		if now%(40*time.Millisecond) == 0 && !o.silent(i, now) {
 			demands := node.Demands(now)
 			o.toOthers(now, i, func(other *Scheduler, at time.Duration) { other.ApplyDemands(at, fmt.Sprint(i), demands) })
 		}
@@ -310,6 +310,32 @@
 	}
 }
 
+// TestOverloadWithoutNewsServesWhatThereIsRoomFor plays nodes that tell nothing of their demand: a half of
+// the fleet runs an older release, or the relays are gone from the start or in the middle.
+func TestOverloadWithoutNewsServesWhatThereIsRoomFor(t *testing.T) {
+	const length = 4 * time.Second
+	for name, silent := range map[string]func(int, time.Duration) bool{
+		"half of the nodes": func(node int, _ time.Duration) bool { return node%2 == 0 },
+		"all":               func(int, time.Duration) bool { return true },
+		"all from 1.5 s on": func(_ int, now time.Duration) bool { return now > 1500*time.Millisecond },
+	} {
+		o := newOverload(3)
+		o.silent = silent
+		o.play(length, short(1.6))
+		result := o.results(byCrowd)["short"]
+		t.Logf("%s silent: %+v", name, result)
+		places := overloadEngines * overloadSlots * (1 + length.Seconds()/o.hold.Seconds())
+		if served := result.onTime + result.late + result.returned; float64(served) < places {
+			t.Errorf("%s silent: served %d, there was room for %.0f", name, served, places)
+		}
+		for _, r := range o.all {
+			if r.outcome == "" {
+				t.Fatalf("%s silent: request %s has no end", name, r.id)
+			}
+		}
+	}
+}
+
 // newFullFixture has 100 engines whose slots are taken, 1,000 waiting requests and the demand of 24
 // other nodes.
 func newFullFixture() (f *fixture, now time.Duration) {
