Merge admission and the division of engines

Division only where routes state a pause target: a scheduler without routes divided its only engine and placed nothing (loadshare's TestRelaysSpreadLoadToAllNodesOnce, red after the merge).

--- a/placement/division.go
+++ b/placement/division.go
@@ -84,9 +84,12 @@
 	return d
 }
 
-// needsDivision reports whether parts of long prompts exceed the tightest pause target.
+// needsDivision reports whether parts of long prompts exceed the tightest pause target that routes state.
 func (s *Scheduler) needsDivision(service *fleet.Service, pauseTargetMs float64) bool {
 	engine := service.Engine
+	if _, stated := s.pauseTargets[service.Name]; !stated {
+		return false
+	}
 	longMs := prefillMs(engine, int(float64(engine.MemoryTokens)*longPromptShare))
 	return longMs/float64(s.config.MaxPrefillEngines) > pauseTargetMs-decodePassMs(engine, 1, 0)-chunkMarginMs
 }
