--- a/standin/fleetstore/store.go
+++ b/standin/fleetstore/store.go
@@ -284,13 +284,50 @@
 	}
 }
 
-func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Expected []Row `json:"expectedRevision"`
-		Write    []Row `json:"write"`
-		Delete   []Row `json:"delete"`
+// transaction is the body of a call that writes.
+type transaction struct {
+	Expected []expectedRow `json:"expectedRevision"`
+	Write    []Row         `json:"write"`
+	Delete   []Row         `json:"delete"`
+}
+
+// expectedRow must have the version, which has to be stated also if it is 0.
+type expectedRow struct {
+	Row
+	Expected *int64 `json:"schemaVersion"`
+}
+
+const (
+	maxEntries   = 100
+	maxTextBytes = 200
+)
+
+// valid reports whether all entries are complete and within the limits of the store.
+func (t *transaction) valid() bool {
+	texts := func(row *Row) bool {
+		return row.Table != "" && row.Key != "" && max(len(row.Table), len(row.Part), len(row.Key)) <= maxTextBytes
+	}
+	for i := range t.Expected {
+		if t.Expected[i].Expected == nil || !texts(&t.Expected[i].Row) {
+			return false
+		}
+	}
+	for i := range t.Write {
+		if t.Write[i].Value == nil || !texts(&t.Write[i]) {
+			return false
+		}
+	}
+	for i := range t.Delete {
+		if !texts(&t.Delete[i]) {
+			return false
+		}
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	return len(t.Expected)+len(t.Write)+len(t.Delete) <= maxEntries
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var body transaction
+	if json.NewDecoder(r.Body).Decode(&body) != nil || !body.valid() {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -302,7 +339,7 @@
 	}
 	s.mutex.Lock()
 	for _, row := range body.Expected {
-		if s.rows[row.Table+"\x00"+row.Part+"\x00"+row.Key].Version != row.Version {
+		if s.rows[row.Table+"\x00"+row.Part+"\x00"+row.Key].Version != *row.Expected {
 			version := s.version
 			s.mutex.Unlock()
 			s.writeResponse(w, http.StatusPreconditionFailed, response{Version: version})
