Own platform's client believes a response by the ID of its call

Cause: a kept connection was looked through for waiting bytes before each call, but a late response that arrives after the next call was written was taken for its answer: a 200 of an earlier write confirmed one that was refused, another key's object or rows were returned (two holders of a claim, another's result). fasthttp's client neither shows on which connection a response came nor lets one be skipped.

Change: the protocol of the own platform, which is ours, gets an ID a call (Call-Id), repeated by the platform; the stand-in does. A response without an ID is believed on a connection's first call only, and the connection is then closed: an older platform costs a connection a call. Rows that were not asked for, and bodies whose end only the closed connection marks, make the outcome unknown. Still 64 calls at a time; https works as before, on a connection a call.

TestConnectionIsReusedAfterTheDeadlineOfItsCall's raw platform now repeats the ID, as the protocol says: without it no connection is used again (red then, seen). TestExtraResponseIsNotTakenForNextCalls runs with and without IDs.

--- a/standin/platformserver/server.go
+++ b/standin/platformserver/server.go
@@ -37,6 +37,7 @@
 func NewServer(p *memory.Platform, control *fault.Control) *Server {
 	server := &Server{platform: p, control: control}
 	server.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, DisableStartupMessage: true, Immutable: true})
+	server.app.Use(repeatCall)
 	control.Routes(server.app)
 	server.app.Get(PathCalls, server.calls)
 	server.app.Post(httpstorage.PathGet, server.get)
@@ -49,6 +50,14 @@
 	return server
 }
 
+// repeatCall marks a response as that to its call.
+func repeatCall(c *fiber.Ctx) error {
+	if id := c.Get(httpstorage.HeaderCall); id != "" {
+		c.Set(httpstorage.HeaderCall, id)
+	}
+	return c.Next()
+}
+
 // App returns the HTTP application.
 func (s *Server) App() *fiber.App {
 	return s.app
--- a/storage/httpstorage/client.go
+++ b/storage/httpstorage/client.go
@@ -1,61 +1,76 @@
 package httpstorage
 
 import (
+	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/url"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/wigeontiller/wigeontiller/storage"
+	"github.com/wigeontiller/wigeontiller/upstream/directhttp"
 )
 
 const (
 	defaultTimeout = 2 * time.Second
-	maxConns       = 64
+	// maxConns bounds the calls that are under way at a time, each on a connection of its own.
+	maxConns = 64
+	// maxIdleTime is how long a connection may have been idle when it is used again.
+	maxIdleTime = 10 * time.Second
+	// maxResponseBytes bounds a response's body: the platform's largest object.
+	maxResponseBytes = 64 << 20
+	// callBase is the base of the numbers in a call's ID.
+	callBase = 36
 )
 
-// Client calls the platform over HTTP. It never sends a call twice.
+// Client calls the platform over HTTP. It never sends a call twice, and believes a response by the ID of its call.
 type Client struct {
-	base string
-	// kept keeps its connections, fresh opens one for each call.
-	kept, fresh *fasthttp.Client
+	base, address string
+	pool          *directhttp.Pool
+	slots         chan struct{}
+	// process and calls make the IDs of calls, which are unique over nodes and restarts.
+	process string
+	calls   atomic.Uint64
 }
 
 var _ storage.Platform = (*Client)(nil)
 
-// errDial marks a failed connection attempt: nothing was sent.
-var errDial = eris.New("dial platform")
-
 // NewClient returns a client for a base URL such as http://127.0.0.1:9000.
 func NewClient(base string) (*Client, error) {
-	if _, err := url.Parse(base); err != nil {
-		return nil, eris.Wrap(err, "parse platform URL")
-	}
-	return &Client{base: base, kept: newHTTPClient(), fresh: newHTTPClient()}, nil
+	return newClient(base, &tls.Config{MinVersion: tls.VersionTLS12})
 }
 
-func newHTTPClient() *fasthttp.Client {
-	return &fasthttp.Client{
-		MaxConnsPerHost:           maxConns,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
-		Dial: dial,
-	}
-}
-
-func dial(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, defaultTimeout)
+func newClient(base string, config *tls.Config) (*Client, error) {
+	parsed, err := url.Parse(base)
 	if err != nil {
-		return nil, errors.Join(errDial, err)
+		return nil, eris.Wrap(err, "parse platform URL")
+	}
+	c := &Client{
+		base: base, pool: directhttp.NewPool(defaultTimeout, nil), slots: make(chan struct{}, maxConns),
+		process: strconv.FormatUint(rand.Uint64(), callBase),
 	}
-	return &exchangeConn{Conn: conn}, nil
+	c.pool.MaxIdlePerAddress = maxConns
+	port := "80"
+	if parsed.Scheme == "https" {
+		port = "443"
+		// The pool can't look into such a connection for bytes that belong to no call, and uses each once.
+		c.pool.DialContext = (&tls.Dialer{Config: config}).DialContext
+	}
+	if parsed.Port() != "" {
+		port = parsed.Port()
+	}
+	c.address = net.JoinHostPort(parsed.Hostname(), port)
+	return c, nil
 }
 
 // Get returns one row or storage.ErrNotFound.
@@ -76,6 +91,15 @@
 	if err := c.call(ctx, fasthttp.MethodPost, PathGet, GetRequest{Keys: keys}, &reply); err != nil {
 		return nil, err
 	}
+	asked := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		asked[key] = true
+	}
+	for _, row := range reply.Rows {
+		if !asked[row.Key] {
+			return nil, eris.Wrapf(storage.ErrUnknown, "the platform returned a row that was not asked for: %q", row.Key)
+		}
+	}
 	return reply.Rows, nil
 }
 
@@ -127,39 +151,80 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, data []byte) ([]byte, error) {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(c.base + path)
-	request.SetBodyRaw(data)
-	err := c.kept.DoDeadline(request, response, deadline(ctx))
-	if errors.Is(err, errNotReusable) {
-		request.SetConnectionClose()
-		err = c.fresh.DoDeadline(request, response, deadline(ctx))
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	default:
+		return nil, eris.Wrap(storage.ErrUnavailable, "too many calls at a time")
+	}
+	if _, bounded := ctx.Deadline(); !bounded {
+		limited, cancel := context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	status, body, err := c.exchange(ctx, method, path, data)
+	if errors.Is(err, directhttp.ErrNotSent) {
+		return nil, eris.Wrap(storage.ErrUnavailable, err.Error())
 	}
 	if err != nil {
-		return nil, classify(err)
+		return nil, eris.Wrap(storage.ErrUnknown, err.Error())
 	}
-	if err := statusError(response.StatusCode()); err != nil {
+	if err := statusError(status); err != nil {
 		return nil, err
 	}
-	return append([]byte(nil), response.Body()...), nil
+	return body, nil
 }
 
-func deadline(ctx context.Context) time.Time {
-	if at, ok := ctx.Deadline(); ok {
-		return at
+// exchange sends a call once and returns its response.
+func (c *Client) exchange(ctx context.Context, method, path string, data []byte) (int, []byte, error) {
+	id := c.process + "-" + strconv.FormatUint(c.calls.Add(1), callBase)
+	encoded, err := c.encode(method, path, id, data)
+	if err != nil {
+		return 0, nil, eris.Wrap(directhttp.ErrNotSent, err.Error())
 	}
-	return time.Now().Add(defaultTimeout)
+	conn, err := c.pool.Get(ctx, c.address, maxIdleTime)
+	if err != nil {
+		return 0, nil, err
+	}
+	carried := conn.Carried
+	reply, err := c.pool.Send(ctx, conn, &directhttp.Request{
+		Method: method, Bytes: encoded,
+		Matches: func(_ int, header http.Header) bool {
+			echo := header.Get(HeaderCall)
+			// On a connection that has carried a call, a response without an ID may be a late one.
+			return echo == id || echo == "" && !carried
+		},
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	if reply.CloseDelimited {
+		reply.Abort()
+		return 0, nil, eris.Wrap(directhttp.ErrIncomplete, "only the closed connection marks the end of the response")
+	}
+	body, err := reply.ReadAll(maxResponseBytes)
+	if err != nil || reply.Header.Get(HeaderCall) == "" {
+		// A platform that repeats no IDs could send a late response that can't be told from the next one.
+		reply.Abort()
+		return reply.Status, body, err
+	}
+	reply.Finish()
+	return reply.Status, body, nil
 }
 
-func classify(err error) error {
-	if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return eris.Wrap(storage.ErrUnavailable, err.Error())
+// encode returns the bytes of a call.
+func (c *Client) encode(method, path, id string, data []byte) ([]byte, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.base + path)
+	request.Header.Set(HeaderCall, id)
+	request.SetBodyRaw(data)
+	var encoded bytes.Buffer
+	if _, err := request.WriteTo(&encoded); err != nil {
+		return nil, eris.Wrap(err, "encode call")
 	}
-	return eris.Wrap(storage.ErrUnknown, err.Error())
+	return encoded.Bytes(), nil
 }
 
 func statusError(status int) error {
--- a/storage/httpstorage/client_test.go
+++ b/storage/httpstorage/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,6 +67,15 @@
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
 
+// own is a response that bears the ID of its call.
+func own(request *http.Request, status int, body string) string {
+	return responseTo(request.Header.Get(HeaderCall), status, body)
+}
+
+func responseTo(id string, status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nCall-Id: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+}
+
 func rowBody(key string) string {
 	return fmt.Sprintf(`{"rows":[{"key":%q,"version":1,"value":""}]}`, key)
 }
@@ -76,20 +86,26 @@
 // TestExtraResponseIsNotTakenForNextCalls guards against a second copy of an answer that arrives after
 // the first was read: every later call on the connection got the answer of the call before it.
 func TestExtraResponseIsNotTakenForNextCalls(t *testing.T) {
-	is := is.New(t)
-	client := startRawPlatform(t, func(conn net.Conn, number int, _ *http.Request) {
-		row := response(http.StatusOK, rowBody("a"))
-		write(conn, row)
-		if number == 0 {
-			time.Sleep(20 * time.Millisecond)
-			write(conn, response(http.StatusOK, `{"rows":[]}`))
-		}
-	})
-	for range 3 {
-		row, err := client.Get(t.Context(), "a")
-		is.NoErr(err)
-		is.Equal(row.Key, "a")
-		time.Sleep(60 * time.Millisecond)
+	for name, form := range map[string]func(request *http.Request, status int, body string) string{
+		"without ID": func(_ *http.Request, status int, body string) string { return response(status, body) },
+		"own ID":     own,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := startRawPlatform(t, func(conn net.Conn, number int, request *http.Request) {
+				write(conn, form(request, http.StatusOK, rowBody("a")))
+				if number == 0 {
+					time.Sleep(20 * time.Millisecond)
+					write(conn, form(request, http.StatusOK, `{"rows":[]}`))
+				}
+			})
+			for range 3 {
+				row, err := client.Get(t.Context(), "a")
+				is.NoErr(err)
+				is.Equal(row.Key, "a")
+				time.Sleep(60 * time.Millisecond)
+			}
+		})
 	}
 }
 
@@ -98,9 +114,9 @@
 func TestConnectionIsReusedAfterTheDeadlineOfItsCall(t *testing.T) {
 	is := is.New(t)
 	numbers := make(chan int, 2)
-	client := startRawPlatform(t, func(conn net.Conn, number int, _ *http.Request) {
+	client := startRawPlatform(t, func(conn net.Conn, number int, request *http.Request) {
 		numbers <- number
-		write(conn, response(http.StatusOK, rowBody("a")))
+		write(conn, own(request, http.StatusOK, rowBody("a")))
 	})
 	for want := range 2 {
 		const timeout = 100 * time.Millisecond
@@ -168,3 +184,81 @@
 	_, err = client.Get(t.Context(), "b")
 	is.True(errors.Is(err, storage.ErrUnknown))
 }
+
+// TestLateResponseOnKeptConnectionIsSkipped guards against the same on connections that carry many calls: a copy of
+// the response to an earlier one, or one that bears no ID, comes first.
+func TestLateResponseOnKeptConnectionIsSkipped(t *testing.T) {
+	is := is.New(t)
+	var ids []string
+	kept := 0
+	client := startRawPlatform(t, func(conn net.Conn, number int, request *http.Request) {
+		if number > 0 {
+			kept++
+			write(conn, responseTo(ids[len(ids)-1], http.StatusOK, "another's"))
+			write(conn, response(http.StatusOK, "whose"))
+		}
+		ids = append(ids, request.Header.Get(HeaderCall))
+		status, body := http.StatusConflict, ""
+		if request.Method == http.MethodGet {
+			status, body = http.StatusOK, request.URL.Path[len(PathObjects):]
+		}
+		write(conn, own(request, status, body))
+	})
+	for _, key := range []string{"one", "two", "three"} {
+		data, err := client.GetObject(t.Context(), key)
+		is.NoErr(err)
+		is.Equal(string(data), key)
+		is.True(errors.Is(client.PutObject(t.Context(), key, []byte("x")), storage.ErrConflict))
+		is.True(errors.Is(client.Transact(t.Context(), nil), storage.ErrConflict))
+	}
+	is.Equal(kept, 8) // one connection
+	seen := map[string]bool{}
+	for _, id := range ids {
+		is.True(id != "" && !seen[id])
+		seen[id] = true
+	}
+}
+
+// TestResponseThatMayBeShortIsNotBelieved guards against a part of an object.
+func TestResponseThatMayBeShortIsNotBelieved(t *testing.T) {
+	for name, framing := range map[string]string{"no length": "", "longer length": "Content-Length: 9\r\n", "chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client := startRawPlatform(t, func(conn net.Conn, _ int, request *http.Request) {
+				write(conn, "HTTP/1.1 200 X\r\nCall-Id: "+request.Header.Get(HeaderCall)+"\r\n"+framing+"\r\n")
+				if name == "chunks" {
+					write(conn, "4\r\npart\r\n")
+				} else {
+					write(conn, "part")
+				}
+				_ = conn.Close()
+			})
+			_, err := client.GetObject(t.Context(), "a")
+			is.True(errors.Is(err, storage.ErrUnknown))
+		})
+	}
+}
+
+func TestCallsOverTLS(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderCall, r.Header.Get(HeaderCall))
+		_, _ = io.WriteString(w, rowBody("a"))
+	}))
+	defer server.Close()
+	client, err := newClient(server.URL, server.Client().Transport.(*http.Transport).TLSClientConfig)
+	is.NoErr(err)
+	for range 2 {
+		row, err := client.Get(t.Context(), "a")
+		is.NoErr(err)
+		is.Equal(row.Key, "a")
+	}
+}
+
+// TestPlatformThatIsDownIsUnavailable tells a call that was not sent from one that may have been applied.
+func TestPlatformThatIsDownIsUnavailable(t *testing.T) {
+	is := is.New(t)
+	client, err := NewClient("http://127.0.0.1:1")
+	is.NoErr(err)
+	is.True(errors.Is(client.Transact(t.Context(), nil), storage.ErrUnavailable))
+}
--- a/storage/httpstorage/messages.go
+++ b/storage/httpstorage/messages.go
@@ -11,6 +11,10 @@
 	PathVMs      = "/vms"
 )
 
+// HeaderCall is the header with the ID of a call, which is unique over all nodes. The platform repeats it in the response.
+// A response without it is believed on a connection's first call only, and its connection is then closed.
+const HeaderCall = "Call-Id"
+
 // GetRequest is the request for rows by key.
 type GetRequest struct {
 	Keys []string `json:"keys"`
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -9,6 +9,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -49,10 +50,12 @@
 type Pool struct {
 	// DialContext replaces the dialing of connections if it is set before the first use.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
-	dialTimeout time.Duration
-	mutex       sync.Mutex
-	idle        map[string][]*Conn
-	onDial      func()
+	// MaxIdlePerAddress replaces maxIdlePerAddress if it is set before the first use.
+	MaxIdlePerAddress int
+	dialTimeout       time.Duration
+	mutex             sync.Mutex
+	idle              map[string][]*Conn
+	onDial            func()
 }
 
 // NewPool returns an empty pool. onDial, if not nil, is called before each new
@@ -177,7 +180,7 @@
 	conn.lastUsedAt = time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle[conn.address]) >= maxIdlePerAddress {
+	if len(p.idle[conn.address]) >= cmp.Or(p.MaxIdlePerAddress, maxIdlePerAddress) {
 		_ = conn.Close()
 		return
 	}
