placement: nodes claim engines for the longest prompts

Change: a node claims engines for 100 ms before it uses them. Of several claims each is kept by chance; a request that waits no more gives its claim back. Prompts over one engine's memory wait for free engines too, instead of being placed beside streams or refused as busy.

The runner now tells other nodes also what changed while a request waits.

The new tests were red without claims (up to 6 on one engine).

long_pool_test.go: a decision on one waiting request was taken for another's and the rest dropped; now each goes to its own request.

--- a/exchange/scheduler_runner.go
+++ b/exchange/scheduler_runner.go
@@ -76,15 +76,15 @@
 
 func (g *SchedulerRunner) tick() {
 	g.mutex.Lock()
-	placed := g.advance()
+	changed := g.advance()
 	g.mutex.Unlock()
-	if placed {
+	if changed {
 		g.onChange()
 	}
 }
 
 // advance delivers decisions to waiting requests, restarts the timer while requests
-// wait, and reports whether there were decisions. The mutex must be held.
+// wait, and reports whether other nodes are to be notified. The mutex must be held.
 func (g *SchedulerRunner) advance() bool {
 	decisions := g.scheduler.Advance(g.now())
 	for _, decision := range decisions {
@@ -96,7 +96,7 @@
 	if g.scheduler.Waiting() > 0 {
 		g.timer.Reset(advanceInterval)
 	}
-	return len(decisions) > 0
+	return len(decisions) > 0 || g.scheduler.HasLoadUpdates()
 }
 
 // Place waits until the request is placed or rejected. It returns false if the context
@@ -112,7 +112,11 @@
 	wait := make(chan placement.Decision, 1)
 	g.waiting[request.ID] = wait
 	g.timer.Reset(advanceInterval)
+	changed := g.scheduler.HasLoadUpdates()
 	g.mutex.Unlock()
+	if changed {
+		g.onChange()
+	}
 	select {
 	case decision = <-wait:
 		return decision, true
--- a/placement/division_choose.go
+++ b/placement/division_choose.go
@@ -41,7 +41,7 @@
 	left := float64((request.AnswerDue - now - overflowMargin).Microseconds()) / 1000
 	if late := lead.msUntilPrefilled(now, promptMs); late > left || lead.position() >= d.backStart {
 		calm := slices.DeleteFunc(slices.Clone(eligible), func(l *load) bool {
-			return l.position() >= d.reservedStart || l.backlogMs(now) > minLongChunkMs
+			return l.position() >= d.reservedStart || l.totalHelperPrompts() > 0 || l.backlogMs(now) > minLongChunkMs
 		})
 		other := s.selectLead(now, service, s.scoreEngines(now, calm, noLongPool), request)
 		if other != nil && (other.msUntilPrefilled(now, promptMs) < late || lead.position() >= d.reservedStart) {
@@ -73,26 +73,74 @@
 // decided where the prompt is short enough for parts beside streams and cannot wait.
 func (s *Scheduler) placeLongest(now time.Duration, request *Request, service *fleet.Service, eligible []*load, d *division, promptMs float64) (decision Decision, placed, decided bool) {
 	engine := service.Engine
+	claimed, waits := s.confirmClaim(now, request.ID, eligible)
+	if waits {
+		return Decision{}, false, true
+	}
+	if len(claimed) > 0 {
+		decision, placed = s.placeOnFree(now, request, service, claimed)
+		return decision, placed, true
+	}
 	free := s.freeEngines(now, service, eligible, d)
-	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
+	budgetMs := float64((request.AnswerDue-now-claimTime).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
 	limit := min(s.config.MaxPrefillEngines, len(free))
-	inTime := budgetMs > promptMs/maxBackEngines
-	if request.PromptTokens+request.AnswerTokens > engine.MemoryTokens {
-		return s.placeDistributedDivided(now, request, service, free, promptMs, budgetMs)
-	}
-	if limit > 0 {
-		count := 1
-		for count < limit && s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
-			count++
-		}
-		if !inTime || s.prefillTimeMs(now, free, count, promptMs) <= budgetMs {
+	count := 1
+	if distributes(request, engine) {
+		count = s.minHolderCount(request, engine)
+	}
+	for count < limit && s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
+		count++
+	}
+	inTime := count <= limit && s.prefillTimeMs(now, free, count, promptMs) <= budgetMs
+	mayWait := budgetMs > promptMs/maxBackEngines
+	switch {
+	case inTime || !mayWait && count <= limit:
+		if !inTime && !distributes(request, engine) {
 			count = min(count, maxBackEngines)
-			decision, placed = s.placeOn(now, request, service, free, count)
-			return decision, placed, true
 		}
+		if s.nodeCount > 1 {
+			s.claimEngines(now, request.ID, free[:count])
+			return Decision{}, false, true
+		}
+		decision, placed = s.placeOnFree(now, request, service, free[:count])
+		return decision, placed, true
+	case distributes(request, engine):
+		if _, possible := s.selectHolders(now, service, eligible, request); !possible {
+			return refuse(request, TooLarge, defaultRetryAfter), true, true
+		}
+		return Decision{}, false, true
 	}
 	fits := promptMs/float64(min(s.config.MaxPrefillEngines, len(eligible))) <= s.maxChunkMs(now, service, eligible)
-	return Decision{}, false, inTime || !fits
+	return Decision{}, false, mayWait || !fits
+}
+
+// distributes reports whether a prompt needs the memory of several engines.
+func distributes(request *Request, engine *fleet.Engine) bool {
+	return request.PromptTokens+request.AnswerTokens > engine.MemoryTokens
+}
+
+// minHolderCount is the least number of empty engines that hold a prompt together.
+func (s *Scheduler) minHolderCount(request *Request, engine *fleet.Engine) int {
+	usable := int(float64(engine.MemoryTokens) * (1 - memoryMargin))
+	return max(minHolders, request.PromptTokens/max(1, usable-request.AnswerTokens)+1)
+}
+
+// placeOnFree places a prompt on all of the engines, which have no streams.
+func (s *Scheduler) placeOnFree(now time.Duration, request *Request, service *fleet.Service, engines []*load) (Decision, bool) {
+	if !distributes(request, service.Engine) {
+		return s.placeOn(now, request, service, engines, len(engines))
+	}
+	holders, possible := s.selectHolders(now, service, engines, request)
+	if !possible || len(holders) == 0 {
+		return Decision{}, false
+	}
+	helpers := slices.Clone(holders[1:])
+	for _, l := range engines {
+		if !slices.Contains(holders, l) {
+			helpers = append(helpers, l)
+		}
+	}
+	return s.place(now, request, service, holders[0], helpers, holders), true
 }
 
 // freeEngines returns the engines without streams and without anything to read, those of the back
@@ -116,27 +164,3 @@
 	}
 	return engines
 }
-
-// placeDistributedDivided places a prompt that several engines hold on engines without streams, if there
-// are enough, else as where engines are not divided.
-func (s *Scheduler) placeDistributedDivided(now time.Duration, request *Request, service *fleet.Service, free []*load, promptMs, budgetMs float64) (decision Decision, placed, decided bool) {
-	limit := min(s.config.MaxPrefillEngines, len(free))
-	count := minHolders
-	for count < limit && s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
-		count++
-	}
-	if count > limit || s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
-		return Decision{}, false, false
-	}
-	holders, possible := s.selectHolders(now, service, free, request)
-	if !possible || len(holders) == 0 {
-		return Decision{}, false, false
-	}
-	helpers := slices.Clone(holders[1:])
-	for _, l := range free {
-		if 1+len(helpers) < count && !slices.Contains(holders, l) {
-			helpers = append(helpers, l)
-		}
-	}
-	return s.place(now, request, service, holders[0], helpers, holders), true, true
-}
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -23,6 +23,7 @@
 // LoadUpdates returns updates for the upstreams whose totals changed since the last call, or,
 // with all, also for those in use.
 func (s *Scheduler) LoadUpdates(now time.Duration, all bool) []LoadUpdate {
+	s.releaseUnusedClaims(now)
 	var updates []LoadUpdate
 	for _, l := range s.ordered {
 		if _, changed := s.changed[l]; !changed && (!all || l.running+l.helperPrompts == 0) {
--- a/placement/long_pool_test.go
+++ b/placement/long_pool_test.go
@@ -67,10 +67,13 @@
 	random *rand.Rand
 	nodes  []*fixture
 	byID   map[string]*simulatedEngine
-	view   fleet.View
-	events []longPoolEvent
-	next   int
-	all    []*simulatedRequest
+	// byRequest holds the requests by ID; ticking is true for nodes whose timer runs.
+	byRequest map[string]*simulatedRequest
+	ticking   map[int]bool
+	view      fleet.View
+	events    []longPoolEvent
+	next      int
+	all       []*simulatedRequest
 }
 
 type longPoolEvent struct {
@@ -82,7 +85,7 @@
 const hearDelay = 60 * time.Millisecond
 
 func newLongPoolLoad(site simulatedSite, seed uint64) *longPoolLoad {
-	l := &longPoolLoad{simulatedSite: site, random: rand.New(rand.NewPCG(seed, 3)), byID: map[string]*simulatedEngine{}}
+	l := &longPoolLoad{simulatedSite: site, random: rand.New(rand.NewPCG(seed, 3)), byID: map[string]*simulatedEngine{}, byRequest: map[string]*simulatedRequest{}, ticking: map[int]bool{}}
 	configuration := &fleet.Configuration{
 		Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: l.model}},
 		Routes:   []fleet.Route{{Kind: fleet.Stream, PauseTarget: site.pauseTarget, Targets: []fleet.Target{{Service: "llm", Weight: 1}}}},
@@ -96,6 +99,7 @@
 	for i := range site.nodes {
 		s := New(Config{Zone: "z", PrefillChunkMs: 50, MaxPrefillEngines: 17, MaxPassMs: 220, Random: rand.New(rand.NewPCG(seed, uint64(i)))})
 		s.UpdateView(view)
+		s.SetNodeCount(site.nodes)
 		l.nodes = append(l.nodes, &fixture{Scheduler: s})
 	}
 	l.view = view
@@ -139,43 +143,41 @@
 
 func (l *longPoolLoad) submit(now time.Duration, tokens int, aim time.Duration) {
 	l.next++
-	node := l.random.IntN(len(l.nodes))
+	node, id := l.random.IntN(len(l.nodes)), fmt.Sprintf("r%d", l.next)
 	request := &simulatedRequest{node: node, tokens: tokens, aim: aim, arrived: now, events: l.eventCount()}
 	l.all = append(l.all, request)
-	decision := l.nodes[node].Submit(now, &Request{
-		ID: fmt.Sprintf("r%d", l.next), Service: "llm", Kind: fleet.Stream, PromptTokens: tokens, AnswerTokens: 800,
+	l.byRequest[id] = request
+	l.decided(now, l.nodes[node].Submit(now, &Request{
+		ID: id, Service: "llm", Kind: fleet.Stream, PromptTokens: tokens, AnswerTokens: 800,
 		Arrived: now, AnswerDue: now + aim, Deadline: now + 15*time.Second,
-	})
-	l.decided(now, request, decision)
-	l.advance(now, node, request, decision)
+	}))
+	l.tellChanges(now, node)
+	if !l.ticking[node] {
+		l.tick(now, node)
+	}
 }
 
-// advance decides on a queued request again, as the node's timer does.
-func (l *longPoolLoad) advance(now time.Duration, node int, request *simulatedRequest, decision Decision) {
-	if decision.Lead != nil || decision.Reason != "" {
+// tick decides on a node's queued requests again, as the node's timer does.
+func (l *longPoolLoad) tick(now time.Duration, node int) {
+	l.ticking[node] = l.nodes[node].Waiting() > 0
+	if !l.ticking[node] {
 		return
 	}
 	l.at(now+5*time.Millisecond, func(now time.Duration) {
-		var own Decision
-		for _, decided := range l.nodes[node].Advance(now) {
-			if decided.ID == decision.ID || decided.ID != "" && request.decision.ID == "" {
-				own = decided
-			}
-		}
-		l.decided(now, request, own)
-		if request.decision.Lead == nil && own.Reason == "" {
-			l.advance(now, node, request, decision)
+		for _, decision := range l.nodes[node].Advance(now) {
+			l.decided(now, decision)
 		}
+		l.tellChanges(now, node)
+		l.tick(now, node)
 	})
 }
 
-func (l *longPoolLoad) decided(now time.Duration, request *simulatedRequest, decision Decision) {
+func (l *longPoolLoad) decided(now time.Duration, decision Decision) {
 	if decision.Lead == nil {
 		return
 	}
+	request := l.byRequest[decision.ID]
 	request.decision = decision
-	updates := l.nodes[request.node].LoadUpdates(now, false)
-	l.tell(now, request.node, updates)
 	parts := append([]*fleet.Upstream{decision.Lead}, decision.Helpers...)
 	request.unread = len(parts)
 	ms := prefillMs(l.model, request.tokens) / float64(len(parts))
@@ -195,7 +197,12 @@
 	}
 }
 
-func (l *longPoolLoad) tell(now time.Duration, from int, updates []LoadUpdate) {
+// tellChanges sends what changed at a node to the others.
+func (l *longPoolLoad) tellChanges(now time.Duration, from int) {
+	updates := l.nodes[from].LoadUpdates(now, false)
+	if len(updates) == 0 {
+		return
+	}
 	l.at(now+hearDelay, func(now time.Duration) {
 		for i, node := range l.nodes {
 			if i != from {
@@ -273,7 +280,7 @@
 			}
 			request.done = true
 			l.nodes[request.node].End(now, request.decision.ID, Answered, "")
-			l.tell(now, request.node, l.nodes[request.node].LoadUpdates(now, false))
+			l.tellChanges(now, request.node)
 		}
 	}
 	for _, chunk := range engine.reading {
@@ -284,7 +291,7 @@
 		request.firstEventAt, request.lastEventAt = now, now
 		l.byID[request.decision.Lead.ID].decoding[request] = true
 		l.nodes[request.node].FirstEvent(now, request.decision.ID)
-		l.tell(now, request.node, l.nodes[request.node].LoadUpdates(now, false))
+		l.tellChanges(now, request.node)
 		if lead := l.byID[request.decision.Lead.ID]; lead != engine && lead.passEnd <= now {
 			l.startPass(now, lead)
 		}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -147,6 +147,8 @@
 	pauseTargets map[string]float64
 	// divisions are by service.
 	divisions map[string]*division
+	// claims are by the request's ID.
+	claims map[string]*claim
 	// holds are by the upstream's ID.
 	holds map[string]*hold
 	// unreached holds the services whose upstreams this node does not reach.
@@ -164,7 +166,7 @@
 	}
 	return &Scheduler{
 		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
-		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, divisions: map[string]*division{}, unreached: map[string]bool{},
+		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, divisions: map[string]*division{}, claims: map[string]*claim{}, unreached: map[string]bool{},
 		demands: admission.NewLedger(),
 	}
 }
