--- a/storage/httpstorage/client.go
+++ b/storage/httpstorage/client.go
@@ -188,7 +188,7 @@
 	}
 	carried := conn.Carried
 	reply, err := c.pool.Send(ctx, conn, &directhttp.Request{
-		Method: method, Bytes: encoded,
+		Method: method, Head: encoded,
 		Matches: func(_ int, header http.Header) bool {
 			echo := header.Get(HeaderCall)
 			// On a connection that has carried a call, a response without an ID may be a late one.
