A connection that has carried a request's ID is not used for it again

Cause (KNOWN-RED.txt, TestAnswersOfFaultyUpstreams/delivered, traced by its cell and a test that delays the close): an upstream refuses a continuation, blames another in At-Server and closes its connection just after the answer. The request comes to it again, the pool hands out the connection of the refusal, whose close has not arrived, and the write ends in a reset: "may have run", the upstream is avoided, and nobody is left to ask. Not seen for requests that must run once, as they are sent again on new connections already.

Change: a connection remembers the last 16 IDs (hashes); the pool closes one that has carried the ID and goes on to the next. New connections arise only where a request returns to an upstream or an ID is used again.

Ruled out: dialing for each resend (new connections are priced, most resends go to another upstream); dropping the connection after each refusal (refusals are many at the peak).

Changes to tests: the table let requests that may run often come again on the connection of their refusal (456 cells more than those of once); no request does now, and the table fails if one does.

--- a/edge/answer_lanes_test.go
+++ b/edge/answer_lanes_test.go
@@ -282,10 +282,12 @@
 	onNewConnection := 0
 	for _, p := range report.plays {
 		switch {
-		case p.played:
-		case p.cell.id == idEarlier && p.cell.once():
-			// It is sent again on a new connection only.
+		case p.cell.id == idEarlier && p.played:
+			t.Errorf("cell %s: the request was sent again on the connection that had carried it: %s", p.cell, p.seen())
+		case p.cell.id == idEarlier:
+			// It is sent again on another connection only.
 			onNewConnection++
+		case p.played:
 		default:
 			t.Errorf("the answer of cell %s was not asked for: %s", p.cell, p.seen())
 		}
--- a/edge/faulty_answers_test.go
+++ b/edge/faulty_answers_test.go
@@ -169,6 +169,39 @@
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
 
+// An upstream that refuses a request may close the connection just after its answer. The request comes to it again, as it
+// blames another, and must not be written to that connection.
+func TestRequestThatReturnsToUpstreamIsNotSentOnClosingConnection(t *testing.T) {
+	forDirectAndHop(t, func(t *testing.T, hop bool) {
+		is := is.New(t)
+		var mutex sync.Mutex
+		broke, refused := map[string]string{}, map[string]bool{}
+		f, _ := newRawFixture(t, hop, func(c *rawCall) bool {
+			mutex.Lock()
+			defer mutex.Unlock()
+			switch {
+			case c.after == "":
+				broke[c.id] = c.upstream.id
+				return brokenStream(c)
+			case !refused[c.id]:
+				refused[c.id] = true
+				c.write(strings.Replace(rawRefusal(c.id), "X-Not", "At-Server: "+broke[c.id]+"\r\nX-Not", 1))
+				// The close arrives after the answer has been read.
+				time.Sleep(10 * time.Millisecond)
+				return false
+			}
+			c.run()
+			c.write(rawHead(200, c.id) + chunkedHead + rawChunk(rawEvent(rawEvents+1)) + "0\r\n\r\n")
+			return true
+		})
+		for range 10 {
+			got := f.call(0, "chat", "key-a", nil)
+			is.NoErr(got.err)
+			is.Equal(strings.Count(got.body, "id: "), rawEvents+1)
+		}
+	})
+}
+
 func TestContinuationWithoutEventNumbersIsNotDelivered(t *testing.T) {
 	forDirectAndHop(t, func(t *testing.T, hop bool) {
 		is := is.New(t)
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -26,6 +26,8 @@
 
 // Request is an encoded HTTP request.
 type Request struct {
+	// ID is what the peer repeats in the response; empty is none.
+	ID     string
 	Method string
 	// Bytes holds the request line, header and body.
 	Bytes []byte
@@ -67,6 +69,9 @@
 		_ = conn.Close()
 		return nil, eris.Wrap(ErrNotPermitted, "connection closed")
 	}
+	if request.ID != "" {
+		conn.record(request.ID)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written, err := write(conn, request.Bytes)
 	if err != nil {
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -13,10 +13,12 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
@@ -77,19 +79,46 @@
 	// peerIdleTimeout is how long the peer announced to keep an idle connection; 0 if
 	// it announced nothing.
 	peerIdleTimeout time.Duration
+	// requests are hashes of the IDs that the connection has carried last, a ring of which next is replaced next.
+	requests [rememberedRequests]uint64
+	next     int
+}
+
+// rememberedRequests is the number of requests that a connection remembers: late responses follow soon.
+const rememberedRequests = 16
+
+// record remembers the ID of a request.
+func (c *Conn) record(id string) {
+	c.requests[c.next] = xxhash.Sum64String(id)
+	c.next = (c.next + 1) % len(c.requests)
+}
+
+// hasCarried reports whether the connection has carried a request with this ID lately.
+func (c *Conn) hasCarried(id string) bool {
+	return slices.Contains(c.requests[:], xxhash.Sum64String(id))
 }
 
 // Get returns an idle connection that was used within maxIdle and, if the peer
 // announced an idle timeout, within half of it, or else a new connection.
 // Errors: ErrNotSent.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
+	return p.get(ctx, address, maxIdle, func(*Conn) bool { return true })
+}
+
+// GetFor is Get for a request that bears an ID, for which a connection that has carried the same ID is not used: a late
+// response to the earlier one would bear it too, and a peer that has refused a request may be closing its connection.
+func (p *Pool) GetFor(ctx context.Context, address, id string, maxIdle time.Duration) (*Conn, error) {
+	return p.get(ctx, address, maxIdle, func(conn *Conn) bool { return !conn.hasCarried(id) })
+}
+
+func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, fits func(*Conn) bool) (*Conn, error) {
 	for {
 		conn := p.pop(address)
 		if conn == nil {
 			break
 		}
 		idle := time.Since(conn.lastUsedAt)
-		if idle < maxIdle && (conn.peerIdleTimeout == 0 || idle < conn.peerIdleTimeout/2) && conn.isReusable() {
+		if idle < maxIdle && (conn.peerIdleTimeout == 0 || idle < conn.peerIdleTimeout/2) && fits(conn) && conn.isReusable() {
 			conn.Reused = true
 			return conn, nil
 		}
