--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -57,3 +57,22 @@
 		f.ApplyLoadUpdates(now, "zone/z1", updates, false)
 	}
 }
+
+// benchmarkDivided decides on prompts for 100 engines that are divided.
+func benchmarkDivided(b *testing.B, tokens int) {
+	f := longAimOfOneEngine.prepare(100, 1).nodes[0]
+	now := time.Second
+	for b.Loop() {
+		now += 50 * time.Millisecond
+		request := f.request(now, tokens)
+		if f.Submit(now, request).Lead == nil {
+			f.Cancel(request.ID)
+			f.LoadUpdates(now, false)
+		}
+		f.End(now, request.ID, Answered, "")
+	}
+}
+
+func BenchmarkDecisionShortDivided(b *testing.B)  { benchmarkDivided(b, 5_000) }
+func BenchmarkDecisionMiddleDivided(b *testing.B) { benchmarkDivided(b, 45_000) }
+func BenchmarkDecisionLongDivided(b *testing.B)   { benchmarkDivided(b, 220_000) }
