placement: late ones of the longest prompts leave engines to those in time

Change: a prompt that cannot be in time any more claims only where an engine is left over, gives way to every other claim, and is refused as soon as six engines could not answer it before its caller leaves. On engines without streams the reading may take 0.9 of the time left. The needs of front and back fall with 0.5 s instead of 2 s: streams and recent prefill are smooth already.

Red: the new tests with each rule taken out.

--- a/placement/claim.go
+++ b/placement/claim.go
@@ -60,8 +60,9 @@
 }
 
 // confirmClaim returns the engines of a claim that is to be used now. While it is not decided, waits is
-// true. Where neither holds, the claim is lost or there is none.
-func (s *Scheduler) confirmClaim(now time.Duration, id string, eligible []*load) (engines []*load, waits bool) {
+// true. Where neither holds, the claim is lost or there is none. A claim of a request that cannot be in
+// time any more gives way to all others.
+func (s *Scheduler) confirmClaim(now time.Duration, id string, eligible []*load, inTime bool) (engines []*load, waits bool) {
 	c := s.claims[id]
 	if c == nil {
 		return nil, false
@@ -82,7 +83,7 @@
 		engines = c.engines
 		s.releaseClaim(id)
 		return engines, false
-	case s.config.Random.IntN(others+1) > 0:
+	case !inTime || s.config.Random.IntN(others+1) > 0:
 		s.releaseClaim(id)
 		return nil, false
 	}
--- a/placement/claim_test.go
+++ b/placement/claim_test.go
@@ -109,19 +109,46 @@
 	is.Equal(updates[0].Totals.HelperPrompts, 0)
 }
 
-// Equal claims of several nodes end with one of them.
+// Equal claims of several nodes end with one of them: six prompts of 3.3 s are read by three engines, one
+// after the other, before their callers leave.
 func TestOneOfSeveralClaimsIsLeft(t *testing.T) {
 	is := is.New(t)
 	l := longAimOfOneEngine.prepare(3, 1) // 6 nodes
 	for i := range 6 {
-		l.submit(time.Duration(i)*time.Millisecond, 300_000, 8*time.Second)
+		l.submit(time.Duration(i)*time.Millisecond, 160_000, 8*time.Second)
 	}
 	l.run(30 * time.Second)
-	served := 0
 	for _, request := range l.all {
-		if request.done {
-			served++
-		}
+		is.True(request.done && request.firstEventAt < 15*time.Second)
+	}
+}
+
+// A prompt that cannot be read before its caller leaves is refused at once, and takes no engine.
+func TestLongestPromptThatCannotBeAnsweredIsRefused(t *testing.T) {
+	is := is.New(t)
+	f, request := claimFixture()
+	now := time.Second
+	for _, l := range f.ordered { // all engines have streams
+		f.ApplyLoadUpdates(now, "n1", []LoadUpdate{{Hash: l.hash, Totals: Totals{Running: 1, MemoryTokens: 5_000}}}, false)
 	}
-	is.True(served >= 3) // one after the other on three engines within the deadline
+	is.Equal(f.Submit(now, request).Reason, Reason(""))
+	late := request.AnswerDue + 3*time.Second // 6 engines need 0.95 s, and the answer 1.4 s
+	is.Equal(len(f.Advance(late)), 0)
+	late = request.Deadline - 2500*time.Millisecond
+	decisions := f.Advance(late)
+	is.Equal(len(decisions), 1)
+	is.Equal(decisions[0].Reason, TooLate)
+}
+
+// A prompt that cannot be in time any more gives its claim up where another claims the same engine.
+func TestLateClaimGivesWay(t *testing.T) {
+	is := is.New(t)
+	f, request := claimFixture()
+	late := request.AnswerDue
+	f.Submit(late, request)
+	mine := claimed(f)
+	is.True(len(mine) > 0)
+	f.ApplyLoadUpdates(late, "n1", []LoadUpdate{{Hash: mine[0].hash, Totals: Totals{HelperPrompts: 1}}}, false)
+	is.Equal(len(f.Advance(late+claimTime)), 0)
+	is.Equal(mine[0].helperPrompts, 0)
 }
--- a/placement/division.go
+++ b/placement/division.go
@@ -22,7 +22,7 @@
 	divisionInterval = 20 * time.Millisecond
 	// divisionShrinkTime is the time constant with which the needs of front and back fall. They rise at
 	// once.
-	divisionShrinkTime = 2 * time.Second
+	divisionShrinkTime = 500 * time.Millisecond
 	// minLongChunkMs is the prefill time from which what a node adds to an engine counts as a part of
 	// one of the longest prompts.
 	minLongChunkMs = 300
--- a/placement/division_choose.go
+++ b/placement/division_choose.go
@@ -16,6 +16,11 @@
 	// overflowMargin is the part of the time to the first event that is left for the way when a short
 	// prompt is placed.
 	overflowMargin = 30 * time.Millisecond
+	// backTimeShare is the share of the time left that the prefill on engines without streams may take.
+	backTimeShare = 0.9
+	// lateSpareEngines is the number of free engines that a prompt which cannot be in time any more leaves
+	// to others.
+	lateSpareEngines = 1
 	// maxBackEngines is the most engines over which a prompt is split in the back while it can still be
 	// answered in time.
 	maxBackEngines = 6
@@ -69,11 +74,14 @@
 }
 
 // placeLongest places one of the longest prompts on the fewest engines without streams that read it in
-// time. Where there are none, it waits while it can still be answered in time. It reports false for
-// decided where the prompt is short enough for parts beside streams and cannot wait.
+// time. Where there are none, it waits while it can still be answered in time, and after that as long as
+// it can be answered at all. It reports false for decided where the prompt is short enough for parts beside
+// streams and cannot wait.
 func (s *Scheduler) placeLongest(now time.Duration, request *Request, service *fleet.Service, eligible []*load, d *division, promptMs float64) (decision Decision, placed, decided bool) {
 	engine := service.Engine
-	claimed, waits := s.confirmClaim(now, request.ID, eligible)
+	budgetMs := float64((request.AnswerDue-now-claimTime).Milliseconds())*backTimeShare - decodePassMs(engine, 1, request.PromptTokens)
+	inTime := budgetMs > promptMs/maxBackEngines
+	claimed, waits := s.confirmClaim(now, request.ID, eligible, inTime)
 	if waits {
 		return Decision{}, false, true
 	}
@@ -82,36 +90,51 @@
 		return decision, placed, true
 	}
 	free := s.freeEngines(now, service, eligible, d)
-	budgetMs := float64((request.AnswerDue-now-claimTime).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
-	limit := min(s.config.MaxPrefillEngines, len(free))
+	spare := 0
+	if !inTime {
+		fits := promptMs/float64(min(s.config.MaxPrefillEngines, len(eligible))) <= s.maxChunkMs(now, service, eligible)
+		if fits {
+			return Decision{}, false, false
+		}
+		// It cannot be in time any more: it leaves engines to those that can, until it would be too late.
+		budgetMs = s.latestFirstEventMs(now, engine, request)
+		if budgetMs < promptMs/maxBackEngines {
+			return refuse(request, TooLate, s.retryAfter(now, request)), true, true
+		}
+		if budgetMs > promptMs {
+			spare = lateSpareEngines
+		}
+	}
 	count := 1
 	if distributes(request, engine) {
+		if _, possible := s.selectHolders(now, service, eligible, request); !possible {
+			return refuse(request, TooLarge, defaultRetryAfter), true, true
+		}
 		count = s.minHolderCount(request, engine)
 	}
-	for count < limit && s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
+	for count < len(free) && s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
 		count++
 	}
-	inTime := count <= limit && s.prefillTimeMs(now, free, count, promptMs) <= budgetMs
-	mayWait := budgetMs > promptMs/maxBackEngines
-	switch {
-	case inTime || !mayWait && count <= limit:
-		if !inTime && !distributes(request, engine) {
-			count = min(count, maxBackEngines)
-		}
-		if s.nodeCount > 1 {
-			s.claimEngines(now, request.ID, free[:count])
-			return Decision{}, false, true
-		}
-		decision, placed = s.placeOnFree(now, request, service, free[:count])
-		return decision, placed, true
-	case distributes(request, engine):
-		if _, possible := s.selectHolders(now, service, eligible, request); !possible {
-			return refuse(request, TooLarge, defaultRetryAfter), true, true
-		}
+	if count > min(s.config.MaxPrefillEngines, len(free)) || count+spare > len(free) || s.prefillTimeMs(now, free, count, promptMs) > budgetMs {
 		return Decision{}, false, true
 	}
-	fits := promptMs/float64(min(s.config.MaxPrefillEngines, len(eligible))) <= s.maxChunkMs(now, service, eligible)
-	return Decision{}, false, mayWait || !fits
+	if s.nodeCount > 1 {
+		s.claimEngines(now, request.ID, free[:count])
+		return Decision{}, false, true
+	}
+	decision, placed = s.placeOnFree(now, request, service, free[:count])
+	return decision, placed, true
+}
+
+// latestFirstEventMs is the time in ms until the latest first event with which the answer is complete
+// before its caller leaves.
+func (s *Scheduler) latestFirstEventMs(now time.Duration, engine *fleet.Engine, request *Request) float64 {
+	passes := float64(request.AnswerTokens) / float64(max(1, engine.StepsPerPass))
+	left := float64((request.Deadline - now - claimTime).Milliseconds()) - passes*decodePassMs(engine, 1, request.PromptTokens)
+	if request.CallerTimeoutAt > 0 {
+		left = min(left, float64((request.CallerTimeoutAt - now - claimTime).Milliseconds()))
+	}
+	return left * backTimeShare
 }
 
 // distributes reports whether a prompt needs the memory of several engines.
