Placement: an old report doesn't count requests that have left; returns come later while the load grows

Cause: an upstream's report is some 200 ms old. Ruled out: the draw for places (in virtual time as good as before at 0.9 to 1.1 times the room). Change: departures of the last 400 to 800 ms are taken off what a report counts beyond the known. A place is drawn for again after 60 ms (before 120). While more arrives than there is room for, callers are told to come back in the later half of their window.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -104,14 +104,25 @@
 	return expectedWait(lateAhead(fleet, priority)-room.Free, perSecond-arrivals(fleet, math.MaxUint8+1))
 }
 
-// Clearing returns the time until all that waits now is served, and whether it is known.
-func (c *Controller) Clearing(now time.Duration, request *Arrival, room Room) (time.Duration, bool) {
+// Forecast is when there will be room for a refused request.
+type Forecast struct {
+	// Clearing is the time until all that waits now is served.
+	Clearing time.Duration
+	// Growing is true if more arrives than there is room for, so that it is not known when that ends.
+	Growing bool
+}
+
+// Forecast returns when there will be room, and whether it is known.
+func (c *Controller) Forecast(now time.Duration, request *Arrival, room Room) (Forecast, bool) {
 	fleet := c.demand(now, request.Service)
 	perSecond := placesPerSecond(fleet, room, request.Hold)
 	if room.Places == 0 || perSecond <= 0 || !c.informed(now) {
-		return 0, false
+		return Forecast{}, false
 	}
-	return expectedWait(lateAhead(fleet, math.MaxUint8)-room.Free, perSecond), true
+	return Forecast{
+		Clearing: expectedWait(lateAhead(fleet, math.MaxUint8)-room.Free, perSecond),
+		Growing:  arrivals(fleet, int16(request.Priority)+1) >= perSecond,
+	}, true
 }
 
 // Pressure is the load of a service over all nodes, for operators.
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -10,6 +10,8 @@
 	returnSlack, returnTTL = 100 * time.Millisecond, time.Second
 	// minReturn is the shortest time after which a return can find another situation.
 	minReturn = 100 * time.Millisecond
+	// growingDelay is the part of the window that is left out while more arrives than there is room for.
+	growingDelay = 0.5
 	// priorityDelay is the part of the window by which each lower priority comes back later, up to
 	// maxDelayedPriorities of them.
 	priorityDelay, maxDelayedPriorities = 0.2, 2
@@ -29,13 +31,15 @@
 func NewReturns() *Returns { return &Returns{due: map[uint64]time.Duration{}} }
 
 // Plan returns after which time a refused request is to come back, at most latest, so that there is
-// room for it and the returns of a class are spread; 0 if no time helps. By earliest all that waits
-// is served.
-func (r *Returns) Plan(now time.Duration, identity uint64, priority uint8, earliest, latest time.Duration) time.Duration {
-	earliest = max(earliest, minReturn)
+// room for it and the returns of a class are spread; 0 if no time helps.
+func (r *Returns) Plan(now time.Duration, identity uint64, priority uint8, forecast Forecast, latest time.Duration) time.Duration {
+	earliest := max(forecast.Clearing, minReturn)
 	if earliest > latest {
 		return 0
 	}
+	if forecast.Growing {
+		earliest += time.Duration(float64(latest-earliest) * growingDelay)
+	}
 	window := float64(latest - earliest)
 	start := priorityDelay * float64(min(priority, maxDelayedPriorities))
 	// The identity is a hash: its low bits place the request within the rest of the window.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -132,10 +132,10 @@
 
 // returnAfter is the time after which a refused request is to come back; 0 if no time helps.
 func (s *Scheduler) returnAfter(now time.Duration, request *Request, arrival *admission.Arrival, room admission.Room) time.Duration {
-	clearing, known := s.admission.Clearing(now, arrival, room)
+	forecast, known := s.admission.Forecast(now, arrival, room)
 	if !known {
 		return s.retryAfter(now, request)
 	}
 	latest := time.Duration(float64(request.Deadline-now) * returnShare)
-	return s.returns.Plan(now, request.Identity, arrival.Priority, clearing, latest)
+	return s.returns.Plan(now, request.Identity, arrival.Priority, forecast, latest)
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -80,6 +80,7 @@
 	senderRank, senderNodes int
 	senderRankAt            time.Duration
 	turns                   turns
+	departed                departures
 	// polledAt is when this node last polled the upstream for its load.
 	polledAt time.Duration
 }
--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -68,7 +68,9 @@
 		if l == nil {
 			continue
 		}
+		before := l.otherNodes.Running
 		l.setNodeTotals(node, update.Totals)
+		l.departed.add(now, max(0, before-l.otherNodes.Running))
 		if update.AddedPrefillMs != 0 {
 			l.addBacklog(now, update.AddedPrefillMs)
 		}
@@ -126,6 +128,6 @@
 		s.MarkLeaving(now, id, report.StartedMs)
 	}
 	l.speedFactor, l.reportedAt, l.unpublishedSpeedFactor = max(1, report.SpeedFactor), now, max(1, report.SpeedFactor)
-	l.unattributed = max(0, report.Queued+report.Active-l.totalRunning())
+	l.unattributed = max(0, report.Queued+report.Active-l.totalRunning()-l.departed.recent(now))
 	l.avoidUntil, l.avoidFor = 0, 0
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -70,6 +70,7 @@
 	}
 	running.lead.running--
 	running.lead.turns.leave(now)
+	running.lead.departed.add(now, 1)
 	running.lead.memoryTokens -= running.memoryTokens
 	for _, chunk := range running.chunks {
 		if chunk.memoryTokens > 0 {
--- a/placement/turns.go
+++ b/placement/turns.go
@@ -15,7 +15,7 @@
 	// newsTime is about the time in which the other nodes hear that a place was taken or left.
 	newsTime = 60 * time.Millisecond
 	// redrawTime is the time after which a place that nobody has taken is drawn for again.
-	redrawTime = 2 * newsTime
+	redrawTime = newsTime
 	// turnTTL is how long a won place may be taken.
 	turnTTL = 20 * time.Millisecond
 	// scarceFactor is the number of free places for each competing request up to which a service has
