exchange: the memory of a long response grows by a quarter, not by 16 KiB

Change: the memory grows by max(16 KiB, a quarter). It is still taken before it is filled, and all given back; a body takes at most a quarter more than its size. Bounds as before.

--- a/exchange/buffer.go
+++ b/exchange/buffer.go
@@ -21,8 +21,12 @@
 	return m
 }
 
-// bufferStep is the size in which a body's memory is taken.
-const bufferStep = 16 << 10
+const (
+	// bufferStep is the least size in which a body's memory is taken.
+	bufferStep = 16 << 10
+	// growthDivisor is the part of a long body by which its memory grows, so that a byte is copied a few times only.
+	growthDivisor = 4
+)
 
 // read reads a whole body of at most limit bytes. The caller calls release when the body
 // is no longer needed, also after an error.
@@ -31,12 +35,13 @@
 	release = func() { m.left.Add(taken) }
 	for {
 		if len(data) == cap(data) {
-			if m.left.Add(-bufferStep) < 0 {
-				m.left.Add(bufferStep)
+			step := max(bufferStep, len(data)/growthDivisor)
+			if m.left.Add(-int64(step)) < 0 {
+				m.left.Add(int64(step))
 				return nil, release, errNoBuffer
 			}
-			taken += bufferStep
-			grown := make([]byte, len(data), len(data)+bufferStep)
+			taken += int64(step)
+			grown := make([]byte, len(data), len(data)+step)
 			copy(grown, data)
 			data = grown
 		}
