Entries of nodes that are gone end, and count for nothing

Rows made a fleet of four one with relays, stood in front of the live nodes in the ranking (0.2 s each before one takes over), counted as nodes, and made the pause between calls to the store 50 ms a row, drawn once. So after a restart of all nobody published and nobody asked: the views got too old.

Change: - Ranking, relays, publishers, sizes, waits and targets rest on nodes that were heard; a node that is heard for the first time with an announcement is answered with one, so that both sides know within 0.2 s. In its own zone the relay's list of members says who is there. Entries alone count for the limits for 5 s (15 s: at most as many as were heard, or 24), and get announcements; of all nodes out of contact a bounded number gets heartbeats, publications and announcements, as they may be cut off only. - A zone's relay decides by its count whether there are relays, its nodes go by its bundles; back to direct after 15 s with at most 24. Ages begin anew after a gap of 5 minutes in the readings, a new era, or a clock that went back: an outage or a backup removes nothing. The rows' format is unchanged, so that nodes of the older version read them. A node whose entry is missing writes it again.

Where else the store's state only grows: rows of blocks are deleted with the next block that is stored (at most 50 a call), so that they stay while no block falls, but do not add up; nothing else of the system's is written by an edge node. In memory, peers that are neither heard for 10 minutes nor listed are forgotten (they stayed for good).

Changed tests: memoryDirectory keeps one entry a node and a revision, as the store does; TestNodeReceivesFewDatagramsInLargeFleet reads the rank under the mutex, as it changes later now (race detected); BenchmarkBundle makes its nodes heard.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -346,3 +347,19 @@
 	is.NoErr(err)
 	is.True(!ok)
 }
+
+// TestFollowerShortensItsPauseWhenFewNodesAreHeard starts a pause while gone nodes still count.
+func TestFollowerShortensItsPauseWhenFewNodesAreHeard(t *testing.T) {
+	runFollower(t, func(t *testing.T, _ *scriptedSource, f *Follower) {
+		var spacing atomic.Int64
+		spacing.Store(int64(time.Hour))
+		f.mutex.Lock()
+		f.IsPublisher = func() bool { return false }
+		f.StaleCallSpacing = func() time.Duration { return time.Duration(spacing.Load()) }
+		f.mutex.Unlock()
+		time.Sleep(maxLongPollAge + fleet.LongPollWait)
+		spacing.Store(int64(200 * time.Millisecond))
+		time.Sleep(2*200*time.Millisecond + 3*sweepInterval)
+		is.New(t).True(viewAge(f) < time.Second)
+	})
+}
--- a/follow/peers.go
+++ b/follow/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -11,11 +12,13 @@
 // spaceStaleCalls delays the next request for a table that is old until this node's turn, the
 // publishers have confirmed the table, or this node is a publisher or lacks a change.
 func (f *Follower) spaceStaleCalls(ctx context.Context, kind fleet.Table) {
-	spacing := f.StaleCallSpacing()
-	if spacing <= 0 {
-		return
-	}
-	for end := f.now() + rand.N(2*spacing); f.now() < end && ctx.Err() == nil; sleep(ctx, sweepInterval) {
+	const mean = 0.5
+	part, started := rand.Float64()/mean, f.now()
+	for ctx.Err() == nil {
+		// The number of nodes that are heard, and with it the spacing, changes meanwhile.
+		if f.now()-started >= time.Duration(part*float64(f.StaleCallSpacing())) {
+			return
+		}
 		f.mutex.Lock()
 		fresh := f.now()-f.replica.TableFreshAt(kind) <= maxLongPollAge
 		behind := f.polls[kind].behindSince != 0
@@ -23,6 +26,7 @@
 		if fresh || behind || f.IsPublisher() {
 			return
 		}
+		sleep(ctx, sweepInterval)
 	}
 }
 
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -60,14 +60,12 @@
 	Close() error
 }
 
-// peer is another node.
+// peer is another node that was heard.
 type peer struct {
 	node        Node
 	incarnation uint64
 	sequence    uint64
-	// discoveredAt is when the directory or a datagram first named the node.
-	discoveredAt time.Time
-	// receivedAt is when the last datagram arrived; zero is never.
+	// receivedAt is when the last datagram arrived.
 	receivedAt time.Time
 	// firstReceivedAt is when the first datagram of the incarnation arrived.
 	firstReceivedAt time.Time
@@ -84,14 +82,8 @@
 	bundleAt, bundlesSince time.Time
 	// listedAt is when a bundle last listed this node.
 	listedAt time.Time
-}
-
-// lastSeen is when the node last gave a sign of existing.
-func (p *peer) lastSeen() time.Time {
-	if p.receivedAt.IsZero() {
-		return p.discoveredAt
-	}
-	return p.receivedAt
+	// ranked is true while the peer is among Agent.candidates.
+	ranked bool
 }
 
 func (p *peer) live(now time.Time) bool {
@@ -119,8 +111,17 @@
 	// Evidence is exchanged with the load; nil is none. It is set before Run.
 	Evidence EvidenceGate
 
-	mutex        sync.Mutex
-	peers        map[string]*peer
+	// ages is used by runDirectory only.
+	ages entryAges
+
+	mutex sync.Mutex
+	peers map[string]*peer
+	// unheard are the entries of the directory whose nodes were not heard, and discoveredAt is when
+	// the last one was added. The work of most calls does not grow with them.
+	unheard      map[string]unheardNode
+	discoveredAt time.Time
+	// candidates are the peers that take part in the ranking.
+	candidates   []*peer
 	sequence     uint64
 	flushPending bool
 	nodeCount    int
@@ -144,7 +145,7 @@
 func newAgent(self Node, gate Gate, clock func() time.Duration, logger zerolog.Logger, metrics *telemetry.Metrics) *Agent {
 	a := &Agent{
 		self: self, gate: gate, clock: clock, logger: logger, metrics: metrics, incarnation: uint64(time.Now().UnixNano()),
-		started: time.Now(), registerAgain: make(chan struct{}, 1), peers: map[string]*peer{}, relay: newRelayState(time.Now()), OnNodeCount: func(int) {},
+		started: time.Now(), registerAgain: make(chan struct{}, 1), peers: map[string]*peer{}, unheard: map[string]unheardNode{}, relay: newRelayState(time.Now()), OnNodeCount: func(int) {},
 	}
 	a.rank()
 	return a
@@ -171,7 +172,7 @@
 	now := time.Now()
 	var unresponsive []string
 	for name, p := range a.peers {
-		if !p.receivedAt.IsZero() && now.Sub(p.receivedAt) > unresponsiveAfter && !p.unresponsive {
+		if now.Sub(p.receivedAt) > unresponsiveAfter && !p.unresponsive {
 			p.unresponsive = true
 			a.relay.totals.remove(nodeHash(name))
 			if !p.relayed || a.relay.acting && p.node.Zone == a.self.Zone {
@@ -188,6 +189,9 @@
 		})
 	}
 	a.checkZones(now)
+	a.mutex.Lock()
+	a.rank()
+	a.mutex.Unlock()
 	a.updateNodeCount()
 }
 
@@ -234,6 +238,12 @@
 	restarted := m.Incarnation > p.incarnation
 	older := !restarted && m.Sequence <= p.sequence
 	p.incarnation, p.receivedAt, p.unresponsive = m.Incarnation, time.Now(), false
+	if !p.ranked {
+		a.include(p)
+	}
+	if restarted && m.Announced != nil {
+		a.answerAnnouncement(from)
+	}
 	if offset := a.clock() - m.SentAt; restarted || offset < p.clockOffset {
 		p.clockOffset = offset
 	}
@@ -274,15 +284,18 @@
 func (a *Agent) peerOf(m *message, from netip.AddrPort) *peer {
 	p := a.peers[m.Node]
 	if p == nil {
-		p = &peer{node: Node{Name: m.Node}, discoveredAt: time.Now()}
+		p = &peer{node: a.unheard[m.Node].node}
+		p.node.Name = m.Node
 		a.peers[m.Node] = p
+		delete(a.unheard, m.Node)
 		a.logger.Info().Str("peer", m.Node).Stringer("address", from).Msg("peer discovered")
-		a.rank()
 	}
 	p.node.Address = from
 	if m.Announced != nil && (p.node.Zone != m.Announced.Zone || p.node.Capacity != m.Announced.Capacity) {
 		p.node.Zone, p.node.Capacity = m.Announced.Zone, m.Announced.Capacity
-		a.rank()
+		if p.ranked {
+			a.rank()
+		}
 	}
 	return p
 }
@@ -295,10 +308,18 @@
 	a.mutex.Lock()
 	p := a.peers[m.Node]
 	dropDirect := restarted || m.Relayed && !p.relayed
+	dropRelayed := !older && !m.Relayed && p.relayed
 	if !older {
 		p.relayed = m.Relayed
 	}
+	if dropRelayed {
+		a.relay.totals.remove(nodeHash(m.Node))
+	}
 	a.mutex.Unlock()
+	if dropRelayed {
+		// The fleet became small; the node sends its totals itself.
+		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.RemoveNode(memberKey(nodeHash(m.Node))) })
+	}
 	if dropDirect {
 		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.RemoveNode(m.Node) })
 	}
@@ -326,7 +347,7 @@
 func (a *Agent) HasFresherPeer(age time.Duration) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for _, p := range a.peers {
+	for _, p := range a.candidates {
 		if time.Since(p.receivedAt) < unresponsiveAfter && a.clock()-p.freshAt < age {
 			return true
 		}
--- a/loadshare/agent_test.go
+++ b/loadshare/agent_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,23 +18,56 @@
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
+var errDirectoryAway = errors.New("directory is away")
+
 // memoryDirectory is an in-memory Directory.
 type memoryDirectory struct {
-	mutex sync.Mutex
-	nodes []Node
+	mutex    sync.Mutex
+	nodes    []Node
+	revision int64
+	// away makes each call fail; writes counts the others.
+	away   bool
+	writes int
+	// once is a node that writes its entry only once, as the older version does.
+	once string
 }
 
 func (d *memoryDirectory) Register(_ context.Context, node Node) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.nodes = append(d.nodes, node)
+	if d.away {
+		return errDirectoryAway
+	}
+	if node.Name == d.once && slices.ContainsFunc(d.nodes, func(n Node) bool { return n.Name == node.Name }) {
+		return nil
+	}
+	d.writes++
+	d.revision++
+	node.Revision = d.revision
+	d.nodes = append(slices.DeleteFunc(d.nodes, func(n Node) bool { return n.Name == node.Name }), node)
+	return nil
+}
+
+func (d *memoryDirectory) RemoveNodes(_ context.Context, nodes []Node) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.writes++
+	for _, node := range nodes {
+		if !slices.Contains(d.nodes, node) {
+			return errDirectoryAway
+		}
+	}
+	d.nodes = slices.DeleteFunc(d.nodes, func(n Node) bool { return slices.Contains(nodes, n) })
 	return nil
 }
 
 func (d *memoryDirectory) ReadDirectory(context.Context) (Entries, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return Entries{Nodes: append([]Node(nil), d.nodes...)}, nil
+	if d.away {
+		return Entries{}, errDirectoryAway
+	}
+	return Entries{Nodes: append([]Node(nil), d.nodes...), At: clock()}, nil
 }
 
 // lockedScheduler runs a scheduler under a lock.
--- a/loadshare/bench_test.go
+++ b/loadshare/bench_test.go
@@ -19,6 +19,9 @@
 		nodes = append(nodes, Node{Name: fmt.Sprintf("node-%d", i), Zone: fmt.Sprintf("z%d", i%5), Capacity: 0.2})
 	}
 	a.addNodes(nodes)
+	for i := range nodes {
+		a.handle(&message{Node: nodes[i].Name, Incarnation: 1, Relayed: true}, netip.AddrPort{})
+	}
 	relay := a.relay.ranked["z0"][0].Name
 	content := &bundle{Nodes: 59}
 	update := placement.LoadUpdate{Hash: placement.Hash("u"), Totals: placement.Totals{Running: 2, MemoryTokens: 9000}, AddedPrefillMs: 25}
--- a/loadshare/peers.go
+++ b/loadshare/peers.go
@@ -13,9 +13,8 @@
 	defer a.mutex.Unlock()
 	now, relayed := time.Now(), a.relayed()
 	nodes := make([]Node, 0, len(a.peers))
-	for _, p := range a.peers {
-		heard := !p.receivedAt.IsZero()
-		silent := p.unresponsive || heard && now.Sub(p.receivedAt) >= unresponsiveAfter
+	for _, p := range a.candidates {
+		silent := p.unresponsive || !p.heardWithin(now, unresponsiveAfter)
 		if relayed {
 			// The zone's relay hears its nodes; those of other zones are not heard one by one.
 			silent = p.node.Zone == a.self.Zone && len(a.relay.members) > 0 && !p.live(now) && !slices.Contains(a.relay.members, nodeHash(p.node.Name))
@@ -36,5 +35,10 @@
 			return true
 		}
 	}
+	for _, known := range a.unheard {
+		if known.node.Address.Addr() == address {
+			return true
+		}
+	}
 	return false
 }
--- a/loadshare/publisher.go
+++ b/loadshare/publisher.go
@@ -28,8 +28,8 @@
 		return a.isRelayPublisher(now)
 	}
 	before := 0
-	for name, p := range a.peers {
-		if p.live(now) && a.clock()-p.freshAt < maxPublisherAge && name < a.self.Name {
+	for _, p := range a.candidates {
+		if p.live(now) && a.clock()-p.freshAt < maxPublisherAge && p.node.Name < a.self.Name {
 			before++
 		}
 	}
@@ -80,7 +80,7 @@
 		return
 	}
 	a.mutex.Lock()
-	relayed, targets := a.relayed(), a.allTargets()
+	relayed, targets := a.relayed(), a.targetsWith(time.Now(), maxPublished)
 	a.mutex.Unlock()
 	if update != nil && update.Table == fleet.OperatorTable && (!relayed && !update.Holds || documentBytes(update) > maxSentDocumentBytes) {
 		// In a small fleet each node waits for the operator's table itself; a long document
@@ -114,13 +114,14 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	heard := false
-	for _, p := range a.peers {
-		heard = heard || p.live(time.Now())
+	now := time.Now()
+	for _, p := range a.candidates {
+		heard = heard || p.live(now)
 	}
 	if !heard || !a.relayed() {
 		return 0
 	}
-	return time.Duration(a.nodeCount) * fleetCallSpacing
+	return time.Duration(a.heardNodes(now)) * fleetCallSpacing
 }
 
 // fleetCallSpacing is the time between calls to the store of all nodes with an old view.
--- a/loadshare/ranking.go
+++ b/loadshare/ranking.go
@@ -18,13 +18,18 @@
 		zones[node.Zone] = append(zones[node.Zone], node)
 	}
 	for _, members := range zones {
-		slices.SortFunc(members, func(a, b Node) int {
-			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(nodeHash(a.Name), nodeHash(b.Name)), cmp.Compare(a.Name, b.Name))
-		})
+		slices.SortFunc(members, compareRank)
 	}
 	return zones
 }
 
+func compareRank(a, b Node) int {
+	if a.Capacity != b.Capacity {
+		return cmp.Compare(b.Capacity, a.Capacity)
+	}
+	return cmp.Or(cmp.Compare(nodeHash(a.Name), nodeHash(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
 // rankOf returns the index of a node, or the number of nodes if it is not among them.
 func rankOf(nodes []Node, name string) int {
 	if i := slices.IndexFunc(nodes, func(n Node) bool { return n.Name == name }); i >= 0 {
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -46,7 +46,13 @@
 
 // relayState is what a node keeps of the relays. Agent.mutex guards it.
 type relayState struct {
-	// ranked holds the known nodes by zone, this node included, in the order of rankByZone.
+	// large is true while the fleet is so large that relays pass the load on; largeAt is when
+	// so many nodes were last heard.
+	large   bool
+	largeAt time.Time
+	// counted is true if this node's own count says so.
+	counted bool
+	// ranked holds the nodes that take part by zone, this node included, in the order of rankByZone.
 	ranked map[string][]Node
 	// ownRank is this node's place in its zone.
 	ownRank int
@@ -64,6 +70,8 @@
 	zones map[string]*zoneSource
 	// members are the nodes in the last full bundle; shutting down ones are left out.
 	members []uint32
+	// membersAt is when the last full bundle was sent or received; zero is never.
+	membersAt time.Time
 	// zoneNodes is the number of nodes of this zone that share limits, by the last bundle.
 	zoneNodes   int
 	zoneNodesAt time.Time
@@ -74,7 +82,7 @@
 }
 
 // relayed reports whether the fleet is so large that relays pass the load on; the mutex is held.
-func (a *Agent) relayed() bool { return 1+len(a.peers) > maxDirectNodes }
+func (a *Agent) relayed() bool { return a.relay.large }
 
 func (a *Agent) isRelayed() bool {
 	a.mutex.Lock()
@@ -82,17 +90,6 @@
 	return a.relayed()
 }
 
-// rank updates the ranking of the known nodes; the mutex is held.
-func (a *Agent) rank() {
-	nodes := make([]Node, 0, 1+len(a.peers))
-	nodes = append(nodes, a.self)
-	for _, p := range a.peers {
-		nodes = append(nodes, p.node)
-	}
-	a.relay.ranked = rankByZone(nodes)
-	a.relay.ownRank = rankOf(a.relay.ranked[a.self.Zone], a.self.Name)
-}
-
 // usableRelay reports whether a node of this zone acts as relay and receives what this node
 // sends; the mutex is held.
 func (a *Agent) usableRelay(p *peer, now time.Time) bool {
@@ -145,7 +142,7 @@
 	if a.relay.ownRank > 0 {
 		wait = relayTimeout + time.Duration(a.relay.ownRank-1)*takeoverStep
 	}
-	acting := a.relayed() && !a.shuttingDown && now.Sub(a.relay.betterAt) >= wait && !a.isolated(now)
+	acting := a.relay.counted && !a.shuttingDown && now.Sub(a.relay.betterAt) >= wait && !a.isolated(now)
 	started := acting && !a.relay.acting
 	if acting != a.relay.acting {
 		a.logger.Info().Bool("relay", acting).Int("rank", a.relay.ownRank).Str("zone", a.self.Zone).Msg("relay of the zone's load")
@@ -163,8 +160,8 @@
 // isolated reports whether this node hears none of the others, so that it can't pass on what
 // they send; the mutex is held.
 func (a *Agent) isolated(now time.Time) bool {
-	for _, p := range a.peers {
-		if now.Sub(p.lastSeen()) < unresponsiveAfter {
+	for _, p := range a.candidates {
+		if p.heardWithin(now, unresponsiveAfter) {
 			return false
 		}
 	}
@@ -239,6 +236,7 @@
 
 // keepMembers records the nodes of this zone that are listed in a full bundle; the mutex is held.
 func (a *Agent) keepMembers(members []memberLoad) {
+	a.relay.membersAt = time.Now()
 	a.relay.members = a.relay.members[:0]
 	for i := range members {
 		if !members[i].ShuttingDown {
@@ -287,6 +285,9 @@
 	used := a.currentRelay(now) == m.Node
 	if used {
 		a.relay.zoneNodes, a.relay.zoneNodesAt = m.Bundle.Nodes, now
+		if !a.relay.large {
+			a.updateSize(now)
+		}
 	}
 	var gone []uint32
 	if used && m.Full {
--- a/loadshare/relay_test.go
+++ b/loadshare/relay_test.go
@@ -64,7 +64,9 @@
 		const seconds, maxBytesPerSecond, maxDatagramsPerSecond = 10, 20_000, 30
 		for i := zonesInTest; i < len(f.nodes); i++ {
 			node := &f.nodes[i].agent.self
+			f.nodes[i].agent.mutex.Lock()
 			deputy := f.nodes[i].agent.relay.ownRank == 1
+			f.nodes[i].agent.mutex.Unlock()
 			if got := f.network.received[node.Address]; got > maxDatagramsPerSecond*seconds && !deputy {
 				t.Errorf("%s received %d datagrams in %d s", node.Name, got, seconds)
 			}
--- a/loadshare/send.go
+++ b/loadshare/send.go
@@ -44,10 +44,15 @@
 // and its deputy.
 func (a *Agent) sendShares(m *message) {
 	a.mutex.Lock()
-	relayed := a.relayed()
-	targets := a.allTargets()
-	if relayed {
-		targets = a.relayTargets(time.Now())
+	now, relayed := time.Now(), a.relayed()
+	var targets []netip.AddrPort
+	switch {
+	case relayed:
+		targets = a.relayTargets(now)
+	case m.Full:
+		targets = a.targetsWith(now, maxProbed)
+	default:
+		targets = a.activeTargets(now)
 	}
 	a.mutex.Unlock()
 	m.Relayed = relayed
@@ -79,15 +84,6 @@
 	a.metrics.Count("wigeontiller_datagram_bytes_sent_total", int64(len(targets)*len(data)))
 }
 
-// allTargets returns the addresses of all known nodes; the mutex is held.
-func (a *Agent) allTargets() []netip.AddrPort {
-	addresses := make([]netip.AddrPort, 0, len(a.peers))
-	for _, p := range a.peers {
-		addresses = append(addresses, p.node.Address)
-	}
-	return addresses
-}
-
 // heartbeat sends all of this node's totals and checks the peers.
 func (a *Agent) heartbeat() {
 	a.mutex.Lock()
--- a/loadshare/simulation_test.go
+++ b/loadshare/simulation_test.go
@@ -25,6 +25,8 @@
 	blocked func(from, to netip.AddrPort) bool
 	// received and bytes count what arrived, by address.
 	received, bytes map[netip.AddrPort]int
+	// unreached counts the bytes to addresses without a node, by sender.
+	unreached map[netip.AddrPort]int
 }
 
 type datagram struct {
@@ -44,6 +46,9 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	inbox := n.inboxes[to]
+	if inbox == nil {
+		n.unreached[from] += len(data)
+	}
 	if inbox == nil || n.blocked != nil && n.blocked(from, to) {
 		return
 	}
@@ -128,10 +133,19 @@
 
 // newSimulatedFleet starts nodes, the first of each zone with the largest machine.
 func newSimulatedFleet(t *testing.T, count int) *simulatedFleet {
+	t.Helper()
+	return newSimulatedFleetIn(t, count, &memoryDirectory{})
+}
+
+// newSimulatedFleetIn starts the nodes in a directory that may have other entries.
+func newSimulatedFleetIn(t *testing.T, count int, directory *memoryDirectory) *simulatedFleet {
 	t.Helper()
 	f := &simulatedFleet{
-		t: t, directory: &memoryDirectory{},
-		network: &network{inboxes: map[netip.AddrPort]chan datagram{}, received: map[netip.AddrPort]int{}, bytes: map[netip.AddrPort]int{}},
+		t: t, directory: directory,
+		network: &network{
+			inboxes: map[netip.AddrPort]chan datagram{}, received: map[netip.AddrPort]int{}, bytes: map[netip.AddrPort]int{},
+			unreached: map[netip.AddrPort]int{},
+		},
 	}
 	for i := range count {
 		f.nodes = append(f.nodes, nil)
--- a/loadshare/zones.go
+++ b/loadshare/zones.go
@@ -108,27 +108,20 @@
 // countNodes returns the number of nodes that share limits; the mutex is held.
 func (a *Agent) countNodes(now time.Time) int {
 	if !a.relayed() {
-		nodes := 1
-		for _, p := range a.peers {
-			if now.Sub(p.lastSeen()) <= removeAfter {
-				nodes++
-			}
-		}
-		return nodes
+		return 1 + a.limitNodes(now, func(string) bool { return true })
 	}
 	nodes := a.zoneSize(now)
-	for zone, ranked := range a.relay.ranked {
-		if zone == a.self.Zone {
-			continue
-		}
-		source := a.relay.zones[zone]
-		switch {
-		case source != nil && now.Sub(source.receivedAt) <= removeAfter:
+	for _, source := range a.relay.zones {
+		if now.Sub(source.receivedAt) <= removeAfter {
 			nodes += source.nodes
-		case now.Sub(a.started) <= removeAfter:
-			nodes += len(ranked)
 		}
 	}
+	if now.Sub(a.started) <= removeAfter {
+		nodes += a.limitNodes(now, func(zone string) bool {
+			source := a.relay.zones[zone]
+			return zone != a.self.Zone && (source == nil || now.Sub(source.receivedAt) > removeAfter)
+		})
+	}
 	return max(1, nodes)
 }
 
@@ -140,16 +133,15 @@
 	return a.countZone(now)
 }
 
-// countZone counts the nodes of this zone that send to this one, or, shortly after the start,
+// countZone counts the nodes of this zone that send to this one, and shortly after the start also
 // those of the directory; the mutex is held.
 func (a *Agent) countZone(now time.Time) int {
-	ranked := a.relay.ranked[a.self.Zone]
 	if now.Sub(a.started) <= removeAfter {
-		return len(ranked)
+		return 1 + a.limitNodes(now, func(zone string) bool { return zone == a.self.Zone })
 	}
 	nodes := 1
-	for _, node := range ranked {
-		if p := a.peers[node.Name]; p != nil && now.Sub(p.receivedAt) <= removeAfter {
+	for _, p := range a.candidates {
+		if p.node.Zone == a.self.Zone && p.heardWithin(now, removeAfter) {
 			nodes++
 		}
 	}
