--- a/loadshare/simulation_test.go
+++ b/loadshare/simulation_test.go
@@ -25,6 +25,12 @@
 	blocked func(from, to netip.AddrPort) bool
 	// received and bytes count what arrived, by address.
 	received, bytes map[netip.AddrPort]int
+	// unreached counts the bytes to addresses without a node, by sender.
+	unreached map[netip.AddrPort]int
+	// sent counts the bytes sent, by sender.
+	sent map[netip.AddrPort]int
+	// older are the nodes of a version that does not know the section of demand.
+	older map[netip.AddrPort]bool
 }
 
 type datagram struct {
@@ -44,10 +50,17 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	inbox := n.inboxes[to]
+	if inbox == nil {
+		n.unreached[from] += len(data)
+	}
 	if inbox == nil || n.blocked != nil && n.blocked(from, to) {
 		return
 	}
 	copied := append([]byte(nil), data...)
+	if n.older[from] || n.older[to] {
+		copied = withoutDemands(copied)
+	}
+	n.sent[from] += len(copied)
 	time.AfterFunc(linkDelay, func() {
 		n.mutex.Lock()
 		n.received[to]++
@@ -111,7 +124,9 @@
 	view  *freshView
 	// evidence is about prompts that crash engines.
 	evidence *lockedTracker
-	stop     func()
+	// demand is what waits at the node, and others what it knows of the others.
+	demand *testDemand
+	stop   func()
 }
 
 // simulatedFleet has zones of equal size.
@@ -128,10 +143,19 @@
 
 // newSimulatedFleet starts nodes, the first of each zone with the largest machine.
 func newSimulatedFleet(t *testing.T, count int) *simulatedFleet {
+	t.Helper()
+	return newSimulatedFleetIn(t, count, &memoryDirectory{})
+}
+
+// newSimulatedFleetIn starts the nodes in a directory that may have other entries.
+func newSimulatedFleetIn(t *testing.T, count int, directory *memoryDirectory) *simulatedFleet {
 	t.Helper()
 	f := &simulatedFleet{
-		t: t, directory: &memoryDirectory{},
-		network: &network{inboxes: map[netip.AddrPort]chan datagram{}, received: map[netip.AddrPort]int{}, bytes: map[netip.AddrPort]int{}},
+		t: t, directory: directory,
+		network: &network{
+			inboxes: map[netip.AddrPort]chan datagram{}, received: map[netip.AddrPort]int{}, bytes: map[netip.AddrPort]int{},
+			unreached: map[netip.AddrPort]int{}, sent: map[netip.AddrPort]int{}, older: map[netip.AddrPort]bool{},
+		},
 	}
 	for i := range count {
 		f.nodes = append(f.nodes, nil)
@@ -173,6 +197,8 @@
 	agent = newAgent(node, g, clock, zerolog.Nop(), telemetry.NewMetrics())
 	evidence := &lockedTracker{tracker: quarantine.New(), agent: agent}
 	agent.directory, agent.View, agent.Evidence = f.directory, view, evidence
+	demand := newTestDemand()
+	agent.demandsOf, agent.setDemands = demand.own, demand.set
 	agent.conn = &simulatedConn{network: f.network, address: node.Address, inbox: inbox, closed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -180,7 +206,7 @@
 		defer close(done)
 		agent.Run(ctx)
 	}()
-	f.nodes[i] = &simulatedNode{agent: agent, gate: g, view: view, evidence: evidence, stop: func() { cancel(); <-done }}
+	f.nodes[i] = &simulatedNode{agent: agent, gate: g, view: view, evidence: evidence, demand: demand, stop: func() { cancel(); <-done }}
 }
 
 // place places one request of a node on the only engine and returns what frees it.
