edge: a node's test of the last upstream; the setting in the review's stand-in

The node's test was red without DrainTime in the scheduler's configuration. The review's stand-in of the platform fills bounds.drainMs, which the template now names.

--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -32,6 +32,8 @@
 	version int
 	// graceSeconds is the grace period of nodes that are started from now on.
 	graceSeconds float64
+	// drainMs is the drain time of nodes that are started from now on; 0 is not known.
+	drainMs float64
 	// retryExtra is the retry budget of nodes that are started from now on.
 	retryExtra float64
 }
@@ -144,7 +146,7 @@
 	}
 	settings := &Settings{
 		Name: name, Zone: "z", CallerAddress: freePort(f.t), ReadyAddress: freePort(f.t), PeerIP: "127.0.0.1", PeerPorts: []uint16{uint16(peer)},
-		StoreAddress: f.address, GraceSeconds: f.graceSeconds, RevokeMs: 5000, ApplyMs: 2000, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: f.retryExtra, WarmOvershoot: 1.5,
+		StoreAddress: f.address, GraceSeconds: f.graceSeconds, RevokeMs: 5000, ApplyMs: 2000, DrainMs: f.drainMs, RetryRatio: 0.2, RetryWindowSeconds: 10, RetryExtra: f.retryExtra, WarmOvershoot: 1.5,
 	}
 	node, err := New(settings, testLogger())
 	if err != nil {
--- a/review/standin/platform_test.go
+++ b/review/standin/platform_test.go
@@ -113,7 +113,7 @@
 	text := fill(string(template), map[string]any{
 		"nodeName": n.name, "zone": zone, "zones": map[string]string{"a": "r", "b": "r"}, "listen.frontend": n.callers,
 		"listen.readiness": n.ready, "ip": "127.0.0.1", "internalPortRange.0": json.Number(port), "internalPortRange.1": json.Number(port),
-		"platform.address": p.address, "bounds.graceS": 8, "bounds.revokeMs": 5000, "bounds.configApplyMs": 2000,
+		"platform.address": p.address, "bounds.graceS": 8, "bounds.revokeMs": 5000, "bounds.configApplyMs": 2000, "bounds.drainMs": 2000,
 		"bounds.retryBudgetRatio": 0.2, "bounds.retryWindowS": 10, "bounds.retryBudgetExtra": 106, "bounds.warmupOvershoot": 1.5,
 		"limits.cpuFraction": 0.4,
 	})
