--- a/admission/returns.go
+++ b/admission/returns.go
@@ -68,3 +68,9 @@
 	at, known := r.due[identity]
 	return known && now >= at-returnSlack && now <= at+returnTTL
 }
+
+// Early reports whether a request comes again before its caller was told to: it is counted once.
+func (r *Returns) Early(now time.Duration, identity uint64) bool {
+	at, known := r.due[identity]
+	return known && now < at-returnSlack
+}
--- a/admission/returns_test.go
+++ b/admission/returns_test.go
@@ -49,6 +49,7 @@
 	r := NewReturns()
 	after := r.Plan(0, 1, 0, Forecast{Clearing: time.Second}, 3*time.Second)
 	is.True(!r.InTurn(after/2, 1)) // too early
+	is.True(r.Early(after/2, 1) && !r.Early(after, 1) && !r.Early(after/2, 2))
 	is.True(r.InTurn(after, 1))
 	is.True(!r.InTurn(after+returnTTL+time.Millisecond, 1)) // too late
 	is.True(!r.InTurn(after, 2))
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -15,7 +15,7 @@
 	}
 	item := s.item(now, service, request)
 	s.recordWork(service, request)
-	if !request.IsRetry {
+	if !request.IsRetry && !s.returns.Early(now, request.Identity) {
 		s.admission.Arrive(now, item.Class)
 	}
 	room := s.room(now, request, request.PromptTokens+request.AnswerTokens)
