placement: small fleets are not divided; the reserve lasts 10 s

Change: a service is divided from 32 engines on, with at least 4 in service; with fewer left the longest would find no engine without streams (red without the bounds). The reserve follows the longest of the last 10 s, since those that find no engine do not show in the load.

--- a/placement/division.go
+++ b/placement/division.go
@@ -38,9 +38,17 @@
 	scarceFrontShare = 0.85
 	// minFrontShare and minBackShare are the least needs of front and back, as shares of the engines.
 	minFrontShare, minBackShare = 0.25, 0.15
+	// minDividedEngines is the number of engines from which a service is divided: in smaller fleets one long
+	// prompt takes a large part of the engines, and the burst of one kind leaves none to the other.
+	minDividedEngines = 32
+	// minEnginesInService is the least number of them in service: with fewer, long prompts would wait for
+	// the few moments without a stream.
+	minEnginesInService = 4
 	// minReservedShare is the share of the engines that short prompts never use, however few long ones
-	// there are.
+	// there are, and reserveTime the time constant with which a larger reserve falls: long prompts come in
+	// bursts, and those that find no engine do not show in the load.
 	minReservedShare = 0.05
+	reserveTime      = 10 * time.Second
 )
 
 // Division says how the engines of a service are divided.
@@ -62,6 +70,10 @@
 	computedAt time.Duration
 	// front and back are the numbers of engines that they need, with decay.
 	front, back float64
+	// known is the number of engines, in service or not.
+	known int
+	// recentLong is the number of engines that long prompts needed, with the decay of the reserve.
+	recentLong float64
 	// backStart and reservedStart are the positions from which engines belong to the back, and from
 	// which short prompts never use them.
 	backStart, reservedStart float64
@@ -74,7 +86,7 @@
 	if pauseTargetMs := s.pauseTargetMs(service); d == nil || d.engine != service.Engine || d.pauseTargetMs != pauseTargetMs {
 		kept := &division{engine: service.Engine, pauseTargetMs: pauseTargetMs, divided: s.needsDivision(service, pauseTargetMs), computedAt: -divisionInterval}
 		if d != nil {
-			kept.front, kept.back = d.front, d.back
+			kept.front, kept.back, kept.recentLong = d.front, d.back, d.recentLong
 		}
 		s.divisions[service.Name], d = kept, kept
 	}
@@ -84,6 +96,9 @@
 	if now-d.computedAt >= divisionInterval {
 		s.divide(now, service, d)
 	}
+	if d.known < minDividedEngines || d.counts.Front+d.counts.Back < minEnginesInService {
+		return nil
+	}
 	return d
 }
 
@@ -99,10 +114,12 @@
 	engine := service.Engine
 	var inService []*load
 	var streams, share, long float64
+	d.known = 0
 	for _, l := range s.ordered {
 		if l.entry.Service != service.Name {
 			continue
 		}
+		d.known++
 		share += l.shortPrefillShare(now)
 		if l.backlogMs(now) > minLongChunkMs || l.onlyLongStreams(s.longPromptTokens(engine)) {
 			long++
@@ -115,11 +132,13 @@
 	}
 	slices.SortFunc(inService, func(a, b *load) int { return compare(a.position(), b.position()) })
 	count := float64(len(inService))
-	decay := math.Exp(-float64(now-d.computedAt) / float64(divisionShrinkTime))
+	elapsed := now - d.computedAt
+	decay := math.Exp(-float64(elapsed) / float64(divisionShrinkTime))
 	d.front = decayingMax(d.front, max(streams/(frontSlotShare*float64(max(1, engine.Slots))), share/frontPrefillShare, count*minFrontShare), decay)
 	d.back = decayingMax(d.back, max(long/backBusyShare, count*minBackShare), decay)
 	d.computedAt = now
-	reserved := int(math.Ceil(max(count*minReservedShare, min(count*minBackShare, long/backBusyShare))))
+	d.recentLong = decayingMax(d.recentLong, long/backBusyShare, math.Exp(-float64(elapsed)/float64(reserveTime)))
+	reserved := int(math.Ceil(max(count*minReservedShare, min(count*minBackShare, d.recentLong))))
 	front := min(int(math.Ceil(max(scarceFrontShare*d.front, count*d.front/(d.front+d.back)))), len(inService)-reserved)
 	d.backStart, d.reservedStart = positionAt(inService, front), positionAt(inService, len(inService)-reserved)
 	d.counts = Division{Service: service.Name, Front: max(0, front), Back: len(inService) - max(0, front)}
