--- a/placement/division_test.go
+++ b/placement/division_test.go
@@ -214,6 +214,12 @@
 		node.ApplyLoadUpdates(time.Second, "n1", []LoadUpdate{{Hash: engine.hash, Totals: Totals{Running: 1, MemoryTokens: 220_000}, AddedPrefillMs: 5000}}, false)
 	}
 	is.Equal(reserved(time.Second+divisionInterval), 12)
+	// It outlasts them for some seconds: more come in a burst, and those without an engine do not show.
+	for _, engine := range node.ordered[:30] {
+		node.ApplyLoadUpdates(1500*time.Millisecond, "n1", []LoadUpdate{{Hash: engine.hash, AddedPrefillMs: -5000}}, false)
+	}
+	is.Equal(reserved(3*time.Second), 12)
+	is.Equal(reserved(time.Minute), 4)
 }
 
 // With few engines, or few left, the longest prompts are placed beside streams: they would find no engine
