Placement: long prompts take free places without a turn

Cause: with the demand of all nodes (store's section) a turn limited also the engines that may read a long prompt. Change: only prompts that one engine reads whole, and plain requests, take turns.

--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -273,7 +273,7 @@
 func (s *Scheduler) placeEligible(now time.Duration, request *Request, service *fleet.Service, eligible []*load, room admission.Room) (Decision, bool) {
 	var decision Decision
 	var done bool
-	s.drawTurns(now, request, now > request.AnswerDue-s.timeToFirstEvent(service, request), room)
+	s.drawTurns(now, service, request, now > request.AnswerDue-s.timeToFirstEvent(service, request), room)
 	if service.Engine != nil && request.PromptTokens > 0 {
 		decision, done = s.placeEngine(now, request, service, eligible)
 	} else {
--- a/placement/turns.go
+++ b/placement/turns.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeontiller/wigeontiller/admission"
+	"github.com/wigeontiller/wigeontiller/fleet"
 )
 
 // While a service has too little room, several nodes hear of the same free place at about the same
@@ -73,8 +74,13 @@
 	return t.own > 0 && now-t.ownAt <= newsTime || t.won > 0 && now-t.drawnAt <= turnTTL
 }
 
-// drawTurns prepares hasPlace for a decision on a request.
-func (s *Scheduler) drawTurns(now time.Duration, request *Request, late bool, room admission.Room) {
+// drawTurns prepares hasPlace for a decision on a request. Few prompts are long, and which engine reads one
+// matters more than that several nodes may choose the same: they need no turn.
+func (s *Scheduler) drawTurns(now time.Duration, service *fleet.Service, request *Request, late bool, room admission.Room) {
+	if s.isLong(service, request) {
+		s.scarce = false
+		return
+	}
 	s.turnShare, s.scarce = s.admission.Share(now, classOf(request), late, room, scarceFactor)
 }
 
