--- a/edge/limits.go
+++ b/edge/limits.go
@@ -96,3 +96,11 @@
 		n.metrics.Gauge("wigeontiller_open_connections{port=\""+port+"\"}", int64(open))
 	}
 }
+
+// setIdleTime tells the guard after which time callers don't use an idle connection again.
+func (n *Node) setIdleTime() {
+	configuration := n.follower.Current().Configuration
+	if configuration != nil && configuration.IdleTimeout > 0 {
+		n.guard.SetIdleTime(min(configuration.IdleTimeout, callerIdleTimeout))
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -160,6 +160,7 @@
 	n.follower.OnChange = func() {
 		n.gate.Configure(n.follower.Current)
 		n.blocklist.ObserveUpstreams(n.follower.Current().Upstreams)
+		n.setIdleTime()
 	}
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	n.control = directhttp.NewPool(dialTimeout, nil)
@@ -250,6 +251,7 @@
 
 func (n *Node) setNodeCount(nodes int) {
 	n.retries.SetNodes(nodes)
+	n.exchange.SetNodeCount(nodes)
 	n.gate.Do(func(s *placement.Scheduler, _ time.Duration) { s.SetNodeCount(nodes) })
 	n.logger.Info().Int("nodes", nodes).Msg("nodes that share limits")
 }
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wigeontiller/wigeontiller/memorybudget"
 )
 
 // maxEventBytes is the maximum size of one event.
@@ -19,6 +21,9 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// reservation holds the buffer beyond usualEventBytes, of which reserved bytes are counted.
+	reservation *memorybudget.Reservation
+	reserved    int
 	// hasData is true if the last event has a data field; comments that keep a connection
 	// alive have none.
 	hasData bool
@@ -26,6 +31,9 @@
 	isComment bool
 }
 
+// usualEventBytes is the size up to which events are held with their connection.
+const usualEventBytes = 16 << 10
+
 // eventBufferBytes is several times the size of a usual event.
 const eventBufferBytes = 4 << 10
 
@@ -33,6 +41,16 @@
 	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferBytes)}
 }
 
+// reserve counts the memory of a long event.
+func (r *eventReader) reserve() bool {
+	more := cap(r.buffer) - usualEventBytes - r.reserved
+	if more <= 0 || r.reservation == nil {
+		return true
+	}
+	r.reserved += more
+	return r.reservation.Grow(int64(more))
+}
+
 // next returns one event, including the blank line that ends it, and the number in
 // its id field, or 0 without one. The data is valid until the next call. At the end
 // of the body the error is io.EOF and data holds the bytes after the last complete
@@ -45,6 +63,9 @@
 		if len(r.buffer) > maxEventBytes {
 			return nil, 0, errEventTooLong
 		}
+		if !r.reserve() {
+			return nil, 0, errNoBuffer
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -59,6 +59,8 @@
 	After int64
 	// Encoded is the front end's form of the request, which the Sender reads.
 	Encoded any
+	// BodyBytes is the size of the body.
+	BodyBytes int64
 	// HandedOver is true for a request that another node has admitted and handed over. It is not handed
 	// over again, and was counted for the retry budget there.
 	HandedOver bool
@@ -210,7 +212,8 @@
 
 // Exchange serves requests. It is safe for concurrent use.
 type Exchange struct {
-	config Config
+	config   Config
+	inFlight inFlightBytes
 	// streamsClosed is true when new streams could not end before the node shuts down.
 	streamsClosed atomic.Bool
 	// shutdown is canceled when responses that have not begun could not complete before
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -66,6 +66,8 @@
 	// handedTo is the node whose reply is delivered, and triedPeers are those that did not serve the request.
 	handedTo   string
 	triedPeers []string
+	// crowded counts the upstreams that had no room for the body.
+	crowded int
 	// upstreamsEnded counts the attempts whose upstream ended before or as the answer began.
 	upstreamsEnded int
 	// isTrial is true for a request that is sent to learn whether it still crashes upstreams.
@@ -241,6 +243,11 @@
 // attempt sends the request once, to the upstream that it was placed on.
 func (r *requestHandler) attempt(ctx context.Context, decision *placement.Decision, reserved *reservations) nextAction {
 	config := &r.exchange.config
+	endInFlight, ok := r.exchange.inFlight.begin(decision.Lead.ID, r.request.BodyBytes)
+	if !ok {
+		return r.onCrowdedUpstream(decision)
+	}
+	defer endInFlight()
 	if !r.allowSend() {
 		config.Scheduler.End(decision.ID, placement.Neutral, "")
 		return actionFail
@@ -286,6 +293,17 @@
 	return r.deliverResponse(ctx, decision, reply, watch)
 }
 
+// onCrowdedUpstream handles a placement on an upstream that has no room for the body. Nothing was sent.
+func (r *requestHandler) onCrowdedUpstream(decision *placement.Decision) nextAction {
+	r.exchange.config.Scheduler.End(decision.ID, placement.Neutral, "")
+	r.avoid = append(r.avoid, decision.Lead.ID)
+	r.reason = ReasonUpstreamMemory
+	if r.crowded++; r.crowded < maxCrowdedUpstreams {
+		return actionRetry
+	}
+	return actionFail
+}
+
 // beginAttempt resets what is known of the current attempt.
 func (r *requestHandler) beginAttempt() {
 	r.headerReceived, r.attemptEvents, r.attemptSent, r.delivery = false, 0, time.Now(), Delivery{}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -21,6 +21,8 @@
 		return r.retryOrFail(ctx)
 	}
 	events := newEventReader(reply.Body())
+	events.reservation = r.exchange.openAnswer(r.request)
+	defer events.reservation.Release()
 	continuation := r.begun.Load()
 	for first := true; ; first = false {
 		data, number, err := events.next()
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -116,6 +116,8 @@
 	KeysRequired bool
 	// MaxBodyBytes is the largest request body.
 	MaxBodyBytes int64
+	// IdleTimeout is the time after which callers don't use an idle connection again; 0 is not stated.
+	IdleTimeout time.Duration
 	// Encoded is the document as the operator wrote it, for other nodes.
 	Encoded []byte
 
