exchange: a stream moves before its caller leaves; a node that starts lets requests wait for its view

Change: the watchdog leaves moveTime (0.5 s) of the callers' patience for another engine, where the request may go on at one.

Ruled out: shorter slack for busy engines everywhere (engines that read long prompts are silent for seconds); waiting without a bound (the view may never come).

--- a/edge/node.go
+++ b/edge/node.go
@@ -161,6 +161,9 @@
 		n.gate.Configure(n.follower.Current)
 		n.blocklist.ObserveUpstreams(n.follower.Current().Upstreams)
 		n.setIdleTime()
+		if n.follower.Current().Synced {
+			n.exchange.ViewReady()
+		}
 	}
 	n.pool = directhttp.NewPool(dialTimeout, func() { n.metrics.Count("wigeontiller_upstream_connections_total", 1) })
 	n.control = directhttp.NewPool(dialTimeout, nil)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -229,6 +229,7 @@
 	cancelUnanswered context.CancelFunc
 	suspension       suspensionGuard
 	keys             *keySource
+	startup          *startup
 }
 
 // errShutdown is the cancellation cause of requests that end because the node shuts down.
@@ -250,7 +251,7 @@
 		_, budget := memorybudget.ForMachine(memorybudget.DefaultMachineBytes)
 		config.Budget = memorybudget.New(budget)
 	}
-	e := &Exchange{config: config, keys: newKeySource()}
+	e := &Exchange{config: config, keys: newKeySource(), startup: newStartup(time.Now())}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
 	return e
 }
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -24,6 +24,9 @@
 	plainServiceFactor = 1.5
 	// minRecheckInterval is the minimum time between two checks.
 	minRecheckInterval = 50 * time.Millisecond
+	// moveTime is the part of a caller's patience that is left for another engine to send the next event: the
+	// reading of a short prompt behind others, and two passes.
+	moveTime = 500 * time.Millisecond
 	// recheckInterval is the maximum time between two checks during a long silence: what is known of this
 	// node's way to the upstreams may have changed.
 	recheckInterval = 150 * time.Millisecond
@@ -84,11 +87,16 @@
 		return time.Duration(float64(r.request.Route.LatencyTarget) * plainServiceFactor)
 	}
 	expected, responsive := r.exchange.config.Scheduler.ExpectedEventDelay(decision)
+	limit := unresponsiveSlack + expectedFactor*expected
 	// That the upstream answers polls of other nodes tells nothing if this one does not reach it.
 	if responsive && !r.cutOff() {
-		return busySlack + expectedFactor*expected
+		limit = busySlack + expectedFactor*expected
 	}
-	return unresponsiveSlack + expectedFactor*expected
+	if patience := r.request.Route.CallerTimeout; patience > 0 {
+		// An engine may answer polls while it hangs on a request, which is lost when its caller leaves.
+		limit = min(limit, max(patience-moveTime, moveTime))
+	}
+	return limit
 }
 
 func (w *watchdog) recordEvent() {
