exchange: the test of a stream that moves keeps its engines answering polls

The first form passed without the mechanism too: its one report was too old when the watchdog looked.

--- a/exchange/patience_test.go
+++ b/exchange/patience_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wigeontiller/wigeontiller/periodic"
 	"github.com/wigeontiller/wigeontiller/placement"
 )
 
@@ -13,10 +14,12 @@
 func TestStreamIsMovedBeforeItsCallerLeaves(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, attemptStep{hang: true}, attemptStep{status: 200, body: eventText(1, 3)})
-	f.exchange.config.Scheduler.Do(func(s *placement.Scheduler, now time.Duration) {
-		for _, id := range []string{"llm0", "llm1", "llm2", "llm3"} {
-			s.ApplyReport(now, id, placement.Report{SpeedFactor: 1}, true)
-		}
+	go periodic.RunNow(t.Context(), 100*time.Millisecond, func() {
+		f.exchange.config.Scheduler.Do(func(s *placement.Scheduler, now time.Duration) {
+			for _, id := range []string{"llm0", "llm1", "llm2", "llm3"} {
+				s.ApplyReport(now, id, placement.Report{SpeedFactor: 1}, true)
+			}
+		})
 	})
 	request := f.request("stream")
 	route := *request.Route
