Nodes that start poll no upstream that others poll

Cause: a node takes itself for an upstream's owner until it knows of others, and with relays it knows its zone by the relay's list; that of a relay which has just started holds those few that it has heard, and the next one came 2 s later.

Change: no polls for the first 0.5 s in a fleet that may be large, or until there is a list; for 6 s a node also counts the nodes of its zone that it heard itself; a relay's first 2 s have a full list each 0.2 s; an announcement is answered within 50 ms.

--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -124,6 +124,8 @@
 	// the last one was added. The work of most calls does not grow with them.
 	unheard      map[string]unheardNode
 	discoveredAt time.Time
+	// directoryRead is true once the directory was read.
+	directoryRead bool
 	// candidates are the peers that take part in the ranking.
 	candidates   []*peer
 	sequence     uint64
@@ -179,6 +181,7 @@
 	a.mutex.Lock()
 	now := time.Now()
 	var unresponsive []string
+	relayed := a.relayed()
 	for name, p := range a.peers {
 		if now.Sub(p.receivedAt) > unresponsiveAfter && !p.unresponsive {
 			p.unresponsive = true
@@ -191,7 +194,10 @@
 	}
 	a.mutex.Unlock()
 	for _, name := range unresponsive {
-		a.logger.Warn().Str("peer", name).Msg("node is silent")
+		if !relayed || a.isMember(name) {
+			// In a large fleet most nodes are heard through the relays only.
+			a.logger.Warn().Str("peer", name).Msg("node is silent")
+		}
 		a.gate.Do(func(s *placement.Scheduler, _ time.Duration) {
 			s.RemoveNode(name)
 			s.RemoveNode(memberKey(nodeHash(name)))
@@ -205,6 +211,14 @@
 	a.updateNodeCount()
 }
 
+// isMember reports whether this node is the relay of a zone to which the node belongs.
+func (a *Agent) isMember(name string) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	p := a.peers[name]
+	return a.relay.acting && p != nil && p.node.Zone == a.self.Zone
+}
+
 func (a *Agent) updateNodeCount() {
 	a.mutex.Lock()
 	nodes := a.countNodes(time.Now())
--- a/loadshare/directory.go
+++ b/loadshare/directory.go
@@ -186,6 +186,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := time.Now()
+	a.directoryRead = true
 	listed := make(map[string]bool, len(nodes))
 	for _, node := range nodes {
 		if node.Name == a.self.Name {
--- a/loadshare/known.go
+++ b/loadshare/known.go
@@ -16,7 +16,7 @@
 	// rankedFor is how long a silent node stays in the ranking.
 	rankedFor = 10 * time.Minute
 	// answerSpread spreads the answers to an announcement.
-	answerSpread = 200 * time.Millisecond
+	answerSpread = 50 * time.Millisecond
 	// maxProbed, maxPublished and maxAnnounced bound the nodes out of contact that get a
 	// heartbeat, the publisher's view and the regular announcement: they may be cut off only.
 	maxProbed, maxPublished, maxAnnounced = 16, 64, 512
--- a/loadshare/owner.go
+++ b/loadshare/owner.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -13,10 +14,30 @@
 func (a *Agent) IsOwner(id, zone string) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if a.settling(time.Now()) {
+		return false
+	}
 	rank, _ := a.rankAt(id, zone)
 	return rank == 0
 }
 
+const (
+	// ownersKnownAfter is how long after its start a node waits to hear of the others.
+	ownersKnownAfter = 500 * time.Millisecond
+	// membersKnownAfter is how long after its start a node also counts those of its zone that it heard
+	// itself: the first lists of a relay that has just started are not complete.
+	membersKnownAfter = 3 * unresponsiveAfter
+)
+
+// settling reports whether this node has just started, in a fleet that may be large, and does not know
+// yet who is there: all nodes of a fleet that starts at once would poll each upstream. The mutex is held.
+func (a *Agent) settling(now time.Time) bool {
+	if now.Sub(a.started) > ownersKnownAfter || a.relay.acting || len(a.relay.members) > 0 {
+		return false
+	}
+	return !a.directoryRead || len(a.peers)+len(a.unheard) >= maxDirectNodes
+}
+
 // SenderRank returns this node's place in the order of rendezvous hashing for an upstream, and the
 // number of nodes in it: in a small fleet all live ones, in a larger one those of the upstream's zone,
 // or, if that zone has none, of another one. A node that is not among them, or that shuts down, comes
@@ -57,6 +78,13 @@
 	for _, member := range a.relay.members {
 		count(member)
 	}
+	if now.Sub(a.started) < membersKnownAfter {
+		for _, p := range a.candidates {
+			if hash := nodeHash(p.node.Name); p.node.Zone == a.self.Zone && p.live(now) && !slices.Contains(a.relay.members, hash) {
+				count(hash)
+			}
+		}
+	}
 	if a.homeZone(id, zone, now) != a.self.Zone {
 		rank = nodes
 	}
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -27,6 +27,9 @@
 	// fullEvery is the number of bundles from one with all totals to the next: 2 s, so that
 	// a lost datagram is made good.
 	fullEvery = 50
+	// earlyFullEvery replaces fullEvery for a relay's first fullEvery bundles, while it learns
+	// which nodes there are.
+	earlyFullEvery = 5
 	// relayTimeout is the time without a bundle after which a relay counts as gone.
 	relayTimeout = 500 * time.Millisecond
 	// takeoverStep is the additional time that each further node in the ranking waits before
@@ -186,7 +189,7 @@
 func (a *Agent) sendBundles() {
 	var own []placement.LoadUpdate
 	a.mutex.Lock()
-	full := a.relay.bundles%fullEvery == 0
+	full := a.relay.bundles%fullEvery == 0 || a.relay.bundles < fullEvery && a.relay.bundles%earlyFullEvery == 0
 	a.relay.bundles++
 	a.mutex.Unlock()
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { own = s.LoadUpdates(now, full) })
--- a/loadshare/replaced_test.go
+++ b/loadshare/replaced_test.go
@@ -194,3 +194,26 @@
 		})
 	}
 }
+
+// TestUpstreamIsPolledByFewNodesAtTheStart starts all nodes at once: until they know of each other, not each
+// of them may poll each upstream.
+func TestUpstreamIsPolledByFewNodesAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, fleetAfterGrace)
+		const step = 10 * time.Millisecond
+		polls := 0
+		for range 3 * time.Second / step {
+			time.Sleep(step)
+			for _, node := range f.nodes {
+				if node.agent.IsOwner("u", "z0") {
+					polls++
+				}
+			}
+		}
+		// One owner a zone for the first second, until the zones know of each other, and then one.
+		if most := (zonesInTest + 2) * int(time.Second/step); polls > most {
+			t.Errorf("%d polls by %d nodes, want at most %d", polls, len(f.nodes), most)
+		}
+		t.Logf("%d polls", polls)
+	})
+}
