Drain: a request that is read at the end of the grace period is answered, and not sent

By reading net/http: Shutdown closes each connection that is idle, and a kept one counts as idle until the next request's header is read and parsed. A read request whose goroutine has not run yet is closed so. A second fault showed in the new test: a request read after FailUnanswered was canceled in the background, so that it was sometimes sent first, and cut at its upstream (502 for a request that need not have run; the log has two such sends).

Change: at the end of draining the node stops accepting, ends the wait for a request on connections of which nothing of the next was read (a read deadline: either bytes come first and are served, or none are read), and waits up to 0.1 s for those that are arriving; 0.2 s, not 0.3 s, are left for Shutdown. A request that begins after the end is refused before it is placed, and each send asks just before its first byte whether its caller still waits and the node does not give it up, also over the hop.

Ruled out: closing idle connections at the beginning of draining (callers would open new ones while the balancer still sends them here).

--- a/edge/node.go
+++ b/edge/node.go
@@ -72,9 +72,10 @@
 	// finalAnswerMargin is how long before the end of draining a node starts to refuse
 	// requests whose response has not begun.
 	finalAnswerMargin = 400 * time.Millisecond
-	// shutdownTimeout is the part of exitMargin in which requests that were read at the
+	// closeIdleTimeout and shutdownTimeout are the parts of exitMargin in which requests that were read at the
 	// end get their responses.
-	shutdownTimeout = 300 * time.Millisecond
+	closeIdleTimeout = 100 * time.Millisecond
+	shutdownTimeout  = 200 * time.Millisecond
 	// maxReadyViewAge is the view age from which a node is not ready if a peer has a
 	// fresher view: one failed poll and the next one.
 	maxReadyViewAge = 2500 * time.Millisecond
@@ -206,7 +207,7 @@
 		}
 		n.listeners = append(n.listeners, listener)
 	}
-	n.activity = &activityListener{Listener: n.listeners[0], started: time.Now()}
+	n.activity = &activityListener{Listener: n.listeners[0], started: time.Now(), conns: map[*activityConn]struct{}{}}
 	n.listeners[0] = n.activity
 	ingress := platform.NewIngress(n.exchange)
 	n.peerServer = &http.Server{
@@ -215,7 +216,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	n.callerServer = &http.Server{
-		Handler: n.countActive(ingress), ConnContext: platform.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: n.countActive(ingress), ConnContext: platform.ConnContext, ConnState: n.activity.trackState, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: newServerLogger(n.logger), DisableGeneralOptionsHandler: true,
 	}
 	n.readyServer = &http.Server{
@@ -339,5 +340,19 @@
 		}
 	}
 	n.exchange.FailUnanswered()
+	n.closeIdle()
 	n.logger.Info().Int64("active", n.active.Load()).Dur("taken_ms", time.Since(started)).Msg("node drained")
 }
+
+// closeIdle accepts no further connections, closes those on which no request is arriving, and waits for those that are.
+// http.Server.Shutdown closes a kept connection also when it has read a request but not yet begun to serve it.
+func (n *Node) closeIdle() {
+	// An error means that the server closes it already.
+	_ = n.activity.Close()
+	const checkInterval = 5 * time.Millisecond
+	for end := time.Now().Add(closeIdleTimeout); time.Now().Before(end); time.Sleep(checkInterval) {
+		if n.activity.expireIdle() == 0 && n.active.Load() == 0 {
+			return
+		}
+	}
+}
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -239,6 +239,50 @@
 	}
 }
 
+// http.Server.Shutdown counts a kept connection as idle until the next request's header has been read. A node that was
+// short of processor time closed one whose request it had read.
+func TestRequestThatArrivesOnKeptConnectionAtEndOfGracePeriodIsAnswered(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 0)
+	f.graceSeconds = 1
+	f.addEngine("app-1")
+	f.startNode("edge-0")
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp4", strings.TrimPrefix(f.nodes[0].url, "http://"))
+		is.NoErr(err)
+		is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+		return conn, bufio.NewReader(conn)
+	}
+	const first, rest = "POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: ", "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token key-a\r\nContent-Length: 4\r\n\r\nbody"
+	serve := func(conn net.Conn, reader *bufio.Reader, id string, pause time.Duration) int {
+		_, err := io.WriteString(conn, first+id)
+		is.NoErr(err)
+		time.Sleep(pause)
+		_, err = io.WriteString(conn, rest)
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode
+	}
+	conn, reader := dial()
+	defer func() { _ = conn.Close() }()
+	idle, idleReader := dial()
+	defer func() { _ = idle.Close() }()
+	is.Equal(serve(conn, reader, "early", 0), http.StatusOK)
+	is.Equal(serve(idle, idleReader, "other", 0), http.StatusOK)
+	f.nodes[0].stop()
+	const before, after = 30 * time.Millisecond, 50 * time.Millisecond
+	time.Sleep(time.Duration(f.graceSeconds*float64(time.Second)) - exitMargin - before)
+	is.Equal(serve(conn, reader, "late", before+after), http.StatusServiceUnavailable)
+	// The other one is closed without a word.
+	_, err := idleReader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.NoErr(<-f.nodes[0].done)
+}
+
 func TestNodeBecomesReadyWithoutPeers(t *testing.T) {
 	f := newFixture(t, 0)
 	started := time.Now()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -260,6 +260,10 @@
 		}
 	})
 	defer stop()
+	if e.shutdown.Err() != nil {
+		// The function above runs in the background.
+		end(errShutdown)
+	}
 	defer e.log(handler)
 	defer handler.writer.close()
 	handler.serve(ctx)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -329,3 +329,30 @@
 	}
 	is.True(f.serve(t, f.prompt("d", 1)).ended)
 }
+
+// A request that is read after the node has given up those without a response must not be sent and cut.
+func TestRequestReadAtTheEndIsNotSent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.exchange.FailUnanswered()
+	for range 200 {
+		for _, route := range []string{"safe", "unsafe", "stream", "once"} {
+			got := f.serve(t, f.request(route))
+			is.Equal(got.failure.Code, Unavailable)
+			is.Equal(got.failure.Reason, ReasonNodeShutdown)
+		}
+	}
+	is.Equal(len(f.sender.attempts), 0)
+}
+
+// A caller that leaves during the dial, or a node that ends then, must not leave a run behind.
+func TestRequestWhoseContextEndsBeforeTheWriteIsNotSent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.sender.steps = []attemptStep{{status: 200, body: "done", before: f.exchange.FailUnanswered}}
+	for f.exchange.shutdown.Err() == nil {
+		got := f.serve(t, f.request("unsafe"))
+		is.True(got.failure != nil)
+		is.Equal(got.failure.Code, Unavailable) // true: nothing was written
+	}
+}
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -122,7 +122,7 @@
 	reply, node, err := config.Handover.Send(watch.ctx, &Attempt{
 		Key: key, Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		Permitted: func() bool {
-			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
+			return r.wanted(watch.ctx) && !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
 		},
 	}, r.triedPeers)
 	event := config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("service", r.service).
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -109,6 +109,10 @@
 		return
 	}
 	for {
+		if ctx.Err() != nil {
+			r.fail(ctx, Failure{Code: ExpiredNotExecuted, Reason: "expired_waiting"})
+			return
+		}
 		if r.exchange.stale() {
 			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonViewTooOld, RetryAfter: config.RetryAfter})
 			return
@@ -251,7 +255,7 @@
 		Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		Urgency: decision.Urgency,
 		Permitted: func() bool {
-			return !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
+			return r.wanted(ctx) && !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
 		},
 	}
 	if reserved != nil {
@@ -287,6 +291,11 @@
 	return r.deliverResponse(ctx, decision, reply, watch)
 }
 
+// wanted reports whether the request's result is still of use: its caller waits for it, and the node does not give it up.
+func (r *requestHandler) wanted(ctx context.Context) bool {
+	return ctx.Err() == nil && (r.begun.Load() || r.exchange.shutdown.Err() == nil)
+}
+
 // beginAttempt resets what is known of the current attempt.
 func (r *requestHandler) beginAttempt() {
 	r.headerReceived, r.attemptEvents, r.attemptSent, r.delivery = false, 0, time.Now(), Delivery{}
