placement: a new configuration keeps the division; bounded state

Each version of the configuration began the decays anew. The divisions of services that are gone are dropped, and a service without engines in service is not divided (0/0 before, without effect).

--- a/placement/division.go
+++ b/placement/division.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -62,10 +63,10 @@
 
 // division is a node's division of a service's engines.
 type division struct {
-	// engine and pauseTargetMs are what divided was derived from.
-	engine        *fleet.Engine
-	pauseTargetMs float64
-	divided       bool
+	// engine and pauseTargetMs are what partsExceedPauses was derived from.
+	engine            *fleet.Engine
+	pauseTargetMs     float64
+	partsExceedPauses bool
 	// computedAt is when the rest was computed.
 	computedAt time.Duration
 	// front and back are the numbers of engines that they need, with decay.
@@ -83,25 +84,31 @@
 // divisionOf returns the division of a service's engines, or nil where they are not divided.
 func (s *Scheduler) divisionOf(now time.Duration, service *fleet.Service) *division {
 	d := s.divisions[service.Name]
-	if pauseTargetMs := s.pauseTargetMs(service); d == nil || d.engine != service.Engine || d.pauseTargetMs != pauseTargetMs {
-		kept := &division{engine: service.Engine, pauseTargetMs: pauseTargetMs, divided: s.needsDivision(service, pauseTargetMs), computedAt: -divisionInterval}
-		if d != nil {
-			kept.front, kept.back, kept.recentLong = d.front, d.back, d.recentLong
-		}
-		s.divisions[service.Name], d = kept, kept
+	if d == nil {
+		maps.DeleteFunc(s.divisions, func(name string, _ *division) bool { return s.configuration.Services[name] == nil })
+		d = &division{computedAt: -divisionInterval}
+		s.divisions[service.Name] = d
+	}
+	if pauseTargetMs := s.pauseTargetMs(service); d.engine != service.Engine || d.pauseTargetMs != pauseTargetMs {
+		d.engine, d.pauseTargetMs, d.partsExceedPauses = service.Engine, pauseTargetMs, s.needsDivision(service, pauseTargetMs)
 	}
-	if !d.divided {
+	if !d.partsExceedPauses {
 		return nil
 	}
 	if now-d.computedAt >= divisionInterval {
 		s.divide(now, service, d)
 	}
-	if d.known < minDividedEngines || d.counts.Front+d.counts.Back < minEnginesInService {
+	if !d.divided() {
 		return nil
 	}
 	return d
 }
 
+// divided reports whether the engines are divided, as of computedAt.
+func (d *division) divided() bool {
+	return d.partsExceedPauses && d.known >= minDividedEngines && d.counts.Front+d.counts.Back >= minEnginesInService
+}
+
 // needsDivision reports whether parts of long prompts exceed the tightest pause target.
 func (s *Scheduler) needsDivision(service *fleet.Service, pauseTargetMs float64) bool {
 	engine := service.Engine
@@ -136,7 +143,10 @@
 	decay := math.Exp(-float64(elapsed) / float64(divisionShrinkTime))
 	d.front = decayingMax(d.front, max(streams/(frontSlotShare*float64(max(1, engine.Slots))), share/frontPrefillShare, count*minFrontShare), decay)
 	d.back = decayingMax(d.back, max(long/backBusyShare, count*minBackShare), decay)
-	d.computedAt = now
+	d.computedAt, d.counts = now, Division{Service: service.Name}
+	if len(inService) == 0 {
+		return
+	}
 	d.recentLong = decayingMax(d.recentLong, long/backBusyShare, math.Exp(-float64(elapsed)/float64(reserveTime)))
 	reserved := int(math.Ceil(max(count*minReservedShare, min(count*minBackShare, d.recentLong))))
 	front := min(int(math.Ceil(max(scarceFrontShare*d.front, count*d.front/(d.front+d.back)))), len(inService)-reserved)
@@ -191,7 +201,7 @@
 func (s *Scheduler) Divisions() []Division {
 	var divisions []Division
 	for _, d := range s.divisions {
-		if d.divided && d.counts.Service != "" && s.configuration.Services[d.counts.Service] != nil {
+		if d.divided() && s.configuration.Services[d.counts.Service] != nil {
 			divisions = append(divisions, d.counts)
 		}
 	}
--- a/placement/division_test.go
+++ b/placement/division_test.go
@@ -219,6 +219,16 @@
 		node.ApplyLoadUpdates(1500*time.Millisecond, "n1", []LoadUpdate{{Hash: engine.hash, AddedPrefillMs: -5000}}, false)
 	}
 	is.Equal(reserved(3*time.Second), 12)
+	// A new version of the configuration changes nothing.
+	configuration := *l.view.Configuration
+	engine := *service.Engine
+	service = &fleet.Service{Name: "llm", Engine: &engine}
+	configuration.Services = map[string]*fleet.Service{"llm": service}
+	view := l.view
+	view.Configuration = &configuration
+	node.UpdateView(view)
+	is.Equal(reserved(3*time.Second), 12)
+	is.Equal(reserved(3*time.Second+divisionInterval), 12)
 	is.Equal(reserved(time.Minute), 4)
 }
 
@@ -243,3 +253,11 @@
 	request.AnswerDue, request.Deadline = now+8*time.Second, now+15*time.Second
 	is.True(node.Submit(now, request).Lead != nil)
 }
+
+func TestDivisionWithoutEnginesInService(t *testing.T) {
+	is := is.New(t)
+	l := longAimOfOneEngine.prepare(40, 1)
+	l.keepInService(0)
+	is.Equal(l.nodes[0].divisionOf(time.Second, l.view.Configuration.Services["llm"]), nil)
+	is.Equal(len(l.nodes[0].Divisions()), 0)
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -145,12 +145,10 @@
 	changed   map[*load]struct{}
 	// pauseTargets are in ms, by service.
 	pauseTargets map[string]float64
-	// divisions are by service.
+	// divisions are by service, claims by the request's ID, holds by the upstream's.
 	divisions map[string]*division
-	// claims are by the request's ID.
-	claims map[string]*claim
-	// holds are by the upstream's ID.
-	holds map[string]*hold
+	claims    map[string]*claim
+	holds     map[string]*hold
 	// unreached holds the services whose upstreams this node does not reach.
 	unreached map[string]bool
 	// limits are by the upstream's incarnation.
