Admission: a source's demand is a short list

A decision at 100 upstreams, 1,000 waiting and 24 sources took 16.5 us of processor time in a profile (60,000 decisions), of which 4.7 us in the ledger's maps. Sources hold a few classes: a list is scanned faster.

--- a/admission/demand.go
+++ b/admission/demand.go
@@ -67,7 +67,18 @@
 
 type sourceDemand struct {
 	receivedAt time.Duration
-	demands    map[Class]Demand
+	// demands holds few classes.
+	demands []Demand
+}
+
+// of returns the demand of a class.
+func (s *sourceDemand) of(class Class) Demand {
+	for _, demand := range s.demands {
+		if demand.Class == class {
+			return demand
+		}
+	}
+	return Demand{Class: class}
 }
 
 // NewLedger returns an empty ledger.
@@ -75,11 +86,7 @@
 
 // Apply replaces the demand of a source.
 func (l *Ledger) Apply(now time.Duration, source string, demands []Demand) {
-	known := &sourceDemand{receivedAt: now, demands: make(map[Class]Demand, len(demands))}
-	for _, demand := range demands {
-		known.demands[demand.Class] = demand
-	}
-	l.sources[source] = known
+	l.sources[source] = &sourceDemand{receivedAt: now, demands: slices.Clone(demands)}
 }
 
 // Remove forgets a source that is gone.
@@ -92,9 +99,7 @@
 		if now-known.receivedAt > demandTTL {
 			continue
 		}
-		if demand, ok := known.demands[class]; ok {
-			sum.add(demand)
-		}
+		sum.add(known.of(class))
 	}
 	return sum
 }
@@ -113,9 +118,9 @@
 func (l *Ledger) classes(service uint32) []Class {
 	var classes []Class
 	for _, known := range l.sources {
-		for class := range known.demands {
-			if class.Service == service && !slices.Contains(classes, class) {
-				classes = append(classes, class)
+		for _, demand := range known.demands {
+			if demand.Service == service && !slices.Contains(classes, demand.Class) {
+				classes = append(classes, demand.Class)
 			}
 		}
 	}
@@ -136,9 +141,10 @@
 		if age > demandTTL {
 			continue
 		}
-		waiting := float64(known.demands[class].OnTime)
+		demand := known.of(class)
+		waiting := float64(demand.OnTime)
 		if late {
-			waiting += float64(known.demands[class].Late)
+			waiting += float64(demand.Late)
 		}
 		left += waiting * max(0, 1-placesPerSecond*max(0, age-messageTime).Seconds()/max(total, 1))
 	}
