Exchange: the watchdog of a hand-over reads the node's name under its lock

Cause: seen once, in go test -race ./edge (TestAnswersOfFaultyUpstreams, beside load averages over 30): the watchdog logged the name of the node while handOver wrote it.

Change: the name is set and read under the watchdog's mutex. TestWatchdogOfPeerRunsWhileNodeIsRecorded was red (data race) with the plain write.

--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -103,7 +103,7 @@
 		decision := &placement.Decision{ID: r.request.ID + "/handover", Lead: &fleet.Upstream{}}
 		watch := r.newPeerWatchdog(ctx, decision)
 		reply, node, err := r.sendToPeer(watch)
-		decision.Lead.ID = node
+		watch.setPeer(node)
 		action, taken := r.afterHandover(ctx, decision, reply, err, watch)
 		watch.stop()
 		if taken || errors.Is(err, ErrNoPeer) {
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -91,6 +91,13 @@
 	return unresponsiveSlack + expectedFactor*expected
 }
 
+// setPeer records the node that was asked to serve the request.
+func (w *watchdog) setPeer(node string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.decision.Lead.ID = node
+}
+
 func (w *watchdog) recordEvent() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -109,6 +116,7 @@
 	w.reachChecked = w.reachChecked || reachCheck
 	left := w.timeout() - silence
 	cancel := w.mayCancel && left <= 0
+	upstream := w.decision.Lead.ID
 	if !cancel {
 		w.timer.Reset(max(w.nextCheck(silence, left), minRecheckInterval))
 	}
@@ -119,7 +127,7 @@
 	if !cancel {
 		return
 	}
-	w.handler.exchange.config.Logger.Info().Str("request_id", w.handler.request.ID).Str("upstream", w.decision.Lead.ID).
+	w.handler.exchange.config.Logger.Info().Str("request_id", w.handler.request.ID).Str("upstream", upstream).
 		Msg(telemetry.LogUpstreamUnresponsive)
 	w.handler.exchange.config.Metrics.Count("wigeontiller_silent_upstreams_total", 1)
 	w.cancelCause(nil)
