loadshare: a node that becomes relay lists the zone's totals only once it has heard them

The new relay, which gets no totals before it acts, sent a full bundle at once: all nodes took the others' load for gone until the next heartbeats, and the other zones took its sums, which were empty.

Change: full bundles wait until the relay has the totals of the nodes in the last full bundle, at most a heartbeat and two intervals.

--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -59,8 +59,9 @@
 	ranked map[string][]Node
 	// ownRank is this node's place in its zone.
 	ownRank int
-	// acting is true while this node is its zone's relay.
-	acting bool
+	// acting is true while this node is its zone's relay, since actingSince.
+	acting      bool
+	actingSince time.Time
 	// betterAt is when a usable relay that precedes this node was last heard.
 	betterAt time.Time
 	// bundles counts the bundles sent while acting.
@@ -151,7 +152,7 @@
 		a.logger.Info().Bool("relay", acting).Int("rank", a.relay.ownRank).Str("zone", a.self.Zone).Msg("relay of the zone's load")
 	}
 	if started {
-		a.relay.bundles = 0
+		a.relay.bundles, a.relay.actingSince = 0, now
 		a.relay.totals.discardPending()
 	}
 	a.relay.acting = acting
@@ -184,12 +185,28 @@
 	})
 }
 
+// knowsTotals reports whether this node, as its zone's relay, has the totals of the nodes that the zone had in the last
+// full bundle: one that lists too few makes all nodes take the others' load for gone. One that was neither relay
+// nor deputy hears them within a heartbeat; the mutex is held.
+func (a *Agent) knowsTotals(now time.Time) bool {
+	if now.Sub(a.relay.actingSince) >= heartbeatInterval+2*relayInterval {
+		return true
+	}
+	for _, member := range a.relay.members {
+		if a.relay.totals.members[member] == nil && member != nodeHash(a.self.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // sendBundles sends one bundle to each node of the zone and the zone's sums to the relays of
 // the other zones.
 func (a *Agent) sendBundles() {
 	var own []placement.LoadUpdate
 	a.mutex.Lock()
 	full := a.relay.bundles%fullEvery == 0 || a.relay.bundles < fullEvery && a.relay.bundles%earlyFullEvery == 0
+	full = full && a.knowsTotals(time.Now())
 	a.relay.bundles++
 	a.mutex.Unlock()
 	a.gate.Do(func(s *placement.Scheduler, now time.Duration) { own = s.LoadUpdates(now, full) })
--- a/loadshare/relay_test.go
+++ b/loadshare/relay_test.go
@@ -101,6 +101,40 @@
 	})
 }
 
+// TestLoadIsNotForgottenWhenRelayAndDeputyEnd guards against a node that becomes relay without having heard the
+// others: its first full bundle told all nodes that the zone's engines were idle.
+func TestLoadIsNotForgottenWhenRelayAndDeputyEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimulatedFleet(t, fleetOfTest)
+		time.Sleep(settleTime)
+		const zone = 2
+		stopped, placing := map[int]bool{}, 0
+		for i, node := range f.nodes {
+			node.agent.mutex.Lock()
+			rank := node.agent.relay.ownRank
+			node.agent.mutex.Unlock()
+			if zoneOf(i) == zoneOf(zone) && rank < relayTargets {
+				stopped[i] = true
+			} else if zoneOf(i) == zoneOf(zone) {
+				placing = i // the last of those that live on
+			}
+		}
+		f.nodes[placing].place()
+		time.Sleep(spreadTime)
+		f.expectOccupied(1)
+		is.New(t).Equal(len(stopped), relayTargets)
+		var leftOut []int
+		for i := range stopped {
+			f.nodes[i].stop()
+			leftOut = append(leftOut, i)
+		}
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			f.expectOccupied(1, leftOut...)
+		}
+	})
+}
+
 func TestCutRelayIsReplacedAndCountsNothingTwiceAfterwards(t *testing.T) {
 	for name, cut := range map[string]func(node, from, to netip.AddrPort) bool{
 		"both ways": func(node, from, to netip.AddrPort) bool { return from == node || to == node },
