Admission: the work of a class alone bounds it; late requests are refused by what waits, not by the rate of a second

Some 200 short prompts were refused with no_room_in_time in seconds 23 to 28, which untouched were answered late: (1) the prefill limit used the mean work of all requests of a service, which a burst of the longest prompts had raised; (2) a late request was refused as soon as arrivals exceeded the places, however little waited: 85 against 73 a second, with 16 waiting.

Change: mean work is kept by class; a late request is expected to get at least half of the places that higher priorities leave, so that it is refused when what waits before it takes its patience.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -99,9 +99,15 @@
 // informed reports whether this node knows the demand of others.
 func (c *Controller) informed(now time.Duration) bool { return c.Alone || c.ledger.heard(now) }
 
+// lateShare is the least part of the places which higher priorities leave that late requests are expected to get: a
+// rate of arrivals above the room that was seen for a second may not last, so that what waits decides whether
+// they are refused.
+const lateShare = 0.5
+
 // lateWait is the expected wait of a request that can't be on time.
 func lateWait(fleet []Demand, priority uint8, room Room, perSecond float64) time.Duration {
-	return expectedWait(lateAhead(fleet, priority)-room.Free, perSecond-arrivals(fleet, math.MaxUint8+1))
+	left := max(perSecond-arrivals(fleet, math.MaxUint8+1), lateShare*(perSecond-arrivals(fleet, int16(priority))))
+	return expectedWait(lateAhead(fleet, priority)-room.Free, left)
 }
 
 // Forecast is when there will be room for a refused request.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -68,7 +68,8 @@
 	return milliseconds(prefillMs(engine, request.PromptTokens) + (1+passes)*decodePassMs(engine, engine.Slots, engine.MemoryTokens/2))
 }
 
-// meanWork is the decaying mean of what the requests of a service need.
+// meanWork is the decaying mean of what the requests of a class need. It is kept by class: short prompts that
+// follow a burst of long ones need no more than before.
 type meanWork struct{ tokens, prefillMs float64 }
 
 // workWeight is the weight of one new request in a mean.
@@ -80,9 +81,10 @@
 		return
 	}
 	tokens, ms := float64(request.PromptTokens+request.AnswerTokens), prefillMs(service.Engine, request.PromptTokens)
-	mean := s.work[service.Name]
+	class := classOf(request)
+	mean := s.work[class]
 	if mean == nil {
-		s.work[service.Name] = &meanWork{tokens: tokens, prefillMs: ms}
+		s.work[class] = &meanWork{tokens: tokens, prefillMs: ms}
 		return
 	}
 	mean.tokens += (tokens - mean.tokens) * workWeight
@@ -112,7 +114,7 @@
 			room.Free += l.freePlaces(now)
 		}
 	}
-	if mean := s.work[request.Service]; engine != nil && mean != nil {
+	if mean := s.work[classOf(request)]; engine != nil && mean != nil {
 		room.Places = max(1, min(room.Places, int(float64(engines*engine.MemoryTokens)/mean.tokens)))
 		room.PerSecond = float64(engines) * 1000 / max(1, mean.prefillMs)
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -170,8 +170,8 @@
 	// its service, and this node's share of it.
 	scarce    bool
 	turnShare float64
-	// work is what a request needs, by service.
-	work map[string]*meanWork
+	// work is what a request needs, by class.
+	work map[admission.Class]*meanWork
 }
 
 // New returns a scheduler without upstreams.
@@ -183,7 +183,7 @@
 	return &Scheduler{
 		limits: map[uint32]*knownLimit{}, config: config, loads: map[string]*load{}, byHash: map[uint32]*load{},
 		running: map[string]*runningRequest{}, nodeCount: 1, changed: map[*load]struct{}{}, holds: map[string]*hold{}, divisions: map[string]*division{}, claims: map[string]*claim{}, unreached: map[string]bool{},
-		queue: queue, admission: admission.NewController(queue.Waiting), work: map[string]*meanWork{}, returns: admission.NewReturns(),
+		queue: queue, admission: admission.NewController(queue.Waiting), work: map[admission.Class]*meanWork{}, returns: admission.NewReturns(),
 	}
 }
 
