--- a/cli/cli.go
+++ b/cli/cli.go
@@ -66,7 +66,7 @@
 	parser.String(&env.output, "o", "output", "Output format: text or json.")
 	var commands []*command
 	for _, add := range []func(*flaggy.Parser) []*command{
-		addServe, addEdge, addDemo, addCheck, addEnvironment, addState, addStatus, addBench, addSoak, addExplain, addReport, addJournal, addKeys, addVersion,
+		addServe, addEdge, addDemo, addCheck, addEnvironment, addState, addStatus, addBench, addSoak, addExplain, addWhere, addReport, addJournal, addKeys, addVersion,
 	} {
 		commands = append(commands, add(parser)...)
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -197,6 +197,7 @@
 		addresses = append(addresses, n.settings.MetricsAddress)
 		mux := http.NewServeMux()
 		mux.HandleFunc("/metrics", n.serveMetrics)
+		mux.HandleFunc(PathWhere, n.serveWhere)
 		n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: newServerLogger(n.logger)}
 	}
 	for _, address := range addresses {
