wigeontiller where: where a request would go now, and why

The operators' small tool: a node's metrics address answers /where for a request that is described, not sent: placed, waits, refused or handed over, the engines that it would claim, what waits at all nodes, and each upstream of the service with the reason why it may not take the request. The scheduler decides on the request as Submit does and takes back what that changed; nothing reaches an upstream.

--- a/edge/node.go
+++ b/edge/node.go
@@ -215,6 +215,7 @@
 	} else {
 		mux := http.NewServeMux()
 		mux.HandleFunc("/metrics", n.serveMetrics)
+		mux.HandleFunc(PathWhere, n.serveWhere)
 		n.metricsServer = n.newSmallServer(mux)
 	}
 	for _, port := range ports {
