--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -156,16 +156,7 @@
 			r.fail(ctx, Failure{Code: Overloaded, Reason: string(decision.Reason), RetryAfter: decision.RetryAfter})
 			return
 		}
-		reserved, ok := r.reserve(ctx, &decision)
-		if !ok || !config.Scheduler.InService(&decision) {
-			reserved.release()
-			config.Scheduler.End(decision.ID, placement.Neutral, "")
-			sleep(ctx, reserveRetryDelay/2+rand.N(reserveRetryDelay))
-			continue
-		}
-		action := r.attempt(ctx, &decision, reserved)
-		reserved.release()
-		if r.finish(ctx, action) {
+		if r.sendPlaced(ctx, &decision) {
 			return
 		}
 	}
@@ -219,39 +210,6 @@
 	return true
 }
 
-func (r *requestHandler) place(ctx context.Context) (placement.Decision, bool) {
-	scheduler := r.exchange.config.Scheduler
-	r.placements++
-	request := &placement.Request{
-		ID:           r.exchange.keys.next(),
-		Service:      r.service,
-		Kind:         r.request.Route.Kind,
-		PromptTokens: r.request.PromptTokens,
-		AnswerTokens: r.request.AnswerTokens,
-		Priority:     r.request.Priority(),
-		Arrived:      scheduler.ToClock(r.request.Arrived),
-		AnswerDue:    scheduler.ToClock(r.request.Arrived.Add(r.request.Route.LatencyTarget)),
-		Deadline:     scheduler.ToClock(r.request.Deadline),
-		Avoid:        r.avoid,
-		Regions:      r.request.Route.Regions,
-		IsRetry:      r.placements > 1,
-		Identity:     r.request.Identity.Whole,
-	}
-	if r.request.Organisation != nil {
-		request.Organisation = r.request.Organisation.Name
-	}
-	if maxWait := r.request.Route.CallerTimeout; maxWait > 0 && !r.begun.Load() {
-		request.CallerTimeoutAt = scheduler.ToClock(r.request.Arrived.Add(maxWait))
-	}
-	if !r.isTrial {
-		blockable, cancel := context.WithCancel(ctx)
-		defer cancel()
-		defer r.exchange.config.Blocklist.Watch(r.features, cancel)()
-		ctx = blockable
-	}
-	return scheduler.Place(ctx, request)
-}
-
 // attempt sends the request once, to the upstream that it was placed on.
 func (r *requestHandler) attempt(ctx context.Context, decision *placement.Decision, reserved *reservations) nextAction {
 	config := &r.exchange.config
