--- a/loadshare/evidence_test.go
+++ b/loadshare/evidence_test.go
@@ -267,6 +267,7 @@
 // TestLargeFleetBlocksRequestsAndKeepsLimit does so at 295 nodes: first with a request that comes again whole,
 // then with a part of prompts, while an engine states a limit. One fleet serves all, for its memory.
 func TestLargeFleetBlocksRequestsAndKeepsLimit(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimulatedFleet(t, 295)
 		time.Sleep(settleTime)
--- a/loadshare/limits_test.go
+++ b/loadshare/limits_test.go
@@ -111,6 +111,7 @@
 }
 
 func TestStatedLimitHoldsOverAllNodes(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{7, 78} {
 		for _, perSecond := range []float64{0, 1, 7.5} {
 			t.Run(fmt.Sprint(nodes, "/", perSecond), func(t *testing.T) {
@@ -154,6 +155,7 @@
 
 // TestStatedLimitHoldsWhileNodesComeAndGo stops relays and others, starts them again and cuts a node off.
 func TestStatedLimitHoldsWhileNodesComeAndGo(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{7, 78} {
 		for _, perSecond := range []float64{1, 3} {
 			t.Run(fmt.Sprint(nodes, "/", perSecond), func(t *testing.T) {
