A stream that may be resumed may end by its connection once its service is known to end streams so

Ruled out: believing two upstreams that close after the same event at once. Change: package streamend counts, by service, the unmarked ends that another living upstream confirmed and those that one contradicted. After 100 confirmed ones with none contradicted between, an unframed stream of the service is handed on unframed and ends as it came, as on routes that must not be resumed: the upstream must have closed after a whole event and its process must still accept connections. One stream in 20 is still checked; one contradicted end, or ten minutes without a confirmed one, ends the trust. Until then streams are broken off as before. Left: the learning takes 100 second runs a node, within the retry budget.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -25,6 +25,7 @@
 	"github.com/wigeontiller/wigeontiller/placement"
 	"github.com/wigeontiller/wigeontiller/quarantine"
 	"github.com/wigeontiller/wigeontiller/retry"
+	"github.com/wigeontiller/wigeontiller/streamend"
 	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
@@ -215,6 +216,8 @@
 	Budget *memorybudget.Budget
 	// RetryAfter is set in failures for which the scheduler gives none.
 	RetryAfter time.Duration
+	// StreamEnds tells which services end their streams by closing the connection. Nil is an empty one.
+	StreamEnds *streamend.Evidence
 }
 
 // Exchange serves requests. It is safe for concurrent use.
@@ -251,6 +254,9 @@
 		_, budget := memorybudget.ForMachine(memorybudget.DefaultMachineBytes)
 		config.Budget = memorybudget.New(budget)
 	}
+	if config.StreamEnds == nil {
+		config.StreamEnds = streamend.New()
+	}
 	e := &Exchange{config: config, keys: newKeySource(), startup: newStartup(time.Now())}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
 	return e
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -50,10 +50,14 @@
 	unnumbered bool
 	// unmarked is true if only the end of the connection marks the end of the caller's stream.
 	unmarked bool
+	// firstEnd is the last unmarked end of an attempt, unless events followed.
+	firstEnd unmarkedEnd
 	// headerReceived is true after the response header of the current attempt has arrived, and
 	// attemptEvents counts the events of its stream.
 	headerReceived bool
 	attemptEvents  int
+	// repeated is the number of the current attempt's last event that the caller had already.
+	repeated int64
 	// delivery is that of the last response.
 	delivery Delivery
 	// attemptSent is when it was sent, and attemptBegan when its first event arrived.
@@ -281,7 +285,7 @@
 
 // beginAttempt resets what is known of the current attempt.
 func (r *requestHandler) beginAttempt() {
-	r.headerReceived, r.attemptEvents, r.attemptSent, r.delivery = false, 0, time.Now(), Delivery{}
+	r.headerReceived, r.attemptEvents, r.repeated, r.attemptSent, r.delivery = false, 0, 0, time.Now(), Delivery{}
 }
 
 // recordHeader records that the header of the current attempt's response has arrived.
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -30,6 +30,7 @@
 			return r.onStreamEnd(ctx, decision, reply, data, err, watch)
 		}
 		if number != 0 && number <= r.lastEventNumber {
+			r.repeated = number
 			continue
 		}
 		if number > r.lastEventNumber+1 {
@@ -47,6 +48,7 @@
 		if number != 0 || events.hasData {
 			watch.recordEvent()
 			r.recordEvent()
+			r.contradictUnmarkedEnd()
 		}
 		if failed := r.relayEvent(reply, data, number); failed != nil {
 			reply.Abort()
@@ -70,8 +72,7 @@
 	}
 	now := time.Now()
 	if r.begun.CompareAndSwap(false, true) {
-		// One that could be continued is given an end by another upstream.
-		r.unmarked = reply.Delivery().Framing == CloseDelimited && (!r.request.Route.Repeatable() || r.unnumbered)
+		r.unmarked = reply.Delivery().Framing == CloseDelimited && r.takesUnmarkedEnd()
 		r.writer.BeginStream(reply, r.unmarked)
 		r.firstEventDelay = now.Sub(r.request.Arrived)
 	} else if pause := now.Sub(r.lastEventAt); pause > r.longestPause {
@@ -84,10 +85,6 @@
 	return r.writer.WriteEvents(data)
 }
 
-// errUnmarkedEnd means that the end of the connection alone ends a stream: an upstream that is killed
-// closes its connections too.
-var errUnmarkedEnd = errors.New("stream ends with its connection")
-
 // streamEndError returns nil if the body has ended as a complete stream. remainder holds the bytes
 // after the last complete event.
 func streamEndError(reply Reply, remainder []byte, err error) error {
@@ -102,21 +99,6 @@
 	return nil
 }
 
-// endsAsItCame reports whether an unmarked end may be handed on as it came, so that it ends the caller's stream too. It
-// may not if the upstream is known to have been killed: its process has ended.
-func (r *requestHandler) endsAsItCame(ctx context.Context, decision *placement.Decision) bool {
-	if !r.unmarked || r.attemptEvents == 0 {
-		return false
-	}
-	if r.handedTo != "" {
-		// The other node has looked.
-		return true
-	}
-	probe, cancel := context.WithTimeout(ctx, endProbeTimeout)
-	defer cancel()
-	return !r.exchange.config.Sender.HasEnded(probe, decision.Lead)
-}
-
 // onStreamEnd handles the end of a stream's body. remainder holds the bytes after the last
 // complete event; a stream is complete only if there are none.
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
@@ -125,6 +107,7 @@
 	if err == nil {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Answered, "")
+		r.confirmUnmarkedEnd(decision)
 		r.recordWholeStream()
 		if r.begun.CompareAndSwap(false, true) {
 			r.writer.BeginStream(reply, false)
@@ -133,7 +116,7 @@
 		r.outcome = Answered
 		return actionDone
 	}
-	if errors.Is(err, errUnmarkedEnd) && r.endsAsItCame(ctx, decision) {
+	if errors.Is(err, errUnmarkedEnd) && r.unmarkedEndCompletes(ctx, decision) {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Neutral, "")
 		r.writer.EndStream()
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -29,4 +29,5 @@
 	LogLimitStated          = "upstream states a request limit"
 	LogReportFailed         = "engine does not report"
 	LogReportRecovered      = "engine reports again"
+	LogStreamEndsTrusted    = "trust in unmarked stream ends changed"
 )
