placement: a draw for the places of an upstream takes bounded time

Cause: without slots an upstream has math.MaxInt32 places, and turns.draw draws a random number for each free place, with the scheduler's lock held, on each decision of a service with too little room. Change: 64 draws at most; of more places the expected number is won. Tests: TestDrawForAnyNumberOfPlacesIsBounded fails before (more than 1000 draws), TestDrawWinsItsShareOfManyPlaces.

--- a/placement/turns.go
+++ b/placement/turns.go
@@ -22,6 +22,8 @@
 	// scarceFactor is the number of free places for each competing request up to which a service has
 	// too little room.
 	scarceFactor = 5
+	// maxDraws bounds the time that a draw takes: an upstream may have any number of places.
+	maxDraws = 64
 )
 
 // turns are the places of an upstream that this node may take while there is too little room.
@@ -62,11 +64,14 @@
 		return
 	}
 	t.drawnAt, t.won = now, 0
-	for range count {
+	drawn := min(count, maxDraws)
+	for range drawn {
 		if random() < share {
 			t.won++
 		}
 	}
+	// Of many places about the expected number is won in any case.
+	t.won += int(min(share, 1) * float64(count-drawn))
 }
 
 // allowed reports whether this node may take a place.
