placement: a failure that names no upstream is the lead's, also beside an entry with an empty ID

Cause: End takes "" for "no other upstream is to blame", and looks it up among the upstreams. An entry with the ID "" is found there, is avoided in place of the lead, and the lead is placed on again at once. Ruled out: the retry budget and the exchange's list of upstreams to avoid, which hold for one request only. Test: TestEntryWithEmptyIDTakesNoBlameForOthers, red before (the lead is not avoided).

--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -86,7 +86,7 @@
 // an outcome is attributed to.
 func (s *Scheduler) attributeOutcome(now time.Duration, running *runningRequest, outcome Outcome, failedID string) {
 	attributed := running.lead
-	if named := s.loads[failedID]; named != nil {
+	if named := s.loads[failedID]; failedID != "" && named != nil {
 		attributed = named
 	}
 	switch outcome {
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -289,6 +289,19 @@
 	is.Equal(f.Submit(time.Second, again).Reason, NoUpstream)
 }
 
+// No named upstream means the lead. An entry with an empty ID took the blame for all failures, so that upstreams that
+// could not be reached were tried again and again.
+func TestEntryWithEmptyIDTakesNoBlameForOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(0, 2)
+	f.view.Upstreams[""] = &fleet.Upstream{Service: "app", Zone: "z0", Slots: 6, Draining: true}
+	f.UpdateView(f.view)
+	decision := f.Submit(time.Second, f.plainRequest(time.Second))
+	f.End(time.Second, decision.ID, Unresponsive, "")
+	is.True(f.loads[decision.Lead.ID].avoidUntil > time.Second)
+	is.Equal(f.loads[""].avoidUntil, time.Duration(0))
+}
+
 func TestEndAvoidsTheHelperThatFailed(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(6, 0)
