Entries of upstreams are checked at the border, from the store and from other nodes

By reading: an ID or address with a line break is written into the heads of requests, orders and reports, where it adds a header. Cause: decoding checked only that fields are present and of the right type; nothing checked their values, neither from the store nor in what other nodes pass on. Change: fleet.Upstream.Check states the bounds. platform checks each entry once as it decodes it, loadshare each that another node (of an older release) passes on; an invalid one counts as removed. It is logged and counted once for each revision (wigeontiller_invalid_rows_total), also rows of nodes, whose address and share are bounded too.

--- a/edge/node.go
+++ b/edge/node.go
@@ -134,6 +134,7 @@
 	n.budget = settings.newBudget()
 	n.guard = newGuard(n.budget, n.logger, n.metrics)
 	store := platform.NewStore(settings.StoreAddress, n.logger)
+	store.OnInvalidRow = func() { n.metrics.Count("wigeontiller_invalid_rows_total", 1) }
 	n.follower = follow.New(store, bootClock, n.logger, n.metrics)
 	scheduler := placement.New(placement.Config{
 		Zone: settings.Zone, Regions: settings.Regions, PrefillChunkMs: minPrefillChunkMs, MaxPrefillEngines: maxPrefillEngines, MaxPassMs: maxPassMs,
--- a/loadshare/agent.go
+++ b/loadshare/agent.go
@@ -294,6 +294,8 @@
 	}
 	a.mutex.Unlock()
 	if m.Update != nil {
+		// A node of an older release passes on what it has read.
+		a.metrics.Count("wigeontiller_invalid_entries_from_nodes_total", int64(fleet.CheckChanges(m.Update.Changes)))
 		a.View.ApplyUpdate(m.Update)
 	}
 	if trusted && m.HasClaims {
