placement: an engine's report that is out of range frees no places

What callers would see: an engine that states 2^63-1 queued requests and some active ones looks empty, as the sum overflows, and gets requests. Cause: queued and active were added as they came. Change: each is cut to 0 and a million before the sum. The speed factor was bounded already; the memory stated is not used. Test: TestReportOutOfRangeFreesNoPlaces, red before.

--- a/placement/load_update.go
+++ b/placement/load_update.go
@@ -111,6 +111,14 @@
 	LimitValid bool
 }
 
+// maxReported bounds the requests that a report may state, so that their sum stays within the range of an int.
+const maxReported = 1 << 20
+
+// requests returns the number of requests that the report states.
+func (r *Report) requests() int {
+	return max(0, min(r.Queued, maxReported)) + max(0, min(r.Active, maxReported))
+}
+
 // ApplyReport applies a report that this node requested, or, with ok false, its failure.
 func (s *Scheduler) ApplyReport(now time.Duration, id string, report Report, ok bool) {
 	l := s.loads[id]
@@ -129,6 +137,6 @@
 		s.MarkLeaving(now, id, report.StartedMs)
 	}
 	l.speedFactor, l.reportedAt, l.unpublishedSpeedFactor = max(1, report.SpeedFactor), now, max(1, report.SpeedFactor)
-	l.unattributed = max(0, report.Queued+report.Active-l.totalRunning()-l.departed.recent(now))
+	l.unattributed = max(0, report.requests()-l.totalRunning()-l.departed.recent(now))
 	l.avoidUntil, l.avoidFor = 0, 0
 }
