A node that shuts down sends no request whose run would outlast it

Cause: after SIGTERM each request is sent as at any other time until requests without an answer are given up, whatever their runs take. Streams are rejected after the balancer's lag, but by their head: one whose body becomes whole later, or that waits for a place, was sent too. Ruled out: handing such a request to another node. Its answer has to come back through this one, which is gone by then; a refusal as not run lets the caller go to another node at once. After SIGTERM a request that would not end before unanswered ones are given up is refused as not run, with a time to come back: before it is placed, while it waits, before each send, and when it was handed over by another node. Streams are sent until new ones are rejected, as before, and then by the same rule. An attempt of a repeatable request that looks silent is kept if it could not be repeated.

--- a/edge/node.go
+++ b/edge/node.go
@@ -344,6 +344,7 @@
 	started := time.Now()
 	end := started.Add(seconds(n.settings.GraceSeconds) - exitMargin)
 	n.draining.Store(true)
+	n.exchange.BeginShutdown(end.Add(-finalAnswerMargin))
 	n.agent.AnnounceShutdown()
 	n.logger.Info().Int64("active", n.active.Load()).Msg(telemetry.LogNodeDraining)
 	time.Sleep(min(balancerLag, time.Until(end)))
--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -118,6 +118,7 @@
 		}
 	} else {
 		scheduler.End(decision.ID, placement.Answered, "")
+		r.recordRunTime()
 	}
 	r.status = reply.Status()
 	r.writer.WriteResponse(reply, body)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -230,6 +230,7 @@
 	// the node shuts down.
 	shutdown         context.Context
 	cancelUnanswered context.CancelFunc
+	ending           shutdownState
 	suspension       suspensionGuard
 	keys             *keySource
 	startup          *startup
@@ -259,6 +260,7 @@
 	}
 	e := &Exchange{config: config, keys: newKeySource(), startup: newStartup(time.Now())}
 	e.shutdown, e.cancelUnanswered = context.WithCancel(context.Background())
+	e.ending.begun, e.ending.begin = context.WithCancel(context.Background())
 	return e
 }
 
--- a/exchange/placing.go
+++ b/exchange/placing.go
@@ -7,8 +7,8 @@
 	"github.com/wigeontiller/wigeontiller/placement"
 )
 
-// place waits until the request is placed or refused. It returns false if the context ends first, or the request
-// is blocked while it waits.
+// place waits until the request is placed or refused. It returns false if the context ends first, the request is blocked
+// while it waits, or it becomes too late to begin it.
 func (r *requestHandler) place(ctx context.Context) (placement.Decision, bool) {
 	scheduler := r.exchange.config.Scheduler
 	r.placements++
@@ -39,6 +39,8 @@
 		defer r.exchange.config.Blocklist.Watch(r.features, cancel)()
 		ctx = blockable
 	}
+	ctx, cancel := r.untilLatestStart(ctx)
+	defer cancel()
 	return scheduler.Place(ctx, request)
 }
 
@@ -47,7 +49,7 @@
 func (r *requestHandler) sendPlaced(ctx context.Context, decision *placement.Decision) bool {
 	scheduler := r.exchange.config.Scheduler
 	reserved, ok := r.reserve(ctx, decision)
-	if !ok || !scheduler.InService(decision) {
+	if !ok || !scheduler.InService(decision) || r.tooLateToBegin() {
 		reserved.release()
 		scheduler.End(decision.ID, placement.Neutral, "")
 		sleep(ctx, reserveRetryDelay/2+rand.N(reserveRetryDelay))
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -125,6 +125,10 @@
 			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonViewTooOld, RetryAfter: config.RetryAfter})
 			return
 		}
+		if r.tooLateToBegin() {
+			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonNodeShutdown, RetryAfter: config.RetryAfter})
+			return
+		}
 		if wait := r.exchange.suspension.wait(config.Now()); wait > 0 {
 			config.Logger.Info().Str("request_id", r.request.ID).Dur("wait_ms", wait).Msg(telemetry.LogCatchingUp)
 			sleep(ctx, wait)
@@ -148,7 +152,7 @@
 		}
 		decision, ok := r.place(ctx)
 		if !ok && ctx.Err() == nil {
-			// The request was blocked while it waited.
+			// While it waited, the request was blocked, or it became too late to begin it.
 			continue
 		}
 		if !ok {
--- /dev/null
+++ b/exchange/shutdown.go
@@ -0,0 +1,69 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/drain"
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+// shutdownState is what the exchange knows of the end of its node.
+type shutdownState struct {
+	// begun is canceled when the node begins to shut down, which sets until before.
+	begun context.Context
+	begin context.CancelFunc
+	until time.Time
+	// runTimes are those of whole answers, by route.
+	runTimes drain.RunTimes
+}
+
+// BeginShutdown tells the exchange that requests without an answer are given up at a time. What would not end by then is
+// refused from now on while it has not run. It is called once.
+func (e *Exchange) BeginShutdown(until time.Time) {
+	e.ending.until = until
+	e.ending.begin()
+}
+
+// latestStart returns the time until which the request may be sent, and false if the node does not shut down.
+func (r *requestHandler) latestStart() (time.Time, bool) {
+	ending, route := &r.exchange.ending, r.request.Route
+	if ending.begun.Err() == nil || r.begun.Load() {
+		return time.Time{}, false
+	}
+	isStream, stated := route.Kind == fleet.Stream, route.LatencyTarget
+	if isStream {
+		stated = max(stated, route.CallerTimeout)
+	}
+	plan := drain.Plan{Until: ending.until, StreamsClosed: r.exchange.streamsClosed.Load()}
+	return plan.LatestStart(isStream, ending.runTimes.Expected(route.Name, stated)), true
+}
+
+// tooLateToBegin reports whether the node would end before the request's run.
+func (r *requestHandler) tooLateToBegin() bool {
+	latest, ending := r.latestStart()
+	return ending && time.Now().After(latest)
+}
+
+// untilLatestStart returns a context that ends when it is too late to send the request, so that it does not wait any
+// longer.
+func (r *requestHandler) untilLatestStart(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.exchange.ending.begun, func() {
+		if latest, ending := r.latestStart(); ending {
+			// A timer that fires after the request was placed cancels a context that is done.
+			time.AfterFunc(time.Until(latest), cancel)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// recordRunTime records how long an upstream took for its whole answer.
+func (r *requestHandler) recordRunTime() {
+	if r.handedTo == "" {
+		r.exchange.ending.runTimes.Record(r.request.Route.Name, time.Since(r.attemptSent))
+	}
+}
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -109,6 +109,7 @@
 		scheduler.End(decision.ID, placement.Answered, "")
 		r.confirmUnmarkedEnd(decision)
 		r.recordWholeStream()
+		r.recordRunTime()
 		if r.begun.CompareAndSwap(false, true) {
 			r.writer.BeginStream(reply, false)
 		}
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -123,7 +123,8 @@
 	reachCheck := !w.reachChecked && silence >= w.reachCheckAfter()
 	w.reachChecked = w.reachChecked || reachCheck
 	left := w.timeout() - silence
-	cancel := w.mayCancel && left <= 0
+	// A node that shuts down would refuse to send the request again.
+	cancel := w.mayCancel && left <= 0 && !w.handler.tooLateToBegin()
 	upstream := w.decision.Lead.ID
 	if !cancel {
 		w.timer.Reset(max(w.nextCheck(silence, left), minRecheckInterval))
