test/processes: a soak of planned stops, with callers that use open connections until the process is gone

Seven nodes (WIGEONTILLER_SOAK_NODES sets another number) under SIGTERM in three series that overlap, SIGHUP, new configurations, upstreams replaced and odd entries of another writer; 36 callers on kept connections, one in ten with two requests ahead, one in four with a body whose last byte comes up to 1.5 s late. Every request whose last byte was written needs an answer, unless it crosses the node's close (lossSlackMs, 200 ms, and not run); what may run once runs once, and 503 means that it did not. The odd entries are shared with the test of them.

--- /dev/null
+++ b/test/processes/edge_stops_test.go
@@ -0,0 +1,262 @@
+package processes
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/standin/fleetengine"
+)
+
+const (
+	stopsSoakTime = 15 * time.Second
+	stopsCallers  = 36
+	// lossSlack is the time after its last byte in which a request may cross the node's close.
+	lossSlack = 200 * time.Millisecond
+	// drainTime is how long an upstream that reports draining takes requests.
+	drainTime = 2 * time.Second
+)
+
+// stopAttempt is a request on an open connection, and its end.
+type stopAttempt struct {
+	id, kind string
+	// written is true once its last byte was written, at wholeAt.
+	written          bool
+	wholeAt, endedAt time.Time
+	status           int
+	err              error
+}
+
+// stopCaller uses its connection until the node closes it, and only then another one.
+type stopCaller struct {
+	fleet    *edgeFleet
+	number   int
+	random   *rand.Rand
+	conn     net.Conn
+	reader   *bufio.Reader
+	attempts []*stopAttempt
+}
+
+func (c *stopCaller) run(until time.Time) {
+	defer c.close()
+	for time.Now().Before(until) {
+		if c.conn == nil && !c.connect() {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		batch := []*stopAttempt{c.next()}
+		if c.random.IntN(10) == 0 {
+			batch = append(batch, c.next()) // sent before the answer to the first
+		}
+		for _, a := range batch {
+			c.write(a)
+		}
+		for _, a := range batch {
+			c.read(a)
+		}
+		time.Sleep(time.Duration(c.random.IntN(60)) * time.Millisecond)
+	}
+}
+
+// connect opens a connection to a node that accepts one.
+func (c *stopCaller) connect() bool {
+	node := c.fleet.nodes[c.random.IntN(len(c.fleet.nodes))]
+	conn, err := net.DialTimeout("tcp4", node.callers, time.Second)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+func (c *stopCaller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *stopCaller) next() *stopAttempt {
+	kind := []string{"book", "book", "book", "look", "talk", "chat"}[c.random.IntN(6)]
+	a := &stopAttempt{id: fmt.Sprintf("stop-%d-%d", c.number, len(c.attempts)), kind: kind}
+	c.attempts = append(c.attempts, a)
+	return a
+}
+
+// write writes a request. The last byte of some comes late.
+func (c *stopCaller) write(a *stopAttempt) {
+	if c.conn == nil {
+		a.err = net.ErrClosed
+		return
+	}
+	const body = "body"
+	usage := ""
+	if a.kind == "talk" || a.kind == "chat" {
+		usage = "X-Token-Usage: 1000,300\r\n"
+	}
+	_, a.err = fmt.Fprintf(c.conn, "POST /%s/%s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 8000\r\n%sContent-Length: %d\r\n\r\n%s",
+		a.kind, a.id, a.id, usage, len(body), body[:len(body)-1])
+	if c.random.IntN(4) == 0 {
+		time.Sleep(time.Duration(c.random.IntN(1500)) * time.Millisecond)
+	}
+	if a.err == nil {
+		_, a.err = io.WriteString(c.conn, body[len(body)-1:])
+	}
+	a.written, a.wholeAt, a.endedAt = a.err == nil, time.Now(), time.Now()
+}
+
+// read reads the answer to a request.
+func (c *stopCaller) read(a *stopAttempt) {
+	if !a.written || c.conn == nil {
+		c.close()
+		if a.err == nil {
+			a.err = net.ErrClosed
+		}
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		a.status = response.StatusCode
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	a.err, a.endedAt = err, time.Now()
+	if err != nil || response.Close {
+		c.close()
+	}
+}
+
+// stopInTurn stops nodes as planned, changes the configuration and the upstreams, and has another writer leave odd entries.
+func (f *edgeFleet) stopInTurn(t *testing.T, nodes []int, random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		node := nodes[random.IntN(len(nodes))]
+		switch random.IntN(6) {
+		case 0, 1:
+			f.restart(node, syscall.SIGTERM)
+		case 2:
+			f.nodes[node].signal(t, syscall.SIGHUP)
+		case 3:
+			f.mutex.Lock()
+			f.configure()
+			f.mutex.Unlock()
+		case 4:
+			odd := oddEntries[random.IntN(len(oddEntries))]
+			f.store.Put("servers", odd.key, plainEntry(t, odd.change))
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+			f.store.Drop("servers", odd.key)
+		case 5:
+			f.replaceApp(random)
+		}
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+}
+
+// replaceApp adds an upstream of the plain service; the oldest one drains and leaves.
+func (f *edgeFleet) replaceApp(random *rand.Rand) {
+	f.mutex.Lock()
+	number := len(f.apps)
+	added := f.addEngine("app", number)
+	added.Set(fleetengine.Knobs{RunTime: stopsRunTime(random)})
+	f.apps = append(f.apps, added)
+	oldest := f.apps[number-edgeApps]
+	f.mutex.Unlock()
+	time.Sleep(300 * time.Millisecond)
+	f.store.Put("servers", oldest.ID, map[string]any{
+		"service": "app", "address": f.upstreamAddresses[edgeEngines+number-edgeApps], "zone": "z0", "slots": 16, "state": "draining", "born": oldest.Incarnation(),
+	})
+	time.Sleep(drainTime)
+	f.store.Drop("servers", oldest.ID)
+}
+
+func stopsRunTime(random *rand.Rand) time.Duration {
+	return []time.Duration{15, 100, 400, 900}[random.IntN(4)] * time.Millisecond
+}
+
+// TestFleetOfProcessesSoakOfStops stops nodes as planned, in series that overlap, beside changes of the configuration and
+// of the upstreams, while callers use open connections until the process is gone. What a node has read whole gets an answer.
+func TestFleetOfProcessesSoakOfStops(t *testing.T) {
+	first, last := soakSeeds(t)
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soakStops(t, seed) })
+	}
+}
+
+func soakStops(t *testing.T, seed uint64) {
+	f := startFleetOf(t, soakNodes(t), 2, false)
+	random := rand.New(rand.NewPCG(seed, 1))
+	for _, app := range f.apps {
+		app.Set(fleetengine.Knobs{RunTime: stopsRunTime(random)})
+	}
+	end := time.Now().Add(stopsSoakTime)
+	var group sync.WaitGroup
+	callers := make([]*stopCaller, max(stopsCallers, len(f.nodes)))
+	for i := range callers {
+		callers[i] = &stopCaller{fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i)))}
+		group.Go(func() { callers[i].run(end) })
+	}
+	var lanes [3][]int
+	for i := range f.nodes {
+		lanes[i%3] = append(lanes[i%3], i)
+	}
+	for lane, nodes := range lanes {
+		group.Go(func() { f.stopInTurn(t, nodes, rand.New(rand.NewPCG(seed, uint64(10+lane))), end.Add(-2*time.Second)) })
+	}
+	group.Wait()
+	for i := range f.nodes {
+		f.waitReady(i)
+	}
+	f.checkStops(t, callers)
+}
+
+// checkStops checks the end of each request against what the upstreams ran.
+func (f *edgeFleet) checkStops(t *testing.T, callers []*stopCaller) {
+	ran := map[string]int{}
+	for _, upstream := range append(slices.Clone(f.apps), f.engines...) {
+		for _, run := range upstream.Runs() {
+			ran[run.ID]++
+		}
+	}
+	complete, refused, crossed := 0, 0, 0
+	for _, caller := range callers {
+		for _, a := range caller.attempts {
+			runs, once := ran[a.id], a.kind == "book" || a.kind == "talk"
+			answered := a.err == nil && a.status != 0
+			broken := ""
+			switch {
+			case once && runs > 1:
+				broken = "TWICE"
+			case once && runs > 0 && answered && a.status == http.StatusServiceUnavailable:
+				broken = "REFUSED"
+			case answered && a.status == http.StatusOK:
+				complete++
+			case answered && a.status == http.StatusServiceUnavailable:
+				refused++
+			case answered && !once:
+				refused++
+			case runs > 0:
+				broken = "LOST after a run"
+			case a.written && a.endedAt.Sub(a.wholeAt) > lossSlack:
+				broken = "LOST without a run"
+			default:
+				crossed++
+			}
+			if broken != "" {
+				t.Errorf("%s: %s %s ran %d times, status %d, error %v, %v after its last byte", broken, a.kind, a.id, runs, a.status, a.err, a.endedAt.Sub(a.wholeAt))
+				f.traceRequest(t, a.id)
+			}
+		}
+	}
+	t.Logf("%d complete, %d refused or failed with an answer, %d crossed a close", complete, refused, crossed)
+	if complete < 20*len(callers) {
+		t.Errorf("only %d requests were served", complete)
+	}
+}
