--- a/test/processes/edge_grace_test.go
+++ b/test/processes/edge_grace_test.go
@@ -44,12 +44,19 @@
 		l.err = err
 		return
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err == nil {
-		l.status = response.StatusCode
-		_, err = io.Copy(io.Discard, response.Body)
+	l.status, _, l.err = readAnswer(bufio.NewReader(conn))
+	l.ended = time.Since(started)
+}
+
+// readAnswer reads an answer to its end. closes is true if the connection ends with it.
+func readAnswer(reader *bufio.Reader) (status int, closes bool, err error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0, true, err
 	}
-	l.err, l.ended = err, time.Since(started)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Close, err
 }
 
 // runs counts the runs of a request at all upstreams.
--- a/test/processes/edge_stops_test.go
+++ b/test/processes/edge_stops_test.go
@@ -124,13 +124,10 @@
 		return
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
-	response, err := http.ReadResponse(c.reader, nil)
-	if err == nil {
-		a.status = response.StatusCode
-		_, err = io.Copy(io.Discard, response.Body)
-	}
-	a.err, a.endedAt = err, time.Now()
-	if err != nil || response.Close {
+	closes := false
+	a.status, closes, a.err = readAnswer(c.reader)
+	a.endedAt = time.Now()
+	if a.err != nil || closes {
 		c.close()
 	}
 }
