exchange: a request that is not begun because the node ends says why in the log

The line gives the expected run and the time left, so that an operator can tell a short grace period from a slow route. No change of a decision; tests of the package green.

--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -126,7 +126,7 @@
 			return
 		}
 		if r.tooLateToBegin() {
-			r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonNodeShutdown, RetryAfter: config.RetryAfter})
+			r.failTooLate(ctx)
 			return
 		}
 		if wait := r.exchange.suspension.wait(config.Now()); wait > 0 {
--- a/exchange/shutdown.go
+++ b/exchange/shutdown.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeontiller/wigeontiller/drain"
 	"github.com/wigeontiller/wigeontiller/fleet"
+	"github.com/wigeontiller/wigeontiller/telemetry"
 )
 
 // shutdownState is what the exchange knows of the end of its node.
@@ -25,18 +26,24 @@
 	e.ending.begin()
 }
 
+// expectedRun returns how long the request's run is expected to take.
+func (r *requestHandler) expectedRun() time.Duration {
+	route := r.request.Route
+	stated := route.LatencyTarget
+	if route.Kind == fleet.Stream {
+		stated = max(stated, route.CallerTimeout)
+	}
+	return r.exchange.ending.runTimes.Expected(route.Name, stated)
+}
+
 // latestStart returns the time until which the request may be sent, and false if the node does not shut down.
 func (r *requestHandler) latestStart() (time.Time, bool) {
-	ending, route := &r.exchange.ending, r.request.Route
+	ending := &r.exchange.ending
 	if ending.begun.Err() == nil || r.begun.Load() {
 		return time.Time{}, false
 	}
-	isStream, stated := route.Kind == fleet.Stream, route.LatencyTarget
-	if isStream {
-		stated = max(stated, route.CallerTimeout)
-	}
 	plan := drain.Plan{Until: ending.until, StreamsClosed: r.exchange.streamsClosed.Load()}
-	return plan.LatestStart(isStream, ending.runTimes.Expected(route.Name, stated)), true
+	return plan.LatestStart(r.request.Route.Kind == fleet.Stream, r.expectedRun()), true
 }
 
 // tooLateToBegin reports whether the node would end before the request's run.
@@ -45,6 +52,14 @@
 	return ending && time.Now().After(latest)
 }
 
+// failTooLate refuses a request that the node would not live to answer.
+func (r *requestHandler) failTooLate(ctx context.Context) {
+	config := &r.exchange.config
+	config.Logger.Info().Str("request_id", r.request.ID).Str("route", r.request.Route.Name).Dur("expected_run_ms", r.expectedRun()).
+		Dur("left_ms", time.Until(r.exchange.ending.until)).Msg(telemetry.LogTooLateToBegin)
+	r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonNodeShutdown, RetryAfter: config.RetryAfter})
+}
+
 // untilLatestStart returns a context that ends when it is too late to send the request, so that it does not wait any
 // longer.
 func (r *requestHandler) untilLatestStart(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -29,5 +29,6 @@
 	LogLimitStated          = "upstream states a request limit"
 	LogReportFailed         = "engine does not report"
 	LogReportRecovered      = "engine reports again"
+	LogTooLateToBegin       = "request not begun, the node ends before"
 	LogStreamEndsTrusted    = "trust in unmarked stream ends changed"
 )
