exchange: tests of both rules over the hop

A node hands on the unmarked end that another node handed on, and resets one that broke off; a request that is too late is neither handed over nor taken from another node, which then asks a third.

--- a/exchange/shutdown_test.go
+++ b/exchange/shutdown_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -91,3 +92,22 @@
 	f.exchange.FailUnanswered()
 	group.Wait()
 }
+
+// The answer of another node would come back through this one; a node that was asked refuses, so that a third is.
+func TestLateRequestIsNotHandedOverNorTakenFromAnotherNode(t *testing.T) {
+	is := is.New(t)
+	f, peers := withPeers(t, servedByPeer)
+	f.exchange.ending.runTimes.Record("unsafe", 2*time.Second)
+	f.exchange.BeginShutdown(time.Now().Add(time.Second))
+	is.Equal(f.serve(t, f.request("unsafe")).failure.Reason, ReasonNodeShutdown)
+	is.Equal(len(peers.attempts), 0)
+	f = newFixture(t)
+	f.exchange.ending.runTimes.Record("unsafe", 2*time.Second)
+	f.exchange.BeginShutdown(time.Now().Add(time.Second))
+	request := f.request("unsafe")
+	request.HandedOver = true
+	got := f.serve(t, request)
+	is.Equal(got.failure.Code, Unavailable)
+	is.True(slices.Contains(handoverRefusals, got.failure.Reason))
+	is.Equal(len(f.sender.attempts), 0)
+}
--- a/exchange/unmarked_end_test.go
+++ b/exchange/unmarked_end_test.go
@@ -128,3 +128,15 @@
 	is.True(got.aborted)
 	is.Equal(len(f.sender.attempts), 2)
 }
+
+// The node that serves a handed-over request has looked at its upstream; the first node knows nothing of the service.
+func TestUnmarkedEndThatAnotherNodeHandsOnIsHandedOn(t *testing.T) {
+	is := is.New(t)
+	f, _ := withPeers(t, peerStep{attemptStep: closedAfter(1, 3)})
+	got := f.serve(t, f.request("stream"))
+	is.True(got.ended)
+	is.True(got.unmarked)
+	is.Equal(got.events, eventText(1, 3))
+	f, _ = withPeers(t, peerStep{attemptStep: attemptStep{status: 200, closeDelimited: true, body: eventText(1, 3), bodyErr: errReset}})
+	is.True(f.serve(t, f.request("stream")).aborted)
+}
