test/processes: runs that go on at the same time have ports of their own

Cause: each run of the tests began to give out ports at a number that follows from its process ID, so that runs that were started together gave out the same ones.

Change: a run holds the first port of a block of a thousand until its end.

--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -122,25 +122,42 @@
 	// outgoing connection could take an address before its process listens.
 	firstPort = 20_000
 	lastPort  = 30_000
+	// portsPerRun is the number of ports of one run of the tests. Several runs may go on at a time.
+	portsPerRun = 1_000
 )
 
-var (
-	// portMutex guards previousPort, the port that was given out last.
-	portMutex    sync.Mutex
-	previousPort = firstPort + os.Getpid()%(lastPort-firstPort)
-)
+// ports are those of this run. The first is held by a listener until its end, so that no other run takes them.
+var ports struct {
+	mutex                 sync.Mutex
+	held                  net.Listener
+	first, previous, last int
+}
 
-// freeAddress returns a free loopback address, a different one at each call.
+// claimPorts holds the first block of ports that no other run holds.
+func claimPorts(t *testing.T) {
+	for first := firstPort; first < lastPort; first += portsPerRun {
+		if listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			ports.held = listener
+			ports.first, ports.previous, ports.last = first, first, first+portsPerRun
+			return
+		}
+	}
+	t.Fatal("no free block of ports")
+}
+
+// freeAddress returns a free loopback address. It is given out again only after all others of this run.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	portMutex.Lock()
-	defer portMutex.Unlock()
-	for range lastPort - firstPort {
-		previousPort++
-		if previousPort >= lastPort {
-			previousPort = firstPort
+	ports.mutex.Lock()
+	defer ports.mutex.Unlock()
+	if ports.held == nil {
+		claimPorts(t)
+	}
+	for range portsPerRun {
+		if ports.previous++; ports.previous == ports.last {
+			ports.previous = ports.first + 1
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", previousPort)
+		address := fmt.Sprintf("127.0.0.1:%d", ports.previous)
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = listener.Close()
