exchange: log late arrivals of retries, and requests that the end of the process cuts

Change: requestArrivals counts the attempts of a request that may still arrive, openAttempts by what it becomes known that they have: an answer, a later answer of the same process, another process in its place, or the time. A retry that is known late has a line. The error of a connection that timed out is told apart from one that the upstream closed. explain names the cut by the node's end.

--- a/edge/node.go
+++ b/edge/node.go
@@ -318,7 +318,7 @@
 		n.drain()
 	case err = <-failed:
 	}
-	shutDownServers(servers)
+	shutDownServers(servers, sync.OnceFunc(n.exchange.LogCutRequests))
 	stop()
 	group.Wait()
 	n.logger.Info().Err(err).Msg(telemetry.LogNodeStopped)
@@ -326,14 +326,15 @@
 }
 
 // shutDownServers lets requests that were read at the very end get their responses, for
-// at most shutdownTimeout, and then closes all connections.
-func shutDownServers(servers []*http.Server) {
+// at most shutdownTimeout, and then closes all connections. beforeClose is called if there are any.
+func shutDownServers(servers []*http.Server, beforeClose func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	var group sync.WaitGroup
 	for _, server := range servers {
 		group.Go(func() {
 			if server.Shutdown(ctx) != nil {
+				beforeClose()
 				// The end of the process would cut the remaining connections anyway.
 				_ = server.Close()
 			}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -37,6 +37,9 @@
 	ErrNotPermitted = eris.New("attempt no longer permitted")
 	// ErrIncomplete means that the attempt may have run and has no complete response.
 	ErrIncomplete = eris.New("attempt broken off")
+	// ErrTimedOut means the same, because the upstream's machine did not confirm that it still has the connection. What it
+	// has received may be read later.
+	ErrTimedOut = eris.New("connection timed out")
 )
 
 // Request is one request as received from a caller.
@@ -143,7 +146,7 @@
 	Abort()
 }
 
-// Sender sends attempts to upstreams. Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete.
+// Sender sends attempts to upstreams. Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete, ErrTimedOut.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Reply, error)
 	// HasEnded reports whether an upstream's process is known to have ended: its address refuses
@@ -229,8 +232,10 @@
 
 // Exchange serves requests. It is safe for concurrent use.
 type Exchange struct {
-	config   Config
-	inFlight inFlightBytes
+	config       Config
+	inFlight     inFlightBytes
+	openAttempts openAttempts
+	openRequests openRequests
 	// streamsClosed is true when new streams could not end before the node shuts down.
 	streamsClosed atomic.Bool
 	// shutdown is canceled when responses that have not begun could not complete before
@@ -289,6 +294,7 @@
 		// The function above runs in the background.
 		end(errShutdown)
 	}
+	defer e.openRequests.add(handler)()
 	defer e.log(handler)
 	defer handler.writer.close()
 	defer handler.returnRetry()
@@ -301,7 +307,9 @@
 		// A node of an earlier version does not say what the request has left.
 		rules.MaxExecutions = max(1, request.MaxExecutions)
 	}
-	r := &requestHandler{exchange: e, request: request, history: retry.NewHistory(rules), lastEventNumber: request.After}
+	r := &requestHandler{
+		exchange: e, request: request, history: retry.NewHistory(rules), lastEventNumber: request.After, arrivals: &requestArrivals{},
+	}
 	r.features = append(request.partFeatures(), request.Identity.Features()...)
 	r.writer = &singleResponse{ResponseWriter: writer, handler: r}
 	return r
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -53,7 +53,7 @@
 	// Check finds out whether it does, because of a failure, and waits for that until the context ends.
 	Check(ctx context.Context, service string)
 	// Send hands the request to a node that is not in tried and returns its name. Errors: ErrNoPeer,
-	// ErrNotSent, ErrNotPermitted, ErrIncomplete.
+	// ErrNotSent, ErrNotPermitted, ErrIncomplete, ErrTimedOut.
 	Send(ctx context.Context, attempt *Attempt, tried []string) (reply PeerReply, node string, err error)
 	// Refused records that a node could not take a request.
 	Refused(node string)
@@ -130,13 +130,14 @@
 		Key: key, Request: r.request, Deadline: r.request.Deadline, After: r.lastEventNumber, AtMostOnce: !r.request.Route.Repeatable(), Resend: r.history.Attempts() > 1,
 		MaxExecutions: r.history.Grant(),
 		Permitted: func() bool {
-			return r.wanted(watch.ctx) && !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
+			permitted := r.wanted(watch.ctx) && !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && !r.blockedBeforeSend()
+			if permitted {
+				r.beginSend(&fleet.Upstream{ID: key})
+			}
+			return permitted
 		},
 	}, slices.Concat(r.triedPeers, r.failedPeers))
-	if err == nil || errors.Is(err, ErrIncomplete) {
-		// The other node may have sent it at any time until now.
-		r.retrySent()
-	}
+	r.endSendToPeer(reply, err, watch)
 	event := config.Logger.Info().Str("request_id", r.request.ID).Str("request_digest", r.request.Identity.String()).Str("service", r.service).
 		Str("peer", node).Bool("cut_off", r.cutOff()).Int64("after", r.lastEventNumber).Dur("waited_ms", time.Since(r.request.Arrived)).
 		Int("attempt", r.history.Attempts()).Int("may_have_run", r.history.PossibleExecutions()).Dur("retry_waited_ms", r.retryWait())
@@ -215,13 +216,19 @@
 	}
 }
 
+// maySend reports whether a node that answered with a failure may have sent the request.
+func maySend(reply PeerReply, failure *Failure) bool {
+	attempts, _, stated := reply.Attempts()
+	return !slices.Contains(unsentReasons, failure.Reason) && (!stated || attempts > 0)
+}
+
 // unsentReasons are the reasons of failures before a node's first attempt.
 var unsentReasons = []string{ReasonCutOff, ReasonBehind, ReasonUnknownNode, ReasonNoView}
 
 // recordPeerFailure is recordPeerExecutions for a failure response that the other node generated. For a request that may be
 // repeated its code says nothing of runs. It reports whether that node may have sent the request.
 func (r *requestHandler) recordPeerFailure(reply PeerReply, failure *Failure) (sent bool) {
-	attempts, mayHaveRun, stated := reply.Attempts()
+	_, mayHaveRun, stated := reply.Attempts()
 	if slices.Contains(unsentReasons, failure.Reason) {
 		return false
 	}
@@ -236,7 +243,7 @@
 	default:
 		r.history.RecordAllMayHaveRun()
 	}
-	return !stated || attempts > 0
+	return maySend(reply, failure)
 }
 
 // newPeerWatchdog is newWatchdog for a request that another node serves.
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -76,6 +76,9 @@
 	// from the budget.
 	retryGranted bool
 	retryTaken   time.Time
+	// arrivals counts the attempts that may still arrive, and sent is the one that is being written or waits for an answer.
+	arrivals *requestArrivals
+	sent     *sentAttempt
 	// retryReserved is the decision by which the watchdog took a retry before it gave up an attempt.
 	retryReserved atomic.Pointer[RetryDecision]
 	// crowded counts the upstreams that had no room for the body.
@@ -219,7 +222,7 @@
 		Permitted: func() bool {
 			permitted := r.wanted(ctx) && !r.exchange.stale() && r.exchange.suspension.wait(config.Now()) == 0 && config.Scheduler.InService(decision) && !r.blockedBeforeSend()
 			if permitted {
-				r.retrySent()
+				r.beginSend(decision.Lead)
 			}
 			return permitted
 		},
@@ -238,6 +241,7 @@
 	config.Metrics.Attempt()
 	r.beginAttempt()
 	reply, err := config.Sender.Send(watch.ctx, attempt)
+	r.endSend(err, watch)
 	if err != nil {
 		return r.onSendError(ctx, decision, err, watch)
 	}
--- a/exchange/shutdown.go
+++ b/exchange/shutdown.go
@@ -11,10 +11,11 @@
 
 // shutdownState is what the exchange knows of the end of its node.
 type shutdownState struct {
-	// begun is canceled when the node begins to shut down, which sets until before.
+	// begun is canceled when the node begins to shut down, which sets begunAt and until before.
 	begun context.Context
 	begin context.CancelFunc
-	until time.Time
+	// begunAt is when that was, and until when requests without an answer are given up.
+	begunAt, until time.Time
 	// runTimes are those of whole answers, by route.
 	runTimes drain.RunTimes
 }
@@ -22,10 +23,18 @@
 // BeginShutdown tells the exchange that requests without an answer are given up at a time. What would not end by then is
 // refused from now on while it has not run. It is called once.
 func (e *Exchange) BeginShutdown(until time.Time) {
-	e.ending.until = until
+	e.ending.begunAt, e.ending.until = time.Now(), until
 	e.ending.begin()
 }
 
+// sinceStop returns the time since the node began to shut down, or 0 before.
+func (s *shutdownState) sinceStop() time.Duration {
+	if s.begun.Err() == nil {
+		return 0
+	}
+	return time.Since(s.begunAt)
+}
+
 // expectedRun returns how long the request's run is expected to take.
 func (r *requestHandler) expectedRun() time.Duration {
 	route := r.request.Route
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -47,6 +47,7 @@
 		}
 		if number != 0 || events.hasData {
 			watch.recordEvent()
+			r.heardEvent(decision.Lead)
 			r.recordEvent()
 			r.contradictUnmarkedEnd()
 		}
--- a/exchange/suspension.go
+++ b/exchange/suspension.go
@@ -58,4 +58,7 @@
 }
 
 // Tick tells the exchange that the process runs; it is called each TickInterval.
-func (e *Exchange) Tick() { e.suspension.tick(e.config.Now()) }
+func (e *Exchange) Tick() {
+	e.suspension.tick(e.config.Now())
+	e.settle(e.openAttempts.expire(e.config.Scheduler.now()))
+}
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -41,6 +41,9 @@
 
 // causeWithoutEnd explains a request for which no end was logged.
 func (l *Log) causeWithoutEnd(lines []Line) string {
+	if cut := lastLine(lines, telemetry.LogRequestCut); cut != nil {
+		return fmt.Sprintf("its node ended %v after the signal to stop, and cut it; %s", rounded(cut.Millis("since_stop_ms")), l.attemptState(lines))
+	}
 	if ends := lastLine(lines, telemetry.LogNodeStopped); ends != nil {
 		return "its node ended before it had an answer; " + l.attemptState(lines)
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -52,6 +52,9 @@
 		"not admitted, unknown route in stale view": {[]string{
 			line("n1", 7000, "request not admitted", `"request_id":"r1","outcome":"unavailable","reason":"no_route_unsure","beliefs_age_ms":3000`),
 		}, "unknown, to a node whose knowledge was 3s old"},
+		"cut by the node's end": {[]string{
+			first, line("n1", 9000, "request cut, the node ends", `"request_id":"r1","since_stop_ms":5500`),
+		}, "its node ended 5.5s after the signal to stop, and cut it; its attempt at u1 was under way"},
 		"busy":               {[]string{ended(1000, `"outcome":"overloaded","reason":"busy"`)}, "the engines read too much"},
 		"waited too long":    {[]string{ended(9000, `"outcome":"overloaded","reason":"too_late","taken_ms":8000`)}, "waited 8s"},
 		"request blocked":    {[]string{first, failed(1010, "unexpected EOF", 200), ended(1011, `"outcome":"upstream_failed","reason":"request_blocked","attempts":1`)}, "upstreams end when they run it"},
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -32,5 +32,7 @@
 	LogTooLateToBegin       = "request not begun, the node ends before"
 	LogSilentUpstreamKept   = "upstream is silent, no retry is left"
 	LogRetryDecided         = "retry decided"
+	LogRetryArrivedLate     = "retry arrived late"
+	LogRequestCut           = "request cut, the node ends"
 	LogStreamEndsTrusted    = "trust in unmarked stream ends changed"
 )
--- a/upstream/directhttp/exchange.go
+++ b/upstream/directhttp/exchange.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -66,7 +67,7 @@
 
 // Send writes the request and returns when the header of its response has arrived.
 // The context bounds the whole exchange: when it ends, the connection is closed.
-// Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete.
+// Errors: ErrNotSent, ErrNotPermitted, ErrIncomplete, ErrTimedOut.
 func (p *Pool) Send(ctx context.Context, conn *Conn, request *Request) (*Reply, error) {
 	if request.MayWrite != nil && !request.MayWrite() {
 		_ = conn.Close()
@@ -86,6 +87,9 @@
 	if err != nil {
 		stop()
 		_ = conn.Close()
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			return nil, eris.Wrap(ErrTimedOut, err.Error())
+		}
 		return nil, eris.Wrap(ErrIncomplete, err.Error())
 	}
 	reply := &Reply{
--- a/upstream/directhttp/pool.go
+++ b/upstream/directhttp/pool.go
@@ -31,6 +31,8 @@
 	ErrNotPermitted = eris.New("request no longer permitted")
 	// ErrIncomplete is returned when bytes were sent and no complete response arrived.
 	ErrIncomplete = eris.New("exchange interrupted before a complete response")
+	// ErrTimedOut is returned when bytes were sent and the peer's machine confirmed no more that it has the connection.
+	ErrTimedOut = eris.New("connection timed out after the request was sent")
 )
 
 const (
