--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -84,6 +84,7 @@
 	DownTime  time.Duration
 	OnRestart func()
 
+	suspension     suspension
 	mutex          sync.Mutex
 	server         *Server
 	crashes        int
--- a/standin/fleetengine/server.go
+++ b/standin/fleetengine/server.go
@@ -41,7 +41,9 @@
 	s.http = server
 	s.mutex.Unlock()
 	// The error is that of the listener's end.
-	go func() { _ = server.Serve(listener) }()
+	go func() {
+		_ = server.Serve(&suspendedListener{Listener: listener, suspension: &s.engine.suspension})
+	}()
 }
 
 // stop closes the listener and all connections.
@@ -75,5 +77,6 @@
 	s.mutex.Lock()
 	s.isClosed = true
 	s.mutex.Unlock()
+	s.engine.Resume()
 	s.stop()
 }
--- /dev/null
+++ b/test/processes/edge_silence_test.go
@@ -0,0 +1,54 @@
+package processes
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/standin/fleetengine"
+)
+
+// TestFleetOfProcessesKeepsStreamsOfSilentUpstreams guards against streams that are taken from a silent upstream, which would have
+// gone on, for one that fails.
+func TestFleetOfProcessesKeepsStreamsOfSilentUpstreams(t *testing.T) {
+	first, last := soakSeeds(t)
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soakSilence(t, seed) })
+	}
+}
+
+func soakSilence(t *testing.T, seed uint64) {
+	const (
+		length, stopAt           = 24 * time.Second, 10 * time.Second
+		callersPerNode           = 8
+		silentShare, failingOnes = 0.4, 4
+		// A stream of 2 s that is silent for 2 s again and again ends in this time.
+		timeoutMs = 15_000
+	)
+	f := newEdgeFleet(t, 2, false)
+	f.retryExtra, f.eventInterval, f.timeoutMs = 4, 250*time.Millisecond, timeoutMs
+	f.start(soakNodes(t))
+	for _, engine := range f.engines[:failingOnes] {
+		engine.Set(fleetengine.Knobs{Status: http.StatusInternalServerError})
+	}
+	end := time.Now().Add(length)
+	var group sync.WaitGroup
+	callers := make([]*stopCaller, callersPerNode*len(f.nodes))
+	for i := range callers {
+		callers[i] = &stopCaller{
+			fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i))), kinds: []string{"chat", "talk"}, deadlineMs: timeoutMs,
+		}
+		group.Go(func() { callers[i].run(end) })
+	}
+	group.Go(func() {
+		f.suspendUpstreams(rand.New(rand.NewPCG(seed, 1)), silentShare, 500*time.Millisecond, 2*time.Second, end)
+	})
+	time.Sleep(stopAt)
+	f.restart(0, syscall.SIGTERM)
+	group.Wait()
+	f.checkLoss(t, callers, http.StatusInternalServerError)
+}
