exchange: a retry counts until it is known to have arrived

The rule counts arrivals. Upstreams that stand still read what they were sent over seconds at once, and a first attempt that was given up as silent is then the arrival beyond the first. Class: a limit on what others see, kept by what this process does.

Why this works: a retry of which it is not known that it has arrived counts in every window, and is put into the one in which that becomes known; its arrival lies between. In any window the last retry was granted while all others that can arrive there were counted.

The model now plays arrivals with the type that the handler uses, first attempts included.

--- a/exchange/arrivals_handler.go
+++ b/exchange/arrivals_handler.go
@@ -12,9 +12,8 @@
 	if r.sent != nil {
 		return
 	}
-	retry := r.retryGranted
-	r.retrySent()
-	r.arrivals.send(retry)
+	r.arrivals.send(r.retryGranted)
+	r.retryGranted = false
 	r.sent = &sentAttempt{
 		arrivals: r.arrivals, request: r.request.ID, service: r.service, upstream: upstream, sentAt: r.exchange.config.Scheduler.now(),
 	}
@@ -60,13 +59,17 @@
 	}
 }
 
-// settle records that attempts have arrived.
+// settle records that attempts have arrived, and the retries with them in the retry budget.
 func (e *Exchange) settle(settled []settlement) {
 	now := e.config.Scheduler.now()
 	for _, s := range settled {
 		a := s.attempt
 		retries, delay := a.arrivals.settle(), now-a.sentAt
-		if retries == 0 || delay < lateArrivalDelay {
+		if retries == 0 {
+			continue
+		}
+		e.config.Retries.Arrived(now, a.service, retries)
+		if delay < lateArrivalDelay {
 			continue
 		}
 		e.config.Logger.Info().Str("request_id", a.request).Str("service", a.service).Str("upstream", a.upstream.ID).Int("retries", retries).
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -244,7 +244,7 @@
 	var now time.Duration
 	spend := func() (spent int) {
 		for budget.Take(now, "s").Granted {
-			budget.Sent(now, "s")
+			budget.Arrived(now, "s", 1)
 			spent++
 		}
 		return spent
--- a/exchange/retries.go
+++ b/exchange/retries.go
@@ -36,13 +36,13 @@
 	}
 	config := &r.exchange.config
 	if reserved := r.retryReserved.Swap(nil); reserved != nil {
-		r.retrySent()
+		r.useRetryUp()
 		r.recordRetryDecision(reserved)
 		r.retryGranted, r.retryTaken = true, time.Now()
 		return true
 	}
 	// An attempt that failed without being sent uses its retry up, so that the number of such attempts is bounded too.
-	r.retrySent()
+	r.useRetryUp()
 	decision := config.Retries.Take(config.Scheduler.now(), r.service)
 	r.recordRetryDecision(&decision)
 	if !decision.Granted {
@@ -67,11 +67,11 @@
 	return decision.Granted
 }
 
-// retrySent records that the retry that the request holds, if any, is sent.
-func (r *requestHandler) retrySent() {
+// useRetryUp counts the retry that the request holds, if any, although it was not sent.
+func (r *requestHandler) useRetryUp() {
 	if r.retryGranted {
 		r.retryGranted = false
-		r.exchange.config.Retries.Sent(r.exchange.config.Scheduler.now(), r.service)
+		r.exchange.config.Retries.Arrived(r.exchange.config.Scheduler.now(), r.service, 1)
 	}
 }
 
@@ -95,9 +95,10 @@
 	}
 	config.Metrics.Count(fmt.Sprintf("wigeontiller_retries_total{decision=%q}", name), 1)
 	config.Metrics.Gauge(fmt.Sprintf("wigeontiller_retries_in_window{service=%q}", r.service), int64(decision.Retries))
+	config.Metrics.Gauge(fmt.Sprintf("wigeontiller_retries_pending{service=%q}", r.service), int64(decision.Pending))
 	config.Metrics.Gauge(fmt.Sprintf("wigeontiller_retries_allowed{service=%q}", r.service), int64(decision.Allowed))
 	config.Logger.Info().Str("request_id", r.request.ID).Str("service", r.service).Bool("granted", decision.Granted).
-		Float64("retries", decision.Retries).Float64("requests", decision.Requests).Float64("allowed", decision.Allowed).
+		Float64("retries", decision.Retries).Float64("pending", decision.Pending).Float64("requests", decision.Requests).Float64("allowed", decision.Allowed).
 		Int("nodes", decision.Nodes).Int("attempts", r.history.Attempts()).Int("may_have_run", r.history.PossibleExecutions()).
 		Msg(telemetry.LogRetryDecided)
 }
--- a/exchange/retries_test.go
+++ b/exchange/retries_test.go
@@ -8,8 +8,9 @@
 	"github.com/matryer/is"
 )
 
-// retriesIn returns the retries of a service that the budget counts for a window that ends now.
-func (f *fixture) retriesIn(window time.Duration, service string) (sent, granted float64) {
+// retriesIn returns the retries of a service that the budget counts for a window that ends now: those that have arrived, and those
+// that may.
+func (f *fixture) retriesIn(window time.Duration, service string) (arrived, pending float64) {
 	budget := f.exchange.config.Retries
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
@@ -17,9 +18,9 @@
 	w := budget.window(service)
 	for i := range int64(window / budget.bucketLength()) {
 		_, retries := w.counts(step - i)
-		sent += retries
+		arrived += retries
 	}
-	return sent, w.granted
+	return arrived, w.pending
 }
 
 // requestsCounted returns the requests of a service that the budget counts for a window that ends now.
--- a/exchange/retry_budget.go
+++ b/exchange/retry_budget.go
@@ -30,7 +30,7 @@
 	// requestBuckets is the number of buckets before and after a window's start in which its requests are counted: half a
 	// window, but for the bucket in which the window starts.
 	requestBuckets = windowBuckets/2 - 1
-	// arrivalBuckets bounds the time from the send of a retry to its arrival.
+	// arrivalBuckets bounds the time in which what has shown that a process reads has also shown an arrival there.
 	arrivalBuckets = 1
 	keptBuckets    = windowBuckets + requestBuckets + arrivalBuckets + 1
 )
@@ -39,8 +39,9 @@
 type window struct {
 	requests, retries [keptBuckets]float64
 	steps             [keptBuckets]int64
-	// granted counts the retries that were taken and neither sent nor returned. They may be sent in any later window.
-	granted float64
+	// pending counts the retries that were taken, and neither returned nor known to have arrived. They may arrive in any later
+	// window.
+	pending float64
 }
 
 func (w *window) bucket(step int64) int {
@@ -92,15 +93,15 @@
 // RetryDecision says whether a retry may be sent, and from what that follows.
 type RetryDecision struct {
 	Granted bool
-	// Retries is what this node has sent since the start of the window that has least room, and what it has granted and
-	// not sent, Requests what it counts for that window, and Allowed the most retries that it may send in it.
-	Retries, Requests, Allowed float64
+	// Retries is what may have arrived since the start of the window that has least room, or may arrive, of which Pending are not
+	// known to have arrived. Requests is what this node counts for that window, and Allowed the most retries that may arrive in it.
+	Retries, Pending, Requests, Allowed float64
 	// Nodes is the number of nodes that share RetryBudget.Extra.
 	Nodes int
 }
 
-// Take takes one retry from the budget if there is one left in each window that the retry may be sent in. The
-// caller calls Sent or Return for each retry that was granted. A window's requests are
+// Take takes one retry from the budget if there is one left in each window that the retry may arrive in. The
+// caller calls Arrived or Return for each retry that was granted. A window's requests are
 // those from half a window before its start to half a window after it, alike at all nodes: if each node
 // chose the span in which it had most, the sum would exceed the ratio of the fleet's requests.
 func (b *RetryBudget) Take(now time.Duration, service string) RetryDecision {
@@ -109,25 +110,25 @@
 	w, step := b.window(service), b.step(now)
 	decision := b.tightest(w, step)
 	if decision.Granted = decision.Retries+1 <= decision.Allowed; decision.Granted {
-		w.granted++
+		w.pending++
 	}
 	return decision
 }
 
-// Sent records that a retry that was granted is sent.
-func (b *RetryBudget) Sent(now time.Duration, service string) {
+// Arrived records that retries that were granted are known to have arrived, at any time until now, or that they never will.
+func (b *RetryBudget) Arrived(now time.Duration, service string, retries int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	w := b.window(service)
-	w.granted--
-	w.retries[w.bucket(b.step(now))]++
+	w.pending -= float64(retries)
+	w.retries[w.bucket(b.step(now))] += float64(retries)
 }
 
 // Return gives back a retry that was granted and will not be sent.
 func (b *RetryBudget) Return(service string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.window(service).granted--
+	b.window(service).pending--
 }
 
 // tightest returns the window with least room of those that the step is part of; the mutex is held.
@@ -140,16 +141,16 @@
 		earned[i+1] = earned[i] + requests
 	}
 	extra := b.Extra / float64(max(1, b.nodes))
-	retries := w.granted
+	retries := w.pending
 	for i := range int64(arrivalBuckets) {
-		_, sent := w.counts(step - i)
-		retries += sent
+		_, arrived := w.counts(step - i)
+		retries += arrived
 	}
 	var tightest RetryDecision
 	for age := range int64(windowBuckets + 1) {
 		start := step - age
-		_, sent := w.counts(start - arrivalBuckets)
-		retries += sent
+		_, arrived := w.counts(start - arrivalBuckets)
+		retries += arrived
 		first, last := oldest-age-requestBuckets, oldest-age+requestBuckets
 		requests := earned[min(oldest, last)+1] - earned[first]
 		allowed := b.Ratio * requests
@@ -157,7 +158,7 @@
 			allowed += extra
 		}
 		if age == 0 || allowed-retries < tightest.Allowed-tightest.Retries {
-			tightest = RetryDecision{Retries: retries, Requests: requests, Allowed: allowed, Nodes: max(1, b.nodes)}
+			tightest = RetryDecision{Retries: retries, Pending: w.pending, Requests: requests, Allowed: allowed, Nodes: max(1, b.nodes)}
 		}
 	}
 	return tightest
--- a/exchange/retry_budget_model_test.go
+++ b/exchange/retry_budget_model_test.go
@@ -20,6 +20,8 @@
 	// modelContact is the time within which nodes in contact know of each other.
 	modelContact = 4 * time.Second
 	modelService = "s"
+	// suspendedShare is the share of the upstreams that are suspended together.
+	suspendedShare = 0.7
 )
 
 // budgetModel plays nodes that share a retry budget in virtual time, without a network.
@@ -29,8 +31,12 @@
 	extra  float64
 	nodes  []*modelNode
 	events modelEvents
-	// requests and repeats are the times at which callers sent requests, and at which sends beyond the first arrived.
+	// requests and repeats are the times at which callers sent requests, and at which attempts arrived after the first of their request.
 	requests, repeats []time.Duration
+	// repeated are the requests that reached a node that runs.
+	repeated []*modelRequest
+	// suspensions are when most upstreams stand still.
+	suspensions []modelSpan
 	// failing is the share of the attempts that fail.
 	failing float64
 	// queueTime bounds how long a retry waits before it is sent.
@@ -39,6 +45,8 @@
 	burstFrom, burstTo time.Duration
 }
 
+type modelSpan struct{ from, to time.Duration }
+
 type modelNode struct {
 	budget *RetryBudget
 	// life changes when the process is killed: what waits in it is lost.
@@ -111,6 +119,12 @@
 	})
 }
 
+// modelRequest is a caller's request with the times at which its attempts arrive.
+type modelRequest struct {
+	arrivals requestArrivals
+	times    []time.Duration
+}
+
 // arrive lets a caller send a request to a node.
 func (m *budgetModel) arrive() {
 	m.requests = append(m.requests, m.now)
@@ -120,17 +134,37 @@
 		if m.now-sent <= pausedAfter {
 			node.budget.RecordRequest(m.now, modelService)
 		}
-		m.afterAttempt(node, m.now, 1)
+		request := &modelRequest{}
+		m.repeated = append(m.repeated, request)
+		m.send(node, request, false)
 	})
 }
 
-// afterAttempt lets an attempt that arrives at a time fail, and repeats it if the budget allows it.
-func (m *budgetModel) afterAttempt(node *modelNode, arrival time.Duration, attempts int) {
-	const maxAttempts = 4
-	if m.random.Float64() >= m.failing || attempts == maxAttempts {
+// arrivalOf returns when an attempt that is sent now is read by its upstream.
+func (m *budgetModel) arrivalOf() time.Duration {
+	for _, s := range m.suspensions {
+		if s.from <= m.now && m.now < s.to && m.random.Float64() < suspendedShare {
+			return s.to + m.between(0, modelMaxLatency)
+		}
+	}
+	return m.now + m.between(0, modelMaxLatency)
+}
+
+// send sends an attempt. The node learns of its arrival by the answer, or by another answer of the same process if it has given the
+// attempt up, but waits for that no longer than a window.
+func (m *budgetModel) send(node *modelNode, request *modelRequest, retry bool) {
+	const maxAttempts, patience = 4, 400 * time.Millisecond
+	request.arrivals.send(retry)
+	arrival := m.arrivalOf()
+	request.times = append(request.times, arrival)
+	answer, givenUp := arrival+m.between(0, modelMaxLatency), m.now+patience
+	m.atNode(node, min(answer, givenUp+modelWindow), func() {
+		node.budget.Arrived(m.now, modelService, request.arrivals.settle())
+	})
+	if answer <= givenUp && m.random.Float64() >= m.failing || len(request.times) == maxAttempts {
 		return
 	}
-	m.atNode(node, arrival+m.between(0, modelMaxLatency), func() {
+	m.atNode(node, min(answer, givenUp), func() {
 		if !node.budget.Take(m.now, modelService).Granted {
 			return
 		}
@@ -139,10 +173,7 @@
 				node.budget.Return(modelService)
 				return
 			}
-			node.budget.Sent(m.now, modelService)
-			arrival := m.now + m.between(0, modelMaxLatency)
-			m.repeats = append(m.repeats, arrival)
-			m.afterAttempt(node, arrival, attempts+1)
+			m.send(node, request, true)
 		})
 	})
 }
@@ -163,6 +194,10 @@
 		m.now = event.at
 		event.run()
 	}
+	for _, request := range m.repeated {
+		slices.Sort(request.times)
+		m.repeats = append(m.repeats, request.times[1:]...)
+	}
 }
 
 func countWithin(times []time.Duration, from, to time.Duration) int {
@@ -258,18 +293,28 @@
 	m.burstTo = m.burstFrom + m.between(time.Second, 10*time.Second)
 }
 
+func (m *budgetModel) suspendUpstreams() {
+	for at := m.between(5*time.Second, 15*time.Second); at < modelLength; {
+		span := modelSpan{from: at, to: at + m.between(500*time.Millisecond, 4*time.Second)}
+		m.suspensions = append(m.suspensions, span)
+		at = span.to + m.between(100*time.Millisecond, 3*time.Second)
+	}
+}
+
 // TestRetriesOfAllNodesStayWithinTheBudget guards against retries that exceed the budget of the fleet in some window.
 func TestRetriesOfAllNodesStayWithinTheBudget(t *testing.T) {
 	type plan = func(m *budgetModel)
 	for name, plans := range map[string][]plan{
-		"calm_nodes":          {},
-		"burst":               {(*budgetModel).addBurst},
-		"all_killed":          {(*budgetModel).killAll},
-		"some_killed_often":   {(*budgetModel).killInSeries},
-		"retries_wait":        {(*budgetModel).queueRetries},
-		"some_frozen":         {(*budgetModel).freezeSome},
-		"nodes_added":         {(*budgetModel).addNodes},
-		"several_disruptions": {(*budgetModel).addBurst, (*budgetModel).killAll, (*budgetModel).killInSeries, (*budgetModel).queueRetries, (*budgetModel).freezeSome, (*budgetModel).addNodes},
+		"calm_nodes":           {},
+		"burst":                {(*budgetModel).addBurst},
+		"all_killed":           {(*budgetModel).killAll},
+		"some_killed_often":    {(*budgetModel).killInSeries},
+		"retries_wait":         {(*budgetModel).queueRetries},
+		"some_frozen":          {(*budgetModel).freezeSome},
+		"nodes_added":          {(*budgetModel).addNodes},
+		"upstreams_read_late":  {(*budgetModel).suspendUpstreams},
+		"read_late_and_killed": {(*budgetModel).suspendUpstreams, (*budgetModel).killAll, (*budgetModel).killInSeries, (*budgetModel).queueRetries},
+		"several_disruptions":  {(*budgetModel).addBurst, (*budgetModel).killAll, (*budgetModel).killInSeries, (*budgetModel).queueRetries, (*budgetModel).freezeSome, (*budgetModel).addNodes, (*budgetModel).suspendUpstreams},
 	} {
 		for _, nodes := range []int{1, 7, 36, 295} {
 			t.Run(fmt.Sprintf("%s/%d", name, nodes), func(t *testing.T) {
