exchange: a silent stream stays open until another upstream has its next event

Why this works: the second attempt runs beside the first. Whichever has the next event, or the end, serves the request alone; that is decided under one lock before anything is written, so that no event is missing or comes twice. A second attempt that fails leaves the stream as it was.

TestStreamIsWholeWhicheverUpstreamGoesOnFirst plays the race with the race detector.

Ruled out: going back to the silent upstream by a third attempt (maxAttempts is 2); waiting without a limit (upstreams that are dead for good).

--- a/exchange/attempt_outcome.go
+++ b/exchange/attempt_outcome.go
@@ -17,6 +17,9 @@
 		// The next placement is by the current view, or finds that it is too old.
 		r.exchange.config.Scheduler.End(decision.ID, placement.Neutral, "")
 		r.logFailedAttempt(decision, err.Error(), 0)
+		if watch.endStandby() {
+			return actionDone
+		}
 		return actionRetry
 	}
 	outcome := placement.Unresponsive
@@ -29,6 +32,9 @@
 	if errors.Is(err, ErrNotSent) {
 		r.reason = ReasonUnreachable
 		r.handOverNext = ctx.Err() == nil && time.Since(r.attemptSent) >= hungDialTime
+		if watch.endStandby() {
+			return actionDone
+		}
 		if ctx.Err() == nil && r.checkReach(ctx) {
 			return actionRetry
 		}
--- a/exchange/handover.go
+++ b/exchange/handover.go
@@ -105,9 +105,16 @@
 		}
 		decision := &placement.Decision{ID: r.exchange.keys.next(), Lead: &fleet.Upstream{}}
 		watch := r.newPeerWatchdog(ctx, decision)
+		watch.beginWait()
 		reply, node, err := r.sendToPeer(decision.ID, watch)
+		superseded := watch.endWait(false)
 		watch.setPeer(node)
-		action, taken := r.afterHandover(ctx, decision, reply, err, watch)
+		action, taken := actionDone, true
+		if superseded {
+			r.superseded(ctx, decision, reply, watch)
+		} else {
+			action, taken = r.afterHandover(ctx, decision, reply, err, watch)
+		}
 		watch.stop()
 		if errors.Is(err, ErrNoPeer) && len(r.failedPeers) > 0 {
 			r.failedPeers = nil
@@ -154,6 +161,8 @@
 func (r *requestHandler) afterHandover(ctx context.Context, decision *placement.Decision, reply PeerReply, err error, watch *watchdog) (nextAction, bool) {
 	defer r.stopBlockWatch()
 	switch {
+	case err != nil && watch.endStandby():
+		return actionDone, true
 	case errors.Is(err, ErrNoPeer), errors.Is(err, ErrNotSent):
 		return actionFail, false
 	case errors.Is(err, ErrNotPermitted):
@@ -186,6 +195,9 @@
 	} else {
 		reply.Abort()
 	}
+	if watch.endStandby() {
+		return actionDone, true
+	}
 	r.reason = failure.Reason
 	sent := r.recordPeerFailure(reply, failure)
 	switch failure.Code {
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -79,6 +79,8 @@
 	// arrivals counts the attempts that may still arrive, and sent is the one that is being written or waits for an answer.
 	arrivals *requestArrivals
 	sent     *sentAttempt
+	// watch is the watchdog of the current attempt.
+	watch *watchdog
 	// retryReserved is the decision by which the watchdog took a retry before it gave up an attempt.
 	retryReserved atomic.Pointer[RetryDecision]
 	// crowded counts the upstreams that had no room for the body.
@@ -126,6 +128,12 @@
 		r.fail(ctx, Failure{Code: Unavailable, Reason: ReasonCutOff, RetryAfter: config.RetryAfter})
 		return
 	}
+	r.placeAndSend(ctx)
+}
+
+// placeAndSend places the request and sends it until it has ended.
+func (r *requestHandler) placeAndSend(ctx context.Context) {
+	config := &r.exchange.config
 	for {
 		if ctx.Err() != nil {
 			r.fail(ctx, Failure{Code: ExpiredNotExecuted, Reason: "expired_waiting"})
@@ -240,8 +248,13 @@
 	defer r.stopBlockWatch()
 	config.Metrics.Attempt()
 	r.beginAttempt()
+	watch.beginWait()
 	reply, err := config.Sender.Send(watch.ctx, attempt)
+	superseded := watch.endWait(false)
 	r.endSend(err, watch)
+	if superseded {
+		return r.superseded(ctx, decision, reply, watch)
+	}
 	if err != nil {
 		return r.onSendError(ctx, decision, err, watch)
 	}
--- a/exchange/retries.go
+++ b/exchange/retries.go
@@ -17,8 +17,12 @@
 	}
 }
 
-// retryOrFail decides whether the request is sent to another upstream.
+// retryOrFail decides whether the request is sent to another upstream after the current attempt has failed. One that was sent beside
+// it may serve the request.
 func (r *requestHandler) retryOrFail(ctx context.Context) nextAction {
+	if r.watch.endStandby() {
+		return actionDone
+	}
 	if r.takeRetry(ctx) {
 		return actionRetry
 	}
--- a/exchange/scheduler_runner.go
+++ b/exchange/scheduler_runner.go
@@ -161,6 +161,14 @@
 	g.onChange()
 }
 
+// RecordSilence records that the upstream of a placed request is silent.
+func (g *SchedulerRunner) RecordSilence(id string) {
+	g.mutex.Lock()
+	g.scheduler.RecordSilence(g.now(), id)
+	g.mutex.Unlock()
+	g.onChange()
+}
+
 // ExpectedEventDelay returns the estimated time to the next event of a placed request,
 // and whether its engine answered a load poll recently.
 func (g *SchedulerRunner) ExpectedEventDelay(decision *placement.Decision) (time.Duration, bool) {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -25,7 +25,11 @@
 	defer events.reservation.Release()
 	continuation := r.begun.Load()
 	for first := true; ; first = false {
+		watch.beginWait()
 		data, number, err := events.next()
+		if watch.endWait(err == nil && r.isNext(events, number) || err != nil && streamEndError(reply, data, err) == nil) {
+			return r.superseded(ctx, decision, reply, watch)
+		}
 		if err != nil {
 			return r.onStreamEnd(ctx, decision, reply, data, err, watch)
 		}
@@ -33,6 +37,9 @@
 			r.repeated = number
 			continue
 		}
+		if number == 0 && events.isComment && watch.waitsBeside() {
+			continue
+		}
 		if number > r.lastEventNumber+1 {
 			return r.onStreamEnd(ctx, decision, reply, data, errMissingEvent, watch)
 		}
@@ -118,6 +125,11 @@
 		r.outcome = Answered
 		return actionDone
 	}
+	if errors.Is(err, errUnmarkedEnd) && watch.endStandby() {
+		reply.Abort()
+		scheduler.End(decision.ID, placement.Neutral, "")
+		return actionDone
+	}
 	if errors.Is(err, errUnmarkedEnd) && r.unmarkedEndCompletes(ctx, decision) {
 		reply.Finish()
 		scheduler.End(decision.ID, placement.Neutral, "")
@@ -150,6 +162,9 @@
 		r.recordSilentAttempt(decision, time.Now())
 		r.checkReach(ctx)
 	}
+	if watch.endStandby() {
+		return actionDone
+	}
 	if (watch.blocked() || r.upstreamsEnded > 0) && r.isBlocked() {
 		return actionBlocked
 	}
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -34,11 +34,14 @@
 
 // watchdog cancels an attempt whose upstream is unresponsive if the request may continue
 // on another one. It leaves other attempts alone: a missing response does not prove that
-// the upstream failed.
+// the upstream failed. For the same reason a stream that has begun is continued on another upstream beside
+// the silent one, which is canceled when the other one has the next event.
 type watchdog struct {
 	handler  *requestHandler
 	decision *placement.Decision
 	ctx      context.Context
+	// requestCtx is that of the request.
+	requestCtx context.Context
 	// timeout returns how long the next event, or the response of a plain service, may take.
 	timeout func() time.Duration
 	// cancelCause ends the attempt.
@@ -54,8 +57,14 @@
 	// reachChecked is true after the silence since the last event has led to a check of this node's way to the
 	// upstreams.
 	reachChecked bool
-	// lastEventAt is when the last event arrived, or when the attempt started.
+	// lastEventAt is when the last event arrived, or when the attempt started. The time in which the handler did not wait for the
+	// upstream is added to it.
 	lastEventAt time.Time
+	// waits is true while the handler of a stream waits for its upstream; waitEndedAt is when it last stopped.
+	waits       bool
+	waitEndedAt time.Time
+	// standby is the second attempt, or nil.
+	standby *standby
 }
 
 func (r *requestHandler) newWatchdog(ctx context.Context, decision *placement.Decision) *watchdog {
@@ -63,7 +72,9 @@
 }
 
 func (r *requestHandler) startWatchdog(ctx context.Context, decision *placement.Decision, ofPeer bool, timeout func() time.Duration) *watchdog {
-	w := &watchdog{handler: r, decision: decision, ofPeer: ofPeer, timeout: timeout, lastEventAt: time.Now()}
+	now := time.Now()
+	w := &watchdog{handler: r, decision: decision, ofPeer: ofPeer, timeout: timeout, requestCtx: ctx, lastEventAt: now, waitEndedAt: now}
+	r.watch = w
 	w.ctx, w.cancelCause = context.WithCancelCause(ctx)
 	w.mayCancel = r.request.Route.Repeatable() && r.history.Left() > 1
 	w.mutex.Lock()
@@ -125,17 +136,19 @@
 	reachCheck := !w.reachChecked && silence >= w.reachCheckAfter()
 	w.reachChecked = w.reachChecked || reachCheck
 	left := w.timeout() - silence
-	// A node that shuts down would refuse to send the request again.
-	silent := w.mayCancel && left <= 0 && !w.handler.tooLateToBegin()
-	// What can't be sent again is not given up, but for a stream that has not begun: its caller gets a failure response in
-	// time to repeat its request.
-	notBegun := w.handler.request.Route.Kind == fleet.Stream && !w.handler.begun.Load()
-	cancel := silent && w.ctx.Err() == nil && (notBegun || w.handler.reserveRetry())
+	begun := w.handler.request.Route.Kind == fleet.Stream && w.handler.begun.Load()
+	silent := left <= 0 && w.ctx.Err() == nil
+	var action silenceAction
+	switch {
+	case !silent:
+	case begun:
+		action = w.onSilentStream()
+	default:
+		action = w.onSilentRequest()
+	}
 	upstream := w.decision.Lead.ID
-	kept := silent && !cancel && !w.kept
-	w.kept = w.kept || kept
 	switch {
-	case cancel:
+	case action == cancelAttempt:
 	case silent:
 		w.timer.Reset(recheckInterval)
 	default:
@@ -145,18 +158,71 @@
 	if reachCheck && !w.ofPeer {
 		w.handler.exchange.config.Handover.Check(w.ctx, w.handler.service)
 	}
-	if !cancel && !kept {
-		return
-	}
-	message := telemetry.LogUpstreamUnresponsive
-	if kept {
-		message = telemetry.LogSilentUpstreamKept
-	}
-	w.handler.exchange.config.Logger.Info().Str("request_id", w.handler.request.ID).Str("upstream", upstream).Msg(message)
-	if cancel {
+	switch action {
+	case keepAttempt:
+		w.handler.logSilence(upstream, telemetry.LogSilentUpstreamKept)
+	case tryBeside:
+		if !w.ofPeer {
+			w.handler.exchange.config.Scheduler.RecordSilence(w.decision.ID)
+		}
+		w.handler.logSilence(upstream, telemetry.LogSilentUpstreamBeside)
+	case cancelAttempt:
+		w.handler.logSilence(upstream, telemetry.LogUpstreamUnresponsive)
 		w.handler.exchange.config.Metrics.Count("wigeontiller_silent_upstreams_total", 1)
 		w.cancelCause(nil)
+	case waitOn:
+	}
+}
+
+// silenceAction is what a watchdog does about a silent upstream.
+type silenceAction int
+
+const (
+	// waitOn changes nothing.
+	waitOn silenceAction = iota
+	// keepAttempt is waitOn, and says so for the first time.
+	keepAttempt
+	// tryBeside sends the request to another upstream beside the silent one.
+	tryBeside
+	// cancelAttempt ends the attempt.
+	cancelAttempt
+)
+
+// onSilentStream decides about a stream that has begun; the mutex is held.
+func (w *watchdog) onSilentStream() silenceAction {
+	if w.waits {
+		w.mergeIfDone()
+	}
+	switch {
+	case !w.mayTryBeside():
+		return waitOn
+	case w.handler.reserveRetry():
+		w.tryBeside()
+		return tryBeside
+	}
+	return w.keep()
+}
+
+// onSilentRequest decides about a request whose response has not begun; the mutex is held.
+func (w *watchdog) onSilentRequest() silenceAction {
+	// A node that shuts down would refuse to send the request again.
+	if !w.mayCancel || w.handler.tooLateToBegin() {
+		return waitOn
+	}
+	// What can't be sent again is not given up, but for a stream: its caller gets a failure response in time to repeat its request.
+	if w.handler.request.Route.Kind == fleet.Stream || w.handler.reserveRetry() {
+		return cancelAttempt
+	}
+	return w.keep()
+}
+
+// keep lets a silent attempt go on because no retry is left for it; the mutex is held.
+func (w *watchdog) keep() silenceAction {
+	if w.kept {
+		return waitOn
 	}
+	w.kept = true
+	return keepAttempt
 }
 
 // nextCheck returns the time to the next check; the mutex is held.
--- a/exchange/watchdog_test.go
+++ b/exchange/watchdog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,3 +65,102 @@
 	is.Equal(got.failure.Reason, ReasonRetryBudgetSpent)
 	is.True(time.Since(started) < 2*unresponsiveSlack)
 }
+
+// silentStream returns a stream that sends the first event, stands still for a time and sends the rest up to event 4. A time of 0 is
+// for good.
+func silentStream(t *testing.T, silence time.Duration) io.ReadCloser {
+	t.Helper()
+	reader, writer := io.Pipe()
+	go func() {
+		// Fails once the attempt is given up.
+		_, _ = io.WriteString(writer, eventText(1, 1))
+		if silence == 0 {
+			return
+		}
+		time.Sleep(silence)
+		_, _ = io.WriteString(writer, eventText(2, 4))
+		_ = writer.Close()
+	}()
+	return reader
+}
+
+// TestStreamOfSilentUpstreamIsNotLostToOneThatFails guards against a stream that is taken from a silent upstream, which would have gone
+// on, before it is sure that another one continues it.
+func TestStreamOfSilentUpstreamIsNotLostToOneThatFails(t *testing.T) {
+	const silence = 2 * unresponsiveSlack
+	for name, second := range map[string]attemptStep{
+		"fails":         {status: 500},
+		"refuses":       {status: 503, verdict: NotExecuted},
+		"can't be sent": {err: ErrNotSent},
+		"breaks off":    {status: 200, body: "", bodyErr: errReset},
+		"is silent":     {hang: true},
+		"is slower":     {status: 200, stream: silentStream(t, 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, attemptStep{status: 200, stream: silentStream(t, silence)}, second)
+			got := f.serve(t, f.request("stream"))
+			is.True(got.ended)
+			is.Equal(got.events, eventText(1, 4))
+			is.True(len(f.sender.attempts) >= 2)
+		})
+	}
+}
+
+func TestStreamOfSilentUpstreamGoesOnAtAnother(t *testing.T) {
+	for name, first := range map[string]attemptStep{
+		"silent for good": {status: 200, stream: silentStream(t, 0)},
+		"silent for long": {status: 200, stream: silentStream(t, 8*unresponsiveSlack)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, first, attemptStep{status: 200, body: eventText(2, 4)})
+			started := time.Now()
+			got := f.serve(t, f.request("stream"))
+			is.True(got.ended)
+			is.Equal(got.events, eventText(1, 4))
+			is.Equal(f.sender.attempts[1].After, int64(1))
+			is.True(time.Since(started) < 4*unresponsiveSlack)
+		})
+	}
+}
+
+// TestStreamGoesOnAtAnotherWhenItsSilentUpstreamBreaksOff covers the end of a silent upstream while another one is asked.
+func TestStreamGoesOnAtAnotherWhenItsSilentUpstreamBreaksOff(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	f := newFixture(t, attemptStep{status: 200, stream: reader}, attemptStep{status: 200, body: eventText(2, 4)})
+	f.sender.steps[1].before = func() {
+		_ = writer.CloseWithError(errReset)
+		time.Sleep(100 * time.Millisecond)
+	}
+	go func() { _, _ = io.WriteString(writer, eventText(1, 1)) }()
+	got := f.serve(t, f.request("stream"))
+	is.True(got.ended)
+	is.Equal(got.events, eventText(1, 4))
+	is.True(len(f.sender.attempts) >= 2)
+}
+
+// TestStreamIsWholeWhicheverUpstreamGoesOnFirst lets both upstreams go on at about the same time, again and again.
+func TestStreamIsWholeWhicheverUpstreamGoesOnFirst(t *testing.T) {
+	const silence, streams = 2 * unresponsiveSlack, 60
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() {
+			reader, writer := io.Pipe()
+			f := newFixture(t, attemptStep{status: 200, stream: silentStream(t, silence)}, attemptStep{status: 200, stream: reader})
+			go func() {
+				time.Sleep(silence + time.Duration(i-streams/2)*50*time.Microsecond)
+				// Fails if the first upstream goes on before.
+				_, _ = io.WriteString(writer, eventText(2, 4))
+				_ = writer.Close()
+			}()
+			got := &recordingWriter{}
+			f.exchange.Serve(t.Context(), f.request("stream"), got)
+			if !got.ended || got.events != eventText(1, 4) || got.finalResponses != 1 {
+				t.Errorf("ended %t with %d final responses: %q", got.ended, got.finalResponses, got.events)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -82,6 +82,13 @@
 	s.attributeOutcome(now, running, outcome, failedID)
 }
 
+// RecordSilence records that the upstream of a running attempt is silent. The attempt goes on.
+func (s *Scheduler) RecordSilence(now time.Duration, id string) {
+	if running := s.running[id]; running != nil {
+		s.attributeOutcome(now, running, Unresponsive, "")
+	}
+}
+
 // attributeOutcome updates the failure share, and the avoid time, of the upstream that
 // an outcome is attributed to.
 func (s *Scheduler) attributeOutcome(now time.Duration, running *runningRequest, outcome Outcome, failedID string) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -30,6 +30,9 @@
 	return true
 }
 
+// RecordAttempts records attempts that were counted elsewhere.
+func (h *History) RecordAttempts(attempts int) { h.sent += attempts }
+
 // RecordMayHaveRun records that the last attempt may have run: it reached its upstream, which
 // did not answer that it was not executed.
 func (h *History) RecordMayHaveRun() { h.RecordExecutions(1) }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -31,6 +31,8 @@
 	LogReportRecovered      = "engine reports again"
 	LogTooLateToBegin       = "request not begun, the node ends before"
 	LogSilentUpstreamKept   = "upstream is silent, no retry is left"
+	LogSilentUpstreamBeside = "upstream is silent, another is tried beside it"
+	LogSilentUpstreamGoesOn = "silent upstream goes on"
 	LogRetryDecided         = "retry decided"
 	LogRetryArrivedLate     = "retry arrived late"
 	LogRequestCut           = "request cut, the node ends"
