--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -80,6 +81,8 @@
 	Events        int
 	EventInterval time.Duration
 	MemoryTokens  int
+	// TokensPerEvent, if not 0, gives each stream an event for so many of the output tokens that its request states.
+	TokensPerEvent int
 	// DownTime is how long the engine is down after a crash; it then calls OnRestart, if set.
 	DownTime  time.Duration
 	OnRestart func()
@@ -340,6 +343,16 @@
 	time.Sleep(time.Second)
 }
 
+// eventsOf returns the number of events of a request's stream.
+func (e *Engine) eventsOf(r *http.Request) int {
+	_, output, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
+	tokens, err := strconv.Atoi(output)
+	if e.TokensPerEvent == 0 || err != nil {
+		return e.Events
+	}
+	return max(1, tokens/e.TokensPerEvent)
+}
+
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, knobs Knobs, afterEvent int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
@@ -351,7 +364,7 @@
 		_ = control.Flush()
 		e.crash(true)
 	}
-	for event := afterEvent + 1; event <= e.Events; event++ {
+	for event := afterEvent + 1; event <= e.eventsOf(r); event++ {
 		select {
 		case <-time.After(e.EventInterval):
 		case <-r.Context().Done():
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -44,6 +44,8 @@
 	retryWindow, retryExtra int
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
+	// tokensPerEvent is that of the engines.
+	tokensPerEvent int
 	// timeoutMs is that of the routes.
 	timeoutMs int
 	// stops are the planned stops of nodes.
@@ -140,7 +142,7 @@
 
 func (f *edgeFleet) addEngine(service string, i int) *fleetengine.Engine {
 	engine := fleetengine.New(fmt.Sprintf("%s-%d", service, i))
-	engine.EventInterval, engine.DownTime = f.eventInterval, time.Second
+	engine.EventInterval, engine.DownTime, engine.TokensPerEvent = f.eventInterval, time.Second, f.tokensPerEvent
 	server, err := fleetengine.Serve(engine)
 	if err != nil {
 		f.t.Fatal(err)
--- a/test/processes/edge_retries_test.go
+++ b/test/processes/edge_retries_test.go
@@ -255,6 +255,7 @@
 // TestFleetOfProcessesKeepsTheRetryBudgetWhileUpstreamsReadLate guards against retries that are sent in several windows, wait at
 // suspended upstreams and arrive in one.
 func TestFleetOfProcessesKeepsTheRetryBudgetWhileUpstreamsReadLate(t *testing.T) {
+	t.Parallel()
 	first, last := soakSeeds(t)
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
--- a/test/processes/edge_silence_test.go
+++ b/test/processes/edge_silence_test.go
@@ -15,6 +15,7 @@
 // TestFleetOfProcessesKeepsStreamsOfSilentUpstreams guards against streams that are taken from a silent upstream, which would have
 // gone on, for one that fails.
 func TestFleetOfProcessesKeepsStreamsOfSilentUpstreams(t *testing.T) {
+	t.Parallel()
 	first, last := soakSeeds(t)
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { soakSilence(t, seed) })
@@ -40,7 +41,7 @@
 	callers := make([]*stopCaller, callersPerNode*len(f.nodes))
 	for i := range callers {
 		callers[i] = &stopCaller{
-			fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i))), kinds: []string{"chat", "talk"}, deadlineMs: timeoutMs,
+			fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i))), kinds: []string{"chat", "talk"}, deadlineMs: timeoutMs, outputTokens: usualTokens, inChunks: true,
 		}
 		group.Go(func() { callers[i].run(end) })
 	}
--- a/test/processes/edge_stops_test.go
+++ b/test/processes/edge_stops_test.go
@@ -67,8 +67,14 @@
 	// kinds are the routes that it draws from.
 	kinds      []string
 	deadlineMs int
+	// inChunks is true if half of the bodies are sent in chunks.
+	inChunks bool
+	// outputTokens draws the tokens that a stream's request states.
+	outputTokens func(random *rand.Rand) int
 }
 
+func usualTokens(*rand.Rand) int { return 300 }
+
 var stopKinds = []string{"book", "book", "book", "look", "talk", "chat"}
 
 func (c *stopCaller) run(until time.Time) {
@@ -127,15 +133,19 @@
 	const body = "body"
 	usage := ""
 	if a.kind == "talk" || a.kind == "chat" {
-		usage = "X-Token-Usage: 1000,300\r\n"
+		usage = fmt.Sprintf("X-Token-Usage: 1000,%d\r\n", c.outputTokens(c.random))
+	}
+	framing, first, last := fmt.Sprintf("Content-Length: %d", len(body)), body[:len(body)-1], body[len(body)-1:]
+	if c.inChunks && c.random.IntN(2) == 0 {
+		framing, first, last = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n", len(body)-1, first), "1\r\n"+last+"\r\n0\r\n\r\n"
 	}
-	_, a.err = fmt.Fprintf(c.conn, "POST /%s/%s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		a.kind, a.id, a.id, c.deadlineMs, usage, len(body), body[:len(body)-1])
+	_, a.err = fmt.Fprintf(c.conn, "POST /%s/%s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s%s\r\n\r\n%s",
+		a.kind, a.id, a.id, c.deadlineMs, usage, framing, first)
 	if c.random.IntN(4) == 0 {
 		time.Sleep(time.Duration(c.random.IntN(1500)) * time.Millisecond)
 	}
 	if a.err == nil {
-		_, a.err = io.WriteString(c.conn, body[len(body)-1:])
+		_, a.err = io.WriteString(c.conn, last)
 	}
 	a.written, a.wholeAt, a.endedAt = a.err == nil, time.Now(), time.Now()
 }
@@ -223,7 +233,7 @@
 	var group sync.WaitGroup
 	callers := make([]*stopCaller, max(stopsCallers, len(f.nodes)))
 	for i := range callers {
-		callers[i] = &stopCaller{fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i))), kinds: stopKinds, deadlineMs: 8_000}
+		callers[i] = &stopCaller{fleet: f, number: i, random: rand.New(rand.NewPCG(seed, uint64(100+i))), kinds: stopKinds, deadlineMs: 8_000, outputTokens: usualTokens}
 		group.Go(func() { callers[i].run(end) })
 	}
 	var lanes [3][]int
