test/processes: upstreams that send without end cost no other request

Eleven forms of heads, bodies and events, by length, in chunks and without a frame, also in reports; callers that read nothing, 100 KB/s or all; 176 of them at a node of 184 MB beside ordinary callers, all forms together and four alone.

--- a/test/processes/edge_memory_harness_test.go
+++ b/test/processes/edge_memory_harness_test.go
@@ -72,10 +72,16 @@
 		}
 	}
 	store.Put("op", "config", map[string]any{
-		"version":  1,
-		"routes":   []any{route("chat", "streaming", "llm"), route("book", "unsafe", "app"), route("folder", "unsafe", "folders")},
-		"services": []any{map[string]any{"name": "llm", "runtime": runtime}, map[string]any{"name": "app"}, map[string]any{"name": "folders"}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": memoryBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"version": 1,
+		"routes": []any{
+			route("chat", "streaming", "llm"), route("book", "unsafe", "app"), route("folder", "unsafe", "folders"),
+			route("endless", "unsafe", "faulty"), route("flood", "streaming", "faulty-llm"),
+		},
+		"services": []any{
+			map[string]any{"name": "llm", "runtime": runtime}, map[string]any{"name": "app"}, map[string]any{"name": "folders"},
+			map[string]any{"name": "faulty"}, map[string]any{"name": "faulty-llm", "runtime": runtime},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": memoryBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{
 			map[string]any{"name": "works", "apiKeys": []string{"key-a"}}, map[string]any{"name": "loud", "apiKeys": []string{"key-b"}},
 		},
@@ -104,6 +110,8 @@
 			folders.Close()
 		})
 		put(fmt.Sprintf("folders-%d", i), "folders", strings.TrimPrefix(folders.URL, "http://"))
+		put(fmt.Sprintf("faulty-%d", i), "faulty", serveEndlessBytes(t, false))
+		put(fmt.Sprintf("faulty-llm-%d", i), "faulty-llm", serveEndlessBytes(t, i == 0))
 	}
 	for i, size := range sizes {
 		f.nodes = append(f.nodes, f.startNode(i, size, strings.TrimPrefix(server.URL, "http://")))
