--- a/test/processes/edge_retries_test.go
+++ b/test/processes/edge_retries_test.go
@@ -155,7 +155,7 @@
 }
 
 // TestFleetOfProcessesSoakOfRetries has most upstreams fail at once, so that the retry budget is spent, beside restarts, kills of
-// some and of all, suspended processes and cuts, which overlap.
+// some and of all, suspended nodes and upstreams, and cuts, which overlap.
 func TestFleetOfProcessesSoakOfRetries(t *testing.T) {
 	first, last := soakSeeds(t)
 	for seed := first; seed <= last; seed++ {
@@ -180,6 +180,9 @@
 		for lane, nodes := range lanes {
 			disturbances.Go(func() { f.disturbRetries(nodes, rand.New(rand.NewPCG(seed, 10+2*round+uint64(lane))), until) })
 		}
+		disturbances.Go(func() {
+			f.suspendUpstreams(rand.New(rand.NewPCG(seed, 100+round)), 0.5, 500*time.Millisecond, 2*time.Second, until)
+		})
 		disturbances.Wait()
 	})
 }
