exchange: an event that had arrived before tells nothing of its upstream's present state

An event that waits at this node, because the caller has not read the ones before it or because the process stood still, was written earlier, so that a retry at a suspended upstream would be put into a window that it does not arrive in.

Change: only events that this node has waited for count, and none while the process may have stood still. A node that stays silent over the hop is not asked again at once, as before the standby.

--- a/exchange/arrivals.go
+++ b/exchange/arrivals.go
@@ -11,8 +11,11 @@
 	// heardMargin is how much later than an attempt another one must have been sent to the same process so that its answer shows that
 	// the first has been read too.
 	heardMargin = 200 * time.Millisecond
-	// eventMargin is the same for an event of a stream that was sent before: it may have waited on its way and at this node.
+	// eventMargin is how much earlier than an event of a stream an attempt must have been sent so that the event shows it: it has been on
+	// its way.
 	eventMargin = 500 * time.Millisecond
+	// freshWait is the least time for which this node must have waited for an event, so that it had not arrived before.
+	freshWait = 5 * time.Millisecond
 	// lateArrivalDelay is the time from which on an arrival is logged as late.
 	lateArrivalDelay = 200 * time.Millisecond
 )
--- a/exchange/arrivals_handler.go
+++ b/exchange/arrivals_handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/wigeontiller/wigeontiller/fleet"
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -52,10 +53,12 @@
 	r.sent = nil
 }
 
-// heardEvent records that an upstream has written an event.
-func (r *requestHandler) heardEvent(upstream *fleet.Upstream) {
-	if r.handedTo == "" {
-		r.exchange.settle(r.exchange.openAttempts.heard(upstream, r.exchange.config.Scheduler.now()-eventMargin))
+// heardEvent records that an upstream has written an event for which this node has waited for a time. One that had arrived before, or
+// while this process stood still, tells nothing of the upstream's present state.
+func (r *requestHandler) heardEvent(upstream *fleet.Upstream, waited time.Duration) {
+	e := r.exchange
+	if r.handedTo == "" && waited >= freshWait && !e.suspension.paused(e.config.Now()) {
+		e.settle(e.openAttempts.heard(upstream, e.config.Scheduler.now()-eventMargin))
 	}
 }
 
--- a/exchange/arrivals_test.go
+++ b/exchange/arrivals_test.go
@@ -81,3 +81,39 @@
 	o.add(&sentAttempt{arrivals: &requestArrivals{}, upstream: &fleet.Upstream{ID: "u"}})
 	is.Equal(len(o.expire(time.Hour)), 0)
 }
+
+// TestOldEventTellsNothingOfItsUpstream guards against events that were written before an attempt was sent and read later, because the
+// caller had not read the ones before, or this process stood still.
+func TestOldEventTellsNothingOfItsUpstream(t *testing.T) {
+	upstream := &fleet.Upstream{ID: "llm0"}
+	for name, test := range map[string]struct {
+		waited, pause time.Duration
+		open          int
+	}{
+		"waited for":           {waited: time.Second, open: 0},
+		"had arrived":          {waited: 0, open: 1},
+		"process stood still":  {waited: time.Second, pause: 2 * pausedAfter, open: 1},
+		"long before the read": {waited: time.Second, pause: 2 * suspendedAfter, open: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			handler := f.exchange.newHandler(f.request("stream"), &recordingWriter{})
+			f.exchange.Tick()
+			handler.beginSend(upstream)
+			handler.giveUpSend()
+			f.skew.Add(int64(max(test.pause, eventMargin)))
+			if test.pause == 0 {
+				// Ticks go on.
+				for range int(pausedAfter/TickInterval) + 1 {
+					f.exchange.Tick()
+					f.skew.Add(int64(TickInterval))
+				}
+				f.exchange.Tick()
+			}
+			f.exchange.config.Freshness.MaxSendAge = time.Hour
+			handler.heardEvent(upstream, test.waited)
+			is.Equal(len(f.exchange.openAttempts.byUpstream["llm0"]), test.open)
+		})
+	}
+}
--- a/exchange/standby.go
+++ b/exchange/standby.go
@@ -204,7 +204,11 @@
 	}
 	r.exchange.config.Scheduler.End(decision.ID, placement.Neutral, "")
 	r.logFailedAttempt(decision, errSuperseded.Error(), status)
-	if ctx.Err() == nil && !watch.ofPeer {
+	switch {
+	case ctx.Err() != nil:
+	case watch.ofPeer:
+		r.exchange.config.Handover.Refused(decision.Lead.ID)
+	default:
 		r.recordSilentAttempt(decision, time.Now())
 	}
 	watch.endStandby()
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -26,7 +26,9 @@
 	continuation := r.begun.Load()
 	for first := true; ; first = false {
 		watch.beginWait()
+		waitsSince := time.Now()
 		data, number, err := events.next()
+		waited := time.Since(waitsSince)
 		if watch.endWait(err == nil && r.isNext(events, number) || err != nil && streamEndError(reply, data, err) == nil) {
 			return r.superseded(ctx, decision, reply, watch)
 		}
@@ -54,7 +56,7 @@
 		}
 		if number != 0 || events.hasData {
 			watch.recordEvent()
-			r.heardEvent(decision.Lead)
+			r.heardEvent(decision.Lead, waited)
 			r.recordEvent()
 			r.contradictUnmarkedEnd()
 		}
