exchange: a test of streams whose node falls silent over the hop

The standby over the hop was shown by no test. The next node goes on, is cut off, or has an upstream that fails: the stream is whole in each case.

--- a/exchange/handover_test.go
+++ b/exchange/handover_test.go
@@ -89,6 +89,10 @@
 	if s.err != nil {
 		return nil, name, s.err
 	}
+	if s.stream != nil {
+		context.AfterFunc(ctx, func() { _ = s.stream.Close() })
+		return &fakePeerReply{&fakeReply{attemptStep: s.attemptStep, body: s.stream}, s}, name, nil
+	}
 	return &fakePeerReply{&fakeReply{attemptStep: s.attemptStep, body: io.MultiReader(textReader(s.body), errorReader{s.bodyErr})}, s}, name, nil
 }
 
@@ -285,3 +289,32 @@
 	is.Equal(f.serve(t, request).failure.Code, Expired)
 	is.True(peers.CutOff(""))
 }
+
+// TestStreamOfSilentNodeGoesOnAtAnother covers a node that was asked to serve a stream and falls silent in its middle: the stream goes on at the
+// next node, or at the silent one if that goes on first.
+func TestStreamOfSilentNodeGoesOnAtAnother(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence time.Duration
+		second  peerStep
+		refused int
+	}{
+		"next one goes on":     {0, peerStep{attemptStep: attemptStep{status: 200, body: eventText(2, 4)}, attempts: 1, mayHaveRun: 1}, 1},
+		"next one is cut off":  {peerSilence + unresponsiveSlack, peerStep{failure: &Failure{Code: Overloaded, Reason: ReasonCutOff}}, 1},
+		"next one's one fails": {peerSilence + unresponsiveSlack, peerStep{attemptStep: attemptStep{status: 500}, attempts: 1, mayHaveRun: 1}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f, peers := withPeers(t, peerStep{attemptStep: attemptStep{status: 200, stream: silentStream(t, test.silence)}, attempts: 1, mayHaveRun: 1}, test.second)
+			request := f.request("stream")
+			route := *request.Route
+			route.MaxAttempts = 4
+			request.Route = &route
+			got := f.serve(t, request)
+			is.True(got.ended)
+			is.Equal(got.events, eventText(1, 4))
+			is.Equal(peers.tried[1], []string{"peer1"})
+			is.Equal(len(peers.refused), test.refused)
+		})
+	}
+}
