exchange: a stream is not given up as its first event arrives

What callers see: a stream that has just begun is broken off, although it could be answered with a failure or go on.

Cause: the watchdog read that the stream had not begun, let its lock go and ended the attempt then. A stream that has not begun is given up without a retry, as its caller gets a whole failure response; that no longer holds once it has begun. Class: a decision that rests on what may have changed when it is carried out.

Change: the decision and the end of the attempt are one step under the lock; a stream whose handler has its event in hand is not given up; an event that comes after the decision does not begin the stream. Two tests, one for either order, red before.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -32,6 +32,10 @@
 		if watch.endWait(err == nil && r.isNext(events, number) || err != nil && streamEndError(reply, data, err) == nil) {
 			return r.superseded(ctx, decision, reply, watch)
 		}
+		if err == nil && !r.begun.Load() {
+			// An attempt that was given up must not begin the stream.
+			err = watch.ctx.Err()
+		}
 		if err != nil {
 			return r.onStreamEnd(ctx, decision, reply, data, err, watch)
 		}
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -149,6 +149,8 @@
 	upstream := w.decision.Lead.ID
 	switch {
 	case action == cancelAttempt:
+		// Under the lock, so that a stream does not begin meanwhile.
+		w.cancelCause(nil)
 	case silent:
 		w.timer.Reset(recheckInterval)
 	default:
@@ -169,7 +171,6 @@
 	case cancelAttempt:
 		w.handler.logSilence(upstream, telemetry.LogUpstreamUnresponsive)
 		w.handler.exchange.config.Metrics.Count("wigeontiller_silent_upstreams_total", 1)
-		w.cancelCause(nil)
 	case waitOn:
 	}
 }
@@ -205,12 +206,13 @@
 
 // onSilentRequest decides about a request whose response has not begun; the mutex is held.
 func (w *watchdog) onSilentRequest() silenceAction {
-	// A node that shuts down would refuse to send the request again.
-	if !w.mayCancel || w.handler.tooLateToBegin() {
+	isStream := w.handler.request.Route.Kind == fleet.Stream
+	// A node that shuts down would refuse to send the request again. A stream whose handler does not wait has its first event.
+	if !w.mayCancel || w.handler.tooLateToBegin() || isStream && !w.waits {
 		return waitOn
 	}
 	// What can't be sent again is not given up, but for a stream: its caller gets a failure response in time to repeat its request.
-	if w.handler.request.Route.Kind == fleet.Stream || w.handler.reserveRetry() {
+	if isStream || w.handler.reserveRetry() {
 		return cancelAttempt
 	}
 	return w.keep()
--- a/exchange/watchdog_test.go
+++ b/exchange/watchdog_test.go
@@ -164,3 +164,43 @@
 	}
 	group.Wait()
 }
+
+// TestStreamWhoseFirstEventArrivesIsNotGivenUp guards against a stream that is given up as it begins: what may be answered with a failure
+// before its first event is broken off after it.
+func TestStreamWhoseFirstEventArrivesIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	handler := f.exchange.newHandler(f.request("stream"), &recordingWriter{})
+	watch := handler.startWatchdog(t.Context(), &placement.Decision{ID: "a", Lead: &fleet.Upstream{ID: "llm0"}}, false, func() time.Duration { return time.Minute })
+	defer watch.stop()
+	watch.timeout = func() time.Duration { return 0 }
+	watch.beginWait()
+	watch.endWait(true) // the event is here, and not yet sent to the caller
+	watch.check()
+	is.NoErr(watch.ctx.Err())
+	watch.beginWait()
+	watch.check()
+	is.True(watch.ctx.Err() != nil)
+}
+
+// TestStreamThatIsGivenUpDoesNotBegin covers an event that arrives just after the decision.
+func TestStreamThatIsGivenUpDoesNotBegin(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.exchange.config.Retries.Ratio, f.exchange.config.Retries.Extra = 0, 0
+	reader, writer := io.Pipe()
+	got := &recordingWriter{}
+	handler := f.exchange.newHandler(f.request("stream"), got)
+	decision := &placement.Decision{ID: "a", Lead: &fleet.Upstream{ID: "llm0"}}
+	watch := handler.newWatchdog(t.Context(), decision)
+	defer watch.stop()
+	handler.stopBlockWatch = func() {}
+	go func() {
+		watch.cancelCause(nil)
+		_, _ = io.WriteString(writer, eventText(1, 3))
+		_ = writer.Close()
+	}()
+	reply := &fakeReply{attemptStep: attemptStep{status: 200}, body: reader}
+	is.Equal(handler.relayStream(t.Context(), decision, reply, watch), actionFail)
+	is.Equal(got.events, "")
+}
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -33,9 +33,14 @@
 	// upstreamAddresses are those of engines and apps.
 	upstreamAddresses []string
 	// apps are the upstreams of a plain service.
-	apps  []*fleetengine.Engine
-	mutex sync.Mutex
-	nodes []*edgeNode
+	apps []*fleetengine.Engine
+	// upstreamProcesses is true if the upstreams are processes of their own, which are then in processes.
+	upstreamProcesses bool
+	processes         []*upstreamProcess
+	// failing is the number of engines that answer 500, among the processes.
+	failing int
+	mutex   sync.Mutex
+	nodes   []*edgeNode
 	// requests numbers the callers' requests.
 	requests atomic.Int64
 	// version is that of the newest configuration, maxAttempts the attempts that its routes allow.
@@ -95,9 +100,17 @@
 	f.address = strings.TrimPrefix(server.URL, "http://")
 	f.configure()
 	for i := range edgeEngines {
+		if f.upstreamProcesses {
+			f.processes = append(f.processes, f.startUpstream("llm", i))
+			continue
+		}
 		f.engines = append(f.engines, f.addEngine("llm", i))
 	}
 	for i := range edgeApps {
+		if f.upstreamProcesses {
+			f.processes = append(f.processes, f.startUpstream("app", i))
+			continue
+		}
 		f.apps = append(f.apps, f.addEngine("app", i))
 	}
 	for i := range nodes {
