exchange: the read of a stream's next event in one place; rechecks as before

What can't be sent again is rechecked at the same times as before, which had set a timer each 150 ms for slow requests that must not be repeated. The tests' crash knobs move to the soak that uses them.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -25,17 +25,10 @@
 	defer events.reservation.Release()
 	continuation := r.begun.Load()
 	for first := true; ; first = false {
-		watch.beginWait()
-		waitsSince := time.Now()
-		data, number, err := events.next()
-		waited := time.Since(waitsSince)
-		if watch.endWait(err == nil && r.isNext(events, number) || err != nil && streamEndError(reply, data, err) == nil) {
+		data, number, waited, err := r.nextEvent(events, reply, watch)
+		if errors.Is(err, errSuperseded) {
 			return r.superseded(ctx, decision, reply, watch)
 		}
-		if err == nil && !r.begun.Load() {
-			// An attempt that was given up must not begin the stream.
-			err = watch.ctx.Err()
-		}
 		if err != nil {
 			return r.onStreamEnd(ctx, decision, reply, data, err, watch)
 		}
@@ -74,6 +67,22 @@
 	}
 }
 
+// nextEvent is eventReader.next, and returns how long this node has waited for the event. Errors besides: errSuperseded, and that of
+// the attempt's context if the stream has not begun, as an attempt that was given up must not begin it.
+func (r *requestHandler) nextEvent(events *eventReader, reply Reply, watch *watchdog) (data []byte, number int64, waited time.Duration, err error) {
+	watch.beginWait()
+	since := time.Now()
+	data, number, err = events.next()
+	waited = time.Since(since)
+	if watch.endWait(err == nil && r.isNext(events, number) || err != nil && streamEndError(reply, data, err) == nil) {
+		return nil, 0, waited, errSuperseded
+	}
+	if err == nil && !r.begun.Load() {
+		err = watch.ctx.Err()
+	}
+	return data, number, waited, err
+}
+
 var (
 	errMissingEvent    = errors.New("event missing from the stream")
 	errUnnumberedEvent = errors.New("event of a continued stream has no number")
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -151,7 +151,7 @@
 	case action == cancelAttempt:
 		// Under the lock, so that a stream does not begin meanwhile.
 		w.cancelCause(nil)
-	case silent:
+	case silent && w.mayCancel:
 		w.timer.Reset(recheckInterval)
 	default:
 		w.timer.Reset(max(w.nextCheck(silence, left), minRecheckInterval))
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -8,7 +8,6 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -376,28 +375,3 @@
 	group.Wait()
 	return float64(complete.Load()) / float64(max(1, sent.Load()))
 }
-
-func (f *edgeFleet) crashes() int { return len(crashTimes(f.engines)) }
-
-// crashTimes returns when upstreams crashed by requests, oldest first.
-func crashTimes(upstreams []*fleetengine.Engine) []time.Time {
-	var times []time.Time
-	for _, engine := range upstreams {
-		times = append(times, engine.RequestCrashes()...)
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times
-}
-
-func (f *edgeFleet) crashOn(part string) {
-	for _, engine := range f.engines {
-		engine.Set(fleetengine.Knobs{CrashPart: part})
-	}
-}
-
-// crashOnRequest makes the upstreams of the plain service crash under the request of look(_, "crash").
-func (f *edgeFleet) crashOnRequest() {
-	for _, app := range f.apps {
-		app.Set(fleetengine.Knobs{CrashTarget: "/look/crash", RunTime: 5 * time.Millisecond})
-	}
-}
--- a/test/processes/edge_soak_test.go
+++ b/test/processes/edge_soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -179,3 +180,28 @@
 	}
 	return most
 }
+
+func (f *edgeFleet) crashes() int { return len(crashTimes(f.engines)) }
+
+// crashTimes returns when upstreams crashed by requests, oldest first.
+func crashTimes(upstreams []*fleetengine.Engine) []time.Time {
+	var times []time.Time
+	for _, engine := range upstreams {
+		times = append(times, engine.RequestCrashes()...)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+func (f *edgeFleet) crashOn(part string) {
+	for _, engine := range f.engines {
+		engine.Set(fleetengine.Knobs{CrashPart: part})
+	}
+}
+
+// crashOnRequest makes the upstreams of the plain service crash under the request of look(_, "crash").
+func (f *edgeFleet) crashOnRequest() {
+	for _, app := range f.apps {
+		app.Set(fleetengine.Knobs{CrashTarget: "/look/crash", RunTime: 5 * time.Millisecond})
+	}
+}
