--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -128,9 +128,9 @@
 }
 
 const (
-	// firstPort and lastPort lie below the system's ephemeral ports. Otherwise an
+	// firstPort and lastPort lie above the ports of the demo and below the system's ephemeral ports. Otherwise an
 	// outgoing connection could take an address before its process listens.
-	firstPort = 20_000
+	firstPort = 22_000
 	lastPort  = 30_000
 	// portsPerRun is the number of ports of one run of the tests. Several runs may go on at a time.
 	portsPerRun = 400
