--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,42 @@
+// Command standin-2 plays the clients, the workers and the platform of the cases of the second review.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// The exit codes of a case.
+const (
+	held      = 0
+	broken    = 1
+	cannotRun = 2
+)
+
+// cases are the cases by name. trouble is false where the same is to be played without the disruption.
+var cases = map[string]func(r *record, trouble bool) (int, error){}
+
+func main() {
+	if len(os.Args) >= 3 && os.Args[1] == "worker" {
+		os.Exit(runWorker(os.Args[2:]))
+	}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
+		os.Exit(cannotRun)
+	}
+	r, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(cannotRun)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	r.printf("case %s, disruption: %v", os.Args[1], trouble)
+	code, err := cases[os.Args[1]](r, trouble)
+	if err != nil {
+		r.printf("can't run: %v", err)
+		code = cannotRun
+	}
+	r.printf("%s", [...]string{"the rule held", "the rule was broken", "the case could not run"}[code])
+	r.close()
+	os.Exit(code)
+}
