--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -22,6 +22,8 @@
 	whole bool
 	// unframed is true if only the end of the connection marked the answer's end.
 	unframed bool
+	// passedOn is true if the request was written whole and the connection ended without an answer.
+	passedOn bool
 	err      error
 }
 
@@ -55,7 +57,7 @@
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: request.method})
 	if err != nil {
-		return answer{err: err}
+		return answer{err: err, passedOn: true}
 	}
 	got := answer{status: response.StatusCode, header: response.Header, unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0}
 	got.body, got.err = io.ReadAll(response.Body)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -136,8 +136,11 @@
 `, n.name, zone, n.callers, n.ready, port, port, f.address)
 }
 
-// startNodes starts this many nodes, one zone after the other, and waits until they are ready.
-func (f *fleet) startNodes(count int) error {
+// startNodes starts this many nodes in zones that are taken in turn, and waits until they are ready.
+func (f *fleet) startNodes(count int, zones ...string) error {
+	if len(zones) == 0 {
+		zones = []string{"za", "zb", "zc"}
+	}
 	for i := range count {
 		n := &node{name: fmt.Sprintf("edge-%d", i+1)}
 		var ports [3]int
@@ -149,8 +152,7 @@
 		}
 		n.callers, n.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
 		n.settings = filepath.Join(f.folder, n.name+".yaml")
-		zone := "z" + string(rune('a'+i%3))
-		if err := os.WriteFile(n.settings, []byte(f.settingsOf(n, zone, ports[2])), 0o600); err != nil {
+		if err := os.WriteFile(n.settings, []byte(f.settingsOf(n, zones[i%len(zones)], ports[2])), 0o600); err != nil {
 			return err
 		}
 		f.nodes = append(f.nodes, n)
