--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -97,6 +97,8 @@
 	case "unframed-streams":
 		w.unframedStream(write, r, head)
 		return false
+	case "chunked-streams":
+		return w.chunkedStream(write, r, head)
 	case "long-lines":
 		return w.longLines(write, r, head)
 	case "unframed-answers":
@@ -137,6 +139,21 @@
 	}
 }
 
+// chunkedStream sends the same stream in chunks. It reports whether the connection goes on.
+func (w *worker) chunkedStream(write func(string) bool, r *http.Request, head string) bool {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if !write("HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n") {
+		return false
+	}
+	for number := after + 1; number <= streamEvents; number++ {
+		time.Sleep(eventInterval)
+		if !write(chunk(event(number))) {
+			return false
+		}
+	}
+	return write("0\r\n\r\n")
+}
+
 // unframedAnswer sends an answer that has no length and ends with its connection, in two parts.
 func (w *worker) unframedAnswer(write func(string) bool, head, id string) {
 	text := answerText(id)
