--- a/review/standin-2/config.go
+++ b/review/standin-2/config_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 // route is a route of the operator's configuration.
 type route map[string]any
--- a/review/standin-2/killed.go
+++ b/review/standin-2/killed_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"fmt"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main_test.go
@@ -1,9 +1,11 @@
-// Command standin-2 plays the clients, the workers and the platform of the cases of the second review.
-package main
+// Package standin2 plays the clients, the workers and the platform of the cases of the second review. Its files are tests, so that the
+// names of the platform stay out of the program's packages; review/build-2.sh builds them as a program.
+package standin2
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // The exit codes of a case.
@@ -16,7 +18,8 @@
 // cases are the cases by name. trouble is false where the same is to be played without the disruption.
 var cases = map[string]func(r *record, trouble bool) (int, error){}
 
-func main() {
+// TestMain plays a worker or a case instead of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) >= 3 && os.Args[1] == "worker" {
 		os.Exit(runWorker(os.Args[2:]))
 	}
--- a/review/standin-2/truncated.go
+++ b/review/standin-2/truncated_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bufio"
@@ -65,7 +65,7 @@
 	var mutex sync.Mutex
 	counts := map[string]int{}
 	number := 0
-	for end := time.Now().Add(calmTime + garbleTime + time.Second); time.Now().Before(end); time.Sleep(streamsInterval) {
+	for end := time.Now().Add(calmTime + garbleTime + time.Second); time.Now().Before(end); time.Sleep(streamsInterval / 2) {
 		number++
 		request := sent{
 			id: fmt.Sprintf("a%015d", number), method: "POST", path: "/lohu930/2f", body: strings.Repeat("b", 1200), deadline: 10 * time.Second,
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"bufio"
@@ -161,7 +161,7 @@
 	if !write("HTTP/1.1 200 OK\r\n" + head + "\r\n" + text[:len(text)/2]) {
 		return
 	}
-	time.Sleep(30 * time.Millisecond)
+	time.Sleep(60 * time.Millisecond)
 	write(text[len(text)/2:])
 }
 
