exchange: a line of a stream is judged once it is whole

Cause: eventReader.next read lines by ReadSlice with a buffer of 4,096 bytes. Of a longer line it skipped the full parts and judged what was left of the line as if it were a line: "\n" as the blank line that ends an event, "id: 1" as the event's number, text without a colon before it as a field in a comment. An event that counted as ended was handed on and recorded, so that the next upstream was asked for what follows it; a number that was none made the event count as one that the caller has, or as one after a gap.

Evidence: in exchange's test of the case the first upstream stops in event 3, and the second one was asked for what follows event 3 instead of 2 (Last-Event-Id). So the reader had told event 3 as whole; the relay, the other upstream and the way to the caller did as they were told. Ruled out besides: the break as such (sound streams without any break fail, too), the hop (the same directly and over it), the framing (a length of 4,095 with CRLF fails, one of 4,200 that goes on with "x" does not).

The reader joins the parts of a line and judges the whole, as scanHead of upstream/directhttp does. Nothing else changed.

--- a/exchange/events.go
+++ b/exchange/events.go
@@ -54,26 +54,16 @@
 // next returns one event, including the blank line that ends it, and the number in
 // its id field, or 0 without one. The data is valid until the next call. At the end
 // of the body the error is io.EOF and data holds the bytes after the last complete
-// event; a complete stream has none.
+// event; a complete stream has none. Errors: those of readLine.
 func (r *eventReader) next() (data []byte, number int64, err error) {
 	r.buffer, r.hasData, r.isComment = r.buffer[:0], false, true
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		r.buffer = append(r.buffer, line...)
-		if len(r.buffer) > maxEventBytes {
-			return nil, 0, errEventTooLong
-		}
-		if !r.reserve() {
-			return nil, 0, errNoBuffer
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
+		begin := len(r.buffer)
+		if err := r.readLine(); err != nil {
+			return r.buffer, 0, err
 		}
-		if err != nil {
-			return r.buffer, number, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && len(r.buffer) > len(line) {
+		text := bytes.TrimRight(r.buffer[begin:], "\r\n")
+		if len(text) == 0 && begin > 0 {
 			return r.buffer, number, nil
 		}
 		r.hasData = r.hasData || bytes.HasPrefix(text, []byte("data"))
@@ -85,3 +75,22 @@
 		}
 	}
 }
+
+// readLine appends one line, including its end, to the buffer. A line longer than the reader's buffer comes in several
+// parts; no part alone tells what the line is. With an error the buffer holds what came of the line. Errors:
+// errEventTooLong, errNoBuffer, those of the body.
+func (r *eventReader) readLine() error {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		r.buffer = append(r.buffer, part...)
+		if len(r.buffer) > maxEventBytes {
+			return errEventTooLong
+		}
+		if !r.reserve() {
+			return errNoBuffer
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
