exchange: an event without its end is not handed on

An invariant (whole_event) looks at the bytes that are about to be sent, not at what the reader made of them. A violation is counted and logged like the others, and the stream is broken off; the tests of fleets of processes already fail on such a line.

TestInvariantViolationsAreCountedAndPrevented has the forms.

--- a/exchange/invariants.go
+++ b/exchange/invariants.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"bytes"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeontiller/wigeontiller/telemetry"
@@ -13,6 +15,7 @@
 	invariantAtMostOnce  = "at_most_once"
 	invariantNotExecuted = "not_run"
 	invariantEventOrder  = "event_order"
+	invariantWholeEvent  = "whole_event"
 	invariantOneResponse = "one_answer"
 )
 
@@ -55,6 +58,16 @@
 	return false
 }
 
+// isWhole reports whether an event may be sent: it has the blank line that ends it, by which a caller tells it from the next
+// one. It looks at the bytes alone, not at what the reader made of them.
+func (r *requestHandler) isWhole(data []byte) bool {
+	if line, ok := bytes.CutSuffix(data, []byte("\n")); ok && bytes.HasSuffix(bytes.TrimRight(line, "\r"), []byte("\n")) {
+		return true
+	}
+	r.reportViolation(invariantWholeEvent)
+	return false
+}
+
 // singleResponse passes one response to the caller. It breaks off the response if a second one follows, and
 // if none was completed when the handler has ended.
 type singleResponse struct {
--- a/exchange/invariants_test.go
+++ b/exchange/invariants_test.go
@@ -34,6 +34,14 @@
 		is.True(!r.inOrder(6))
 		is.True(!r.inOrder(4))
 	}), int64(2))
+	is.Equal(countViolations(t, invariantWholeEvent, fleet.Stream, func(r *requestHandler) {
+		for _, whole := range []string{"data: x\n\n", "data: x\r\n\r\n", ": x\n\n", "\n\n"} {
+			is.True(r.isWhole([]byte(whole)))
+		}
+		for _, part := range []string{"", "\n", "data: x\n", "data: x\r\n", "data: x\n\r", "data: x"} {
+			is.True(!r.isWhole([]byte(part)))
+		}
+	}), int64(6))
 }
 
 func TestSingleResponseRejectsSecondResponse(t *testing.T) {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -85,6 +85,7 @@
 
 var (
 	errMissingEvent    = errors.New("event missing from the stream")
+	errUnfinishedEvent = errors.New("event without the blank line that ends it")
 	errUnnumberedEvent = errors.New("event of a continued stream has no number")
 )
 
@@ -93,6 +94,9 @@
 	if !r.inOrder(number) {
 		return errMissingEvent
 	}
+	if !r.isWhole(data) {
+		return errUnfinishedEvent
+	}
 	now := time.Now()
 	if r.begun.CompareAndSwap(false, true) {
 		r.unmarked = reply.Delivery().Framing == CloseDelimited && r.takesUnmarkedEnd()
