exchange: the log tells a stream that ends inside an event from one without the end of its body

Both were "unexpected EOF" in "attempt failed", the second one from the reader of chunks. They are faults of different places: the first is a stream whose upstream marked the end of the body although an event was unfinished, or whose bytes this node read wrongly.

Nothing is decided by the text: the error wraps the same one.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeontiller/wigeontiller/placement"
 )
 
@@ -119,7 +121,7 @@
 	case !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		return err
 	case len(remainder) > 0:
-		return io.ErrUnexpectedEOF
+		return eris.Wrapf(io.ErrUnexpectedEOF, "stream ends %d bytes after its last complete event", len(remainder))
 	case reply.Delivery().Framing == CloseDelimited:
 		return errUnmarkedEnd
 	}
