--- a/exchange/events.go
+++ b/exchange/events.go
@@ -67,13 +67,19 @@
 		if err != nil {
 			return r.buffer, 0, err
 		}
-		text := bytes.TrimRight(r.buffer[begin:], "\r\n")
-		if len(text) == 0 && begin > 0 {
-			return r.buffer, number, nil
+		line := bytes.TrimRight(r.buffer[begin:], "\r\n")
+		if len(line) == 0 {
+			if begin > 0 {
+				return r.buffer, number, nil
+			}
+			continue
 		}
-		r.hasData = r.hasData || bytes.HasPrefix(text, []byte("data"))
-		r.isComment = r.isComment && (len(text) == 0 || text[0] == ':')
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		r.isComment = r.isComment && len(name) == 0
+		switch string(name) {
+		case "data":
+			r.hasData = true
+		case "id":
 			if parsed, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				number = parsed
 			}
