standin/fleetengine, test/processes: streams vary in form, and may stop just before the end of an event

With VaryEvents an event has LF or CRLF, its fields in any order, up to three data lines, comments before it or of their own, other fields, and lines of about one to four read buffers, after whose ends text stands that looks like a number, data or a comment. Half of the streams that break off lack only the blank line of their last event. The soak of faulty upstreams uses them, and its check knows each event's text to the byte; comments and blank lines between events are left out, as a continuation may bring them again.

--- a/standin/fleetengine/crash.go
+++ b/standin/fleetengine/crash.go
@@ -36,7 +36,7 @@
 	}
 	for event := afterEvent + 1; event <= afterEvent+point.Events; event++ {
 		e.runFor(r, e.EventInterval)
-		_, _ = w.Write([]byte(eventText(event, r)))
+		_, _ = w.Write([]byte(e.eventText(event, r)))
 		_ = control.Flush()
 	}
 	e.runFor(r, point.Delay)
--- a/standin/fleetengine/engine.go
+++ b/standin/fleetengine/engine.go
@@ -26,6 +26,8 @@
 	// BreakAfter, if not 0, is the event after which streams are closed, in the middle
 	// of the next event.
 	BreakAfter int
+	// breakUnended is true if only the blank line of that event is missing.
+	breakUnended bool
 	// Extra sends an unrequested second answer after each answer that is not a stream.
 	Extra bool
 	// Leaving marks every answer as that of a process that leaves.
@@ -85,6 +87,8 @@
 	MemoryTokens  int
 	// TokensPerEvent, if not 0, gives each stream an event for so many of the output tokens that its request states.
 	TokensPerEvent int
+	// VaryEvents varies the form of the events; EventText has the forms.
+	VaryEvents bool
 	// DownTime is how long the engine is down after a crash; it then calls OnRestart, if set.
 	DownTime  time.Duration
 	OnRestart func()
@@ -285,7 +289,7 @@
 		e.answerStatus(w, run, knobs.Status)
 	case r.Header.Get("X-Token-Usage") != "":
 		if faulty.breakOff && faulty.breakAfter > after {
-			knobs.BreakAfter = faulty.breakAfter
+			knobs.BreakAfter, knobs.breakUnended = faulty.breakAfter, faulty.unended
 		}
 		e.stream(w, r, knobs, after)
 	default:
@@ -372,9 +376,9 @@
 		case <-crashed:
 			panic(http.ErrAbortHandler)
 		}
-		text := eventText(event, r)
+		text := e.eventText(event, r)
 		if knobs.BreakAfter > 0 && event > knobs.BreakAfter {
-			_, _ = w.Write([]byte(text[:len(text)/2]))
+			_, _ = w.Write([]byte(beginning(text, knobs.breakUnended)))
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/fleetengine/faulty.go
+++ b/standin/fleetengine/faulty.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -58,6 +59,8 @@
 // plan is what goes wrong with one answer.
 type plan struct {
 	refuse, fail, breakOff, cutHead, unframed, cut, reset, middle bool
+	// unended is true if only the blank line is missing of the event in which a stream breaks off.
+	unended bool
 	// status is that of a failed continuation, or 0. breakAfter is the number of the last event of a stream that
 	// ends early.
 	status, breakAfter int
@@ -84,6 +87,7 @@
 	if status := continuationStatuses[random.IntN(len(continuationStatuses))]; after > 0 && drawn(faults.FailContinuation) {
 		p.status = status
 	}
+	p.unended = drawn(0.5)
 	conn, ok := r.Context().Value(connectionKey{}).(*connection)
 	if !ok {
 		return p
@@ -147,7 +151,7 @@
 	for i, piece := range pieces {
 		if p.cut && i >= pieceCount {
 			if p.middle {
-				_, _ = conn.Write([]byte(piece[:len(piece)/2]))
+				_, _ = conn.Write([]byte(beginning(piece, p.unended && strings.HasSuffix(piece, "\n"))))
 			}
 			if tcp, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok && p.reset {
 				e.mutex.Lock()
@@ -186,7 +190,7 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		var events []string
 		for event := after + 1; event <= e.Events; event++ {
-			events = append(events, eventText(event, r))
+			events = append(events, e.eventText(event, r))
 		}
 		e.writeUnframed(w, r, run, events, e.EventInterval, p, p.breakAfter-after)
 	case p.unframed:
@@ -206,8 +210,8 @@
 	w.WriteHeader(status)
 }
 
-func eventText(number int, r *http.Request) string {
-	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, r.URL.RequestURI())
+func (e *Engine) eventText(number int, r *http.Request) string {
+	return EventText(number, r.URL.RequestURI(), e.VaryEvents)
 }
 
 func answerText(engine string, r *http.Request) string {
--- a/test/processes/edge_faulty_test.go
+++ b/test/processes/edge_faulty_test.go
@@ -80,7 +80,8 @@
 			return
 		}
 		if kind == "chat" {
-			after = max(after, lastEvent(got.body))
+			last, _ := wholeEvents(got)
+			after = max(after, last)
 		}
 	}
 }
@@ -122,20 +123,33 @@
 	return got
 }
 
-// lastEvent returns the number of the last whole event in a body, or 0.
-func lastEvent(body string) int {
-	last := 0
-	for {
-		event, rest, whole := strings.Cut(body, "\n\n")
-		if !whole {
-			return last
+// wholeEvents returns the number of the last event that a caller got whole and in its turn, and what follows it. Comments may come
+// twice, as nothing numbers them, and blank lines mean nothing between events.
+func wholeEvents(a attempt) (last int, rest string) {
+	rest = withoutComments(a.body)
+	for last = a.after; last < soakEvents; last++ {
+		after, found := strings.CutPrefix(strings.TrimLeft(rest, "\r\n"), streamEvent(last+1, a.path))
+		if !found {
+			break
 		}
-		number, _, _ := strings.Cut(strings.TrimPrefix(event, "id: "), "\n")
-		if parsed, err := strconv.Atoi(number); err == nil {
-			last = parsed
+		rest = after
+	}
+	return last, strings.TrimLeft(rest, "\r\n")
+}
+
+// streamEvent is an event of a soak's stream, without comments before it.
+func streamEvent(number int, path string) string {
+	return strings.TrimLeft(withoutComments(fleetengine.EventText(number, path, true)), "\r\n")
+}
+
+func withoutComments(text string) string {
+	var fields strings.Builder
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, ":") {
+			fields.WriteString(line)
 		}
-		body = rest
 	}
+	return fields.String()
 }
 
 // answerChecker compares what callers got with what upstreams ran.
@@ -209,24 +223,16 @@
 }
 
 func (k *answerChecker) checkStream(a attempt, runs []engineRun) {
-	rest := a.body
-	for number := a.after + 1; ; number++ {
-		want := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, a.path)
-		if strings.HasPrefix(rest, want) && number <= soakEvents {
-			rest = rest[len(want):]
-			continue
-		}
-		switch complete := a.err == nil; {
-		case complete && rest == "" && a.kind == "talk" && !a.framed && number > 1 && k.endedEarly(a, runs):
-			k.short++
-		case complete && (rest != "" || number != soakEvents+1):
-			k.breaks("ORDER", a, "the stream is complete without all events")
-		case complete && !a.framed && a.kind == "chat":
-			k.breaks("ORDER", a, "the stream that may be resumed ended with its connection")
-		case !strings.HasPrefix(want, rest) && rest != "":
-			k.breaks("ORDER", a, "the stream has events that don't belong there")
-		}
-		return
+	last, rest := wholeEvents(a)
+	switch complete := a.err == nil; {
+	case complete && rest == "" && a.kind == "talk" && !a.framed && last > 0 && k.endedEarly(a, runs):
+		k.short++
+	case complete && (rest != "" || last != soakEvents):
+		k.breaks("ORDER", a, "the stream is complete without all events")
+	case complete && !a.framed && a.kind == "chat":
+		k.breaks("ORDER", a, "the stream that may be resumed ended with its connection")
+	case last == soakEvents && rest != "", !strings.HasPrefix(streamEvent(last+1, a.path), rest):
+		k.breaks("ORDER", a, "the stream has events that don't belong there")
 	}
 }
 
@@ -326,7 +332,9 @@
 }
 
 func soakFaultyUpstreams(t *testing.T, seed uint64) {
-	f := startFleetOf(t, soakNodes(t), soakMaxAttempts, true)
+	f := newEdgeFleet(t, soakMaxAttempts, true)
+	f.varyEvents = true
+	f.start(soakNodes(t))
 	f.makeFaulty(seed, rand.New(rand.NewPCG(seed, 1)))
 	end := time.Now().Add(faultySoakTime)
 	var group sync.WaitGroup
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -50,6 +50,8 @@
 	eventInterval time.Duration
 	// tokensPerEvent is that of the engines.
 	tokensPerEvent int
+	// varyEvents is that of the engines.
+	varyEvents bool
 	// timeoutMs is that of the routes.
 	timeoutMs int
 	// stops are the planned stops of nodes.
@@ -154,7 +156,7 @@
 
 func (f *edgeFleet) addEngine(service string, i int) *fleetengine.Engine {
 	engine := fleetengine.New(fmt.Sprintf("%s-%d", service, i))
-	engine.EventInterval, engine.DownTime, engine.TokensPerEvent = f.eventInterval, time.Second, f.tokensPerEvent
+	engine.EventInterval, engine.DownTime, engine.TokensPerEvent, engine.VaryEvents = f.eventInterval, time.Second, f.tokensPerEvent, f.varyEvents
 	server, err := fleetengine.Serve(engine)
 	if err != nil {
 		f.t.Fatal(err)
