--- a/exchange/long_lines_test.go
+++ b/exchange/long_lines_test.go
@@ -42,6 +42,7 @@
 		"line ends in CRLF after a full part":     strings.ReplaceAll(eventText(1, 3)+longEvent(4, eventBufferBytes, ""), "\n", "\r\n"),
 		"last event reads like an earlier number": eventText(1, 3) + longEvent(4, eventBufferBytes+5, "id: 1"),
 		"event reads like an earlier number":      eventText(1, 1) + longEvent(2, eventBufferBytes+5, "id: 1") + eventText(3, 4),
+		"event of 1 MiB":                          eventText(1, 1) + longEvent(2, maxEventBytes-len("id: 2\n\n\n"), "id: 1") + eventText(3, 3),
 		"event reads like a later number":         eventText(1, 1) + longEvent(2, eventBufferBytes+6, "id: 77") + eventText(3, 4),
 	} {
 		for _, route := range []string{"stream", "once"} {
