exchange: an upstream that confirms the end of a stream is not counted as crashed

Cause: another upstream is asked what follows such an end. It has nothing more, and closes after its header. recordLostAttempt counted that as a process that ended as it began to answer, under the prompt's parts, though its address accepts connections; three of them at three upstreams block the part that all prompts share.

Ruled out: the address (HasEnded says no each time), the trust in the service's ends (unchanged), the ends of the first upstreams (these had events, and no evidence was kept). The test was red by chance as its three continuations reach three upstreams by chance.

An attempt that confirms an end, or that is asked after one that has, is no evidence when it is closed without an event by a living upstream. A reset is, an end before the first event of the request is, and an event after it undoes the confirmation.

- TestUpstreamsThatConfirmAnUnmarkedEndAreNoEvidence: 2 of 5 subtests fail before (3 runs of 3), 20 runs pass.
The subtest with a reset of the third upstream was first written to block the part; its third attempts reach two of the four upstreams only (logged), so that it checks the evidence instead.
- tests of exchange, quarantine, blocklist and streamend pass with -race.

--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -120,13 +120,14 @@
 
 // recordLostAttempt records that an upstream cut the connection of an attempt, and reports whether that is evidence. If the
 // upstream's process has ended, all that was under way there is suspected, however far its answer had come. A
-// stream whose header had arrived and no event is suspected by its parts in any case: the process may be back already.
+// stream whose header had arrived and no event is suspected by its parts in any case, as the process may be back already; unless it was to
+// continue one that has no further event, by the word of two upstreams.
 func (r *requestHandler) recordLostAttempt(ctx context.Context, decision *placement.Decision) bool {
 	if r.handedTo != "" {
 		return false
 	}
 	lostAt := time.Now()
-	beganToAnswer := r.request.Route.Kind == fleet.Stream && r.headerReceived && r.attemptEvents == 0
+	beganToAnswer := r.request.Route.Kind == fleet.Stream && r.headerReceived && r.attemptEvents == 0 && !r.endConfirmed
 	if beganToAnswer {
 		r.exchange.config.Metrics.Count("wigeontiller_streams_lost_before_first_event_total", 1)
 	}
--- a/exchange/request_handler.go
+++ b/exchange/request_handler.go
@@ -52,6 +52,8 @@
 	unmarked bool
 	// firstEnd is the last unmarked end of an attempt, unless events followed.
 	firstEnd unmarkedEnd
+	// endConfirmed is true if another upstream had nothing to add to an unmarked end, unless events followed.
+	endConfirmed bool
 	// headerReceived is true after the response header of the current attempt has arrived, and
 	// attemptEvents counts the events of its stream.
 	headerReceived bool
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -158,6 +158,9 @@
 		r.outcome = Answered
 		return actionDone
 	}
+	if !errors.Is(err, errUnmarkedEnd) {
+		r.endConfirmed = false
+	}
 	reply.Abort()
 	outcome := placement.Unresponsive
 	// An upstream that marks no end is not at fault, unless it ends before the first event of the request.
--- a/exchange/unmarked_end.go
+++ b/exchange/unmarked_end.go
@@ -62,7 +62,7 @@
 		// It did not reach the event after which it was to continue.
 		return false
 	}
-	r.firstEnd = unmarkedEnd{}
+	r.firstEnd, r.endConfirmed = unmarkedEnd{}, true
 	config := &r.exchange.config
 	if config.StreamEnds.Confirm(config.Now(), r.service) {
 		config.Logger.Info().Str("request_id", r.request.ID).Str("service", r.service).Bool("trusted", true).Msg(telemetry.LogStreamEndsTrusted)
@@ -72,6 +72,7 @@
 
 // contradictUnmarkedEnd records an event that follows an unmarked end of an earlier upstream.
 func (r *requestHandler) contradictUnmarkedEnd() {
+	r.endConfirmed = false
 	if r.firstEnd.upstream == "" {
 		return
 	}
--- a/exchange/unmarked_end_test.go
+++ b/exchange/unmarked_end_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -142,3 +143,39 @@
 	f, _ = withPeers(t, peerStep{attemptStep: attemptStep{status: 200, closeDelimited: true, body: eventText(1, 3), bodyErr: errReset}})
 	is.True(f.serve(t, f.request("stream")).aborted)
 }
+
+// TestUpstreamsThatConfirmAnUnmarkedEndAreNoEvidence guards against a prompt part that is blocked, and with it all callers who share it,
+// as sound upstreams that end their streams by closing had no event left for a continuation (review/10).
+func TestUpstreamsThatConfirmAnUnmarkedEndAreNoEvidence(t *testing.T) {
+	one := attemptStep{status: 200, closeDelimited: true, body: eventText(1, 1)}
+	closed := attemptStep{status: 200, closeDelimited: true}
+	reset := attemptStep{status: 200, closeDelimited: true, bodyErr: errReset}
+	for name, c := range map[string]struct {
+		steps []attemptStep
+		// isEvidence is true if such ends count against the parts of the prompt, blocked if they block the part that all prompts share: the
+		// third attempts reach two upstreams only.
+		isEvidence, blocked bool
+	}{
+		"two upstreams":                        {[]attemptStep{one, closed}, false, false},
+		"three upstreams":                      {[]attemptStep{one, closed, closed}, false, false},
+		"the continuation is reset":            {[]attemptStep{one, reset}, true, true},
+		"the third is reset":                   {[]attemptStep{one, closed, reset}, true, false},
+		"the first is closed before its event": {[]attemptStep{closed, closed}, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			blocked := false
+			for i := range 20 {
+				f.sender.steps = append([]attemptStep(nil), c.steps...)
+				request := f.prompt(fmt.Sprint(i), 1)
+				request.Route.MaxAttempts = len(c.steps)
+				got := f.serve(t, request)
+				is.True(!got.ended)
+				blocked = blocked || got.failure != nil && got.failure.Code == RequestBlocked
+			}
+			is.Equal(f.exchange.config.Metrics.CounterValue("wigeontiller_streams_lost_before_first_event_total") > 0, c.isEvidence)
+			is.Equal(blocked, c.blocked)
+		})
+	}
+}
