exchange, test/processes: what the linter found

The end of a complete stream is endCompleteStream now, the attempts of a fleet edgeMaxAttempts.

Ruled out: a change of behavior; statements were moved, none changed.

Before: 3 issues.

--- a/exchange/events_test.go
+++ b/exchange/events_test.go
@@ -172,7 +172,7 @@
 			"id: 1\ndata: ~\r~\n\r\n",
 			"id: 1\r\r\ndata: ~\r\r\n\r\r\n",
 		} {
-			f.Add(body, filler, uint16(1+filler%7*500))
+			f.Add(body, filler, 1+filler%7*500)
 		}
 	}
 	f.Fuzz(func(t *testing.T, form string, filler, readSize uint16) {
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -128,23 +128,28 @@
 	return nil
 }
 
+// endCompleteStream ends the attempt and the caller's stream after a complete body.
+func (r *requestHandler) endCompleteStream(decision *placement.Decision, reply Reply) nextAction {
+	reply.Finish()
+	r.exchange.config.Scheduler.End(decision.ID, placement.Answered, "")
+	r.confirmUnmarkedEnd(decision)
+	r.recordWholeStream()
+	r.recordRunTime()
+	if r.begun.CompareAndSwap(false, true) {
+		r.writer.BeginStream(reply, false)
+	}
+	r.writer.EndStream()
+	r.outcome = Answered
+	return actionDone
+}
+
 // onStreamEnd handles the end of a stream's body. remainder holds the bytes after the last
 // complete event; a stream is complete only if there are none.
 func (r *requestHandler) onStreamEnd(ctx context.Context, decision *placement.Decision, reply Reply, remainder []byte, err error, watch *watchdog) nextAction {
 	scheduler := r.exchange.config.Scheduler
 	err = streamEndError(reply, remainder, err)
 	if err == nil {
-		reply.Finish()
-		scheduler.End(decision.ID, placement.Answered, "")
-		r.confirmUnmarkedEnd(decision)
-		r.recordWholeStream()
-		r.recordRunTime()
-		if r.begun.CompareAndSwap(false, true) {
-			r.writer.BeginStream(reply, false)
-		}
-		r.writer.EndStream()
-		r.outcome = Answered
-		return actionDone
+		return r.endCompleteStream(decision, reply)
 	}
 	if errors.Is(err, errUnmarkedEnd) && watch.endStandby() {
 		reply.Abort()
--- a/test/processes/edge_entries_test.go
+++ b/test/processes/edge_entries_test.go
@@ -50,7 +50,7 @@
 // after the other, and take them back. Nodes hung, or tried upstreams that could not be reached again and again.
 func TestFleetOfProcessesGoesOnBesideInvalidEntries(t *testing.T) {
 	const nodes, clients, entryTime = 3, 24, 700 * time.Millisecond
-	f := startFleetOf(t, nodes, 2, false)
+	f := startFleetOf(t, nodes, false)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var ended, failed atomic.Int64
--- a/test/processes/edge_fleet_test.go
+++ b/test/processes/edge_fleet_test.go
@@ -71,6 +71,7 @@
 
 const (
 	edgeNodes, edgeEngines, edgeApps, edgeZones = 7, 12, 3, 3
+	edgeMaxAttempts                             = 2
 	// contactTime is the time in which the nodes of a fleet must have heard of each other's news.
 	contactTime = 3 * time.Second
 	// harnessGrace is the time from SIGTERM until the platform kills a process.
@@ -79,11 +80,11 @@
 
 func startEdgeFleet(t *testing.T) *edgeFleet { return startFleet(t, false) }
 
-func startFleet(t *testing.T, ownWays bool) *edgeFleet { return startFleetOf(t, edgeNodes, 2, ownWays) }
+func startFleet(t *testing.T, ownWays bool) *edgeFleet { return startFleetOf(t, edgeNodes, ownWays) }
 
-// startFleetOf starts a fleet of this many nodes whose routes allow so many attempts.
-func startFleetOf(t *testing.T, nodes, maxAttempts int, ownWays bool) *edgeFleet {
-	f := newEdgeFleet(t, maxAttempts, ownWays)
+// startFleetOf starts a fleet of this many nodes.
+func startFleetOf(t *testing.T, nodes int, ownWays bool) *edgeFleet {
+	f := newEdgeFleet(t, edgeMaxAttempts, ownWays)
 	f.start(nodes)
 	return f
 }
--- a/test/processes/edge_grace_test.go
+++ b/test/processes/edge_grace_test.go
@@ -79,7 +79,7 @@
 	for _, runTime := range []time.Duration{15 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond} {
 		t.Run(runTime.String(), func(t *testing.T) {
 			t.Parallel()
-			f := startFleetOf(t, 3, 2, false)
+			f := startFleetOf(t, 3, false)
 			for range 3 {
 				f.apps = append(f.apps, f.addEngine("app", len(f.apps)))
 			}
--- a/test/processes/edge_lengths_test.go
+++ b/test/processes/edge_lengths_test.go
@@ -66,7 +66,7 @@
 
 func soakLengths(t *testing.T, seed uint64) {
 	const length, lastStop = 26 * time.Second, 8 * time.Second
-	f := newEdgeFleet(t, 2, false)
+	f := newEdgeFleet(t, edgeMaxAttempts, false)
 	f.eventInterval, f.tokensPerEvent, f.timeoutMs = siteEventInterval, siteTokensPerEvent, 10_000
 	f.start(soakNodes(t))
 	end := time.Now().Add(length)
--- a/test/processes/edge_silence_test.go
+++ b/test/processes/edge_silence_test.go
@@ -29,7 +29,7 @@
 		// A stream of 2 s that is silent for 2 s again and again ends in this time.
 		timeoutMs = 15_000
 	)
-	f := newEdgeFleet(t, 2, false)
+	f := newEdgeFleet(t, edgeMaxAttempts, false)
 	f.retryExtra, f.eventInterval, f.timeoutMs = 4, 250*time.Millisecond, timeoutMs
 	f.start(soakNodes(t))
 	for _, engine := range f.engines[:failingOnes] {
--- a/test/processes/edge_stops_test.go
+++ b/test/processes/edge_stops_test.go
@@ -230,7 +230,7 @@
 }
 
 func soakStops(t *testing.T, seed uint64) {
-	f := startFleetOf(t, soakNodes(t), 2, false)
+	f := startFleetOf(t, soakNodes(t), false)
 	random := rand.New(rand.NewPCG(seed, 1))
 	for _, app := range f.apps {
 		app.Set(fleetengine.Knobs{RunTime: stopsRunTime(random)})
