--- a/exchange/blocked.go
+++ b/exchange/blocked.go
@@ -120,8 +120,8 @@
 
 // recordLostAttempt records that an upstream cut the connection of an attempt, and reports whether that is evidence. If the
 // upstream's process has ended, all that was under way there is suspected, however far its answer had come. A
-// stream whose header had arrived and no event is suspected by its parts in any case, as the process may be back already; unless it was to
-// continue one that has no further event, by the word of two upstreams.
+// stream whose header had arrived and no event is suspected by its parts in any case, as the process may be back already; unless another
+// upstream has confirmed that no event was left to send.
 func (r *requestHandler) recordLostAttempt(ctx context.Context, decision *placement.Decision) bool {
 	if r.handedTo != "" {
 		return false
