standin/eventform, standin/engine: streams of the own interface vary in form, too

No fault was found, no product code changes.

The proxy that cuts connections took the first blank line for the end of the first event. It now looks for the first event that has data; in the forms before, that is the same place.

--- a/entry/cutting_proxy_test.go
+++ b/entry/cutting_proxy_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 
@@ -82,8 +83,8 @@
 	for passed := 0; passed < count; {
 		n, err := engine.Read(buffer)
 		all = append(all, buffer[:n]...)
-		if ends := eventEnds(string(all)); !pastFirstEvent && len(ends) > 0 {
-			count, pastFirstEvent = max(count, ends[0]), true
+		if end := firstEventEnd(string(all)); !pastFirstEvent && end > 0 {
+			count, pastFirstEvent = max(count, end), true
 		} else if !pastFirstEvent {
 			count = max(count, len(all)+1)
 		}
@@ -103,6 +104,21 @@
 	}
 }
 
+// firstEventEnd returns the offset of the end of the first event that has data, or 0 if it isn't there yet. Comments
+// may come before it, and its lines may end in CRLF.
+func firstEventEnd(raw string) int {
+	begin := strings.Index(raw, "\ndata: ")
+	if begin < 0 {
+		return 0
+	}
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		if at := strings.Index(raw[begin:], end); at >= 0 {
+			return begin + at + len(end)
+		}
+	}
+	return 0
+}
+
 // partialMarkerBytes is the number of bytes at the end of data that may begin the end marker.
 func partialMarkerBytes(data []byte) int {
 	for n := min(len(data), len(upstream.EndMarker)-1); n > 0; n-- {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -24,6 +24,8 @@
 	ColdStart time.Duration
 	// PrefixCacheTokens is the size of the prefix cache in tokens; 0 disables it.
 	PrefixCacheTokens int
+	// VaryEvents varies the form of the events by package eventform.
+	VaryEvents bool
 	// Orders configures how the engine handles orders.
 	Orders OrdersConfig
 }
@@ -45,6 +47,8 @@
 	// the other parts.
 	kvTokens int
 	group    *groupReservation
+	// formKey determines the form of events that vary.
+	formKey string
 	// events are the events produced so far by a streamed attempt; changed wakes its
 	// readers. detachments counts the readers that have disconnected.
 	events      [][]byte
--- a/standin/engine/resume.go
+++ b/standin/engine/resume.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 
+	"github.com/wigeontiller/wigeontiller/standin/eventform"
 	"github.com/wigeontiller/wigeontiller/standin/fault"
 	"github.com/wigeontiller/wigeontiller/upstream"
 )
@@ -181,16 +183,28 @@
 				_ = conn.Close()
 				return
 			}
-			if !writeEvent(w, number, data) || string(data) == endMarker {
+			if !s.writeEvent(w, from.formKey, number, data) || string(data) == endMarker {
 				return
 			}
 		}
 	})
 }
 
-func writeEvent(w *bufio.Writer, number int, data []byte) bool {
-	_, _ = w.WriteString("id: " + strconv.Itoa(number) + "\ndata: ")
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
+func (s *Server) writeEvent(w *bufio.Writer, formKey string, number int, data []byte) bool {
+	text := "id: " + strconv.Itoa(number) + "\ndata: " + string(data) + "\n\n"
+	if s.engine.config.VaryEvents {
+		text = variedEvent(formKey, number, string(data))
+	}
+	_, _ = w.WriteString(text)
 	return w.Flush() == nil
 }
+
+// variedEvent varies the length of the data by a member that callers don't know.
+func variedEvent(formKey string, number int, data string) string {
+	form := eventform.New(formKey, number)
+	line := "data: " + data
+	if members, ok := strings.CutPrefix(data, "{"); ok {
+		line = form.Line(`data: {"filler":"`) + `",` + members
+	}
+	return form.Event(number, line)
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -89,6 +89,7 @@
 	admitted.prefixBlocks = blockHashes(c.Get(upstream.HeaderCacheSalt), fields[0].String(), text)
 	answer := answerWriter{model: fields[0].String(), mark: Mark(body), id: admitted.id, chat: strings.Contains(c.Path(), "chat")}
 	if fields[1].Bool() {
+		admitted.formKey = answer.mark
 		s.serveStream(c, admitted, answer)
 		return nil
 	}
