exchange, placement, explain: a refusal for busy engines says what it rests on

Cause: the logs could not tell whether the engines were too busy for a prompt or the number of engines that would read it soonest exceeded a bound. 'request ended' had the reason alone, and the size only where the request was refused.

Change: 'request ended' has prompt_tokens for every prompt, and with busy engines_wanted, engines_needed, engines_at_hand and prefill_load; explain names them. wigeontiller_prompts_total counts prompts by the memory that they need and by result.

No logic is changed.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -344,9 +344,17 @@
 	if r.reason != "" {
 		event = event.Str("reason", r.reason)
 	}
+	if r.request.PromptTokens > 0 {
+		event = event.Int("prompt_tokens", r.request.PromptTokens)
+		r.countPrompt()
+	}
 	if r.refusal != nil {
-		event = event.Str("service", r.service).Int("priority", r.request.Priority()).Int("prompt_tokens", r.request.PromptTokens).
+		event = event.Str("service", r.service).Int("priority", r.request.Priority()).
 			Dur("retry_after_ms", r.refusal.RetryAfter).Dur("expected_wait_ms", r.refusal.ExpectedWait)
+		if reading := r.refusal.Reading; reading != nil {
+			event = event.Int("engines_wanted", reading.Wanted).Int("engines_needed", reading.Needed).Int("engines_at_hand", reading.AtHand).
+				Float64("prefill_load", reading.PrefillLoad)
+		}
 		e.config.Metrics.Count(fmt.Sprintf("wigeontiller_requests_refused_total{reason=%q}", r.refusal.Reason), 1)
 	}
 	r.delivery.log(event).Int64("last_event", r.lastEventNumber).Msg(telemetry.LogRequestEnded)
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -84,7 +84,7 @@
 	case placement.TooLarge:
 		return "no number of engines that may share a prompt had the memory for it"
 	case placement.Busy:
-		return "the prompt needs several engines' memory, and the engines read too much to take it"
+		return "the prompt needs several engines' memory, and the engines read too much to take it" + readingState(end)
 	case placement.LimitReached:
 		return "all upstreams that might run it state request limits that were used up"
 	case placement.TooLate:
@@ -108,6 +108,15 @@
 	return strings.ReplaceAll(reason, "_", " ")
 }
 
+// readingState describes the engines that were to read a refused prompt.
+func readingState(end *Line) string {
+	if end.Number("engines_at_hand") == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%.0f engines wanted, %.0f needed, %.0f at hand, %.2f of their time went to prefill)",
+		end.Number("engines_wanted"), end.Number("engines_needed"), end.Number("engines_at_hand"), end.Number("prefill_load"))
+}
+
 // attemptState describes how far the last attempt got.
 func (l *Log) attemptState(lines []Line) string {
 	failed, placed := lastLine(lines, telemetry.LogAttemptFailed), lastLine(lines, telemetry.LogAttemptPlaced)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -56,6 +56,7 @@
 			first, line("n1", 9000, "request cut, the node ends", `"request_id":"r1","since_stop_ms":5500`),
 		}, "its node ended 5.5s after the signal to stop, and cut it; its attempt at u1 was under way"},
 		"busy":               {[]string{ended(1000, `"outcome":"overloaded","reason":"busy"`)}, "the engines read too much"},
+		"busy, with figures": {[]string{ended(1000, `"outcome":"overloaded","reason":"busy","engines_wanted":16,"engines_needed":2,"engines_at_hand":120,"prefill_load":0.35`)}, "(16 engines wanted, 2 needed, 120 at hand, 0.35 of their time went to prefill)"},
 		"waited too long":    {[]string{ended(9000, `"outcome":"overloaded","reason":"too_late","taken_ms":8000`)}, "waited 8s"},
 		"request blocked":    {[]string{first, failed(1010, "unexpected EOF", 200), ended(1011, `"outcome":"upstream_failed","reason":"request_blocked","attempts":1`)}, "upstreams end when they run it"},
 		"limit reached":      {[]string{ended(1000, `"outcome":"overloaded","reason":"request_limit"`)}, "request limits that were used up"},
--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -33,7 +33,9 @@
 	busy := s.prefillLoad(now, engines)
 	smallShare := float64(count) <= float64(len(engines))*smallEngineShare && busy < smallShareMaxLoad
 	if !smallShare && busy+share > distributedMaxLoad && busy > idlePrefillLoad {
-		return refuse(request, Busy, busyRetryAfter), true
+		decision := refuse(request, Busy, busyRetryAfter)
+		decision.Reading = &Reading{Wanted: count, Needed: s.minHolderCount(request, service.Engine), AtHand: len(engines), PrefillLoad: busy}
+		return decision, true
 	}
 	if !smallShare && busy > idlePrefillLoad {
 		// One late request is better than many: use no more engines than have to hold it.
