--- a/placement/long_pool_test.go
+++ b/placement/long_pool_test.go
@@ -30,11 +30,14 @@
 	// active is the number of requests that hold a slot; queued wait for one.
 	active int
 	queued []*simulatedChunk
+	down   bool
 }
 
 type simulatedChunk struct {
 	request    *simulatedRequest
 	ms, tokens float64
+	// cancelled is true if the attempt has ended.
+	cancelled bool
 }
 
 type simulatedRequest struct {
@@ -48,6 +51,12 @@
 	lastEventAt  time.Duration
 	longestPause time.Duration
 	done         bool
+	// broken is true if a crash ended the stream.
+	broken bool
+	// avoid holds the engines where an attempt failed, and returned is true once its caller has come back.
+	avoid    []string
+	returned bool
+	refusals []Reason
 }
 
 // simulatedSite is a service's engines, and the nodes that decide for them.
@@ -81,6 +90,9 @@
 	run func(now time.Duration)
 }
 
+// longCallerWait is when a caller gives up.
+const longCallerWait = 15 * time.Second
+
 // hearDelay is how late a node hears of another's placement on the large site.
 const hearDelay = 60 * time.Millisecond
 
@@ -142,14 +154,21 @@
 }
 
 func (l *longPoolLoad) submit(now time.Duration, tokens int, aim time.Duration) {
-	l.next++
-	node, id := l.random.IntN(len(l.nodes)), fmt.Sprintf("r%d", l.next)
+	node := l.random.IntN(len(l.nodes))
 	request := &simulatedRequest{node: node, tokens: tokens, aim: aim, arrived: now, events: l.eventCount()}
 	l.all = append(l.all, request)
+	l.place(now, request, now)
+}
+
+// place submits a request of which an attempt arrived at a time.
+func (l *longPoolLoad) place(now time.Duration, request *simulatedRequest, attemptArrived time.Duration) {
+	l.next++
+	node, id := request.node, fmt.Sprintf("r%d", l.next)
 	l.byRequest[id] = request
 	l.decided(now, l.nodes[node].Submit(now, &Request{
-		ID: id, Service: "llm", Kind: fleet.Stream, PromptTokens: tokens, AnswerTokens: 800,
-		Arrived: now, AnswerDue: now + aim, Deadline: now + 15*time.Second,
+		ID: id, Service: "llm", Kind: fleet.Stream, PromptTokens: request.tokens, AnswerTokens: 800,
+		Arrived: attemptArrived, AnswerDue: attemptArrived + request.aim, Deadline: request.arrived + longCallerWait,
+		Avoid: request.avoid, IsRetry: len(request.avoid) > 0,
 	}))
 	l.tellChanges(now, node)
 	if !l.ticking[node] {
@@ -173,11 +192,17 @@
 }
 
 func (l *longPoolLoad) decided(now time.Duration, decision Decision) {
+	if decision.Reason != "" {
+		l.refused(now, l.byRequest[decision.ID], decision)
+	}
 	if decision.Lead == nil {
 		return
 	}
 	request := l.byRequest[decision.ID]
 	request.decision = decision
+	if l.failsOnCrashedEngine(now, request) {
+		return
+	}
 	parts := append([]*fleet.Upstream{decision.Lead}, decision.Helpers...)
 	request.unread = len(parts)
 	ms := prefillMs(l.model, request.tokens) / float64(len(parts))
@@ -225,7 +250,11 @@
 		ms += decodePassMs(l.model, len(engine.decoding), context)
 	}
 	engine.passEnd = now + milliseconds(ms)
-	l.at(engine.passEnd, func(now time.Duration) { l.endPass(now, engine) })
+	l.at(engine.passEnd, func(now time.Duration) {
+		if !engine.down {
+			l.endPass(now, engine)
+		}
+	})
 }
 
 // read takes what the engine reads in its next pass and returns the time for it in ms.
@@ -285,6 +314,9 @@
 	}
 	for _, chunk := range engine.reading {
 		request := chunk.request
+		if chunk.cancelled {
+			continue
+		}
 		if request.unread--; request.unread > 0 {
 			continue
 		}
