placement: late long prompts wait for calm engines and take what they need

Cause: placeDistributed compared a bound on the engines that one prompt may take, a tenth of those at hand, with the number that reads the prompt soonest (fastestCount), not with the number that holds it and answers its caller. The first grows with size, lateness and backlogs, and only prompts over one engine's memory met the bound. Class: a wish taken for a need in an admission decision.

Change: what can't be in time is one case for all long prompts (placeLate): it waits while the engines are busy, is placed on no more engines than hold it and read it in time for its caller, and is refused only at the end of its wait.

The refusal at once was the fault.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -84,7 +84,7 @@
 	case placement.TooLarge:
 		return "no number of engines that may share a prompt had the memory for it"
 	case placement.Busy:
-		return "the prompt needs several engines' memory, and the engines read too much to take it" + readingState(end)
+		return "the prompt could not be in time, and the engines read too much to take it until its caller would have left" + readingState(end)
 	case placement.LimitReached:
 		return "all upstreams that might run it state request limits that were used up"
 	case placement.TooLate:
--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -25,22 +25,29 @@
 	busyRetryAfter = 3 * time.Second
 )
 
-// placeDistributed places a prompt that several engines hold in memory. Its prefill
-// takes so long that it is refused while the engines are busy with prefills: it would
-// make many other requests late.
+// placeDistributed places a prompt that several engines hold in memory on a number of engines
+// that read it. Where these are more than the engines' load leaves for one prompt, it is placed
+// as one that is late.
 func (s *Scheduler) placeDistributed(now time.Duration, request *Request, service *fleet.Service, engines []*load, count int) (Decision, bool) {
 	share := prefillMs(service.Engine, request.PromptTokens) / float64(len(engines)) / distributedPrefillSpanMs
 	busy := s.prefillLoad(now, engines)
-	smallShare := float64(count) <= float64(len(engines))*smallEngineShare && busy < smallShareMaxLoad
-	if !smallShare && busy+share > distributedMaxLoad && busy > idlePrefillLoad {
-		decision := refuse(request, Busy, busyRetryAfter)
-		decision.Reading = &Reading{Wanted: count, Needed: s.minHolderCount(request, service.Engine), AtHand: len(engines), PrefillLoad: busy}
-		return decision, true
-	}
-	if !smallShare && busy > idlePrefillLoad {
+	fewEngines := count <= maxEnginesUnderLoad(engines)
+	switch {
+	case fewEngines && busy < smallShareMaxLoad, busy <= idlePrefillLoad:
+	case busy+share > distributedMaxLoad:
+		return s.placeLate(now, request, service, engines)
+	default:
 		// One late request is better than many: use no more engines than have to hold it.
 		count = 0
 	}
+	return s.placeOnHolders(now, request, service, engines, count)
+}
+
+// maxEnginesUnderLoad is the number of engines that may prefill one prompt while the engines are busy.
+func maxEnginesUnderLoad(engines []*load) int { return int(float64(len(engines)) * smallEngineShare) }
+
+// placeOnHolders places a prompt on the engines that hold it, and on others up to a number of engines.
+func (s *Scheduler) placeOnHolders(now time.Duration, request *Request, service *fleet.Service, engines []*load, count int) (Decision, bool) {
 	holders, possible := s.selectHolders(now, service, engines, request)
 	if !possible {
 		return refuse(request, TooLarge, defaultRetryAfter), true
--- /dev/null
+++ b/placement/late.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/wigeontiller/wigeontiller/fleet"
+)
+
+const (
+	// lateMaxLoad is the share of the engines' time spent on prefill up to which prompts are placed that can't
+	// be answered in time: above it they would make prompts late that still can.
+	lateMaxLoad = 0.3
+	// lateStartFactor is how many times the prefill time on as many engines as may be used must be left for a
+	// late prompt to wait.
+	lateStartFactor = 1.5
+)
+
+// placeLate places a long prompt that can't be answered in time on no more engines than hold it and read it before
+// its caller leaves, however large it is. While the engines are busy it waits, which leaves them to prompts that can
+// still be in time, until it would be too late for an answer.
+func (s *Scheduler) placeLate(now time.Duration, request *Request, service *fleet.Service, engines []*load) (Decision, bool) {
+	engine, promptMs := service.Engine, prefillMs(service.Engine, request.PromptTokens)
+	distributed, needed := distributes(request, engine), 1
+	if distributed {
+		if _, possible := s.selectHolders(now, service, engines, request); !possible {
+			return refuse(request, TooLarge, defaultRetryAfter), true
+		}
+		needed = min(len(engines), s.minHolderCount(request, engine))
+	}
+	limit := min(s.config.MaxPrefillEngines, len(engines))
+	leftMs := s.latestFirstEventMs(now, engine, request)
+	count := needed
+	for count < limit && s.prefillTimeMs(now, engines, count, promptMs) > leftMs {
+		count++
+	}
+	if s.prefillTimeMs(now, engines, count, promptMs) > leftMs {
+		return refuse(request, TooLate, s.retryAfter(now, request)), true
+	}
+	busy := s.prefillLoad(now, engines)
+	free := engines[min(count+lateSpareEngines, len(engines))-1].backlogMs(now) <= negligibleBacklogMs
+	mayWait := leftMs > lateStartFactor*s.prefillTimeMs(now, engines, limit, promptMs)
+	switch {
+	case mayWait && (busy >= lateMaxLoad || !free):
+		return Decision{}, false
+	case busy >= lateMaxLoad:
+		decision := refuse(request, Busy, busyRetryAfter)
+		decision.Reading = &Reading{Wanted: count, Needed: needed, AtHand: len(engines), PrefillLoad: busy}
+		return decision, true
+	case distributed:
+		return s.placeOnHolders(now, request, service, engines, count)
+	}
+	return s.placeOn(now, request, service, engines, count)
+}
--- a/placement/long_pool.go
+++ b/placement/long_pool.go
@@ -67,8 +67,8 @@
 	return max(1-pool, min(front, 1-minLongPool/2))
 }
 
-// placeInLongPool places a prompt on the fewest engines that prefill it in time, and if there are
-// none, on those that prefill it first. Engines outside of the pool are used when it is busy.
+// placeInLongPool places a prompt on the fewest engines that prefill it in time. Engines outside of
+// the pool are used when it is busy.
 func (s *Scheduler) placeInLongPool(now time.Duration, request *Request, service *fleet.Service, engines []*load, promptMs float64) (Decision, bool) {
 	engine := service.Engine
 	budgetMs := float64((request.AnswerDue-now).Milliseconds())*prefillTimeShare - decodePassMs(engine, 1, request.PromptTokens)
@@ -82,7 +82,7 @@
 		count++
 	}
 	if s.prefillTimeMs(now, engines, count, promptMs) > budgetMs {
-		count = s.fastestCount(now, engines, limit, promptMs)
+		return s.placeLate(now, request, service, engines)
 	}
 	if distributed {
 		return s.placeDistributed(now, request, service, engines, count)
