placement: a prompt is held by fewer engines where few have room

What callers saw: prompts over one engine's memory wait although two or three engines could hold them.

Cause: selectHolders began at the number of holders that gives each 80,000 tokens, and went up from there, never down; that number is a wish (a long context slows the streams of its engine), the need is two engines with the memory.

Evidence: TestDistributedPromptTakesFewerHoldersWhereFewHaveRoom fails before (no placement with two free engines of 18).

--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -112,18 +112,35 @@
 		return min(free(b), targetHolderTokens) - min(free(a), targetHolderTokens)
 	})
 	limit := min(maxHolders, len(candidates))
-	for count := max(2, min(limit, (request.PromptTokens+targetHolderTokens-1)/targetHolderTokens)); count <= limit; count++ {
-		share := request.PromptTokens/count + 1
-		if free(candidates[count-1]) < share+request.AnswerTokens {
-			continue
+	wanted := max(minHolders, min(limit, (request.PromptTokens+targetHolderTokens-1)/targetHolderTokens))
+	for count := wanted; count <= limit; count++ {
+		if holders := s.holdersOf(now, service, candidates[:count], request, free); holders != nil {
+			return holders, true
 		}
-		chosen := slices.Clone(candidates[:count])
-		for i, l := range chosen {
-			if s.hasPlace(now, l) && s.coldRateAllows(now, l, service) {
-				chosen[0], chosen[i] = chosen[i], chosen[0]
-				return chosen, true
-			}
+	}
+	slices.SortStableFunc(candidates, func(a, b *load) int { return free(b) - free(a) })
+	for count := wanted - 1; count >= minHolders; count-- {
+		if holders := s.holdersOf(now, service, candidates[:count], request, free); holders != nil {
+			return holders, true
 		}
 	}
 	return nil, true
 }
+
+// holdersOf returns the engines with one that may lead first, or nil if they have no room for the prompt in even parts.
+func (s *Scheduler) holdersOf(now time.Duration, service *fleet.Service, engines []*load, request *Request, free func(*load) int) []*load {
+	part := request.PromptTokens/len(engines) + 1
+	for _, l := range engines {
+		if free(l) < part+request.AnswerTokens {
+			return nil
+		}
+	}
+	for i, l := range engines {
+		if s.hasPlace(now, l) && s.coldRateAllows(now, l, service) {
+			chosen := slices.Clone(engines)
+			chosen[0], chosen[i] = chosen[i], chosen[0]
+			return chosen
+		}
+	}
+	return nil
+}
--- a/placement/distributed_test.go
+++ b/placement/distributed_test.go
@@ -71,6 +71,22 @@
 	is.Equal(len(decisions[0].Helpers)+1, len(decisions[0].Reservations)) // no more than hold it
 }
 
+func TestDistributedPromptTakesFewerHoldersWhereFewHaveRoom(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(18, 0)
+	const now = 10 * time.Second
+	for i, l := range f.ordered {
+		if i >= 2 {
+			l.setNodeTotals("other", Totals{Running: 1, MemoryTokens: 200_000})
+		}
+	}
+	request := f.request(now, 300_000)
+	request.AnswerDue, request.Deadline = now+3*time.Second, now+15*time.Second
+	decision := f.Submit(now, request)
+	is.True(decision.Lead != nil)
+	is.Equal(len(decision.Reservations), 2)
+}
+
 func TestDistributedPromptPrefersEnginesWithFewStreams(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(40, 0)
