exchange, placement: an engine that made no reservation is not asked again at once

Cause: a reservation that failed ended its placement as neutral. Nothing was learned, so that the next placement, 25 ms later, chose the same engines, and what it had reserved at the others kept other nodes' prompts from them meanwhile.

Change: an engine without the memory is not asked for as much for 300 ms, in which what others have reserved is heard of; one that does not answer as an engine does is avoided like one that does not report. Orders that were given up say nothing.

--- a/exchange/fixture_test.go
+++ b/exchange/fixture_test.go
@@ -57,6 +57,10 @@
 	reservedTokens     map[string]int
 	leases             []time.Duration
 	refuseReservations int
+	// reserveErrors are the results of reservations by upstream: nil is that the memory is not free.
+	reserveErrors map[string]error
+	// reserved counts the reservations that were asked for, by upstream.
+	reserved map[string]int
 	// ended is what HasEnded returns.
 	ended bool
 }
@@ -105,6 +109,10 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	u.leases = append(u.leases, lease)
+	u.reserved[ticket.Upstream.ID]++
+	if err, fails := u.reserveErrors[ticket.Upstream.ID]; fails {
+		return false, err
+	}
 	if u.refuseReservations > 0 {
 		u.refuseReservations--
 		return false, nil
@@ -241,7 +249,7 @@
 	add("once", fleet.Stream, "llm")
 	site.OrganisationsByKey = map[string]*fleet.Organisation{"key": {Name: "works"}}
 	site.Index()
-	f := &fixture{sender: &fakeSender{steps: steps, reservedTokens: map[string]int{}}, site: site}
+	f := &fixture{sender: &fakeSender{steps: steps, reservedTokens: map[string]int{}, reserved: map[string]int{}}, site: site}
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) + time.Duration(f.skew.Load()) + time.Hour }
 	metrics := telemetry.NewMetrics()
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -101,6 +101,7 @@
 			ok, err := t.handler.exchange.config.Memory.Reserve(ctx, &t.list[i], lease)
 			if err != nil || !ok {
 				t.log("memory not reserved", &t.list[i], err)
+				t.recordFailure(ctx, &t.list[i], err)
 			}
 			held[i] = ok && err == nil
 		})
@@ -114,6 +115,21 @@
 	return true
 }
 
+// recordFailure tells the scheduler what a reservation that failed says of its engine. An order that was given
+// up says nothing.
+func (t *reservations) recordFailure(ctx context.Context, ticket *Reservation, err error) {
+	if err != nil && ctx.Err() != nil {
+		return
+	}
+	t.handler.exchange.config.Scheduler.Do(func(s *placement.Scheduler, now time.Duration) {
+		if err != nil {
+			s.RecordFailedReservation(now, ticket.Upstream.ID)
+		} else {
+			s.RecordMemoryRefusal(now, ticket.Upstream.ID, ticket.Tokens)
+		}
+	})
+}
+
 func (t *reservations) log(message string, ticket *Reservation, err error) {
 	t.handler.exchange.config.Logger.Info().Err(err).Str("request_id", t.handler.request.ID).Str("ticket", ticket.ID).
 		Str("upstream", ticket.Upstream.ID).Int("tokens", ticket.Tokens).Msg(message)
--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -105,7 +105,7 @@
 	if request.PromptTokens+request.AnswerTokens > usable*min(maxHolders, len(engines)) {
 		return nil, false
 	}
-	free := func(l *load) int { return usable - l.totalMemoryTokens() }
+	free := func(l *load) int { return l.reservableTokens(now, usable) }
 	// The sort is stable: engines with the same room keep their order.
 	candidates := slices.Clone(engines)
 	slices.SortStableFunc(candidates, func(a, b *load) int {
--- a/placement/distributed_test.go
+++ b/placement/distributed_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +88,28 @@
 	is.Equal(len(decision.Reservations), 2)
 }
 
+func TestRefusedMemoryIsNotReservedAgainUntilOthersAreHeard(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(3, 0)
+	now := 10 * time.Second
+	request := f.request(now, 300_000)
+	request.AnswerDue, request.Deadline = now+3*time.Second, now+15*time.Second
+	f.RecordMemoryRefusal(now, "e0", 50_000)
+	reserves := func(decision Decision) (ids []string) {
+		for _, reservation := range decision.Reservations {
+			ids = append(ids, reservation.Upstream.ID)
+		}
+		return ids
+	}
+	decision := f.Submit(now, request)
+	is.Equal(len(decision.Reservations), 2)
+	is.True(!slices.Contains(reserves(decision), "e0"))
+	f.End(now, request.ID, Neutral, "")
+	now += memoryRefusalTTL
+	request.ID = "again"
+	is.Equal(len(f.Submit(now, request).Reservations), 3)
+}
+
 func TestDistributedPromptPrefersEnginesWithFewStreams(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(40, 0)
--- a/placement/load.go
+++ b/placement/load.go
@@ -81,6 +81,7 @@
 	senderPart              float64
 	senderRankAt            time.Duration
 	turns                   turns
+	memoryRefusal           memoryRefusal
 	departed                departures
 	// polledAt is when this node last polled the upstream for its load.
 	polledAt time.Duration
