placement: late long prompts wait for a lower load, and are placed at the end of it in a pool

Change: the bound is 0.15; twice the reading time, not 1.5 times, is left when the wait ends; in a pool the prompt is then placed where it takes a tenth of the engines at most and the load is under 0.7.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -137,7 +137,7 @@
 	}
 	need := request.PromptTokens + request.AnswerTokens
 	if need > engine.MemoryTokens {
-		return s.placeDistributed(now, request, service, engines, count)
+		return s.placeDistributed(now, request, service, engines, count, false)
 	}
 	return s.placeOn(now, request, service, engines, count)
 }
--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -28,14 +28,14 @@
 // placeDistributed places a prompt that several engines hold in memory on a number of engines
 // that read it. Where these are more than the engines' load leaves for one prompt, it is placed
 // as one that is late.
-func (s *Scheduler) placeDistributed(now time.Duration, request *Request, service *fleet.Service, engines []*load, count int) (Decision, bool) {
+func (s *Scheduler) placeDistributed(now time.Duration, request *Request, service *fleet.Service, engines []*load, count int, pooled bool) (Decision, bool) {
 	share := prefillMs(service.Engine, request.PromptTokens) / float64(len(engines)) / distributedPrefillSpanMs
 	busy := s.prefillLoad(now, engines)
 	fewEngines := count <= maxEnginesUnderLoad(engines)
 	switch {
 	case fewEngines && busy < smallShareMaxLoad, busy <= idlePrefillLoad:
 	case busy+share > distributedMaxLoad:
-		return s.placeLate(now, request, service, engines)
+		return s.placeLate(now, request, service, engines, pooled)
 	default:
 		// One late request is better than many: use no more engines than have to hold it.
 		count = 0
--- a/placement/late.go
+++ b/placement/late.go
@@ -7,18 +7,19 @@
 )
 
 const (
-	// lateMaxLoad is the share of the engines' time spent on prefill up to which prompts are placed that can't
+	// lateMaxLoad is the share of the engines' time spent on prefill up to which prompts need not wait that can't
 	// be answered in time: above it they would make prompts late that still can.
-	lateMaxLoad = 0.3
+	lateMaxLoad = 0.15
 	// lateStartFactor is how many times the prefill time on as many engines as may be used must be left for a
 	// late prompt to wait.
-	lateStartFactor = 1.5
+	lateStartFactor = 2
 )
 
 // placeLate places a long prompt that can't be answered in time on no more engines than hold it and read it before
 // its caller leaves, however large it is. While the engines are busy it waits, which leaves them to prompts that can
-// still be in time, until it would be too late for an answer.
-func (s *Scheduler) placeLate(now time.Duration, request *Request, service *fleet.Service, engines []*load) (Decision, bool) {
+// still be in time. Once it can't wait longer, it is refused if they are busy; where they are a pool, which has few other
+// streams, only if that takes many of them or the load is high.
+func (s *Scheduler) placeLate(now time.Duration, request *Request, service *fleet.Service, engines []*load, pooled bool) (Decision, bool) {
 	engine, promptMs := service.Engine, prefillMs(service.Engine, request.PromptTokens)
 	distributed, needed := distributes(request, engine), 1
 	if distributed {
@@ -42,7 +43,7 @@
 	switch {
 	case mayWait && (busy >= lateMaxLoad || !free):
 		return Decision{}, false
-	case busy >= lateMaxLoad:
+	case busy >= lateMaxLoad && (!pooled || busy >= smallShareMaxLoad || count > maxEnginesUnderLoad(engines)):
 		decision := refuse(request, Busy, busyRetryAfter)
 		decision.Reading = &Reading{Wanted: count, Needed: needed, AtHand: len(engines), PrefillLoad: busy}
 		return decision, true
--- a/placement/long_pool.go
+++ b/placement/long_pool.go
@@ -82,10 +82,10 @@
 		count++
 	}
 	if s.prefillTimeMs(now, engines, count, promptMs) > budgetMs {
-		return s.placeLate(now, request, service, engines)
+		return s.placeLate(now, request, service, engines, true)
 	}
 	if distributed {
-		return s.placeDistributed(now, request, service, engines, count)
+		return s.placeDistributed(now, request, service, engines, count, true)
 	}
 	return s.placeOn(now, request, service, engines, count)
 }
