placement: whether engines could hold a prompt is known without choosing them

Cause: placeLate chose holders, with a sort of all engines, only to learn whether any number of them could hold the prompt, at each tick of a prompt that waits.

Change: canHold and usableTokens; what is decided is the same.

--- a/placement/distributed.go
+++ b/placement/distributed.go
@@ -96,15 +96,25 @@
 	minHolders, maxHolders = 2, 8
 )
 
+// canHold reports whether a number of empty engines have the memory for a prompt.
+func canHold(engine *fleet.Engine, engines int, request *Request) bool {
+	return request.PromptTokens+request.AnswerTokens <= usableTokens(engine)*min(maxHolders, engines)
+}
+
+// usableTokens is the part of an engine's memory that may be reserved.
+func usableTokens(engine *fleet.Engine) int {
+	return int(float64(engine.MemoryTokens) * (1 - memoryMargin))
+}
+
 // selectHolders returns the engines that are to hold a prompt together, the lead first,
 // or none if they have no room now. It reports false if the prompt is too large for
 // any number of them.
 func (s *Scheduler) selectHolders(now time.Duration, service *fleet.Service, engines []*load, request *Request) ([]*load, bool) {
 	engine := service.Engine
-	usable := int(float64(engine.MemoryTokens) * (1 - memoryMargin))
-	if request.PromptTokens+request.AnswerTokens > usable*min(maxHolders, len(engines)) {
+	if !canHold(engine, len(engines), request) {
 		return nil, false
 	}
+	usable := usableTokens(engine)
 	free := func(l *load) int { return l.reservableTokens(now, usable) }
 	// The sort is stable: engines with the same room keep their order.
 	candidates := slices.Clone(engines)
--- a/placement/division_choose.go
+++ b/placement/division_choose.go
@@ -144,8 +144,7 @@
 
 // minHolderCount is the least number of empty engines that hold a prompt together.
 func (s *Scheduler) minHolderCount(request *Request, engine *fleet.Engine) int {
-	usable := int(float64(engine.MemoryTokens) * (1 - memoryMargin))
-	return max(minHolders, request.PromptTokens/max(1, usable-request.AnswerTokens)+1)
+	return max(minHolders, request.PromptTokens/max(1, usableTokens(engine)-request.AnswerTokens)+1)
 }
 
 // placeOnFree places a prompt on all of the engines, which have no streams.
--- a/placement/late.go
+++ b/placement/late.go
@@ -26,7 +26,7 @@
 	engine, promptMs := service.Engine, prefillMs(service.Engine, request.PromptTokens)
 	distributed, needed := distributes(request, engine), 1
 	if distributed {
-		if _, possible := s.selectHolders(now, service, engines, request); !possible {
+		if !canHold(engine, len(engines), request) {
 			return refuse(request, TooLarge, defaultRetryAfter), true
 		}
 		needed = min(len(engines), s.minHolderCount(request, engine))
