--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -351,9 +351,9 @@
 	if r.refusal != nil {
 		event = event.Str("service", r.service).Int("priority", r.request.Priority()).
 			Dur("retry_after_ms", r.refusal.RetryAfter).Dur("expected_wait_ms", r.refusal.ExpectedWait)
-		if reading := r.refusal.Reading; reading != nil {
-			event = event.Int("engines_wanted", reading.Wanted).Int("engines_needed", reading.Needed).Int("engines_at_hand", reading.AtHand).
-				Float64("prefill_load", reading.PrefillLoad)
+		if busy := r.refusal.BusyEngines; busy != nil {
+			event = event.Int("engines_wanted", busy.Wanted).Int("engines_needed", busy.Needed).Int("engines_at_hand", busy.AtHand).
+				Float64("prefill_load", busy.PrefillLoad)
 		}
 		e.config.Metrics.Count(fmt.Sprintf("wigeontiller_requests_refused_total{reason=%q}", r.refusal.Reason), 1)
 	}
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -84,7 +84,7 @@
 	case placement.TooLarge:
 		return "no number of engines that may share a prompt had the memory for it"
 	case placement.Busy:
-		return "the prompt could not be in time, and the engines read too much to take it until its caller would have left" + readingState(end)
+		return "the prompt could not be in time, and the engines read too much to take it until its caller would have left" + busyEngines(end)
 	case placement.LimitReached:
 		return "all upstreams that might run it state request limits that were used up"
 	case placement.TooLate:
@@ -108,8 +108,8 @@
 	return strings.ReplaceAll(reason, "_", " ")
 }
 
-// readingState describes the engines that were to read a refused prompt.
-func readingState(end *Line) string {
+// busyEngines describes the engines that were too busy for a prompt.
+func busyEngines(end *Line) string {
 	if end.Number("engines_at_hand") == 0 {
 		return ""
 	}
--- a/placement/late.go
+++ b/placement/late.go
@@ -48,7 +48,7 @@
 		return Decision{}, false
 	case busy >= lateMaxLoad && (!pooled || busy >= lateMaxPoolLoad || count > maxEnginesUnderLoad(engines)):
 		decision := refuse(request, Busy, busyRetryAfter)
-		decision.Reading = &Reading{Wanted: count, Needed: needed, AtHand: len(engines), PrefillLoad: busy}
+		decision.BusyEngines = &BusyEngines{Wanted: count, Needed: needed, AtHand: len(engines), PrefillLoad: busy}
 		return decision, true
 	case distributed:
 		return s.placeOnHolders(now, request, service, engines, count)
--- a/placement/long_overload_test.go
+++ b/placement/long_overload_test.go
@@ -145,6 +145,25 @@
 	return ids
 }
 
+// onTime returns the share of the requests with an aim that had their first event within it and no
+// pause over the target.
+func (l *longPoolLoad) onTime(aim, pause time.Duration) float64 { return l.onTimeFrom(0, aim, pause) }
+
+// onTimeFrom is onTime of the requests that arrived from a time on.
+func (l *longPoolLoad) onTimeFrom(from, aim, pause time.Duration) float64 {
+	good, count := 0, 0
+	for _, request := range l.all {
+		if request.aim != aim || request.arrived < from {
+			continue
+		}
+		count++
+		if request.done && request.firstEventAt-request.arrived <= aim && request.longestPause <= pause {
+			good++
+		}
+	}
+	return float64(good) / float64(max(1, count))
+}
+
 // served is how often the requests of a kind were served: all, the fifth below the largest tenth,
 // and the largest tenth.
 type served struct{ all, fifth, tenth float64 }
--- a/placement/long_pool_test.go
+++ b/placement/long_pool_test.go
@@ -332,25 +332,6 @@
 	l.startPass(now, engine)
 }
 
-// onTime returns the share of the requests with an aim that had their first event within it and no
-// pause over the target.
-func (l *longPoolLoad) onTime(aim, pause time.Duration) float64 { return l.onTimeFrom(0, aim, pause) }
-
-// onTimeFrom is onTime of the requests that arrived from a time on.
-func (l *longPoolLoad) onTimeFrom(from, aim, pause time.Duration) float64 {
-	good, count := 0, 0
-	for _, request := range l.all {
-		if request.aim != aim || request.arrived < from {
-			continue
-		}
-		count++
-		if request.done && request.firstEventAt-request.arrived <= aim && request.longestPause <= pause {
-			good++
-		}
-	}
-	return float64(good) / float64(max(1, count))
-}
-
 // length returns a random prompt length, log-normal like those of the users' large site.
 func (l *longPoolLoad) length(mean, spread, most float64) int {
 	v := mean * math.Exp(spread*l.random.NormFloat64()-spread*spread/2)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -102,8 +102,8 @@
 	RetryAfter time.Duration
 	// ExpectedWait is set for NoRoomInTime: the time until the request could have begun.
 	ExpectedWait time.Duration
-	// Reading is set for Busy: what the refusal rests on.
-	Reading *Reading
+	// BusyEngines is set for Busy: what the refusal rests on.
+	BusyEngines *BusyEngines
 	// Urgency ranks the request at an engine: 0 to 9, 0 first. Short prompts go
 	// before long ones, so that their prefill does not wait behind them.
 	Urgency int
@@ -113,8 +113,8 @@
 	ExpectedFirstEvent time.Duration
 }
 
-// Reading describes the engines that were to read a refused prompt.
-type Reading struct {
+// BusyEngines describes the engines that were too busy for a prompt.
+type BusyEngines struct {
 	// Wanted is the number of engines that would have read the prompt, Needed the fewest that hold it, and
 	// AtHand the number of those that may read it.
 	Wanted, Needed, AtHand int
